Lay out bundles, contracts and build

Nothing stood yet: parts that are to be built side by side need a common frame. Adds the bundles with their siblings, the parent POM with the formatter, linter and nullness checker, the identifiers, errors, events, timers, kernel and rings, the exchange IDL with its generated code, and the interfaces between configuration, fold, log, transport, membership, spread and calls.

--- /dev/null
+++ b/org.azurearch.junit/src/main/java/org/azurearch/junit/package-info.java
@@ -0,0 +1,5 @@
+/** Shared test kit. */
+@NullMarked
+package org.azurearch.junit;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between nodes, generated from peer.thrift. */
+package org.azurearch.thrift;
--- /dev/null
+++ b/org.azurearch.thrift/src/main/thrift/peer.thrift
@@ -0,0 +1,201 @@
+/** Exchange between nodes. Every request and reply travels sealed with the mesh's shared key. */
+namespace java org.azurearch.thrift
+
+/** IP address and port. */
+struct WireAddress {
+  1: required string host
+  2: required i32 port
+}
+
+/** A backend server behind a node. */
+struct WireEndpoint {
+  1: required string firm
+  2: required string serviceName
+  3: required i32 state
+  4: required i32 slots
+  5: required i64 readySinceMillis
+}
+
+/** What is known of a node. */
+struct WireMember {
+  1: required string node
+  2: required string dataCentre
+  3: required string region
+  4: required i64 incarnation
+  5: required i64 sequence
+  6: required i32 state
+  7: required WireAddress peer
+  8: required WireAddress calls
+  9: required WireAddress admin
+  10: optional list<WireEndpoint> endpoints
+}
+
+/** An entry of the replicated board. */
+struct WireBoardEntry {
+  1: required string kind
+  2: required string key
+  3: required string value
+  4: required i64 expiresAtMillis
+}
+
+/** Membership updates that ride on another message. */
+struct WireGossip {
+  1: optional list<WireMember> members
+  2: optional list<WireBoardEntry> board
+}
+
+/** Asks a node whether it is alive. */
+struct WirePing {
+  1: required string target
+  2: optional WireGossip gossip
+}
+
+/** Asks a node to ping another one. */
+struct WireIndirectPing {
+  1: required string target
+  2: required WireAddress address
+  3: optional WireGossip gossip
+}
+
+/** Answer to a ping, direct or indirect. */
+struct WirePong {
+  1: required bool alive
+  2: optional WireGossip gossip
+}
+
+/** Asks for the members and board entries that differ from the sender's. */
+struct WireSync {
+  /** Digest of (incarnation, sequence, state) by node, to detect that nothing differs. */
+  1: required i64 viewHash
+  2: optional WireGossip gossip
+  3: required bool whole
+}
+
+/** Answer to a membership synchronisation. */
+struct WireSyncReply {
+  1: required bool same
+  2: optional WireGossip gossip
+}
+
+/** Position in the folded change stream. */
+struct WirePosition {
+  1: required i64 offset
+  2: required binary digest
+}
+
+/** Log records that lead from one position to a later one, compressed against the base state. */
+struct WireDelta {
+  1: required WirePosition base
+  2: required WirePosition target
+  3: required binary payload
+}
+
+/** Pushes a delta down the tree. */
+struct WirePush {
+  1: required WireDelta delta
+  /** Nodes that the receiver passes the delta on to. */
+  2: optional list<string> subtree
+}
+
+/** Answer to a push. */
+struct WirePushReply {
+  1: required WirePosition position
+}
+
+/** Anti-entropy: the sender's position, and the wish for what it lacks. */
+struct WirePull {
+  1: required string node
+  2: required WirePosition position
+  3: required i32 maxBytes
+  4: optional string dataCentre
+}
+
+/** Answer to a pull: nothing newer, a delta, or the hint that a snapshot is needed. */
+struct WirePullReply {
+  1: required WirePosition position
+  2: optional WireDelta delta
+  3: required bool snapshotNeeded
+}
+
+/** Asks for the list of chunks of a snapshot of the current state. */
+struct WireManifestRequest {
+}
+
+/** The chunks of a snapshot, in order, by digest. */
+struct WireManifest {
+  1: required WirePosition position
+  2: required list<binary> chunks
+  3: required i64 totalBytes
+}
+
+/** Asks for one chunk. */
+struct WireChunkRequest {
+  1: required binary digest
+}
+
+/** One chunk. */
+struct WireChunk {
+  1: required binary digest
+  2: optional binary data
+}
+
+/** Asks a reader how far the nodes of its data centre have come. */
+struct WireProgressRequest {
+  1: required i64 offset
+}
+
+/** How far one node has come. */
+struct WireNodeProgress {
+  1: required string node
+  2: required i64 offset
+  3: required i64 heardMillisAgo
+}
+
+/** How far the nodes of a data centre have come. */
+struct WireProgress {
+  1: required string dataCentre
+  2: required WirePosition position
+  3: required i32 total
+  4: required i32 inForce
+  5: optional list<WireNodeProgress> laggards
+}
+
+/** The receiver is busy. */
+struct WireBusy {
+  1: required i64 retryAfterMillis
+}
+
+/** The receiver refuses the request. */
+struct WireRefused {
+  1: required string code
+  2: required string message
+}
+
+union PeerRequest {
+  1: WirePing ping
+  2: WireIndirectPing indirectPing
+  3: WireSync sync
+  4: WirePush push
+  5: WirePull pull
+  6: WireManifestRequest manifest
+  7: WireChunkRequest chunk
+  8: WireProgressRequest progress
+}
+
+union PeerReply {
+  1: WirePong pong
+  2: WireSyncReply sync
+  3: WirePushReply push
+  4: WirePullReply pull
+  5: WireManifest manifest
+  6: WireChunk chunk
+  7: WireProgress progress
+  8: WireBusy busy
+  9: WireRefused refused
+}
+
+/** The one service of a node towards other nodes. */
+service Peer {
+  /** Opens the sealed PeerRequest, handles it and returns the sealed PeerReply. */
+  binary exchange(1: binary sealed)
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/config/ClassConfig.java
@@ -0,0 +1,11 @@
+package org.azurearch.config;
+
+import org.azurearch.lib.ClassId;
+
+/**
+ * A class of calls.
+ *
+ * @param id the class
+ * @param priority the rank under overload; 0 is served first and shed last
+ */
+public record ClassConfig(ClassId id, int priority) {}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/config/ServiceConfig.java
@@ -0,0 +1,22 @@
+package org.azurearch.config;
+
+import java.time.Duration;
+import org.azurearch.lib.ServiceId;
+
+/**
+ * A service and the limits of each of its backend servers.
+ *
+ * @param id the service
+ * @param slots requests that one backend server runs at once
+ * @param connections the most connections to one backend server
+ * @param slowStart the time over which a new backend server comes to its full share
+ * @param probePath the path that the node probes for health
+ * @param probePeriod the time between two probes
+ */
+public record ServiceConfig(
+        ServiceId id,
+        int slots,
+        int connections,
+        Duration slowStart,
+        String probePath,
+        Duration probePeriod) {}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/errors/ErrorCode.java
@@ -0,0 +1,110 @@
+package org.azurearch.errors;
+
+/**
+ * Stable error codes. The code of a problem never changes its meaning; the HTTP status is the one
+ * that the administration API and the data path answer with.
+ */
+public enum ErrorCode {
+    /** An identifier, version, digest or address is malformed. */
+    BAD_NAME(400),
+    /** Settings or a document are not well-formed YAML. */
+    YAML_SYNTAX(422),
+    /** A mapping holds a key twice. */
+    YAML_DUPLICATE_KEY(422),
+    /** An alias refers to itself or expands beyond the limit. */
+    YAML_ALIAS(422),
+    /** Input is not valid UTF-8. */
+    NOT_UTF8(422),
+    /** Input is larger than the limit. */
+    TOO_LARGE(413),
+    /** A key is not known to the schema. */
+    UNKNOWN_KEY(422),
+    /** A value has the wrong type. */
+    WRONG_TYPE(422),
+    /** A required key is missing. */
+    MISSING_KEY(422),
+    /** A value is outside its range. */
+    OUT_OF_RANGE(422),
+    /** A reference names something that the same version lacks. */
+    DANGLING_REFERENCE(422),
+    /** Two routes match the same calls. */
+    AMBIGUOUS_ROUTE(422),
+    /** An overlay removes or belongs to something that does not exist. */
+    BAD_OVERLAY(422),
+    /** A change was refused because its content is invalid. */
+    INVALID(422),
+    /** A change was refused because the expected version is not the current one. */
+    CONFLICT(409),
+    /** A change record is of a rule set that this process does not know. */
+    UNKNOWN_RULE_SET(422),
+    /** Stored or received bytes do not match their digest or format. */
+    CORRUPT(500),
+    /** No token, or an unknown one, was given. */
+    UNAUTHENTICATED(401),
+    /** The token does not allow the action. */
+    FORBIDDEN(403),
+    /** The thing asked for does not exist. */
+    NOT_FOUND(404),
+    /** The method is not allowed for this resource. */
+    METHOD_NOT_ALLOWED(405),
+    /** The platform's log cannot be reached or does not answer in time. */
+    LOG_UNAVAILABLE(503),
+    /** The result of an append is not known: it may have taken effect. */
+    LOG_RESULT_UNKNOWN(503),
+    /** The offset asked for has been removed by retention. */
+    OFFSET_REMOVED(410),
+    /** A peer cannot be reached or does not answer in time. */
+    PEER_UNAVAILABLE(503),
+    /** A peer could not prove that it knows the shared key. */
+    PEER_UNAUTHENTICATED(401),
+    /** The node is busy; try again after the time given. */
+    BUSY(503),
+    /** The node holds no accepted configuration yet, or is stopping. */
+    NOT_READY(503),
+    /** No route matches the call. */
+    NO_ROUTE(404),
+    /** No backend server of the service can take the call. */
+    NO_BACKEND_SERVER(503),
+    /** The call was shed because of overload. */
+    OVERLOADED(503),
+    /** The firm used up its rate. */
+    RATE_LIMITED(429),
+    /** The deadline of the call has passed. */
+    DEADLINE_EXCEEDED(504),
+    /** The caller gave up. */
+    CANCELLED(499),
+    /** The call chain is deeper than the limit. */
+    TOO_DEEP(508),
+    /** The call came back to a node it has passed already. */
+    LOOP(508),
+    /** The request is not a valid or unambiguous HTTP message. */
+    BAD_REQUEST(400),
+    /** The backend server failed while it held the request. */
+    BACKEND_SERVER_FAILED(502),
+    /** A request like this one crashed several backend servers and is contained. */
+    SUSPECT_REQUEST(503),
+    /** A non-idempotent request was repeated and its first outcome is not known. */
+    OUTCOME_UNKNOWN(409),
+    /** A ticket or idempotency key is malformed, expired or belongs to another request. */
+    BAD_TICKET(422),
+    /** The command line is wrong. */
+    USAGE(400),
+    /** A fault of this program. */
+    INTERNAL(500);
+
+    private final int mHttpStatus;
+
+    ErrorCode(int httpStatus) {
+        mHttpStatus = httpStatus;
+    }
+
+    /** Returns the HTTP status that goes with the code. */
+    public int httpStatus() {
+        return mHttpStatus;
+    }
+
+    /** Returns the stable text form, such as {@code unknown-key}. */
+    public String code() {
+        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/events/EventCode.java
@@ -0,0 +1,28 @@
+package org.azurearch.events;
+
+/** A numbered event. Each subject has an enum that implements this interface. */
+public interface EventCode {
+    /** Severity of an event. */
+    enum Level {
+        /** Detail for tracing a fault. */
+        DEBUG,
+        /** Ordinary course of things. */
+        INFO,
+        /** Something that an operator should know. */
+        WARN,
+        /** Something that an operator should act on. */
+        ERROR
+    }
+
+    /** Returns the number, unique in the product. */
+    int number();
+
+    /** Returns the severity. */
+    Level level();
+
+    /** Returns the message, with {@code {}} for each argument. */
+    String message();
+
+    /** Returns the constant's name. */
+    String name();
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/events/package-info.java
@@ -0,0 +1,5 @@
+/** Numbered log events. */
+@NullMarked
+package org.azurearch.events;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/kernel/Kernel.java
@@ -0,0 +1,107 @@
+package org.azurearch.kernel;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
+
+/** Starts and stops plug-ins in the order of their needs and holds the services they share. */
+public final class Kernel implements AutoCloseable {
+    private final Map<Class<?>, Object> mServices = new ConcurrentHashMap<>();
+    private final Deque<Plugin> mStarted = new ArrayDeque<>();
+
+    /**
+     * Registers a service.
+     *
+     * @param type the type under which it is found
+     * @param service the service
+     * @param <T> the type of the service
+     */
+    public <T> void register(Class<T> type, T service) {
+        if (mServices.putIfAbsent(type, service) != null) {
+            throw new AzurearchException(
+                    ErrorCode.INTERNAL, "service registered twice: " + type.getName());
+        }
+    }
+
+    /**
+     * Returns a registered service.
+     *
+     * @throws AzurearchException with {@link ErrorCode#INTERNAL} when there is none
+     */
+    public <T> T service(Class<T> type) {
+        return optional(type)
+                .orElseThrow(
+                        () ->
+                                new AzurearchException(
+                                        ErrorCode.INTERNAL, "no service: " + type.getName()));
+    }
+
+    /** Returns a registered service, or nothing. */
+    public <T> Optional<T> optional(Class<T> type) {
+        return Optional.ofNullable(type.cast(mServices.get(type)));
+    }
+
+    /** Starts all plug-ins that registered themselves on the class path. */
+    public void startInstalled() {
+        List<Plugin> found = new ArrayList<>();
+        ServiceLoader.load(Plugin.class).forEach(found::add);
+        start(found);
+    }
+
+    /**
+     * Starts plug-ins, each after those that it requires.
+     *
+     * @throws AzurearchException when a requirement is missing or circular; what had started stays
+     *     started until {@link #close()}
+     */
+    public void start(Collection<? extends Plugin> plugins) {
+        List<Plugin> waiting = new ArrayList<>(plugins);
+        waiting.sort((a, b) -> a.name().compareTo(b.name()));
+        Set<String> running = new HashSet<>();
+        mStarted.forEach(plugin -> running.add(plugin.name()));
+        while (!waiting.isEmpty()) {
+            Plugin next = firstReady(waiting, running);
+            waiting.remove(next);
+            mStarted.push(next);
+            next.start(this);
+            running.add(next.name());
+            EventLog.log(KernelEvent.PLUGIN_STARTED, next.name());
+        }
+    }
+
+    /** Stops all plug-ins in the reverse order of their start. */
+    @Override
+    public void close() {
+        while (!mStarted.isEmpty()) {
+            Plugin plugin = mStarted.pop();
+            try {
+                plugin.stop();
+            } catch (RuntimeException e) {
+                EventLog.log(KernelEvent.PLUGIN_STOP_FAILED, e, plugin.name(), e.toString());
+            }
+        }
+    }
+
+    private static Plugin firstReady(List<Plugin> waiting, Set<String> running) {
+        for (Plugin plugin : waiting) {
+            if (running.containsAll(plugin.requires())) {
+                return plugin;
+            }
+        }
+        throw new AzurearchException(
+                ErrorCode.INTERNAL,
+                "plug-ins with missing or circular requirements: "
+                        + waiting.stream().map(Plugin::name).toList());
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/lib/ChangeId.java
@@ -0,0 +1,18 @@
+package org.azurearch.lib;
+
+/** Identifies a change; the publisher chooses it, so that a repeated append is recognised. */
+public final class ChangeId extends NamedId {
+    private ChangeId(String name) {
+        super(name);
+    }
+
+    /**
+     * Parses an identifier.
+     *
+     * @param name the name, see {@link NamedId}
+     * @throws org.azurearch.errors.AzurearchException when the name is malformed
+     */
+    public static ChangeId fromString(String name) {
+        return new ChangeId(name);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/lib/NetAddress.java
@@ -0,0 +1,55 @@
+package org.azurearch.lib;
+
+import java.net.InetSocketAddress;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+
+/**
+ * An IP address and a port.
+ *
+ * @param host the IP address in text form; it is not resolved by name
+ * @param port the port, 0 to 65535; 0 asks for an ephemeral one where a listener is set up
+ */
+public record NetAddress(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the port. */
+    public NetAddress {
+        if (port < 0 || port > MAX_PORT) {
+            throw new AzurearchException(ErrorCode.BAD_NAME, "port out of range: " + port);
+        }
+    }
+
+    /**
+     * Parses {@code host:port}.
+     *
+     * @throws AzurearchException with {@link ErrorCode#BAD_NAME} when the text is malformed
+     */
+    public static NetAddress fromString(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new AzurearchException(ErrorCode.BAD_NAME, "expected host:port: " + text);
+        }
+        try {
+            return new NetAddress(
+                    text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new AzurearchException(ErrorCode.BAD_NAME, "expected host:port: " + text, e);
+        }
+    }
+
+    /** Returns the socket address. */
+    public InetSocketAddress socketAddress() {
+        return new InetSocketAddress(host, port);
+    }
+
+    /** Returns {@code host:port}. */
+    public String name() {
+        return host + ":" + port;
+    }
+
+    @Override
+    public String toString() {
+        return name();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/lib/NodeId.java
@@ -0,0 +1,18 @@
+package org.azurearch.lib;
+
+/** Identifies a node; it outlives restarts of the process. */
+public final class NodeId extends NamedId {
+    private NodeId(String name) {
+        super(name);
+    }
+
+    /**
+     * Parses an identifier.
+     *
+     * @param name the name, see {@link NamedId}
+     * @throws org.azurearch.errors.AzurearchException when the name is malformed
+     */
+    public static NodeId fromString(String name) {
+        return new NodeId(name);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/member/LocalNode.java
@@ -0,0 +1,15 @@
+package org.azurearch.member;
+
+import org.azurearch.lib.NetAddress;
+
+/** This node's own entry in the membership. */
+public interface LocalNode {
+    /** Makes known where this node takes calls; called once its listener is bound. */
+    void callsAddress(NetAddress address);
+
+    /** Makes known where this node serves the administration API. */
+    void adminAddress(NetAddress address);
+
+    /** Tells the other nodes that this node leaves by plan; returns when enough of them know. */
+    void leave();
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/member/Member.java
@@ -0,0 +1,44 @@
+package org.azurearch.member;
+
+import java.util.List;
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.NodeId;
+import org.azurearch.lib.RegionId;
+
+/**
+ * What is known of a node. Of two records of one node the one with the higher (incarnation,
+ * sequence) holds.
+ *
+ * @param node the node
+ * @param dataCentre its data centre
+ * @param region its region
+ * @param incarnation grows with each start of the process and each refuted suspicion
+ * @param sequence grows with each change that the node makes to its own record
+ * @param state the state
+ * @param peer where it takes exchanges from other nodes
+ * @param calls where it takes calls
+ * @param admin where it serves the administration API
+ * @param endpoints the backend servers behind it
+ */
+public record Member(
+        NodeId node,
+        DataCentreId dataCentre,
+        RegionId region,
+        long incarnation,
+        long sequence,
+        MemberState state,
+        NetAddress peer,
+        NetAddress calls,
+        NetAddress admin,
+        List<Endpoint> endpoints) {
+    /** Takes a copy of the list. */
+    public Member {
+        endpoints = List.copyOf(endpoints);
+    }
+
+    /** Says whether calls and exchanges may be sent to the node. */
+    public boolean reachable() {
+        return state == MemberState.ALIVE || state == MemberState.SUSPECT;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** Metric names and histograms. */
+@NullMarked
+package org.azurearch.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/settings/NodeIdentity.java
@@ -0,0 +1,31 @@
+package org.azurearch.settings;
+
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.NodeId;
+import org.azurearch.lib.RegionId;
+import org.azurearch.lib.SiteId;
+
+/**
+ * Who and where a node is, as its settings say.
+ *
+ * @param mesh the name of the mesh, the prefix of its streams
+ * @param node the node
+ * @param dataCentre its data centre
+ * @param region its region
+ */
+public record NodeIdentity(String mesh, NodeId node, DataCentreId dataCentre, RegionId region) {
+    /** Reads the section {@code node}. */
+    public static NodeIdentity from(SettingsSection settings) {
+        SettingsSection section = settings.section("node");
+        return new NodeIdentity(
+                section.string("mesh"),
+                NodeId.fromString(section.string("id")),
+                DataCentreId.fromString(section.string("dataCentre")),
+                RegionId.fromString(section.string("region")));
+    }
+
+    /** Returns the site, which has the name of the data centre. */
+    public SiteId site() {
+        return SiteId.fromString(dataCentre.name());
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/transport/PeerServer.java
@@ -0,0 +1,16 @@
+package org.azurearch.transport;
+
+import org.azurearch.lib.NetAddress;
+import org.azurearch.thrift.PeerRequest;
+
+/** Takes requests from other nodes and hands them to the handlers. */
+public interface PeerServer extends AutoCloseable {
+    /** Registers the handler of a kind of request; kinds without one are refused. */
+    void handle(PeerRequest._Fields kind, PeerHandler handler);
+
+    /** Returns the address that the server listens on. */
+    NetAddress address();
+
+    @Override
+    void close();
+}
