Add administration API, its client and the first commands

Operators had no way to hand in a change or to ask where it stands. Adds the messages and client of the administration API in the library, the Micronaut server with tokens scoped to firm, site and role, and the commands publish, undo, status, versions and members on JOpt Simple.

Run: the command line prints its help and names a near command for an unknown one. The server is not yet exercised: the plug-ins it serves are being built.

--- /dev/null
+++ b/org.azurearch.node/src/main/java/org/azurearch/node/admin/ProblemHandlers.java
@@ -0,0 +1,98 @@
+package org.azurearch.node.admin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.micronaut.core.convert.exceptions.ConversionErrorException;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Error;
+import java.util.concurrent.CompletionException;
+import org.azurearch.admin.ProblemDetails;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
+import org.azurearch.node.NodeEvent;
+
+/** Turns every failure into {@code application/problem+json}. */
+@Controller
+public final class ProblemHandlers {
+    private static final MediaType PROBLEM_JSON = MediaType.of(ProblemDetails.MEDIA_TYPE);
+
+    /** Answers a failure that has a code. */
+    @Error(global = true)
+    public HttpResponse<ProblemDetails> known(HttpRequest<?> request, AzurearchException e) {
+        return answer(e);
+    }
+
+    /** Answers a failure of an asynchronous part. */
+    @Error(global = true)
+    public HttpResponse<ProblemDetails> asynchronous(
+            HttpRequest<?> request, CompletionException e) {
+        return e.getCause() instanceof AzurearchException known
+                ? answer(known)
+                : unknown(request, e);
+    }
+
+    /** Answers a body that is not the JSON expected. */
+    @Error(global = true)
+    public HttpResponse<ProblemDetails> malformed(
+            HttpRequest<?> request, JsonProcessingException e) {
+        return answer(
+                new AzurearchException(
+                        ErrorCode.BAD_REQUEST, "malformed JSON: " + e.getOriginalMessage()));
+    }
+
+    /** Answers a parameter of the wrong type. */
+    @Error(global = true)
+    public HttpResponse<ProblemDetails> conversion(
+            HttpRequest<?> request, ConversionErrorException e) {
+        return answer(
+                new AzurearchException(ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage())));
+    }
+
+    /** Answers a path that does not exist. */
+    @Error(status = HttpStatus.NOT_FOUND, global = true)
+    public HttpResponse<ProblemDetails> notFound(HttpRequest<?> request) {
+        return answer(
+                new AzurearchException(ErrorCode.NOT_FOUND, "no resource " + request.getPath()));
+    }
+
+    /** Answers a method that the resource does not have. */
+    @Error(status = HttpStatus.METHOD_NOT_ALLOWED, global = true)
+    public HttpResponse<ProblemDetails> methodNotAllowed(HttpRequest<?> request) {
+        return answer(
+                new AzurearchException(
+                        ErrorCode.METHOD_NOT_ALLOWED,
+                        request.getMethodName() + " is not allowed here"));
+    }
+
+    /** Answers a request that could not be bound to its resource. */
+    @Error(status = HttpStatus.BAD_REQUEST, global = true)
+    public HttpResponse<ProblemDetails> badRequest(HttpRequest<?> request) {
+        return answer(
+                new AzurearchException(
+                        ErrorCode.BAD_REQUEST, "the request does not fit this resource"));
+    }
+
+    /** Answers a body that is too large. */
+    @Error(status = HttpStatus.REQUEST_ENTITY_TOO_LARGE, global = true)
+    public HttpResponse<ProblemDetails> tooLarge(HttpRequest<?> request) {
+        return answer(new AzurearchException(ErrorCode.TOO_LARGE, "the body is too large"));
+    }
+
+    /** Answers any other failure and logs it. */
+    @Error(global = true)
+    public HttpResponse<ProblemDetails> unknown(HttpRequest<?> request, RuntimeException e) {
+        EventLog.log(NodeEvent.ADMIN_REQUEST_FAILED, e, request.getPath(), e.toString());
+        return answer(new AzurearchException(ErrorCode.INTERNAL, "internal error, see the log"));
+    }
+
+    private static HttpResponse<ProblemDetails> answer(AzurearchException e) {
+        int status = e.code().httpStatus();
+        return HttpResponse.<ProblemDetails>status(status, e.code().code())
+                .body(ProblemDetails.of(e))
+                .contentType(PROBLEM_JSON);
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/ExitCode.java
@@ -0,0 +1,48 @@
+package org.azurearch.pgm;
+
+import org.azurearch.errors.ErrorCode;
+
+/** Exit codes of every command. */
+public enum ExitCode {
+    /** What was asked for has been done. */
+    DONE(0),
+    /** The program failed in an unexpected way. */
+    FAILED(1),
+    /** The command line or the settings are wrong. */
+    USAGE(2),
+    /** The input or the change was refused. */
+    REFUSED(3),
+    /** Another change came first. */
+    CONFLICT(4),
+    /** The result is not known, or nobody answered. */
+    UNAVAILABLE(5);
+
+    private final int mNumber;
+
+    ExitCode(int number) {
+        mNumber = number;
+    }
+
+    /** Returns the number that the process exits with. */
+    public int number() {
+        return mNumber;
+    }
+
+    /** Returns the exit code that goes with an error code. */
+    public static ExitCode of(ErrorCode code) {
+        return switch (code) {
+            case USAGE -> USAGE;
+            case INTERNAL, CORRUPT -> FAILED;
+            case CONFLICT -> CONFLICT;
+            case LOG_UNAVAILABLE,
+                    LOG_RESULT_UNKNOWN,
+                    PEER_UNAVAILABLE,
+                    BUSY,
+                    NOT_READY,
+                    OUTCOME_UNKNOWN,
+                    CANCELLED ->
+                    UNAVAILABLE;
+            default -> REFUSED;
+        };
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/MembersSubcommand.java
@@ -0,0 +1,38 @@
+package org.azurearch.pgm;
+
+import joptsimple.OptionSet;
+import org.azurearch.admin.MemberReport;
+import org.azurearch.admin.MembersCommand;
+import org.azurearch.admin.MembersReport;
+import org.azurearch.pgm.internal.Output;
+
+/** {@code azurearch members}. */
+@Command(name = "members", summary = PgmText.SUMMARY_MEMBERS)
+public final class MembersSubcommand extends RemoteSubcommand {
+    @Override
+    protected ExitCode run(OptionSet options, Output output) {
+        MembersReport report = new MembersCommand(client(options)).call();
+        output.result(report, value -> print(value, output));
+        return ExitCode.DONE;
+    }
+
+    private static void print(MembersReport report, Output output) {
+        for (MemberReport member : report.members()) {
+            output.line(
+                    PgmText.MEMBER_LINE.format(
+                            member.node(),
+                            member.dataCentre(),
+                            member.state(),
+                            member.admin(),
+                            member.calls()));
+            for (MemberReport.EndpointReport endpoint : member.endpoints()) {
+                output.line(
+                        PgmText.ENDPOINT_LINE.format(
+                                endpoint.firm(),
+                                endpoint.service(),
+                                endpoint.state(),
+                                endpoint.slots()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/StatusSubcommand.java
@@ -0,0 +1,26 @@
+package org.azurearch.pgm;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.azurearch.admin.StatusCommand;
+import org.azurearch.lib.ChangeId;
+import org.azurearch.pgm.internal.ChangePrinter;
+import org.azurearch.pgm.internal.Output;
+
+/** {@code azurearch status}. */
+@Command(name = "status", summary = PgmText.SUMMARY_STATUS)
+public final class StatusSubcommand extends RemoteSubcommand {
+    @Override
+    protected void options(OptionParser parser) {
+        super.options(parser);
+        firmOption(parser);
+        parser.accepts("id", PgmText.OPTION_ID.format()).withRequiredArg();
+    }
+
+    @Override
+    protected ExitCode run(OptionSet options, Output output) {
+        ChangeId change = ChangeId.fromString(required(options, "id"));
+        return ChangePrinter.print(
+                new StatusCommand(client(options), firm(options), change).call(), output);
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/Subcommand.java
@@ -0,0 +1,92 @@
+package org.azurearch.pgm;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.pgm.internal.Output;
+
+/**
+ * A command of the command line. Subclasses declare themselves with {@link Command} and the service
+ * file {@code META-INF/services/org.azurearch.pgm.Subcommand}; they stay thin over the library.
+ */
+public abstract class Subcommand {
+    private final OptionParser mParser = new OptionParser(false);
+
+    /** Creates the command and its common options. */
+    protected Subcommand() {
+        mParser.accepts("help", PgmText.OPTION_HELP.format()).forHelp();
+        mParser.accepts("json", PgmText.OPTION_JSON.format());
+    }
+
+    /** Returns the declaration of this command. */
+    public final Command declaration() {
+        return getClass().getAnnotation(Command.class);
+    }
+
+    /**
+     * Parses the arguments and runs the command.
+     *
+     * @param arguments the arguments after the command's name
+     * @param output where results go
+     * @return the exit code
+     * @throws AzurearchException when the command fails
+     */
+    public final ExitCode execute(String[] arguments, Output output) {
+        options(mParser);
+        OptionSet options = parse(arguments);
+        if (options.has("help")) {
+            printHelp(output);
+            return ExitCode.DONE;
+        }
+        return run(options, options.has("json") ? output.json() : output);
+    }
+
+    /** Adds the options of the command to the parser. */
+    protected void options(OptionParser parser) {
+        // most commands add some
+    }
+
+    /**
+     * Runs the command.
+     *
+     * @param options the parsed options
+     * @param output where results go
+     * @return the exit code
+     */
+    protected abstract ExitCode run(OptionSet options, Output output);
+
+    /**
+     * Returns the value of a required option.
+     *
+     * @throws AzurearchException with {@code USAGE} when it is missing
+     */
+    protected static String required(OptionSet options, String name) {
+        if (!options.hasArgument(name)) {
+            throw new AzurearchException(ErrorCode.USAGE, PgmText.MISSING_OPTION.format(name));
+        }
+        return String.valueOf(options.valueOf(name));
+    }
+
+    private OptionSet parse(String[] arguments) {
+        try {
+            return mParser.parse(arguments);
+        } catch (OptionException e) {
+            throw new AzurearchException(ErrorCode.USAGE, String.valueOf(e.getMessage()), e);
+        }
+    }
+
+    private void printHelp(Output output) {
+        output.line(
+                PgmText.USAGE_OF_COMMAND.format(
+                        declaration().name(), declaration().summary().format()));
+        try {
+            mParser.printHelpOn(output.stream());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/internal/CommandCatalog.java
@@ -0,0 +1,37 @@
+package org.azurearch.pgm.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import org.azurearch.pgm.Subcommand;
+
+/** The commands that registered themselves. */
+public final class CommandCatalog {
+    private final List<Subcommand> mCommands = new ArrayList<>();
+
+    /** Loads the commands from the class path. */
+    public CommandCatalog() {
+        ServiceLoader.load(Subcommand.class).forEach(mCommands::add);
+        mCommands.sort(Comparator.comparing(command -> command.declaration().name()));
+    }
+
+    /** Returns the commands, sorted by name. */
+    public List<Subcommand> commands() {
+        return List.copyOf(mCommands);
+    }
+
+    /** Returns a command. */
+    public Optional<Subcommand> find(String name) {
+        return mCommands.stream().filter(c -> c.declaration().name().equals(name)).findFirst();
+    }
+
+    /** Returns the name of the command that is nearest to a name. */
+    public String nearest(String name) {
+        return mCommands.stream()
+                .map(command -> command.declaration().name())
+                .min(Comparator.comparingInt(other -> NearName.distance(name, other)))
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/internal/TerminalProgress.java
@@ -0,0 +1,45 @@
+package org.azurearch.pgm.internal;
+
+import java.io.PrintStream;
+import org.azurearch.lib.ProgressMonitor;
+
+/** Shows progress on a terminal as {@code title: done/total}, on one line. */
+public final class TerminalProgress implements ProgressMonitor {
+    private final PrintStream mStream;
+    private String mTitle = "";
+    private int mTotal;
+    private int mDone;
+
+    private TerminalProgress(PrintStream stream) {
+        mStream = stream;
+    }
+
+    /** Returns a monitor on standard error when the program runs in a terminal, else none. */
+    public static ProgressMonitor onTerminal() {
+        return System.console() == null ? NONE : new TerminalProgress(System.err);
+    }
+
+    @Override
+    public synchronized void begin(String title, int totalWork) {
+        mTitle = title;
+        mTotal = totalWork;
+        mDone = 0;
+        show();
+    }
+
+    @Override
+    public synchronized void update(int completed) {
+        mDone += completed;
+        show();
+    }
+
+    @Override
+    public synchronized void end() {
+        mStream.println();
+    }
+
+    private void show() {
+        mStream.print("\r" + mTitle + ": " + mDone + (mTotal > 0 ? "/" + mTotal : ""));
+        mStream.flush();
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/internal/TrustStore.java
@@ -0,0 +1,39 @@
+package org.azurearch.pgm.internal;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManagerFactory;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+
+/** Loads trusted certificates. */
+public final class TrustStore {
+    private TrustStore() {}
+
+    /**
+     * Loads a PKCS #12 file.
+     *
+     * @param file the file
+     * @param password its password
+     * @throws AzurearchException with {@code USAGE} when the file cannot be used
+     */
+    public static SSLContext load(Path file, String password) {
+        try (InputStream in = Files.newInputStream(file)) {
+            KeyStore store = KeyStore.getInstance("PKCS12");
+            store.load(in, password.toCharArray());
+            TrustManagerFactory trust =
+                    TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+            trust.init(store);
+            SSLContext context = SSLContext.getInstance("TLS");
+            context.init(null, trust.getTrustManagers(), null);
+            return context;
+        } catch (IOException | GeneralSecurityException e) {
+            throw new AzurearchException(ErrorCode.USAGE, "cannot use " + file + ": " + e, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/ChangeCommand.java
@@ -0,0 +1,119 @@
+package org.azurearch.admin;
+
+import java.time.Duration;
+import java.util.UUID;
+import java.util.concurrent.locks.LockSupport;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.ProgressMonitor;
+import org.azurearch.time.SystemTimeSource;
+import org.azurearch.time.TimeSource;
+
+/**
+ * Base of the commands that make a change and wait for it.
+ *
+ * @param <C> the type of the command
+ */
+public abstract class ChangeCommand<C extends ChangeCommand<C>> {
+    private static final Duration POLL_PERIOD = Duration.ofMillis(100);
+
+    private final AdminClient mClient;
+    private final FirmId mFirm;
+    private final TimeSource mTime = new SystemTimeSource();
+    private ChangeId mId = ChangeId.fromString(UUID.randomUUID().toString());
+    private String mNote = "";
+    private Duration mWait = Duration.ZERO;
+    private ProgressMonitor mMonitor = ProgressMonitor.NONE;
+    private boolean mCalled;
+
+    /**
+     * Creates a command.
+     *
+     * @param client the client
+     * @param firm the firm
+     */
+    ChangeCommand(AdminClient client, FirmId firm) {
+        mClient = client;
+        mFirm = firm;
+    }
+
+    /** Sets the change id; a new random one by default. Repeat it to repeat the same change. */
+    public C setId(ChangeId id) {
+        mId = id;
+        return self();
+    }
+
+    /** Sets the operator's note. */
+    public C setNote(String note) {
+        mNote = note;
+        return self();
+    }
+
+    /** Sets how long to wait until the change is refused or in force; not at all by default. */
+    public C setWait(Duration wait) {
+        mWait = wait;
+        return self();
+    }
+
+    /** Sets who is told of the nodes that have the change in force. */
+    public C setMonitor(ProgressMonitor monitor) {
+        mMonitor = monitor;
+        return self();
+    }
+
+    /**
+     * Makes the change; may be called once.
+     *
+     * @return where the change stands when it is final or the wait is over
+     * @throws AzurearchException when the change could not be handed in
+     */
+    public ChangeReport call() {
+        if (mCalled) {
+            throw new AzurearchException(ErrorCode.INTERNAL, "a command is called once");
+        }
+        mCalled = true;
+        submit(mClient, mFirm, mId, mNote);
+        return await();
+    }
+
+    /** Hands the change in. */
+    abstract void submit(AdminClient client, FirmId firm, ChangeId id, String note);
+
+    /** Returns this command. */
+    abstract C self();
+
+    private ChangeReport await() {
+        StatusCommand status = new StatusCommand(mClient, mFirm, mId);
+        long deadline = mTime.nanos() + mWait.toNanos();
+        ChangeReport report = status.call();
+        int shown = 0;
+        boolean begun = false;
+        while (!report.isFinal() && mTime.nanos() - deadline < 0) {
+            if (!begun && total(report) > 0) {
+                mMonitor.begin(mId.name(), total(report));
+                begun = true;
+            }
+            int inForce = inForce(report);
+            if (begun && inForce > shown) {
+                mMonitor.update(inForce - shown);
+                shown = inForce;
+            }
+            LockSupport.parkNanos(POLL_PERIOD.toNanos());
+            report = status.call();
+        }
+        if (begun) {
+            mMonitor.end();
+        }
+        return report;
+    }
+
+    private static int total(ChangeReport report) {
+        return report.dataCentres().stream().mapToInt(ChangeReport.DataCentreReport::total).sum();
+    }
+
+    private static int inForce(ChangeReport report) {
+        return report.dataCentres().stream().mapToInt(ChangeReport.DataCentreReport::inForce).sum();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/EndpointsReport.java
@@ -0,0 +1,16 @@
+package org.azurearch.admin;
+
+import java.util.List;
+
+/**
+ * The backend servers that a node knows of.
+ *
+ * @param node the node that answers
+ * @param endpoints the backend servers
+ */
+public record EndpointsReport(String node, List<MemberReport.EndpointReport> endpoints) {
+    /** Takes a copy of the list. */
+    public EndpointsReport {
+        endpoints = List.copyOf(endpoints);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/MembersCommand.java
@@ -0,0 +1,16 @@
+package org.azurearch.admin;
+
+/** Lists the nodes that a node knows of. */
+public final class MembersCommand {
+    private final AdminClient mClient;
+
+    /** Creates a command. */
+    public MembersCommand(AdminClient client) {
+        mClient = client;
+    }
+
+    /** Returns the nodes. */
+    public MembersReport call() {
+        return mClient.get("/v1/members", MembersReport.class);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/PublishCommand.java
@@ -0,0 +1,62 @@
+package org.azurearch.admin;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.fold.Document;
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.SiteId;
+
+/** Publishes documents of a firm as one change. */
+public final class PublishCommand extends ChangeCommand<PublishCommand> {
+    private static final long CURRENT = -1;
+
+    private final List<DocumentBody> mDocuments = new ArrayList<>();
+    private final List<String> mRemovedOverlays = new ArrayList<>();
+    private long mExpectedVersion = CURRENT;
+
+    /**
+     * Creates a command.
+     *
+     * @param client the client
+     * @param firm the firm
+     */
+    public PublishCommand(AdminClient client, FirmId firm) {
+        super(client, firm);
+    }
+
+    /** Adds a document to set. */
+    public PublishCommand addDocument(Document document) {
+        mDocuments.add(DocumentBody.of(document));
+        return this;
+    }
+
+    /** Adds a site whose overlay to remove. */
+    public PublishCommand removeOverlay(SiteId site) {
+        mRemovedOverlays.add(site.name());
+        return this;
+    }
+
+    /** Sets the version that the change is based on; by default the one that the node holds. */
+    public PublishCommand setExpectedVersion(long version) {
+        mExpectedVersion = version;
+        return this;
+    }
+
+    @Override
+    void submit(AdminClient client, FirmId firm, ChangeId id, String note) {
+        long expected =
+                mExpectedVersion == CURRENT
+                        ? new VersionsCommand(client, firm).call().current()
+                        : mExpectedVersion;
+        client.post(
+                "/v1/firms/" + firm.name() + "/changes",
+                new PublishRequest(id.name(), expected, mDocuments, mRemovedOverlays, note),
+                ChangeAppended.class);
+    }
+
+    @Override
+    PublishCommand self() {
+        return this;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/PublishRequest.java
@@ -0,0 +1,25 @@
+package org.azurearch.admin;
+
+import java.util.List;
+
+/**
+ * Asks for a change of documents.
+ *
+ * @param id the change id that the publisher chose
+ * @param expectedVersion the version of the firm that the publisher saw, 0 for none
+ * @param documents the documents to set
+ * @param removedOverlays the sites whose overlay to remove
+ * @param note why
+ */
+public record PublishRequest(
+        String id,
+        long expectedVersion,
+        List<DocumentBody> documents,
+        List<String> removedOverlays,
+        String note) {
+    /** Takes copies of the lists. */
+    public PublishRequest {
+        documents = List.copyOf(documents);
+        removedOverlays = List.copyOf(removedOverlays);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/UndoCommand.java
@@ -0,0 +1,42 @@
+package org.azurearch.admin;
+
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
+
+/** Brings back the content of an earlier version as a new version. */
+public final class UndoCommand extends ChangeCommand<UndoCommand> {
+    private static final long PREVIOUS = -1;
+
+    private long mVersion = PREVIOUS;
+
+    /**
+     * Creates a command.
+     *
+     * @param client the client
+     * @param firm the firm
+     */
+    public UndoCommand(AdminClient client, FirmId firm) {
+        super(client, firm);
+    }
+
+    /** Sets the number of the version to go back to; by default the one before the current. */
+    public UndoCommand setVersion(long version) {
+        mVersion = version;
+        return this;
+    }
+
+    @Override
+    void submit(AdminClient client, FirmId firm, ChangeId id, String note) {
+        long current = new VersionsCommand(client, firm).call().current();
+        long target = mVersion == PREVIOUS ? current - 1 : mVersion;
+        client.post(
+                "/v1/firms/" + firm.name() + "/undo",
+                new UndoRequest(id.name(), current, target, note),
+                ChangeAppended.class);
+    }
+
+    @Override
+    UndoCommand self() {
+        return this;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/VersionsReport.java
@@ -0,0 +1,20 @@
+package org.azurearch.admin;
+
+import java.util.List;
+
+/**
+ * The retained decisions on a firm's changes.
+ *
+ * @param firm the firm
+ * @param current the current version's number, 0 before the first
+ * @param offset the offset folded so far
+ * @param digest the digest of the folded state
+ * @param changes the decisions, the newest first
+ */
+public record VersionsReport(
+        String firm, long current, long offset, String digest, List<ChangeReport.Outcome> changes) {
+    /** Takes a copy of the list. */
+    public VersionsReport {
+        changes = List.copyOf(changes);
+    }
+}
