--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpCall.java
@@ -0,0 +1,120 @@
+package org.azurearch.standin.http;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
+import java.util.Optional;
+
+/** A request that a stand-in received, and the way to answer it. */
+public final class HttpCall {
+    private static final Runnable NOTHING = () -> {};
+
+    private final Channel mChannel;
+    private final String mMethod;
+    private final QueryStringDecoder mUri;
+    private final HttpHeaders mHeaders;
+    private final byte[] mBody;
+    private final boolean mKeepAlive;
+    private volatile Runnable mOnDisconnect = NOTHING;
+
+    HttpCall(
+            Channel channel,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            boolean keepAlive) {
+        mChannel = channel;
+        mMethod = method;
+        mUri = new QueryStringDecoder(uri);
+        mHeaders = headers;
+        mBody = body;
+        mKeepAlive = keepAlive;
+    }
+
+    /** Returns the HTTP method, upper-case. */
+    public String method() {
+        return mMethod;
+    }
+
+    /** Returns the path without its query. */
+    public String path() {
+        return mUri.path();
+    }
+
+    /** Returns the first value of a query parameter. */
+    public Optional<String> parameter(String name) {
+        return mUri.parameters().getOrDefault(name, List.of()).stream().findFirst();
+    }
+
+    /**
+     * Returns a query parameter as a whole number.
+     *
+     * @throws NumberFormatException when it is not one
+     */
+    public long number(String name, long fallback) {
+        return parameter(name).map(Long::parseLong).orElse(fallback);
+    }
+
+    /** Returns a header. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(mHeaders.get(name));
+    }
+
+    /** Returns the body; must not be changed. */
+    public byte[] body() {
+        return mBody;
+    }
+
+    /** Returns the event loop of the caller's connection, for delayed answers. */
+    public EventLoop eventLoop() {
+        return mChannel.eventLoop();
+    }
+
+    /** Says whether the caller is still connected. */
+    public boolean connected() {
+        return mChannel.isActive();
+    }
+
+    /** Runs a task when the caller's connection closes before the answer was sent. */
+    public void onDisconnect(Runnable task) {
+        mOnDisconnect = task;
+    }
+
+    void disconnected() {
+        Runnable task = mOnDisconnect;
+        mOnDisconnect = NOTHING;
+        task.run();
+    }
+
+    /** Sends the answer. */
+    public void reply(HttpReply reply) {
+        mOnDisconnect = NOTHING;
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(reply.status()),
+                        Unpooled.wrappedBuffer(reply.body()));
+        reply.headers().forEach((name, value) -> response.headers().set(name, value));
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+        if (mKeepAlive) {
+            mChannel.writeAndFlush(response, mChannel.voidPromise());
+        } else {
+            response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /** Closes the connection without an answer. */
+    public void cut() {
+        mChannel.close();
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpServer.java
@@ -0,0 +1,178 @@
+package org.azurearch.standin.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.events.EventLog;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.standin.StandinEvent;
+import org.jspecify.annotations.Nullable;
+
+/** HTTP/1.1 server with keep-alive that hands whole requests to a handler. */
+public final class HttpServer implements AutoCloseable {
+    private static final int BACKLOG = 4_096;
+    private static final int BAD_REQUEST = 400;
+    private static final int INTERNAL_ERROR = 500;
+    private static final long STOP_MILLIS = 2_000L;
+
+    private final EventLoopGroup mLoops;
+    private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Channel mListener;
+
+    private HttpServer(NetAddress listen, Limits limits, HttpHandler handler) {
+        mLoops =
+                new MultiThreadIoEventLoopGroup(
+                        limits.threads(),
+                        new DefaultThreadFactory("standin-http", true),
+                        NioIoHandler.newFactory());
+        mListener = bind(listen, limits, handler);
+    }
+
+    /**
+     * Limits of a server.
+     *
+     * @param threads the event loops, 1 or more
+     * @param maxBodyBytes the largest body taken; a larger one is answered with 413
+     * @param maxConnections the most connections; one more is closed at once
+     */
+    public record Limits(int threads, int maxBodyBytes, int maxConnections) {}
+
+    /**
+     * Starts a server.
+     *
+     * @param listen where it listens; port 0 takes an ephemeral one
+     */
+    public static HttpServer start(NetAddress listen, Limits limits, HttpHandler handler) {
+        return new HttpServer(listen, limits, handler);
+    }
+
+    /** Returns the address that the server listens on. */
+    public NetAddress address() {
+        InetSocketAddress bound = (InetSocketAddress) mListener.localAddress();
+        return new NetAddress(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    /** Returns how many connections are open. */
+    public int connections() {
+        return mConnections.size();
+    }
+
+    /** Returns the event loops, for timers of the server's owner. */
+    public EventLoopGroup loops() {
+        return mLoops;
+    }
+
+    /** Stops listening; open connections stay. */
+    public void stopListening() {
+        mListener.close().syncUninterruptibly();
+    }
+
+    /** Closes all connections at once and ends the threads. */
+    @Override
+    public void close() {
+        mListener.close().syncUninterruptibly();
+        mConnections.close().awaitUninterruptibly(STOP_MILLIS);
+        mLoops.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private Channel bind(NetAddress listen, Limits limits, HttpHandler handler) {
+        return new ServerBootstrap()
+                .group(mLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Initializer(limits, handler))
+                .bind(listen.socketAddress())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private final class Initializer extends ChannelInitializer<Channel> {
+        private final Limits mLimits;
+        private final HttpHandler mHandler;
+
+        Initializer(Limits limits, HttpHandler handler) {
+            mLimits = limits;
+            mHandler = handler;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            if (mConnections.size() >= mLimits.maxConnections()) {
+                channel.close();
+                return;
+            }
+            mConnections.add(channel);
+            channel.pipeline().addLast(new HttpServerCodec());
+            channel.pipeline().addLast(new HttpObjectAggregator(mLimits.maxBodyBytes(), true));
+            channel.pipeline().addLast(new Dispatcher(mHandler));
+        }
+    }
+
+    private static final class Dispatcher extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final HttpHandler mHandler;
+        private @Nullable HttpCall mCurrent;
+
+        Dispatcher(HttpHandler handler) {
+            mHandler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            HttpCall call =
+                    new HttpCall(
+                            context.channel(),
+                            request.method().name(),
+                            request.uri(),
+                            request.headers(),
+                            ByteBufUtil.getBytes(request.content()),
+                            HttpUtil.isKeepAlive(request));
+            mCurrent = call;
+            if (request.decoderResult().isFailure()) {
+                call.reply(HttpReply.problem(BAD_REQUEST, "malformed HTTP message"));
+                return;
+            }
+            try {
+                mHandler.handle(call);
+            } catch (RuntimeException e) {
+                EventLog.log(StandinEvent.HANDLER_FAILED, e, call.path(), e.toString());
+                call.reply(HttpReply.problem(INTERNAL_ERROR, e.toString()));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (mCurrent != null) {
+                mCurrent.disconnected();
+            }
+            context.fireChannelInactive();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                EventLog.log(StandinEvent.CONNECTION_FAILED, cause, cause.toString());
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/log/LogHandler.java
@@ -0,0 +1,238 @@
+package org.azurearch.standin.log;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.azurearch.events.EventLog;
+import org.azurearch.log.LogRecord;
+import org.azurearch.standin.StandinEvent;
+import org.azurearch.standin.http.HttpCall;
+import org.azurearch.standin.http.HttpHandler;
+import org.azurearch.standin.http.HttpReply;
+import org.azurearch.time.TimeSource;
+
+/** Serves the log's HTTP interface. Its state is guarded by its monitor. */
+final class LogHandler implements HttpHandler {
+    private static final Pattern RECORDS = Pattern.compile("/v1/streams/([^/]+)/records");
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,95}");
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long MAX_READ_BYTES = 4L * 1_048_576L;
+    private static final long MAX_WAIT_MILLIS = 60_000L;
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int GONE = 410;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int UNAVAILABLE = 503;
+
+    private final LogServerOptions mOptions;
+    private final TimeSource mTime;
+    private final AppendRate mRate;
+    private final Map<String, LogStream> mStreams = new HashMap<>();
+    private final Map<String, List<Waiter>> mWaiters = new HashMap<>();
+    private LogFault mFault = LogFault.NONE;
+    private long mAppendsLimited;
+
+    LogHandler(LogServerOptions options, TimeSource time) {
+        mOptions = options;
+        mTime = time;
+        mRate = new AppendRate(options.appendsPerSecond(), time.nanos());
+    }
+
+    private record Waiter(HttpCall call, long offset, long maxBytes) {}
+
+    private record Appended(long offset) {}
+
+    private record Earliest(long earliest) {}
+
+    private record RetryAfter(long retryAfterMillis) {}
+
+    @Override
+    public synchronized void handle(HttpCall call) {
+        String path = call.path();
+        if (path.equals("/v1/faults") && call.method().equals("PUT")) {
+            putFault(call);
+        } else if (path.equals("/v1/statistics") && call.method().equals("GET")) {
+            call.reply(HttpReply.ok(statistics(0)));
+        } else {
+            handleRecords(call, RECORDS.matcher(path));
+        }
+    }
+
+    synchronized void fault(LogFault fault) {
+        mFault = fault;
+        EventLog.log(StandinEvent.LOG_FAULT_SET, fault.mode().code(), fault.delay().toMillis());
+        if (fault.mode() == LogFault.Mode.DOWN) {
+            mWaiters.values().forEach(waiters -> waiters.forEach(w -> unavailable(w.call())));
+            mWaiters.clear();
+        }
+    }
+
+    synchronized LogStatistics statistics(int connections) {
+        Map<String, LogStatistics.Stream> streams = new TreeMap<>();
+        mStreams.forEach((name, stream) -> streams.put(name, stream.statistics()));
+        int waiting = mWaiters.values().stream().mapToInt(List::size).sum();
+        return new LogStatistics(connections, waiting, mAppendsLimited, streams);
+    }
+
+    private void putFault(HttpCall call) {
+        try {
+            JsonNode body = JSON.readTree(call.body());
+            LogFault.Mode mode = LogFault.Mode.fromString(body.path("mode").asText());
+            fault(new LogFault(mode, Duration.ofMillis(body.path("delayMillis").asLong())));
+            call.reply(HttpReply.ok(Map.of("mode", mode.code())));
+        } catch (IOException | IllegalArgumentException e) {
+            call.reply(HttpReply.problem(BAD_REQUEST, "expected mode and delayMillis: " + e));
+        }
+    }
+
+    private void handleRecords(HttpCall call, Matcher path) {
+        if (!path.matches()) {
+            call.reply(HttpReply.problem(NOT_FOUND, "no such resource: " + call.path()));
+        } else if (!NAME.matcher(path.group(1)).matches()) {
+            call.reply(HttpReply.problem(BAD_REQUEST, "not a stream name: " + path.group(1)));
+        } else if (mFault.mode() == LogFault.Mode.DOWN) {
+            unavailable(call);
+        } else if (call.method().equals("POST")) {
+            append(call, path.group(1));
+        } else {
+            read(call, path.group(1));
+        }
+    }
+
+    private void append(HttpCall call, String name) {
+        long retryAfterMillis = mRate.take(mTime.nanos());
+        if (retryAfterMillis > 0) {
+            mAppendsLimited++;
+            send(call, HttpReply.json(TOO_MANY_REQUESTS, new RetryAfter(retryAfterMillis)));
+            return;
+        }
+        long offset = stream(name).append(call.body(), mTime.wallMillis());
+        wake(name);
+        if (mFault.mode() == LogFault.Mode.LOSE_APPEND_ANSWERS) {
+            call.cut();
+        } else {
+            send(call, HttpReply.ok(new Appended(offset)));
+        }
+    }
+
+    private void read(HttpCall call, String name) {
+        long offset;
+        long maxBytes;
+        long waitMillis;
+        try {
+            offset = call.number("offset", 0);
+            maxBytes = Math.min(MAX_READ_BYTES, call.number("maxBytes", MAX_READ_BYTES));
+            waitMillis = Math.min(MAX_WAIT_MILLIS, call.number("waitMillis", 0));
+        } catch (NumberFormatException e) {
+            call.reply(HttpReply.problem(BAD_REQUEST, "not a whole number: " + e.getMessage()));
+            return;
+        }
+        Waiter waiter = new Waiter(call, offset, maxBytes);
+        LogStream stream = stream(name);
+        if (offset < stream.end() || waitMillis <= 0) {
+            answer(waiter, stream);
+        } else {
+            park(name, waiter, waitMillis);
+        }
+    }
+
+    private void park(String name, Waiter waiter, long waitMillis) {
+        mWaiters.computeIfAbsent(name, key -> new ArrayList<>()).add(waiter);
+        HttpCall call = waiter.call();
+        call.eventLoop().schedule(() -> expire(name, waiter), waitMillis, TimeUnit.MILLISECONDS);
+        call.onDisconnect(() -> forget(name, waiter));
+    }
+
+    private synchronized void expire(String name, Waiter waiter) {
+        if (forget(name, waiter)) {
+            answer(waiter, stream(name));
+        }
+    }
+
+    private synchronized boolean forget(String name, Waiter waiter) {
+        List<Waiter> waiters = mWaiters.getOrDefault(name, List.of());
+        return waiters.removeIf(other -> other == waiter);
+    }
+
+    private void wake(String name) {
+        LogStream stream = stream(name);
+        Iterator<Waiter> waiters = mWaiters.getOrDefault(name, List.of()).iterator();
+        while (waiters.hasNext()) {
+            Waiter waiter = waiters.next();
+            if (waiter.offset() < stream.end()) {
+                waiters.remove();
+                answer(waiter, stream);
+            }
+        }
+    }
+
+    private void answer(Waiter waiter, LogStream stream) {
+        if (waiter.offset() < stream.earliest()) {
+            send(waiter.call(), HttpReply.json(GONE, new Earliest(stream.earliest())));
+            return;
+        }
+        List<LogRecord> records = stream.read(waiter.offset(), waiter.maxBytes());
+        stream.countRead(records);
+        byte[] body = batchBody(stream, records);
+        Map<String, String> headers = Map.of("content-type", "application/json");
+        send(waiter.call(), new HttpReply(OK, headers, body));
+    }
+
+    private LogStream stream(String name) {
+        LogStream stream =
+                mStreams.computeIfAbsent(
+                        name,
+                        key -> new LogStream(mOptions.retentionAge(), mOptions.retentionRecords()));
+        stream.expire(mTime.wallMillis());
+        return stream;
+    }
+
+    private void send(HttpCall call, HttpReply reply) {
+        long delayMillis = mFault.mode() == LogFault.Mode.SLOW ? mFault.delay().toMillis() : 0;
+        if (delayMillis > 0) {
+            call.eventLoop().schedule(() -> call.reply(reply), delayMillis, TimeUnit.MILLISECONDS);
+        } else {
+            call.reply(reply);
+        }
+    }
+
+    private static void unavailable(HttpCall call) {
+        call.reply(HttpReply.problem(UNAVAILABLE, "the log is down"));
+    }
+
+    private static byte[] batchBody(LogStream stream, List<LogRecord> records) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(out)) {
+            json.writeStartObject();
+            json.writeNumberField("earliest", stream.earliest());
+            json.writeNumberField("end", stream.end());
+            json.writeArrayFieldStart("records");
+            for (LogRecord record : records) {
+                json.writeStartObject();
+                json.writeNumberField("offset", record.offset());
+                json.writeNumberField("appendedAtMillis", record.appendedAtMillis());
+                json.writeBinaryField("data", record.data());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+}
