--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireManifest.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireManifest.java
@@ -516,13 +516,13 @@
           case 2: // CHUNKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.chunks = new java.util.ArrayList<java.nio.ByteBuffer>(_list32.size);
-                @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list64 = iprot.readListBegin();
+                struct.chunks = new java.util.ArrayList<java.nio.ByteBuffer>(_list64.size);
+                @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _elem65;
+                for (int _i66 = 0; _i66 < _list64.size; ++_i66)
                 {
-                  _elem33 = iprot.readBinary();
-                  struct.chunks.add(_elem33);
+                  _elem65 = iprot.readBinary();
+                  struct.chunks.add(_elem65);
                 }
                 iprot.readListEnd();
               }
@@ -567,9 +567,9 @@
         oprot.writeFieldBegin(CHUNKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.chunks.size()));
-          for (java.nio.ByteBuffer _iter35 : struct.chunks)
+          for (java.nio.ByteBuffer _iter67 : struct.chunks)
           {
-            oprot.writeBinary(_iter35);
+            oprot.writeBinary(_iter67);
           }
           oprot.writeListEnd();
         }
@@ -599,9 +599,9 @@
       struct.position.write(oprot);
       {
         oprot.writeI32(struct.chunks.size());
-        for (java.nio.ByteBuffer _iter36 : struct.chunks)
+        for (java.nio.ByteBuffer _iter68 : struct.chunks)
         {
-          oprot.writeBinary(_iter36);
+          oprot.writeBinary(_iter68);
         }
       }
       oprot.writeI64(struct.totalBytes);
@@ -614,13 +614,13 @@
       struct.position.read(iprot);
       struct.setPositionIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.chunks = new java.util.ArrayList<java.nio.ByteBuffer>(_list37.size);
-        @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _elem38;
-        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+        org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.chunks = new java.util.ArrayList<java.nio.ByteBuffer>(_list69.size);
+        @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _elem70;
+        for (int _i71 = 0; _i71 < _list69.size; ++_i71)
         {
-          _elem38 = iprot.readBinary();
-          struct.chunks.add(_elem38);
+          _elem70 = iprot.readBinary();
+          struct.chunks.add(_elem70);
         }
       }
       struct.setChunksIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireProgress.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireProgress.java
@@ -702,14 +702,14 @@
           case 5: // LAGGARDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.laggards = new java.util.ArrayList<WireNodeProgress>(_list40.size);
-                @org.apache.thrift.annotation.Nullable WireNodeProgress _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list72 = iprot.readListBegin();
+                struct.laggards = new java.util.ArrayList<WireNodeProgress>(_list72.size);
+                @org.apache.thrift.annotation.Nullable WireNodeProgress _elem73;
+                for (int _i74 = 0; _i74 < _list72.size; ++_i74)
                 {
-                  _elem41 = new WireNodeProgress();
-                  _elem41.read(iprot);
-                  struct.laggards.add(_elem41);
+                  _elem73 = new WireNodeProgress();
+                  _elem73.read(iprot);
+                  struct.laggards.add(_elem73);
                 }
                 iprot.readListEnd();
               }
@@ -761,9 +761,9 @@
           oprot.writeFieldBegin(LAGGARDS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.laggards.size()));
-            for (WireNodeProgress _iter43 : struct.laggards)
+            for (WireNodeProgress _iter75 : struct.laggards)
             {
-              _iter43.write(oprot);
+              _iter75.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -800,9 +800,9 @@
       if (struct.isSetLaggards()) {
         {
           oprot.writeI32(struct.laggards.size());
-          for (WireNodeProgress _iter44 : struct.laggards)
+          for (WireNodeProgress _iter76 : struct.laggards)
           {
-            _iter44.write(oprot);
+            _iter76.write(oprot);
           }
         }
       }
@@ -823,14 +823,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.laggards = new java.util.ArrayList<WireNodeProgress>(_list45.size);
-          @org.apache.thrift.annotation.Nullable WireNodeProgress _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list77 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.laggards = new java.util.ArrayList<WireNodeProgress>(_list77.size);
+          @org.apache.thrift.annotation.Nullable WireNodeProgress _elem78;
+          for (int _i79 = 0; _i79 < _list77.size; ++_i79)
           {
-            _elem46 = new WireNodeProgress();
-            _elem46.read(iprot);
-            struct.laggards.add(_elem46);
+            _elem78 = new WireNodeProgress();
+            _elem78.read(iprot);
+            struct.laggards.add(_elem78);
           }
         }
         struct.setLaggardsIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePush.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePush.java
@@ -446,13 +446,13 @@
           case 2: // SUBTREE
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.subtree = new java.util.ArrayList<java.lang.String>(_list24.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.subtree = new java.util.ArrayList<java.lang.String>(_list56.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem25 = iprot.readString();
-                  struct.subtree.add(_elem25);
+                  _elem57 = iprot.readString();
+                  struct.subtree.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -487,9 +487,9 @@
           oprot.writeFieldBegin(SUBTREE_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.subtree.size()));
-            for (java.lang.String _iter27 : struct.subtree)
+            for (java.lang.String _iter59 : struct.subtree)
             {
-              oprot.writeString(_iter27);
+              oprot.writeString(_iter59);
             }
             oprot.writeListEnd();
           }
@@ -523,9 +523,9 @@
       if (struct.isSetSubtree()) {
         {
           oprot.writeI32(struct.subtree.size());
-          for (java.lang.String _iter28 : struct.subtree)
+          for (java.lang.String _iter60 : struct.subtree)
           {
-            oprot.writeString(_iter28);
+            oprot.writeString(_iter60);
           }
         }
       }
@@ -540,13 +540,13 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.subtree = new java.util.ArrayList<java.lang.String>(_list29.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.subtree = new java.util.ArrayList<java.lang.String>(_list61.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
           {
-            _elem30 = iprot.readString();
-            struct.subtree.add(_elem30);
+            _elem62 = iprot.readString();
+            struct.subtree.add(_elem62);
           }
         }
         struct.setSubtreeIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireSync.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireSync.java
@@ -7,7 +7,8 @@
 package org.azurearch.thrift;
 
 /**
- * Asks for the members and board entries that differ from the sender's.
+ * Asks for the members and board entries that differ from the sender's: first by the hash of the
+ * view, then by the versions held in the buckets whose hashes differ.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireSync implements org.apache.thrift.TBase<WireSync, WireSync._Fields>, java.io.Serializable, Cloneable, Comparable<WireSync> {
@@ -16,6 +17,8 @@
   private static final org.apache.thrift.protocol.TField VIEW_HASH_FIELD_DESC = new org.apache.thrift.protocol.TField("viewHash", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField GOSSIP_FIELD_DESC = new org.apache.thrift.protocol.TField("gossip", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField WHOLE_FIELD_DESC = new org.apache.thrift.protocol.TField("whole", org.apache.thrift.protocol.TType.BOOL, (short)3);
+  private static final org.apache.thrift.protocol.TField BUCKETS_FIELD_DESC = new org.apache.thrift.protocol.TField("buckets", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSyncStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSyncTupleSchemeFactory();
@@ -25,7 +28,18 @@
    */
   public long viewHash; // required
   public @org.apache.thrift.annotation.Nullable WireGossip gossip; // optional
+  /**
+   * The sender knows nothing yet and asks for every record.
+   */
   public boolean whole; // required
+  /**
+   * The buckets that the versions below cover.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> buckets; // optional
+  /**
+   * What the sender holds in these buckets.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<WireMemberVersion> versions; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +48,18 @@
      */
     VIEW_HASH((short)1, "viewHash"),
     GOSSIP((short)2, "gossip"),
-    WHOLE((short)3, "whole");
+    /**
+     * The sender knows nothing yet and asks for every record.
+     */
+    WHOLE((short)3, "whole"),
+    /**
+     * The buckets that the versions below cover.
+     */
+    BUCKETS((short)4, "buckets"),
+    /**
+     * What the sender holds in these buckets.
+     */
+    VERSIONS((short)5, "versions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -56,6 +81,10 @@
           return GOSSIP;
         case 3: // WHOLE
           return WHOLE;
+        case 4: // BUCKETS
+          return BUCKETS;
+        case 5: // VERSIONS
+          return VERSIONS;
         default:
           return null;
       }
@@ -102,7 +131,7 @@
   private static final int __VIEWHASH_ISSET_ID = 0;
   private static final int __WHOLE_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.GOSSIP};
+  private static final _Fields optionals[] = {_Fields.GOSSIP,_Fields.BUCKETS,_Fields.VERSIONS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -112,6 +141,12 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireGossip.class)));
     tmpMap.put(_Fields.WHOLE, new org.apache.thrift.meta_data.FieldMetaData("whole", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.BUCKETS, new org.apache.thrift.meta_data.FieldMetaData("buckets", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
+    tmpMap.put(_Fields.VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("versions", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireMemberVersion.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSync.class, metaDataMap);
   }
@@ -140,6 +175,17 @@
       this.gossip = new WireGossip(other.gossip);
     }
     this.whole = other.whole;
+    if (other.isSetBuckets()) {
+      java.util.List<java.lang.Integer> __this__buckets = new java.util.ArrayList<java.lang.Integer>(other.buckets);
+      this.buckets = __this__buckets;
+    }
+    if (other.isSetVersions()) {
+      java.util.List<WireMemberVersion> __this__versions = new java.util.ArrayList<WireMemberVersion>(other.versions.size());
+      for (WireMemberVersion other_element : other.versions) {
+        __this__versions.add(new WireMemberVersion(other_element));
+      }
+      this.versions = __this__versions;
+    }
   }
 
   @Override
@@ -154,6 +200,8 @@
     this.gossip = null;
     setWholeIsSet(false);
     this.whole = false;
+    this.buckets = null;
+    this.versions = null;
   }
 
   /**
@@ -210,10 +258,16 @@
     }
   }
 
+  /**
+   * The sender knows nothing yet and asks for every record.
+   */
   public boolean isWhole() {
     return this.whole;
   }
 
+  /**
+   * The sender knows nothing yet and asks for every record.
+   */
   public WireSync setWhole(boolean whole) {
     this.whole = whole;
     setWholeIsSet(true);
@@ -233,6 +287,100 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WHOLE_ISSET_ID, value);
   }
 
+  public int getBucketsSize() {
+    return (this.buckets == null) ? 0 : this.buckets.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getBucketsIterator() {
+    return (this.buckets == null) ? null : this.buckets.iterator();
+  }
+
+  public void addToBuckets(int elem) {
+    if (this.buckets == null) {
+      this.buckets = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.buckets.add(elem);
+  }
+
+  /**
+   * The buckets that the versions below cover.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getBuckets() {
+    return this.buckets;
+  }
+
+  /**
+   * The buckets that the versions below cover.
+   */
+  public WireSync setBuckets(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> buckets) {
+    this.buckets = buckets;
+    return this;
+  }
+
+  public void unsetBuckets() {
+    this.buckets = null;
+  }
+
+  /** Returns true if field buckets is set (has been assigned a value) and false otherwise */
+  public boolean isSetBuckets() {
+    return this.buckets != null;
+  }
+
+  public void setBucketsIsSet(boolean value) {
+    if (!value) {
+      this.buckets = null;
+    }
+  }
+
+  public int getVersionsSize() {
+    return (this.versions == null) ? 0 : this.versions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireMemberVersion> getVersionsIterator() {
+    return (this.versions == null) ? null : this.versions.iterator();
+  }
+
+  public void addToVersions(WireMemberVersion elem) {
+    if (this.versions == null) {
+      this.versions = new java.util.ArrayList<WireMemberVersion>();
+    }
+    this.versions.add(elem);
+  }
+
+  /**
+   * What the sender holds in these buckets.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireMemberVersion> getVersions() {
+    return this.versions;
+  }
+
+  /**
+   * What the sender holds in these buckets.
+   */
+  public WireSync setVersions(@org.apache.thrift.annotation.Nullable java.util.List<WireMemberVersion> versions) {
+    this.versions = versions;
+    return this;
+  }
+
+  public void unsetVersions() {
+    this.versions = null;
+  }
+
+  /** Returns true if field versions is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersions() {
+    return this.versions != null;
+  }
+
+  public void setVersionsIsSet(boolean value) {
+    if (!value) {
+      this.versions = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -260,6 +408,22 @@
       }
       break;
 
+    case BUCKETS:
+      if (value == null) {
+        unsetBuckets();
+      } else {
+        setBuckets((java.util.List<java.lang.Integer>)value);
+      }
+      break;
+
+    case VERSIONS:
+      if (value == null) {
+        unsetVersions();
+      } else {
+        setVersions((java.util.List<WireMemberVersion>)value);
+      }
+      break;
+
     }
   }
 
@@ -276,6 +440,12 @@
     case WHOLE:
       return isWhole();
 
+    case BUCKETS:
+      return getBuckets();
+
+    case VERSIONS:
+      return getVersions();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -294,6 +464,10 @@
       return isSetGossip();
     case WHOLE:
       return isSetWhole();
+    case BUCKETS:
+      return isSetBuckets();
+    case VERSIONS:
+      return isSetVersions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -338,6 +512,24 @@
         return false;
     }
 
+    boolean this_present_buckets = true && this.isSetBuckets();
+    boolean that_present_buckets = true && that.isSetBuckets();
+    if (this_present_buckets || that_present_buckets) {
+      if (!(this_present_buckets && that_present_buckets))
+        return false;
+      if (!this.buckets.equals(that.buckets))
+        return false;
+    }
+
+    boolean this_present_versions = true && this.isSetVersions();
+    boolean that_present_versions = true && that.isSetVersions();
+    if (this_present_versions || that_present_versions) {
+      if (!(this_present_versions && that_present_versions))
+        return false;
+      if (!this.versions.equals(that.versions))
+        return false;
+    }
+
     return true;
   }
 
@@ -353,6 +545,14 @@
 
     hashCode = hashCode * 8191 + ((whole) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetBuckets()) ? 131071 : 524287);
+    if (isSetBuckets())
+      hashCode = hashCode * 8191 + buckets.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetVersions()) ? 131071 : 524287);
+    if (isSetVersions())
+      hashCode = hashCode * 8191 + versions.hashCode();
+
     return hashCode;
   }
 
@@ -394,6 +594,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetBuckets(), other.isSetBuckets());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBuckets()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.buckets, other.buckets);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetVersions(), other.isSetVersions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.versions, other.versions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -435,6 +655,26 @@
     sb.append("whole:");
     sb.append(this.whole);
     first = false;
+    if (isSetBuckets()) {
+      if (!first) sb.append(", ");
+      sb.append("buckets:");
+      if (this.buckets == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.buckets);
+      }
+      first = false;
+    }
+    if (isSetVersions()) {
+      if (!first) sb.append(", ");
+      sb.append("versions:");
+      if (this.versions == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.versions);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -512,6 +752,43 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // BUCKETS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.buckets = new java.util.ArrayList<java.lang.Integer>(_list24.size);
+                int _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                {
+                  _elem25 = iprot.readI32();
+                  struct.buckets.add(_elem25);
+                }
+                iprot.readListEnd();
+              }
+              struct.setBucketsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // VERSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.versions = new java.util.ArrayList<WireMemberVersion>(_list27.size);
+                @org.apache.thrift.annotation.Nullable WireMemberVersion _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
+                {
+                  _elem28 = new WireMemberVersion();
+                  _elem28.read(iprot);
+                  struct.versions.add(_elem28);
+                }
+                iprot.readListEnd();
+              }
+              struct.setVersionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -547,6 +824,34 @@
       oprot.writeFieldBegin(WHOLE_FIELD_DESC);
       oprot.writeBool(struct.whole);
       oprot.writeFieldEnd();
+      if (struct.buckets != null) {
+        if (struct.isSetBuckets()) {
+          oprot.writeFieldBegin(BUCKETS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.buckets.size()));
+            for (int _iter30 : struct.buckets)
+            {
+              oprot.writeI32(_iter30);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.versions != null) {
+        if (struct.isSetVersions()) {
+          oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versions.size()));
+            for (WireMemberVersion _iter31 : struct.versions)
+            {
+              _iter31.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -571,10 +876,34 @@
       if (struct.isSetGossip()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetBuckets()) {
+        optionals.set(1);
+      }
+      if (struct.isSetVersions()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetGossip()) {
         struct.gossip.write(oprot);
       }
+      if (struct.isSetBuckets()) {
+        {
+          oprot.writeI32(struct.buckets.size());
+          for (int _iter32 : struct.buckets)
+          {
+            oprot.writeI32(_iter32);
+          }
+        }
+      }
+      if (struct.isSetVersions()) {
+        {
+          oprot.writeI32(struct.versions.size());
+          for (WireMemberVersion _iter33 : struct.versions)
+          {
+            _iter33.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
@@ -584,12 +913,39 @@
       struct.setViewHashIsSet(true);
       struct.whole = iprot.readBool();
       struct.setWholeIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.gossip = new WireGossip();
         struct.gossip.read(iprot);
         struct.setGossipIsSet(true);
       }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.buckets = new java.util.ArrayList<java.lang.Integer>(_list34.size);
+          int _elem35;
+          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+          {
+            _elem35 = iprot.readI32();
+            struct.buckets.add(_elem35);
+          }
+        }
+        struct.setBucketsIsSet(true);
+      }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.versions = new java.util.ArrayList<WireMemberVersion>(_list37.size);
+          @org.apache.thrift.annotation.Nullable WireMemberVersion _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          {
+            _elem38 = new WireMemberVersion();
+            _elem38.read(iprot);
+            struct.versions.add(_elem38);
+          }
+        }
+        struct.setVersionsIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireSyncReply.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireSyncReply.java
@@ -15,17 +15,35 @@
 
   private static final org.apache.thrift.protocol.TField SAME_FIELD_DESC = new org.apache.thrift.protocol.TField("same", org.apache.thrift.protocol.TType.BOOL, (short)1);
   private static final org.apache.thrift.protocol.TField GOSSIP_FIELD_DESC = new org.apache.thrift.protocol.TField("gossip", org.apache.thrift.protocol.TType.STRUCT, (short)2);
+  private static final org.apache.thrift.protocol.TField BUCKET_HASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("bucketHashes", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField WANTED_FIELD_DESC = new org.apache.thrift.protocol.TField("wanted", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireSyncReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireSyncReplyTupleSchemeFactory();
 
   public boolean same; // required
   public @org.apache.thrift.annotation.Nullable WireGossip gossip; // optional
+  /**
+   * The hash of each bucket, when the view hashes differ.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> bucketHashes; // optional
+  /**
+   * Nodes of which the sender of the request holds the newer record.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> wanted; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SAME((short)1, "same"),
-    GOSSIP((short)2, "gossip");
+    GOSSIP((short)2, "gossip"),
+    /**
+     * The hash of each bucket, when the view hashes differ.
+     */
+    BUCKET_HASHES((short)3, "bucketHashes"),
+    /**
+     * Nodes of which the sender of the request holds the newer record.
+     */
+    WANTED((short)4, "wanted");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +63,10 @@
           return SAME;
         case 2: // GOSSIP
           return GOSSIP;
+        case 3: // BUCKET_HASHES
+          return BUCKET_HASHES;
+        case 4: // WANTED
+          return WANTED;
         default:
           return null;
       }
@@ -90,7 +112,7 @@
   // isset id assignments
   private static final int __SAME_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.GOSSIP};
+  private static final _Fields optionals[] = {_Fields.GOSSIP,_Fields.BUCKET_HASHES,_Fields.WANTED};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -98,6 +120,12 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.GOSSIP, new org.apache.thrift.meta_data.FieldMetaData("gossip", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireGossip.class)));
+    tmpMap.put(_Fields.BUCKET_HASHES, new org.apache.thrift.meta_data.FieldMetaData("bucketHashes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.WANTED, new org.apache.thrift.meta_data.FieldMetaData("wanted", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireSyncReply.class, metaDataMap);
   }
@@ -122,6 +150,14 @@
     if (other.isSetGossip()) {
       this.gossip = new WireGossip(other.gossip);
     }
+    if (other.isSetBucketHashes()) {
+      java.util.List<java.lang.Long> __this__bucketHashes = new java.util.ArrayList<java.lang.Long>(other.bucketHashes);
+      this.bucketHashes = __this__bucketHashes;
+    }
+    if (other.isSetWanted()) {
+      java.util.List<java.lang.String> __this__wanted = new java.util.ArrayList<java.lang.String>(other.wanted);
+      this.wanted = __this__wanted;
+    }
   }
 
   @Override
@@ -134,6 +170,8 @@
     setSameIsSet(false);
     this.same = false;
     this.gossip = null;
+    this.bucketHashes = null;
+    this.wanted = null;
   }
 
   public boolean isSame() {
@@ -184,6 +222,100 @@
     }
   }
 
+  public int getBucketHashesSize() {
+    return (this.bucketHashes == null) ? 0 : this.bucketHashes.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getBucketHashesIterator() {
+    return (this.bucketHashes == null) ? null : this.bucketHashes.iterator();
+  }
+
+  public void addToBucketHashes(long elem) {
+    if (this.bucketHashes == null) {
+      this.bucketHashes = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.bucketHashes.add(elem);
+  }
+
+  /**
+   * The hash of each bucket, when the view hashes differ.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getBucketHashes() {
+    return this.bucketHashes;
+  }
+
+  /**
+   * The hash of each bucket, when the view hashes differ.
+   */
+  public WireSyncReply setBucketHashes(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> bucketHashes) {
+    this.bucketHashes = bucketHashes;
+    return this;
+  }
+
+  public void unsetBucketHashes() {
+    this.bucketHashes = null;
+  }
+
+  /** Returns true if field bucketHashes is set (has been assigned a value) and false otherwise */
+  public boolean isSetBucketHashes() {
+    return this.bucketHashes != null;
+  }
+
+  public void setBucketHashesIsSet(boolean value) {
+    if (!value) {
+      this.bucketHashes = null;
+    }
+  }
+
+  public int getWantedSize() {
+    return (this.wanted == null) ? 0 : this.wanted.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getWantedIterator() {
+    return (this.wanted == null) ? null : this.wanted.iterator();
+  }
+
+  public void addToWanted(java.lang.String elem) {
+    if (this.wanted == null) {
+      this.wanted = new java.util.ArrayList<java.lang.String>();
+    }
+    this.wanted.add(elem);
+  }
+
+  /**
+   * Nodes of which the sender of the request holds the newer record.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getWanted() {
+    return this.wanted;
+  }
+
+  /**
+   * Nodes of which the sender of the request holds the newer record.
+   */
+  public WireSyncReply setWanted(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> wanted) {
+    this.wanted = wanted;
+    return this;
+  }
+
+  public void unsetWanted() {
+    this.wanted = null;
+  }
+
+  /** Returns true if field wanted is set (has been assigned a value) and false otherwise */
+  public boolean isSetWanted() {
+    return this.wanted != null;
+  }
+
+  public void setWantedIsSet(boolean value) {
+    if (!value) {
+      this.wanted = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -203,6 +335,22 @@
       }
       break;
 
+    case BUCKET_HASHES:
+      if (value == null) {
+        unsetBucketHashes();
+      } else {
+        setBucketHashes((java.util.List<java.lang.Long>)value);
+      }
+      break;
+
+    case WANTED:
+      if (value == null) {
+        unsetWanted();
+      } else {
+        setWanted((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -216,6 +364,12 @@
     case GOSSIP:
       return getGossip();
 
+    case BUCKET_HASHES:
+      return getBucketHashes();
+
+    case WANTED:
+      return getWanted();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -232,6 +386,10 @@
       return isSetSame();
     case GOSSIP:
       return isSetGossip();
+    case BUCKET_HASHES:
+      return isSetBucketHashes();
+    case WANTED:
+      return isSetWanted();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -267,6 +425,24 @@
         return false;
     }
 
+    boolean this_present_bucketHashes = true && this.isSetBucketHashes();
+    boolean that_present_bucketHashes = true && that.isSetBucketHashes();
+    if (this_present_bucketHashes || that_present_bucketHashes) {
+      if (!(this_present_bucketHashes && that_present_bucketHashes))
+        return false;
+      if (!this.bucketHashes.equals(that.bucketHashes))
+        return false;
+    }
+
+    boolean this_present_wanted = true && this.isSetWanted();
+    boolean that_present_wanted = true && that.isSetWanted();
+    if (this_present_wanted || that_present_wanted) {
+      if (!(this_present_wanted && that_present_wanted))
+        return false;
+      if (!this.wanted.equals(that.wanted))
+        return false;
+    }
+
     return true;
   }
 
@@ -280,6 +456,14 @@
     if (isSetGossip())
       hashCode = hashCode * 8191 + gossip.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetBucketHashes()) ? 131071 : 524287);
+    if (isSetBucketHashes())
+      hashCode = hashCode * 8191 + bucketHashes.hashCode();
+
+    hashCode = hashCode * 8191 + ((isSetWanted()) ? 131071 : 524287);
+    if (isSetWanted())
+      hashCode = hashCode * 8191 + wanted.hashCode();
+
     return hashCode;
   }
 
@@ -311,6 +495,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetBucketHashes(), other.isSetBucketHashes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBucketHashes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.bucketHashes, other.bucketHashes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetWanted(), other.isSetWanted());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWanted()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wanted, other.wanted);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -348,6 +552,26 @@
       }
       first = false;
     }
+    if (isSetBucketHashes()) {
+      if (!first) sb.append(", ");
+      sb.append("bucketHashes:");
+      if (this.bucketHashes == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.bucketHashes);
+      }
+      first = false;
+    }
+    if (isSetWanted()) {
+      if (!first) sb.append(", ");
+      sb.append("wanted:");
+      if (this.wanted == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.wanted);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -416,6 +640,42 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // BUCKET_HASHES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.bucketHashes = new java.util.ArrayList<java.lang.Long>(_list40.size);
+                long _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                {
+                  _elem41 = iprot.readI64();
+                  struct.bucketHashes.add(_elem41);
+                }
+                iprot.readListEnd();
+              }
+              struct.setBucketHashesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // WANTED
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.wanted = new java.util.ArrayList<java.lang.String>(_list43.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
+                {
+                  _elem44 = iprot.readString();
+                  struct.wanted.add(_elem44);
+                }
+                iprot.readListEnd();
+              }
+              struct.setWantedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -445,6 +705,34 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.bucketHashes != null) {
+        if (struct.isSetBucketHashes()) {
+          oprot.writeFieldBegin(BUCKET_HASHES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.bucketHashes.size()));
+            for (long _iter46 : struct.bucketHashes)
+            {
+              oprot.writeI64(_iter46);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.wanted != null) {
+        if (struct.isSetWanted()) {
+          oprot.writeFieldBegin(WANTED_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.wanted.size()));
+            for (java.lang.String _iter47 : struct.wanted)
+            {
+              oprot.writeString(_iter47);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -468,10 +756,34 @@
       if (struct.isSetGossip()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetBucketHashes()) {
+        optionals.set(1);
+      }
+      if (struct.isSetWanted()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetGossip()) {
         struct.gossip.write(oprot);
       }
+      if (struct.isSetBucketHashes()) {
+        {
+          oprot.writeI32(struct.bucketHashes.size());
+          for (long _iter48 : struct.bucketHashes)
+          {
+            oprot.writeI64(_iter48);
+          }
+        }
+      }
+      if (struct.isSetWanted()) {
+        {
+          oprot.writeI32(struct.wanted.size());
+          for (java.lang.String _iter49 : struct.wanted)
+          {
+            oprot.writeString(_iter49);
+          }
+        }
+      }
     }
 
     @Override
@@ -479,12 +791,38 @@
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.same = iprot.readBool();
       struct.setSameIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.gossip = new WireGossip();
         struct.gossip.read(iprot);
         struct.setGossipIsSet(true);
       }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.bucketHashes = new java.util.ArrayList<java.lang.Long>(_list50.size);
+          long _elem51;
+          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
+          {
+            _elem51 = iprot.readI64();
+            struct.bucketHashes.add(_elem51);
+          }
+        }
+        struct.setBucketHashesIsSet(true);
+      }
+      if (incoming.get(2)) {
+        {
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.wanted = new java.util.ArrayList<java.lang.String>(_list53.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          {
+            _elem54 = iprot.readString();
+            struct.wanted.add(_elem54);
+          }
+        }
+        struct.setWantedIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/package-info.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/package-info.java
@@ -1,2 +1,2 @@
-/** Messages between nodes and stored records, generated from peer.thrift and change.thrift. */
+/** Messages between nodes, generated from peer.thrift. */
 package org.azurearch.thrift;
--- a/org.azurearch.thrift/src/main/thrift/peer.thrift
+++ b/org.azurearch.thrift/src/main/thrift/peer.thrift
@@ -63,18 +63,38 @@
   2: optional WireGossip gossip
 }
 
-/** Asks for the members and board entries that differ from the sender's. */
+/** Which record of a node is held. */
+struct WireMemberVersion {
+  1: required string node
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: required i32 state
+}
+
+/**
+ * Asks for the members and board entries that differ from the sender's: first by the hash of the
+ * view, then by the versions held in the buckets whose hashes differ.
+ */
 struct WireSync {
   /** Digest of (incarnation, sequence, state) by node, to detect that nothing differs. */
   1: required i64 viewHash
   2: optional WireGossip gossip
+  /** The sender knows nothing yet and asks for every record. */
   3: required bool whole
+  /** The buckets that the versions below cover. */
+  4: optional list<i32> buckets
+  /** What the sender holds in these buckets. */
+  5: optional list<WireMemberVersion> versions
 }
 
 /** Answer to a membership synchronisation. */
 struct WireSyncReply {
   1: required bool same
   2: optional WireGossip gossip
+  /** The hash of each bucket, when the view hashes differ. */
+  3: optional list<i64> bucketHashes
+  /** Nodes of which the sender of the request holds the newer record. */
+  4: optional list<string> wanted
 }
 
 /** Position in the folded change stream. */
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/ControlBytes.java
@@ -0,0 +1,21 @@
+package org.azurearch.internal.transport;
+
+import com.codahale.metrics.MetricRegistry;
+import org.azurearch.thrift.PeerRequest;
+
+/** Counts the bytes exchanged with other nodes by kind of request, frame lengths included. */
+final class ControlBytes {
+    private final MetricRegistry mMetrics;
+
+    ControlBytes(MetricRegistry metrics) {
+        mMetrics = metrics;
+    }
+
+    void sent(PeerRequest._Fields kind, int bytes) {
+        mMetrics.counter("control.sent.bytes." + kind.getFieldName()).inc(bytes);
+    }
+
+    void received(PeerRequest._Fields kind, int bytes) {
+        mMetrics.counter("control.received.bytes." + kind.getFieldName()).inc(bytes);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/GcmSealer.java
@@ -0,0 +1,162 @@
+package org.azurearch.internal.transport;
+
+import java.nio.ByteBuffer;
+import java.security.GeneralSecurityException;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import javax.crypto.Cipher;
+import javax.crypto.spec.GCMParameterSpec;
+import javax.crypto.spec.SecretKeySpec;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+
+/**
+ * Seals with AES-256-GCM under keys derived from the shared keys.
+ *
+ * <p>A sealed message is a header (format, key identifier, session, counter) followed by the
+ * ciphertext. Each process draws a session when it starts and counts its messages in it, so that no
+ * nonce is used twice under one key. Requests and replies have different keys. A reply also
+ * authenticates the header of its request.
+ */
+final class GcmSealer implements Sealer {
+    private static final byte FORMAT = 1;
+    private static final int SESSION_BYTES = 12;
+    private static final int SESSION_AT = 1 + SharedKey.ID_BYTES;
+    private static final int COUNTER_AT = SESSION_AT + SESSION_BYTES;
+    private static final int HEADER_BYTES = COUNTER_AT + Long.BYTES;
+    private static final int NONCE_BYTES = 12;
+    private static final int TAG_BITS = 128;
+    private static final int SESSIONS_REMEMBERED = 16_384;
+    private static final String REQUEST = "request";
+    private static final String REPLY = "reply";
+    private static final byte[] NO_REQUEST = new byte[0];
+
+    private final List<SharedKey> mKeys;
+    private final byte[] mSession = new byte[SESSION_BYTES];
+    private final AtomicLong mCounter = new AtomicLong();
+    private final Sessions mSeen = new Sessions(SESSIONS_REMEMBERED);
+
+    /**
+     * Creates a sealer with a new session.
+     *
+     * @param mesh the mesh
+     * @param keys the shared keys in hexadecimal form, at least one; the first seals requests
+     * @throws AzurearchException with {@code OUT_OF_RANGE} when a key is malformed
+     */
+    GcmSealer(String mesh, List<String> keys) {
+        List<SharedKey> parsed = new ArrayList<>();
+        for (String key : keys) {
+            parsed.add(SharedKey.fromHex(mesh, key));
+        }
+        mKeys = List.copyOf(parsed);
+        new SecureRandom().nextBytes(mSession);
+    }
+
+    @Override
+    public SealedRequest sealRequest(byte[] plain) {
+        byte[] header = newHeader(mKeys.get(0));
+        byte[] sealed = seal(mKeys.get(0), REQUEST, header, NO_REQUEST, plain);
+        return new SealedRequest(sealed, new Pairing(0, header));
+    }
+
+    @Override
+    public OpenedRequest openRequest(byte[] sealed) {
+        byte[] header = headerOf(sealed);
+        int keyIndex = keyIndexOf(header);
+        byte[] plain = open(mKeys.get(keyIndex), REQUEST, header, NO_REQUEST, sealed);
+        long counter = ByteBuffer.wrap(header).getLong(COUNTER_AT);
+        if (!mSeen.advance(sessionOf(header), counter)) {
+            throw refused("replayed request");
+        }
+        return new OpenedRequest(plain, new Pairing(keyIndex, header));
+    }
+
+    @Override
+    public byte[] sealReply(Pairing pairing, byte[] plain) {
+        SharedKey key = mKeys.get(pairing.keyIndex());
+        return seal(key, REPLY, newHeader(key), pairing.header(), plain);
+    }
+
+    @Override
+    public byte[] openReply(Pairing pairing, byte[] sealed) {
+        byte[] header = headerOf(sealed);
+        SharedKey key = mKeys.get(pairing.keyIndex());
+        if (keyIndexOf(header) != pairing.keyIndex()) {
+            throw refused("reply under another key");
+        }
+        return open(key, REPLY, header, pairing.header(), sealed);
+    }
+
+    private byte[] newHeader(SharedKey key) {
+        return ByteBuffer.allocate(HEADER_BYTES)
+                .put(FORMAT)
+                .put(key.id())
+                .put(mSession)
+                .putLong(mCounter.incrementAndGet())
+                .array();
+    }
+
+    private static byte[] seal(
+            SharedKey key, String purpose, byte[] header, byte[] request, byte[] plain) {
+        try {
+            Cipher cipher = cipher(Cipher.ENCRYPT_MODE, key, purpose, header, request);
+            byte[] sealed =
+                    Arrays.copyOf(header, HEADER_BYTES + cipher.getOutputSize(plain.length));
+            cipher.doFinal(plain, 0, plain.length, sealed, HEADER_BYTES);
+            return sealed;
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("cannot seal", e);
+        }
+    }
+
+    private static byte[] open(
+            SharedKey key, String purpose, byte[] header, byte[] request, byte[] sealed) {
+        try {
+            Cipher cipher = cipher(Cipher.DECRYPT_MODE, key, purpose, header, request);
+            return cipher.doFinal(sealed, HEADER_BYTES, sealed.length - HEADER_BYTES);
+        } catch (GeneralSecurityException e) {
+            throw refused("message not sealed with the shared key");
+        }
+    }
+
+    private static Cipher cipher(
+            int mode, SharedKey key, String purpose, byte[] header, byte[] request)
+            throws GeneralSecurityException {
+        SecretKeySpec sessionKey = key.sessionKey(purpose, sessionOf(header));
+        byte[] nonce = new byte[NONCE_BYTES];
+        System.arraycopy(header, COUNTER_AT, nonce, NONCE_BYTES - Long.BYTES, Long.BYTES);
+        Cipher cipher = Cipher.getInstance("AES/GCM/NoPadding");
+        cipher.init(mode, sessionKey, new GCMParameterSpec(TAG_BITS, nonce));
+        cipher.updateAAD(header);
+        cipher.updateAAD(request);
+        return cipher;
+    }
+
+    private static byte[] headerOf(byte[] sealed) {
+        if (sealed.length < HEADER_BYTES || sealed[0] != FORMAT) {
+            throw refused("not a sealed message");
+        }
+        return Arrays.copyOf(sealed, HEADER_BYTES);
+    }
+
+    private int keyIndexOf(byte[] header) {
+        for (int i = 0; i < mKeys.size(); i++) {
+            byte[] id = mKeys.get(i).id();
+            if (Arrays.equals(id, 0, id.length, header, 1, SESSION_AT)) {
+                return i;
+            }
+        }
+        throw refused("unknown key");
+    }
+
+    private static byte[] sessionOf(byte[] header) {
+        return Arrays.copyOfRange(header, SESSION_AT, COUNTER_AT);
+    }
+
+    private static AzurearchException refused(String message) {
+        return new AzurearchException(ErrorCode.PEER_UNAUTHENTICATED, message);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/NettyPeerClient.java
@@ -0,0 +1,130 @@
+package org.azurearch.internal.transport;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.time.TimerService;
+import org.azurearch.transport.PeerClient;
+import org.jspecify.annotations.Nullable;
+
+/** Sends sealed Thrift exchanges over one connection to each node, opened on demand. */
+final class NettyPeerClient implements PeerClient {
+    /** A connection that is up or coming up. */
+    private record Link(PeerConnection connection, ChannelFuture connected) {}
+
+    private final PeerSettings.Limits mLimits;
+    private final ThriftCodec mCodec;
+    private final Sealer mSealer;
+    private final @Nullable SslContext mTls;
+    private final EventLoopGroup mGroup;
+    private final TimerService mTimers;
+    private final ControlBytes mBytes;
+    private final Map<NetAddress, Link> mLinks = new ConcurrentHashMap<>();
+    private volatile boolean mClosed;
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param limits the limits
+     * @param sealer seals requests and opens replies
+     * @param tls the TLS identity, or null
+     * @param group the event loops
+     * @param timers the timers of requests
+     * @param metrics the registry of metrics
+     */
+    NettyPeerClient(
+            PeerSettings.Limits limits,
+            Sealer sealer,
+            @Nullable SslContext tls,
+            EventLoopGroup group,
+            TimerService timers,
+            MetricRegistry metrics) {
+        mLimits = limits;
+        mCodec = new ThriftCodec(limits.messageBytes());
+        mSealer = sealer;
+        mTls = tls;
+        mGroup = group;
+        mTimers = timers;
+        mBytes = new ControlBytes(metrics);
+        metrics.gauge("peer.connections.out", () -> (Gauge<Integer>) mLinks::size);
+    }
+
+    @Override
+    public CompletableFuture<PeerReply> send(NetAddress to, PeerRequest request, Duration timeout) {
+        if (mClosed) {
+            return failed(ErrorCode.PEER_UNAVAILABLE, "the client is closed");
+        }
+        Link link = mLinks.computeIfAbsent(to, this::connect);
+        PeerConnection connection = link.connection();
+        if (!connection.tryReserve(mLimits.inFlightPerPeer())) {
+            return failed(ErrorCode.BUSY, "too many requests under way to " + to);
+        }
+        CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+        Channel channel = link.connected().channel();
+        TimerService.Subscription timer =
+                mTimers.after(timeout, () -> connection.expire(channel, reply));
+        connection.send(link.connected(), request, reply);
+        return reply.whenComplete(
+                (answer, failure) -> {
+                    timer.cancel();
+                    connection.release();
+                });
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        mLinks.values().forEach(link -> link.connected().channel().close());
+    }
+
+    private Link connect(NetAddress to) {
+        PeerConnection connection = new PeerConnection(to, mCodec, mSealer, mBytes, this::forget);
+        ChannelFuture connected =
+                new Bootstrap()
+                        .group(mGroup)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                Math.toIntExact(mLimits.connect().toMillis()))
+                        .handler(
+                                new ChannelInitializer<>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        FramePipeline.addTo(
+                                                channel.pipeline(),
+                                                mLimits.messageBytes(),
+                                                mLimits.idle(),
+                                                mTls);
+                                        channel.pipeline().addLast(connection);
+                                    }
+                                })
+                        .connect(to.socketAddress());
+        return new Link(connection, connected);
+    }
+
+    private void forget(PeerConnection connection) {
+        mLinks.computeIfPresent(
+                connection.to(), (to, link) -> link.connection() == connection ? null : link);
+    }
+
+    private static CompletableFuture<PeerReply> failed(ErrorCode code, String message) {
+        return CompletableFuture.failedFuture(new AzurearchException(code, message));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/NettyPeerServer.java
@@ -0,0 +1,119 @@
+package org.azurearch.internal.transport;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import org.azurearch.events.EventLog;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.transport.AsyncPeerHandler;
+import org.azurearch.transport.PeerHandler;
+import org.azurearch.transport.PeerServer;
+import org.jspecify.annotations.Nullable;
+
+/** Takes sealed Thrift exchanges on a Netty listener. */
+final class NettyPeerServer implements PeerServer {
+    private static final int BACKLOG = 512;
+
+    private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final PeerLanes mLanes;
+    private final PeerDispatcher mDispatcher;
+    private final Channel mListener;
+
+    /**
+     * Binds the listener.
+     *
+     * @param settings the settings
+     * @param sealer opens requests and seals replies
+     * @param tls the TLS identity, or null
+     * @param group the event loops
+     * @param metrics the registry of metrics
+     */
+    NettyPeerServer(
+            PeerSettings settings,
+            Sealer sealer,
+            @Nullable SslContext tls,
+            EventLoopGroup group,
+            MetricRegistry metrics) {
+        PeerSettings.Limits limits = settings.limits();
+        mLanes = new PeerLanes(limits.ringCapacity(), metrics);
+        mDispatcher = new PeerDispatcher(mLanes);
+        ConnectionLimits connections =
+                new ConnectionLimits(limits.connections(), limits.connectionsPerAddress());
+        metrics.gauge("peer.connections.in", () -> (Gauge<Integer>) connections::total);
+        PeerServerContext context =
+                new PeerServerContext(
+                        limits,
+                        new ThriftCodec(limits.messageBytes()),
+                        sealer,
+                        mDispatcher,
+                        new ControlBytes(metrics),
+                        connections,
+                        metrics.counter("peer.unauthenticated"));
+        mListener = bind(settings.listen(), context, tls, group);
+        EventLog.log(TransportEvent.PEER_LISTENING, address());
+    }
+
+    @Override
+    public void handle(PeerRequest._Fields kind, PeerHandler handler) {
+        handleAsync(kind, request -> CompletableFuture.completedFuture(handler.handle(request)));
+    }
+
+    @Override
+    public void handleAsync(PeerRequest._Fields kind, AsyncPeerHandler handler) {
+        mDispatcher.register(kind, handler);
+    }
+
+    @Override
+    public NetAddress address() {
+        InetSocketAddress bound = (InetSocketAddress) mListener.localAddress();
+        return new NetAddress(bound.getAddress().getHostAddress(), bound.getPort());
+    }
+
+    @Override
+    public void close() {
+        mListener.close().syncUninterruptibly();
+        mChannels.close().awaitUninterruptibly();
+        mLanes.close();
+    }
+
+    private Channel bind(
+            NetAddress listen,
+            PeerServerContext context,
+            @Nullable SslContext tls,
+            EventLoopGroup group) {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                mChannels.add(channel);
+                                FramePipeline.addTo(
+                                        channel.pipeline(),
+                                        context.limits().messageBytes(),
+                                        context.limits().serverIdle(),
+                                        tls);
+                                channel.pipeline().addLast(new PeerConnectionHandler(context));
+                            }
+                        })
+                .bind(listen.socketAddress())
+                .syncUninterruptibly()
+                .channel();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/PeerConnectionHandler.java
@@ -0,0 +1,133 @@
+package org.azurearch.internal.transport;
+
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleStateEvent;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.events.EventLog;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+
+/** Server side of one connection. It runs on the event loop of the connection. */
+final class PeerConnectionHandler extends SimpleChannelInboundHandler<byte[]> {
+    private final PeerServerContext mContext;
+    private boolean mCounted;
+    private boolean mAuthenticated;
+    private int mInFlight;
+
+    PeerConnectionHandler(PeerServerContext context) {
+        mContext = context;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        mCounted = mContext.connections().tryOpen(addressOf(ctx));
+        if (!mCounted) {
+            EventLog.log(TransportEvent.PEER_CONNECTION_REFUSED, addressOf(ctx));
+            ctx.close();
+            return;
+        }
+        ctx.executor()
+                .schedule(
+                        () -> closeUnlessAuthenticated(ctx),
+                        mContext.limits().authentication().toMillis(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (mCounted) {
+            mContext.connections().close(addressOf(ctx));
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, byte[] frame) {
+        ThriftCodec.Envelope call = mContext.codec().decode(frame, true);
+        Sealer.OpenedRequest opened;
+        try {
+            opened = mContext.sealer().openRequest(call.sealed());
+        } catch (AzurearchException e) {
+            refuse(ctx, call, e);
+            return;
+        }
+        mAuthenticated = true;
+        PeerRequest request = mContext.codec().decodeRequest(opened.plain());
+        PeerRequest._Fields kind = request.getSetField();
+        mContext.bytes().received(kind, frame.length + FramePipeline.LENGTH_BYTES);
+        answer(ctx, new Call(call.sequence(), kind, opened.pairing()), request);
+    }
+
+    /** What is needed to answer a request. */
+    private record Call(int sequence, PeerRequest._Fields kind, Sealer.Pairing pairing) {}
+
+    private void answer(ChannelHandlerContext ctx, Call call, PeerRequest request) {
+        if (mInFlight >= mContext.limits().inFlightPerPeer()) {
+            write(ctx, call, PeerDispatcher.busy());
+            return;
+        }
+        mInFlight++;
+        mContext.dispatcher()
+                .dispatch(request)
+                .thenAccept(reply -> ctx.executor().execute(() -> finish(ctx, call, reply)));
+    }
+
+    private void finish(ChannelHandlerContext ctx, Call call, PeerReply reply) {
+        mInFlight--;
+        write(ctx, call, reply);
+    }
+
+    private void write(ChannelHandlerContext ctx, Call call, PeerReply reply) {
+        byte[] sealed = mContext.sealer().sealReply(call.pairing(), mContext.codec().encode(reply));
+        byte[] frame = mContext.codec().encodeReply(call.sequence(), sealed);
+        mContext.bytes().sent(call.kind(), frame.length + FramePipeline.LENGTH_BYTES);
+        ctx.writeAndFlush(frame);
+    }
+
+    /** Stops reading from a peer that does not read its replies. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof IdleStateEvent) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        EventLog.log(
+                TransportEvent.PEER_CONNECTION_FAILED,
+                ctx.channel().remoteAddress(),
+                cause.toString());
+        ctx.close();
+    }
+
+    private void refuse(
+            ChannelHandlerContext ctx, ThriftCodec.Envelope call, AzurearchException cause) {
+        EventLog.log(
+                TransportEvent.PEER_UNAUTHENTICATED,
+                addressOf(ctx),
+                String.valueOf(cause.getMessage()));
+        mContext.refused().inc();
+        ctx.writeAndFlush(mContext.codec().encodeRefusal(call.sequence()))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    private void closeUnlessAuthenticated(ChannelHandlerContext ctx) {
+        if (!mAuthenticated) {
+            ctx.close();
+        }
+    }
+
+    private static InetAddress addressOf(ChannelHandlerContext ctx) {
+        return ((InetSocketAddress) ctx.channel().remoteAddress()).getAddress();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/PeerDispatcher.java
@@ -0,0 +1,88 @@
+package org.azurearch.internal.transport;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.thrift.WireBusy;
+import org.azurearch.thrift.WireRefused;
+import org.azurearch.transport.AsyncPeerHandler;
+
+/** Hands requests to the handlers of their kind and turns failures into replies. */
+final class PeerDispatcher {
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+    private final Map<PeerRequest._Fields, AsyncPeerHandler> mHandlers = new ConcurrentHashMap<>();
+    private final PeerLanes mLanes;
+
+    PeerDispatcher(PeerLanes lanes) {
+        mLanes = lanes;
+    }
+
+    void register(PeerRequest._Fields kind, AsyncPeerHandler handler) {
+        mHandlers.put(kind, handler);
+    }
+
+    /** Handles a request; the reply never fails. */
+    CompletableFuture<PeerReply> dispatch(PeerRequest request) {
+        CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+        PeerRequest._Fields kind = request.getSetField();
+        if (!mLanes.offer(kind, () -> run(kind, request, reply))) {
+            reply.complete(busy());
+        }
+        return reply;
+    }
+
+    /** Returns the reply of a node that cannot take the request. */
+    static PeerReply busy() {
+        return PeerReply.busy(new WireBusy(RETRY_AFTER.toMillis()));
+    }
+
+    private void run(
+            PeerRequest._Fields kind, PeerRequest request, CompletableFuture<PeerReply> reply) {
+        try {
+            handlerOf(kind)
+                    .handle(request)
+                    .whenComplete(
+                            (answer, failure) ->
+                                    reply.complete(
+                                            failure == null ? answer : refusal(kind, failure)));
+        } catch (RuntimeException e) {
+            reply.complete(refusal(kind, e));
+        }
+    }
+
+    private AsyncPeerHandler handlerOf(PeerRequest._Fields kind) {
+        AsyncPeerHandler handler = mHandlers.get(kind);
+        if (handler == null) {
+            throw new AzurearchException(
+                    ErrorCode.NOT_FOUND, "no handler for " + kind.getFieldName());
+        }
+        return handler;
+    }
+
+    private static PeerReply refusal(PeerRequest._Fields kind, Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        if (cause instanceof AzurearchException known) {
+            return known.code() == ErrorCode.BUSY
+                    ? busy()
+                    : refused(known.code(), String.valueOf(known.getMessage()));
+        }
+        EventLog.log(
+                TransportEvent.PEER_HANDLER_FAILED, cause, kind.getFieldName(), cause.toString());
+        return refused(ErrorCode.INTERNAL, "the handler failed");
+    }
+
+    private static PeerReply refused(ErrorCode code, String message) {
+        return PeerReply.refused(new WireRefused(code.code(), message));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/PeerLanes.java
@@ -0,0 +1,38 @@
+package org.azurearch.internal.transport;
+
+import com.codahale.metrics.MetricRegistry;
+import org.azurearch.kernel.Duty;
+import org.azurearch.kernel.OverflowRule;
+import org.azurearch.thrift.PeerRequest;
+
+/**
+ * The rings in which requests wait for their handlers: one for membership, one for configuration,
+ * so that large transfers do not delay failure detection.
+ */
+final class PeerLanes implements AutoCloseable {
+    private final Duty<Runnable> mMembership;
+    private final Duty<Runnable> mConfiguration;
+
+    PeerLanes(int capacity, MetricRegistry metrics) {
+        mMembership = lane("peer-membership", capacity, metrics);
+        mConfiguration = lane("peer-configuration", capacity, metrics);
+    }
+
+    /** Queues a task; returns false without waiting when the ring is full. */
+    boolean offer(PeerRequest._Fields kind, Runnable task) {
+        return switch (kind) {
+            case PING, INDIRECT_PING, SYNC -> mMembership.offer(task);
+            default -> mConfiguration.offer(task);
+        };
+    }
+
+    @Override
+    public void close() {
+        mMembership.close();
+        mConfiguration.close();
+    }
+
+    private static Duty<Runnable> lane(String name, int capacity, MetricRegistry metrics) {
+        return new Duty<>(name, capacity, OverflowRule.REJECT_NEWEST, metrics, Runnable::run);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/ThriftCodec.java
@@ -0,0 +1,168 @@
+package org.azurearch.internal.transport;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializable;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TMessage;
+import org.apache.thrift.protocol.TMessageType;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.thrift.Peer;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.jspecify.annotations.Nullable;
+
+/** Thrift compact encoding of the service's messages and of their content. */
+final class ThriftCodec {
+    /** The name of the one method of the service. */
+    private static final String EXCHANGE = "exchange";
+
+    private static final int INITIAL_BYTES = 256;
+    private static final int RECURSION_LIMIT = 16;
+
+    private final int mMaxBytes;
+
+    /**
+     * Creates a codec.
+     *
+     * @param maxBytes the largest message, text or list read
+     */
+    ThriftCodec(int maxBytes) {
+        mMaxBytes = maxBytes;
+    }
+
+    /**
+     * A message of the service.
+     *
+     * @param sequence pairs a reply with its call on a connection
+     * @param type the type, see {@link TMessageType}
+     * @param sealed the sealed content; empty in an exception
+     */
+    record Envelope(int sequence, byte type, byte[] sealed) {}
+
+    byte[] encodeCall(int sequence, byte[] sealed) {
+        return encode(sequence, TMessageType.CALL, new Peer.exchange_args(ByteBuffer.wrap(sealed)));
+    }
+
+    byte[] encodeReply(int sequence, byte[] sealed) {
+        Peer.exchange_result result = new Peer.exchange_result();
+        result.setSuccess(sealed);
+        return encode(sequence, TMessageType.REPLY, result);
+    }
+
+    /** Reads a call or a reply of the service. */
+    Envelope decode(byte[] bytes, boolean call) {
+        TProtocol protocol = reader(bytes);
+        try {
+            TMessage message = protocol.readMessageBegin();
+            if (!EXCHANGE.equals(message.name)) {
+                throw corrupt("unknown method", null);
+            }
+            return new Envelope(message.seqid, message.type, content(message, call, protocol));
+        } catch (TException e) {
+            throw corrupt("malformed message", e);
+        }
+    }
+
+    /** Encodes the answer to a call that is not authenticated; it is not sealed. */
+    byte[] encodeRefusal(int sequence) {
+        TApplicationException refusal =
+                new TApplicationException(TApplicationException.PROTOCOL_ERROR, "unauthenticated");
+        return encode(sequence, TMessageType.EXCEPTION, refusal);
+    }
+
+    byte[] encode(TBase<?, ?> struct) {
+        try {
+            TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BYTES);
+            struct.write(new TCompactProtocol(buffer));
+            return bytesOf(buffer);
+        } catch (TException e) {
+            throw corrupt("cannot encode", e);
+        }
+    }
+
+    PeerRequest decodeRequest(byte[] bytes) {
+        PeerRequest request = new PeerRequest();
+        read(request, bytes);
+        if (!request.isSet()) {
+            throw corrupt("empty request", null);
+        }
+        return request;
+    }
+
+    PeerReply decodeReply(byte[] bytes) {
+        PeerReply reply = new PeerReply();
+        read(reply, bytes);
+        if (!reply.isSet()) {
+            throw corrupt("empty reply", null);
+        }
+        return reply;
+    }
+
+    private void read(TBase<?, ?> struct, byte[] bytes) {
+        try {
+            struct.read(reader(bytes));
+        } catch (TException e) {
+            throw corrupt("malformed content", e);
+        }
+    }
+
+    private static byte[] content(TMessage message, boolean call, TProtocol protocol)
+            throws TException {
+        if (message.type == TMessageType.EXCEPTION) {
+            return new byte[0];
+        }
+        return call ? readCall(protocol) : readReply(protocol);
+    }
+
+    private static byte[] readCall(TProtocol protocol) throws TException {
+        Peer.exchange_args arguments = new Peer.exchange_args();
+        arguments.read(protocol);
+        return arguments.isSetSealed() ? arguments.getSealed() : new byte[0];
+    }
+
+    private static byte[] readReply(TProtocol protocol) throws TException {
+        Peer.exchange_result result = new Peer.exchange_result();
+        result.read(protocol);
+        return result.isSetSuccess() ? result.getSuccess() : new byte[0];
+    }
+
+    private static byte[] encode(int sequence, byte type, TSerializable struct) {
+        try {
+            TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BYTES);
+            TProtocol protocol = new TCompactProtocol(buffer);
+            protocol.writeMessageBegin(new TMessage(EXCHANGE, type, sequence));
+            struct.write(protocol);
+            protocol.writeMessageEnd();
+            return bytesOf(buffer);
+        } catch (TException e) {
+            throw corrupt("cannot encode", e);
+        }
+    }
+
+    private TProtocol reader(byte[] bytes) {
+        try {
+            TConfiguration limits = new TConfiguration(mMaxBytes, mMaxBytes, RECURSION_LIMIT);
+            return new TCompactProtocol(
+                    new TMemoryInputTransport(limits, bytes), mMaxBytes, mMaxBytes);
+        } catch (TException e) {
+            throw corrupt("message too large", e);
+        }
+    }
+
+    private static byte[] bytesOf(TMemoryBuffer buffer) {
+        return Arrays.copyOf(buffer.getArray(), buffer.length());
+    }
+
+    private static AzurearchException corrupt(String message, @Nullable Throwable cause) {
+        return new AzurearchException(ErrorCode.CORRUPT, message, cause);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/TransportPlugin.java
@@ -0,0 +1,88 @@
+package org.azurearch.internal.transport;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.kernel.Kernel;
+import org.azurearch.kernel.Plugin;
+import org.azurearch.settings.NodeIdentity;
+import org.azurearch.settings.SettingsSection;
+import org.azurearch.time.TimerService;
+import org.azurearch.transport.PeerClient;
+import org.azurearch.transport.PeerServer;
+import org.jspecify.annotations.Nullable;
+
+/** Registers {@link PeerServer} and {@link PeerClient}. */
+public final class TransportPlugin implements Plugin {
+    private static final long STOP_MILLIS = 2_000L;
+
+    private @Nullable EventLoopGroup mGroup;
+    private @Nullable PeerServer mServer;
+    private @Nullable PeerClient mClient;
+
+    /** Creates the plug-in; the service loader needs this. */
+    public TransportPlugin() {}
+
+    @Override
+    public String name() {
+        return "transport";
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        PeerSettings settings = PeerSettings.from(kernel.service(SettingsSection.class));
+        Sealer sealer = sealerOf(settings, kernel.service(NodeIdentity.class).mesh());
+        @Nullable SslContext serverTls = settings.tls().map(PeerTls::server).orElse(null);
+        @Nullable SslContext clientTls = settings.tls().map(PeerTls::client).orElse(null);
+        MetricRegistry metrics = kernel.service(MetricRegistry.class);
+        EventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(
+                        1,
+                        new DefaultThreadFactory("azurearch-peer-io", true),
+                        NioIoHandler.newFactory());
+        mGroup = group;
+        PeerServer server = new NettyPeerServer(settings, sealer, serverTls, group, metrics);
+        mServer = server;
+        PeerClient client =
+                new NettyPeerClient(
+                        settings.limits(),
+                        sealer,
+                        clientTls,
+                        group,
+                        kernel.service(TimerService.class),
+                        metrics);
+        mClient = client;
+        kernel.register(PeerServer.class, server);
+        kernel.register(PeerClient.class, client);
+    }
+
+    @Override
+    public void stop() {
+        if (mClient != null) {
+            mClient.close();
+        }
+        if (mServer != null) {
+            mServer.close();
+        }
+        if (mGroup != null) {
+            mGroup.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static Sealer sealerOf(PeerSettings settings, String mesh) {
+        if (!settings.keys().isEmpty()) {
+            return new GcmSealer(mesh, settings.keys());
+        }
+        if (settings.tls().isPresent()) {
+            return new ClearSealer();
+        }
+        throw new AzurearchException(
+                ErrorCode.MISSING_KEY, "peers needs a shared key or a TLS identity");
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/package-info.java
@@ -0,0 +1,5 @@
+/** Sealed Thrift exchange between nodes over Netty. */
+@NullMarked
+package org.azurearch.internal.transport;
+
+import org.jspecify.annotations.NullMarked;
--- a/org.azurearch/src/main/java/org/azurearch/transport/PeerClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/transport/PeerClient.java
@@ -14,9 +14,11 @@
      * @param to where the node takes exchanges
      * @param request the request
      * @param timeout the longest to wait, connecting included
-     * @return the reply; it fails with {@link org.azurearch.errors.AzurearchException} of code
-     *     {@code PEER_UNAVAILABLE}, {@code PEER_UNAUTHENTICATED}, or {@code BUSY} when too many
-     *     requests to that node are under way
+     * @return the reply, which may say that the other node is busy; it is completed on a thread of
+     *     the transport, which must not be held up. When the other node refuses the request, it
+     *     fails with the code that the node gave. It fails with {@link
+     *     org.azurearch.errors.AzurearchException} of code {@code PEER_UNAVAILABLE}, {@code
+     *     PEER_UNAUTHENTICATED}, or {@code BUSY} when too many requests to that node are under way
      */
     CompletableFuture<PeerReply> send(NetAddress to, PeerRequest request, Duration timeout);
 
