Add membership, endpoints and the board

Nothing told a node of the others or of their backend servers. A pure core now decides: randomised probes with indirect ones and suspicion, updates that are sent at once to a few nodes and ride on probes afterwards, synchronisation by bucket hashes, and relays between data centres chosen by rendezvous hashing. A refuted suspicion raises the sequence, not the incarnation, so that the incarnation identifies one run of the process for tickets and endpoints. Urgent changes come into force at once; others are published together. The exchange of full views becomes one of differing buckets, for which the synchronisation messages of the interface definition grew fields.

--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Decisions and state behind the fold of the change stream. */
-@NullMarked
-package org.azurearch.internal.fold;
-
-import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/BackendCore.java
@@ -0,0 +1,156 @@
+package org.azurearch.internal.member;
+
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.member.Announcement;
+import org.azurearch.member.BackendState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides on the state of the backend server from its announcement and lease, drain, probes and the
+ * outcomes of calls. Neither probes nor calls are believed alone: probes that fail while calls
+ * succeed do not count, and calls that keep failing take the server out for a while even though its
+ * probes succeed. It is not thread-safe.
+ */
+final class BackendCore {
+    /** Longest lease, in milliseconds. */
+    static final long MAX_LEASE_MILLIS = 300_000L;
+
+    /** Shortest lease, in milliseconds. */
+    static final long MIN_LEASE_MILLIS = 100L;
+
+    private static final int MAX_SLOTS = 100_000;
+    private static final int PROBE_FAILURES_TO_ABSENT = 3;
+    private static final int CALL_FAILURES_TO_ABSENT = 5;
+    private static final long RECENT_SUCCESS_MILLIS = 2_000L;
+    private static final long FIRST_PENALTY_MILLIS = 5_000L;
+    private static final long MAX_PENALTY_MILLIS = 60_000L;
+
+    private @Nullable Announcement mAnnouncement;
+    private long mRenewedMillis;
+    private boolean mDrained;
+    private int mProbeFailures;
+    private int mCallFailures;
+    private boolean mCallSucceeded;
+    private long mCallSuccessMillis;
+    private long mPenaltyMillis = FIRST_PENALTY_MILLIS;
+    private long mPenaltyUntilMillis;
+    private boolean mPenalised;
+
+    /**
+     * Takes an announcement or its renewal.
+     *
+     * @throws AzurearchException with {@code OUT_OF_RANGE} when a value is outside its range
+     */
+    void announce(Announcement announcement, Moment now) {
+        check(announcement);
+        if (mAnnouncement == null || !sameServer(mAnnouncement, announcement)) {
+            forget();
+        }
+        mAnnouncement = announcement;
+        mRenewedMillis = now.millis();
+    }
+
+    void withdraw() {
+        forget();
+    }
+
+    void drain() {
+        mDrained = true;
+    }
+
+    /** Lets the lease lapse. */
+    void tick(Moment now) {
+        Announcement announcement = mAnnouncement;
+        if (announcement != null
+                && now.millis() - mRenewedMillis >= announcement.lease().toMillis()) {
+            forget();
+        }
+        if (mPenalised && now.millis() >= mPenaltyUntilMillis) {
+            mPenalised = false;
+            mCallFailures = CALL_FAILURES_TO_ABSENT - 1;
+        }
+    }
+
+    /** Takes the outcome of a probe of the health endpoint. */
+    void probed(boolean healthy) {
+        mProbeFailures = healthy ? 0 : mProbeFailures + 1;
+    }
+
+    /** Takes the outcome of a call. */
+    void called(boolean healthy, Moment now) {
+        if (healthy) {
+            mCallFailures = 0;
+            mCallSucceeded = true;
+            mCallSuccessMillis = now.millis();
+            mPenaltyMillis = FIRST_PENALTY_MILLIS;
+            return;
+        }
+        mCallFailures++;
+        if (mCallFailures >= CALL_FAILURES_TO_ABSENT && !mPenalised) {
+            mPenalised = true;
+            mPenaltyUntilMillis = now.millis() + mPenaltyMillis;
+            mPenaltyMillis = Math.min(MAX_PENALTY_MILLIS, 2 * mPenaltyMillis);
+        }
+    }
+
+    @Nullable Announcement announcement() {
+        return mAnnouncement;
+    }
+
+    BackendState state(Moment now) {
+        Announcement announcement = mAnnouncement;
+        if (announcement == null) {
+            return BackendState.ABSENT;
+        }
+        if (mDrained) {
+            return BackendState.DRAINING;
+        }
+        if (announcement.state() != BackendState.READY) {
+            return announcement.state();
+        }
+        return mPenalised || probesFail(now) ? BackendState.ABSENT : BackendState.READY;
+    }
+
+    private boolean probesFail(Moment now) {
+        boolean callsSucceed =
+                mCallSucceeded && now.millis() - mCallSuccessMillis < RECENT_SUCCESS_MILLIS;
+        return mProbeFailures >= PROBE_FAILURES_TO_ABSENT && !callsSucceed;
+    }
+
+    private void forget() {
+        mAnnouncement = null;
+        mDrained = false;
+        mProbeFailures = 0;
+        mCallFailures = 0;
+        mCallSucceeded = false;
+        mPenaltyMillis = FIRST_PENALTY_MILLIS;
+        mPenalised = false;
+    }
+
+    private static boolean sameServer(Announcement held, Announcement next) {
+        NetAddress address = held.address();
+        return address.equals(next.address())
+                && held.firm().equals(next.firm())
+                && held.service().equals(next.service());
+    }
+
+    private static void check(Announcement announcement) {
+        long lease = announcement.lease().toMillis();
+        if (lease < MIN_LEASE_MILLIS || lease > MAX_LEASE_MILLIS) {
+            throw outOfRange("lease", lease);
+        }
+        if (announcement.slots() < 1 || announcement.slots() > MAX_SLOTS) {
+            throw outOfRange("slots", announcement.slots());
+        }
+        if (announcement.state() == BackendState.ABSENT) {
+            throw new AzurearchException(
+                    ErrorCode.OUT_OF_RANGE, "an announcement cannot say absent");
+        }
+    }
+
+    private static AzurearchException outOfRange(String what, long value) {
+        return new AzurearchException(ErrorCode.OUT_OF_RANGE, what + " out of range: " + value);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/BoardTable.java
@@ -0,0 +1,113 @@
+package org.azurearch.internal.member;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.azurearch.member.Board;
+import org.jspecify.annotations.Nullable;
+
+/** The entries of the board, bounded in number, size and time to live. */
+final class BoardTable {
+    /** Longest kind, key and value, in characters. */
+    static final int MAX_TEXT_CHARS = 256;
+
+    /** Longest time to live, in milliseconds. */
+    static final long MAX_TIME_TO_LIVE_MILLIS = 86_400_000L;
+
+    private record Name(String kind, String key) {}
+
+    private final int mMaxEntries;
+    private final Map<Name, Board.Entry> mEntries = new HashMap<>();
+    private final PriorityQueue<Board.Entry> mByExpiry =
+            new PriorityQueue<>((a, b) -> Long.compare(a.expiresAtMillis(), b.expiresAtMillis()));
+    private long mHash;
+
+    BoardTable(int maxEntries) {
+        mMaxEntries = maxEntries;
+    }
+
+    /**
+     * Takes an entry if it is newer than the one held. When the board is full the entry that
+     * expires first gives way.
+     *
+     * @return whether it was taken
+     */
+    boolean merge(Board.Entry entry, long wallMillis) {
+        if (!acceptable(entry, wallMillis)) {
+            return false;
+        }
+        Board.Entry held = mEntries.get(nameOf(entry));
+        if (held != null && !newer(entry, held)) {
+            return false;
+        }
+        if (held == null && mEntries.size() >= mMaxEntries && !evictFor(entry)) {
+            return false;
+        }
+        remove(held);
+        mEntries.put(nameOf(entry), entry);
+        mByExpiry.add(entry);
+        mHash += Hashes.of(entry);
+        return true;
+    }
+
+    /** Removes the entries that have expired; says whether there were any. */
+    boolean expire(long wallMillis) {
+        boolean changed = false;
+        Board.Entry first = mByExpiry.peek();
+        while (first != null && first.expiresAtMillis() <= wallMillis) {
+            remove(first);
+            changed = true;
+            first = mByExpiry.peek();
+        }
+        return changed;
+    }
+
+    /** Returns all entries. */
+    List<Board.Entry> all() {
+        return new ArrayList<>(mEntries.values());
+    }
+
+    /** Returns the hash over all entries. */
+    long hash() {
+        return mHash;
+    }
+
+    private static boolean acceptable(Board.Entry entry, long wallMillis) {
+        long left = entry.expiresAtMillis() - wallMillis;
+        return left > 0
+                && left <= MAX_TIME_TO_LIVE_MILLIS
+                && entry.kind().length() <= MAX_TEXT_CHARS
+                && entry.key().length() <= MAX_TEXT_CHARS
+                && entry.value().length() <= MAX_TEXT_CHARS;
+    }
+
+    /** Of two entries with one expiry the one with the greater value holds, on every node. */
+    private static boolean newer(Board.Entry entry, Board.Entry held) {
+        return entry.expiresAtMillis() != held.expiresAtMillis()
+                ? entry.expiresAtMillis() > held.expiresAtMillis()
+                : entry.value().compareTo(held.value()) > 0;
+    }
+
+    private boolean evictFor(Board.Entry entry) {
+        Board.Entry first = mByExpiry.peek();
+        if (first == null || first.expiresAtMillis() >= entry.expiresAtMillis()) {
+            return false;
+        }
+        remove(first);
+        return true;
+    }
+
+    private void remove(Board.@Nullable Entry entry) {
+        if (entry != null) {
+            mEntries.remove(nameOf(entry));
+            mByExpiry.remove(entry);
+            mHash -= Hashes.of(entry);
+        }
+    }
+
+    private static Name nameOf(Board.Entry entry) {
+        return new Name(entry.kind(), entry.key());
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/EffectRunner.java
@@ -0,0 +1,122 @@
+package org.azurearch.internal.member;
+
+import java.time.Duration;
+import java.util.List;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.thrift.WireIndirectPing;
+import org.azurearch.thrift.WirePing;
+import org.azurearch.thrift.WirePong;
+import org.azurearch.transport.PeerClient;
+import org.jspecify.annotations.Nullable;
+
+/** Carries out what the membership decided, and hands the answers back to it. */
+final class EffectRunner {
+    private static final Duration SPREAD_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration SYNC_TIMEOUT = Duration.ofSeconds(10);
+
+    /** Takes the answers; called on the transport's threads. */
+    interface Answers {
+        /** Takes the answer to a probe, or its failure. */
+        void probeAnswered(long probe, boolean alive, Gossip gossip);
+
+        /** Takes the answer to a synchronisation; null for a failure. */
+        void synchronised(MemberEffect.Synchronise effect, @Nullable SyncReply reply);
+
+        /** Takes updates that came with the answer to a spread. */
+        void told(Gossip gossip);
+    }
+
+    private final PeerClient mClient;
+    private final Duration mProbeTimeout;
+    private final Answers mAnswers;
+
+    EffectRunner(PeerClient client, MemberPolicy policy, Answers answers) {
+        mClient = client;
+        mProbeTimeout = Duration.ofMillis(policy.probePeriodMillis());
+        mAnswers = answers;
+    }
+
+    void run(List<MemberEffect> effects) {
+        effects.forEach(this::run);
+    }
+
+    private void run(MemberEffect effect) {
+        if (effect instanceof MemberEffect.Probe probe) {
+            probe(probe);
+        } else if (effect instanceof MemberEffect.IndirectProbe probe) {
+            probeIndirectly(probe);
+        } else if (effect instanceof MemberEffect.Spread spread) {
+            spread(spread);
+        } else if (effect instanceof MemberEffect.Synchronise synchronise) {
+            synchronise(synchronise);
+        }
+    }
+
+    private void probe(MemberEffect.Probe effect) {
+        mClient.send(
+                        effect.target().peer(),
+                        ping(effect.target().node().name(), effect.gossip()),
+                        mProbeTimeout)
+                .whenComplete((reply, failure) -> noteProbe(effect.probe(), reply));
+    }
+
+    private void probeIndirectly(MemberEffect.IndirectProbe effect) {
+        WireIndirectPing wire =
+                new WireIndirectPing(
+                        effect.target().node().name(), MemberWire.write(effect.target().peer()));
+        mClient.send(effect.via().peer(), PeerRequest.indirectPing(wire), mProbeTimeout)
+                .whenComplete(
+                        (reply, failure) -> {
+                            if (reply != null && reply.isSetPong()) {
+                                noteProbe(effect.probe(), reply);
+                            }
+                        });
+    }
+
+    private void spread(MemberEffect.Spread effect) {
+        mClient.send(
+                        effect.target().peer(),
+                        ping(effect.target().node().name(), effect.gossip()),
+                        SPREAD_TIMEOUT)
+                .thenAccept(reply -> tell(reply));
+    }
+
+    private void synchronise(MemberEffect.Synchronise effect) {
+        PeerRequest request = PeerRequest.sync(MemberWire.write(effect.request()));
+        mClient.send(effect.target(), request, SYNC_TIMEOUT)
+                .whenComplete(
+                        (reply, failure) ->
+                                mAnswers.synchronised(
+                                        effect,
+                                        reply != null && reply.isSetSync()
+                                                ? MemberWire.read(reply.getSync())
+                                                : null));
+    }
+
+    /** A node that says that it is busy is alive. */
+    private void noteProbe(long probe, @Nullable PeerReply reply) {
+        if (reply == null) {
+            mAnswers.probeAnswered(probe, false, Gossip.NONE);
+        } else if (reply.isSetPong()) {
+            WirePong pong = reply.getPong();
+            mAnswers.probeAnswered(probe, pong.isAlive(), MemberWire.read(pong.getGossip()));
+        } else {
+            mAnswers.probeAnswered(probe, true, Gossip.NONE);
+        }
+    }
+
+    private void tell(PeerReply reply) {
+        if (reply.isSetPong() && reply.getPong().isSetGossip()) {
+            mAnswers.told(MemberWire.read(reply.getPong().getGossip()));
+        }
+    }
+
+    static PeerRequest ping(String target, Gossip gossip) {
+        WirePing wire = new WirePing(target);
+        if (!gossip.isEmpty()) {
+            wire.setGossip(MemberWire.write(gossip));
+        }
+        return PeerRequest.ping(wire);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/Hashes.java
@@ -0,0 +1,38 @@
+package org.azurearch.internal.member;
+
+import java.nio.charset.StandardCharsets;
+import org.azurearch.member.Board;
+import org.azurearch.member.Member;
+
+/** Order-independent 64-bit hashes of what a node holds; they are added up. */
+final class Hashes {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Hashes() {}
+
+    static long of(String text) {
+        long hash = FNV_OFFSET;
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ b) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    static long of(Member member) {
+        return mix(
+                mix(of(member.node().name()) + member.incarnation()) * FNV_PRIME
+                        + member.sequence());
+    }
+
+    static long of(Board.Entry entry) {
+        return mix(of(entry.kind() + '\n' + entry.key() + '\n' + entry.value()))
+                + mix(entry.expiresAtMillis());
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+        return mixed ^ (mixed >>> 31);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/HealthProbe.java
@@ -0,0 +1,46 @@
+package org.azurearch.internal.member;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.azurearch.lib.NetAddress;
+import org.jspecify.annotations.Nullable;
+
+/** Asks the health endpoint of the backend server. */
+final class HealthProbe {
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final int OK_MIN = 200;
+    private static final int OK_MAX = 299;
+
+    private @Nullable HttpClient mClient;
+
+    /**
+     * Sends a GET request.
+     *
+     * @return whether a status of the 200s came in time; it never fails
+     */
+    CompletableFuture<Boolean> probe(NetAddress address, String path) {
+        URI uri = URI.create("http://" + address.name() + path);
+        HttpRequest request = HttpRequest.newBuilder(uri).timeout(TIMEOUT).GET().build();
+        return client().sendAsync(request, HttpResponse.BodyHandlers.discarding())
+                .handle((response, failure) -> response != null && healthy(response.statusCode()));
+    }
+
+    private static boolean healthy(int status) {
+        return status >= OK_MIN && status <= OK_MAX;
+    }
+
+    private synchronized HttpClient client() {
+        if (mClient == null) {
+            mClient =
+                    HttpClient.newBuilder()
+                            .version(HttpClient.Version.HTTP_1_1)
+                            .connectTimeout(TIMEOUT)
+                            .build();
+        }
+        return mClient;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberPlugin.java
@@ -0,0 +1,121 @@
+package org.azurearch.internal.member;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.azurearch.config.ConfigInForce;
+import org.azurearch.kernel.Kernel;
+import org.azurearch.kernel.Plugin;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.member.Board;
+import org.azurearch.member.EndpointView;
+import org.azurearch.member.LocalBackend;
+import org.azurearch.member.LocalNode;
+import org.azurearch.member.Member;
+import org.azurearch.member.MemberState;
+import org.azurearch.member.MemberView;
+import org.azurearch.settings.NodeIdentity;
+import org.azurearch.settings.SettingsSection;
+import org.azurearch.time.TimerService;
+import org.azurearch.transport.PeerClient;
+import org.azurearch.transport.PeerServer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Registers {@link MemberView}, {@link EndpointView}, {@link LocalNode}, {@link LocalBackend} and
+ * {@link Board}.
+ */
+public final class MemberPlugin implements Plugin {
+    private static final NetAddress UNKNOWN = new NetAddress("0.0.0.0", 0);
+
+    private @Nullable MemberService mMembers;
+    private @Nullable BackendService mBackend;
+
+    /** Creates the plug-in; the service loader needs this. */
+    public MemberPlugin() {}
+
+    @Override
+    public String name() {
+        return "member";
+    }
+
+    @Override
+    public Set<String> requires() {
+        return Set.of("transport");
+    }
+
+    @Override
+    public void start(Kernel kernel) {
+        SettingsSection settings = kernel.service(SettingsSection.class);
+        TimerService timers = kernel.service(TimerService.class);
+        PeerServer server = kernel.service(PeerServer.class);
+        Moment now = Moment.now(timers.time());
+        Member self = selfOf(kernel.service(NodeIdentity.class), settings, server, now);
+        MemberCore core =
+                new MemberCore(
+                        self,
+                        seedsOf(settings),
+                        MemberPolicy.from(settings),
+                        new SplittableRandom(),
+                        now);
+        MemberService members =
+                new MemberService(
+                        core,
+                        kernel.service(PeerClient.class),
+                        timers,
+                        kernel.service(MetricRegistry.class));
+        mMembers = members;
+        members.serve(server);
+        MemberView view = members.memberView();
+        BackendService backend =
+                new BackendService(
+                        timers,
+                        () -> kernel.optional(ConfigInForce.class),
+                        view::self,
+                        members::changeEndpoints);
+        mBackend = backend;
+        kernel.register(MemberView.class, view);
+        kernel.register(EndpointView.class, members.endpointView());
+        kernel.register(LocalNode.class, members);
+        kernel.register(Board.class, members);
+        kernel.register(LocalBackend.class, backend);
+    }
+
+    @Override
+    public void stop() {
+        if (mBackend != null) {
+            mBackend.close();
+        }
+        if (mMembers != null) {
+            mMembers.close();
+        }
+    }
+
+    /** The incarnation is the time of the start, so that nothing has to be kept between starts. */
+    private static Member selfOf(
+            NodeIdentity identity, SettingsSection settings, PeerServer server, Moment now) {
+        String host = settings.section("peers").string("advertise", server.address().host());
+        NetAddress peer = new NetAddress(host, server.address().port());
+        return new Member(
+                identity.node(),
+                identity.dataCentre(),
+                identity.region(),
+                now.wallMillis(),
+                0,
+                MemberState.ALIVE,
+                peer,
+                UNKNOWN,
+                UNKNOWN,
+                List.of());
+    }
+
+    private static List<NetAddress> seedsOf(SettingsSection settings) {
+        List<NetAddress> seeds = new ArrayList<>();
+        for (String seed : settings.section("peers").strings("seeds")) {
+            seeds.add(NetAddress.fromString(seed));
+        }
+        return seeds;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberTable.java
@@ -0,0 +1,170 @@
+package org.azurearch.internal.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Member;
+import org.azurearch.member.MemberState;
+import org.jspecify.annotations.Nullable;
+
+/** The records held, with running hashes over the reachable ones. */
+final class MemberTable {
+    /** How many buckets the nodes fall into. */
+    static final int BUCKETS = 64;
+
+    /**
+     * A record and when its state began, by the local clock.
+     *
+     * @param member the record
+     * @param sinceMillis when the state began
+     */
+    record Row(Member member, long sinceMillis) {}
+
+    private final int mMaxMembers;
+    private final Map<NodeId, Row> mRows = new TreeMap<>();
+    private final Map<NodeId, Row> mSuspects = new HashMap<>();
+    private final Map<NodeId, Row> mGone = new HashMap<>();
+    private final Map<DataCentreId, Map<NodeId, Member>> mReachable = new TreeMap<>();
+    private final long[] mBucketHashes = new long[BUCKETS];
+
+    MemberTable(int maxMembers) {
+        mMaxMembers = maxMembers;
+    }
+
+    /**
+     * Takes a record if it is newer than the one held.
+     *
+     * @return whether it was taken
+     */
+    boolean merge(Member member, long nowMillis) {
+        Row held = mRows.get(member.node());
+        if (held == null) {
+            if (!member.reachable() || mRows.size() >= mMaxMembers) {
+                return false;
+            }
+        } else if (!MemberVersion.of(member).supersedes(MemberVersion.of(held.member()))) {
+            return false;
+        }
+        drop(held);
+        put(new Row(member, nowMillis));
+        return true;
+    }
+
+    /** Returns a record, or null. */
+    @Nullable Member member(NodeId node) {
+        Row row = mRows.get(node);
+        return row == null ? null : row.member();
+    }
+
+    /** Returns all records, sorted by node. */
+    List<Member> all() {
+        List<Member> members = new ArrayList<>(mRows.size());
+        mRows.values().forEach(row -> members.add(row.member()));
+        return members;
+    }
+
+    /** Returns the reachable members of a data centre, sorted by node. */
+    List<Member> reachable(DataCentreId dataCentre) {
+        Map<NodeId, Member> members = mReachable.get(dataCentre);
+        return members == null ? List.of() : new ArrayList<>(members.values());
+    }
+
+    /** Returns the data centres that have reachable members, sorted. */
+    List<DataCentreId> dataCentres() {
+        return new ArrayList<>(mReachable.keySet());
+    }
+
+    /** Returns how many records are held. */
+    int size() {
+        return mRows.size();
+    }
+
+    /** Returns the rows of suspected nodes. */
+    Collection<Row> suspects() {
+        return List.copyOf(mSuspects.values());
+    }
+
+    /** Returns the nodes that died or left. */
+    List<Member> gone() {
+        return mGone.values().stream().map(Row::member).toList();
+    }
+
+    /** Forgets the nodes that died or left before a time. */
+    boolean forgetGoneBefore(long millis) {
+        List<Row> expired =
+                mGone.values().stream().filter(row -> row.sinceMillis() < millis).toList();
+        expired.forEach(this::drop);
+        return !expired.isEmpty();
+    }
+
+    /** Returns the hash over all reachable records. */
+    long hash() {
+        long sum = 0;
+        for (long hash : mBucketHashes) {
+            sum += hash;
+        }
+        return sum;
+    }
+
+    /** Returns the hash of each bucket. */
+    long[] bucketHashes() {
+        return mBucketHashes.clone();
+    }
+
+    /** Returns the records of some buckets, those of nodes that died or left included. */
+    List<Member> inBuckets(Set<Integer> buckets) {
+        List<Member> members = new ArrayList<>();
+        for (Row row : mRows.values()) {
+            if (buckets.contains(bucketOf(row.member().node()))) {
+                members.add(row.member());
+            }
+        }
+        return members;
+    }
+
+    private static int bucketOf(NodeId node) {
+        return (int) Math.floorMod(Hashes.of(node.name()), (long) BUCKETS);
+    }
+
+    private void put(Row row) {
+        Member member = row.member();
+        mRows.put(member.node(), row);
+        if (member.reachable()) {
+            mBucketHashes[bucketOf(member.node())] += Hashes.of(member);
+            mReachable
+                    .computeIfAbsent(member.dataCentre(), key -> new TreeMap<>())
+                    .put(member.node(), member);
+        } else {
+            mGone.put(member.node(), row);
+        }
+        if (member.state() == MemberState.SUSPECT) {
+            mSuspects.put(member.node(), row);
+        }
+    }
+
+    private void drop(@Nullable Row row) {
+        if (row == null) {
+            return;
+        }
+        Member member = row.member();
+        mRows.remove(member.node());
+        mSuspects.remove(member.node());
+        mGone.remove(member.node());
+        if (member.reachable()) {
+            mBucketHashes[bucketOf(member.node())] -= Hashes.of(member);
+            mReachable.computeIfPresent(
+                    member.dataCentre(), (key, members) -> without(members, member.node()));
+        }
+    }
+
+    private static @Nullable Map<NodeId, Member> without(Map<NodeId, Member> members, NodeId node) {
+        members.remove(node);
+        return members.isEmpty() ? null : members;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/Members.java
@@ -0,0 +1,97 @@
+package org.azurearch.internal.member;
+
+import java.util.List;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.member.BackendState;
+import org.azurearch.member.Endpoint;
+import org.azurearch.member.Member;
+import org.azurearch.member.MemberState;
+
+/** Makes changed copies of records. */
+final class Members {
+    private Members() {}
+
+    static Member withState(Member member, MemberState state) {
+        return copy(member, member.incarnation(), member.sequence(), state);
+    }
+
+    static Member withSequence(Member member, long sequence) {
+        return copy(member, member.incarnation(), sequence, member.state());
+    }
+
+    static Member withIncarnation(Member member, long incarnation) {
+        return copy(member, incarnation, 0, member.state());
+    }
+
+    /** Says whether a node, or a backend server behind it, takes no calls. */
+    static boolean takesNoCalls(Member member) {
+        return !member.reachable()
+                || member.endpoints().stream()
+                        .anyMatch(endpoint -> endpoint.state() != BackendState.READY);
+    }
+
+    /** Changes what a node says of itself; endpoints follow the address that takes calls. */
+    static Member withAddresses(Member member, NetAddress calls, NetAddress admin) {
+        Member changed =
+                new Member(
+                        member.node(),
+                        member.dataCentre(),
+                        member.region(),
+                        member.incarnation(),
+                        member.sequence() + 1,
+                        member.state(),
+                        member.peer(),
+                        calls,
+                        admin,
+                        List.of());
+        return withEndpoints(changed, member.endpoints(), changed.sequence());
+    }
+
+    /** Changes the endpoints and the sequence. */
+    static Member withEndpoints(Member member, List<Endpoint> endpoints, long sequence) {
+        List<Endpoint> own = endpoints.stream().map(endpoint -> ofNode(endpoint, member)).toList();
+        return new Member(
+                member.node(),
+                member.dataCentre(),
+                member.region(),
+                member.incarnation(),
+                sequence,
+                member.state(),
+                member.peer(),
+                member.calls(),
+                member.admin(),
+                own);
+    }
+
+    private static Member copy(Member member, long incarnation, long sequence, MemberState state) {
+        Member changed =
+                new Member(
+                        member.node(),
+                        member.dataCentre(),
+                        member.region(),
+                        incarnation,
+                        sequence,
+                        state,
+                        member.peer(),
+                        member.calls(),
+                        member.admin(),
+                        member.endpoints());
+        return incarnation == member.incarnation()
+                ? changed
+                : withEndpoints(changed, member.endpoints(), sequence);
+    }
+
+    private static Endpoint ofNode(Endpoint endpoint, Member member) {
+        return new Endpoint(
+                endpoint.firm(),
+                endpoint.service(),
+                member.node(),
+                member.incarnation(),
+                member.dataCentre(),
+                member.region(),
+                member.calls(),
+                endpoint.state(),
+                endpoint.slots(),
+                endpoint.readySinceMillis());
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/SyncReply.java
@@ -0,0 +1,20 @@
+package org.azurearch.internal.member;
+
+import java.util.List;
+import org.azurearch.lib.NodeId;
+
+/**
+ * Answers a {@link SyncRequest}.
+ *
+ * @param same whether both hold the same
+ * @param gossip records that the requester lacks
+ * @param bucketHashes the hash of each bucket when the views differ, the board's hash last; empty
+ *     otherwise
+ * @param wanted nodes whose newer record the requester holds
+ */
+record SyncReply(boolean same, Gossip gossip, List<Long> bucketHashes, List<NodeId> wanted) {
+    SyncReply {
+        bucketHashes = List.copyOf(bucketHashes);
+        wanted = List.copyOf(wanted);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/package-info.java
@@ -0,0 +1,5 @@
+/** Failure detection, gossip and the backend server behind the node. */
+@NullMarked
+package org.azurearch.internal.member;
+
+import org.jspecify.annotations.NullMarked;
--- a/org.azurearch/src/main/java/org/azurearch/internal/yaml/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Reading, checking and comparing YAML nodes. */
-@NullMarked
-package org.azurearch.internal.yaml;
-
-import org.jspecify.annotations.NullMarked;
