--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/package-info.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/package-info.java
@@ -1,2 +1,2 @@
-/** Messages between nodes, generated from peer.thrift. */
+/** Messages between nodes and stored records, generated from peer.thrift and change.thrift. */
 package org.azurearch.thrift;
--- a/org.azurearch/src/main/java/org/azurearch/fold/FoldState.java
+++ b/org.azurearch/src/main/java/org/azurearch/fold/FoldState.java
@@ -31,12 +31,18 @@
      */
     FoldState apply(LogRecord record);
 
+    /** Returns how many malformed records were passed over so far. */
+    long skipped();
+
     /** Returns what one site holds. */
     MeshConfig at(SiteId site);
 
-    /** Returns the decision on a change, if it is still retained. */
+    /** Returns the decision on a change of the first firm that knows it, if still retained. */
     Optional<ChangeOutcome> outcome(ChangeId change);
 
+    /** Returns the decision on a change of a firm, if it is still retained. */
+    Optional<ChangeOutcome> outcome(FirmId firm, ChangeId change);
+
     /** Returns the retained decisions of a firm, the newest first. */
     List<ChangeOutcome> history(FirmId firm);
 
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/fold/Folds.java
@@ -0,0 +1,17 @@
+package org.azurearch.fold;
+
+import org.azurearch.internal.config.RuleSets;
+import org.azurearch.internal.fold.StateFold;
+
+/** Entry points of the fold. */
+public final class Folds {
+    /** The newest rule set that this program can judge by. */
+    public static final int NEWEST_RULE_SET = RuleSets.NEWEST;
+
+    private Folds() {}
+
+    /** Returns the state before the first record of the change stream. */
+    public static FoldState empty() {
+        return StateFold.empty();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/EntryReader.java
@@ -0,0 +1,105 @@
+package org.azurearch.internal.config;
+
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.errors.Problem;
+import org.azurearch.errors.SourceLocation;
+import org.azurearch.settings.Durations;
+import org.azurearch.yaml.YamlEntry;
+import org.azurearch.yaml.YamlList;
+import org.azurearch.yaml.YamlMapping;
+import org.azurearch.yaml.YamlScalar;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the fields of one merged entry. A problem is noted and a placeholder returned, so that all
+ * problems are found in one pass.
+ */
+final class EntryReader {
+    private static final String PLACEHOLDER = "missing";
+
+    private final String mPath;
+    private final YamlEntry mEntry;
+    private final List<Problem> mProblems;
+
+    /**
+     * Creates a reader.
+     *
+     * @param path the dotted path of the entry, for messages
+     * @param entry the entry, which fits the schema
+     * @param problems takes the problems found
+     */
+    EntryReader(String path, YamlEntry entry, List<Problem> problems) {
+        mPath = path;
+        mEntry = entry;
+        mProblems = problems;
+    }
+
+    /** Returns a required text. */
+    String text(String key) {
+        YamlScalar scalar = scalar(key);
+        return scalar == null ? PLACEHOLDER : scalar.text();
+    }
+
+    /** Returns a required whole number. */
+    int integer(String key) {
+        YamlScalar scalar = scalar(key);
+        return scalar != null && scalar.value() instanceof Number number ? number.intValue() : 0;
+    }
+
+    /** Returns a required truth value. */
+    boolean bool(String key) {
+        YamlScalar scalar = scalar(key);
+        return scalar != null && Boolean.TRUE.equals(scalar.value());
+    }
+
+    /** Returns a required duration within bounds. */
+    Duration duration(String key, Duration least, Duration most) {
+        YamlScalar scalar = scalar(key);
+        if (scalar == null) {
+            return least;
+        }
+        Duration duration = Durations.parse(scalar.text());
+        if (duration.compareTo(least) < 0 || duration.compareTo(most) > 0) {
+            String bounds = least.toMillis() + "ms to " + most.toMillis() + "ms";
+            String message = "expected a duration of " + bounds + " at " + mPath + "." + key;
+            problem(ErrorCode.OUT_OF_RANGE, key, message + ", found " + scalar.text());
+        }
+        return duration;
+    }
+
+    /** Returns a list of texts. */
+    Set<String> texts(String key) {
+        Set<String> texts = new LinkedHashSet<>();
+        if (fields().value(key).orElse(null) instanceof YamlList list) {
+            list.items().forEach(item -> texts.add(((YamlScalar) item).text()));
+        }
+        return texts;
+    }
+
+    /** Notes a problem with a field. */
+    void problem(ErrorCode code, String key, String message) {
+        mProblems.add(new Problem(code, locationOf(key), message));
+    }
+
+    /** Returns where a field is set, or where the entry is when it is absent. */
+    SourceLocation locationOf(String key) {
+        YamlEntry field = fields().entries().get(key);
+        return field == null ? mEntry.location() : field.location();
+    }
+
+    private YamlMapping fields() {
+        return (YamlMapping) mEntry.value();
+    }
+
+    private @Nullable YamlScalar scalar(String key) {
+        if (fields().value(key).orElse(null) instanceof YamlScalar scalar) {
+            return scalar;
+        }
+        problem(ErrorCode.MISSING_KEY, key, "missing key '" + key + "' at " + mPath);
+        return null;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/MergedText.java
@@ -0,0 +1,98 @@
+package org.azurearch.internal.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import org.azurearch.config.Provenance;
+import org.azurearch.errors.SourceLocation;
+import org.azurearch.yaml.YamlEntry;
+import org.azurearch.yaml.YamlList;
+import org.azurearch.yaml.YamlMapping;
+import org.azurearch.yaml.YamlNode;
+import org.azurearch.yaml.YamlScalar;
+
+/** Prints a merged document as YAML; the same content always gives the same text. */
+public final class MergedText {
+    private static final Pattern PLAIN = Pattern.compile("[A-Za-z/][A-Za-z0-9._/-]*|[0-9]+[a-z]+");
+    private static final List<String> NOT_TEXT = List.of("true", "false", "null");
+    private static final String INDENT = "  ";
+
+    private final YamlMapping mMerged;
+    private final StringBuilder mText = new StringBuilder();
+    private final List<Provenance> mValues = new ArrayList<>();
+    private boolean mExplain;
+
+    /** Creates a printer of a merged document. */
+    public MergedText(YamlMapping merged) {
+        mMerged = merged;
+    }
+
+    /** Returns the YAML text. */
+    public String text() {
+        mText.setLength(0);
+        mapping(mMerged, "", "");
+        return mText.toString();
+    }
+
+    /** Returns the YAML text with the file and line behind each value. */
+    public String explained() {
+        mExplain = true;
+        String text = text();
+        mExplain = false;
+        return text;
+    }
+
+    /** Returns each value with its dotted path and the place that set it, in printed order. */
+    public List<Provenance> values() {
+        mValues.clear();
+        text();
+        return List.copyOf(mValues);
+    }
+
+    private void mapping(YamlMapping mapping, String path, String indent) {
+        for (YamlEntry entry : mapping.entries().values()) {
+            String below = path.isEmpty() ? entry.key() : path + "." + entry.key();
+            mText.append(indent).append(entry.key()).append(':');
+            if (entry.value() instanceof YamlMapping nested && !nested.entries().isEmpty()) {
+                mText.append('\n');
+                mapping(nested, below, indent + INDENT);
+            } else {
+                value(entry, below);
+            }
+        }
+    }
+
+    private void value(YamlEntry entry, String path) {
+        String value = inline(entry.value());
+        mText.append(' ').append(value);
+        if (!(entry.value() instanceof YamlMapping)) {
+            SourceLocation location = locationOf(entry);
+            mValues.add(new Provenance(path, value, location));
+            if (mExplain) {
+                mText.append("  # ").append(location.name());
+            }
+        }
+        mText.append('\n');
+    }
+
+    private static SourceLocation locationOf(YamlEntry entry) {
+        boolean isDefault = entry.location().file().equals(DocumentMerge.DEFAULTS_FILE);
+        return isDefault ? new SourceLocation(DocumentMerge.DEFAULTS_FILE, 0) : entry.location();
+    }
+
+    private static String inline(YamlNode node) {
+        if (node instanceof YamlScalar scalar) {
+            return scalar.value() instanceof String text ? quoted(text) : scalar.text();
+        }
+        if (node instanceof YamlList list) {
+            List<String> items = list.items().stream().map(MergedText::inline).toList();
+            return "[" + String.join(", ", items) + "]";
+        }
+        return "{}";
+    }
+
+    private static String quoted(String text) {
+        boolean plain = PLAIN.matcher(text).matches() && !NOT_TEXT.contains(text);
+        return plain ? text : "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/RouteRules.java
@@ -0,0 +1,126 @@
+package org.azurearch.internal.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.config.PolicyConfig;
+import org.azurearch.config.RouteConfig;
+import org.azurearch.config.SiteConfig;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.errors.SourceLocation;
+import org.azurearch.internal.yaml.NearName;
+import org.azurearch.lib.NamedId;
+import org.azurearch.lib.RouteId;
+
+/** The rules that hold between a route and the rest of the same version. */
+final class RouteRules {
+    private final SiteConfig mConfig;
+    private final Map<RouteId, EntryReader> mReaders;
+
+    /**
+     * Creates the rules.
+     *
+     * @param config the configuration to judge
+     * @param readers the source of each route, in the order in which to judge them
+     */
+    RouteRules(SiteConfig config, Map<RouteId, EntryReader> readers) {
+        mConfig = config;
+        mReaders = readers;
+    }
+
+    /** Refuses routes that name a service, class or policy which is not in the version. */
+    void checkReferences() {
+        mReaders.forEach(
+                (id, reader) -> {
+                    RouteConfig route = route(id);
+                    check(reader, "service", route.service(), mConfig.services().keySet());
+                    check(reader, "class", route.callClass(), mConfig.classes().keySet());
+                    check(reader, "policy", route.policy(), mConfig.policies().keySet());
+                });
+    }
+
+    /** Refuses two routes that match the same calls. */
+    void checkAmbiguity() {
+        Map<String, List<RouteConfig>> byPath = new HashMap<>();
+        mReaders.forEach(
+                (id, reader) -> {
+                    RouteConfig route = route(id);
+                    List<RouteConfig> others =
+                            byPath.computeIfAbsent(
+                                    route.host() + route.pathPrefix(), key -> new ArrayList<>());
+                    others.stream()
+                            .filter(other -> overlap(other, route))
+                            .findFirst()
+                            .ifPresent(other -> refuseAmbiguous(reader, route, other));
+                    others.add(route);
+                });
+    }
+
+    /** Refuses a policy that lets a call wait in the queue for its whole deadline. */
+    void checkQueueWait() {
+        mReaders.forEach(
+                (id, reader) -> {
+                    RouteConfig route = route(id);
+                    PolicyConfig policy = mConfig.policies().get(route.policy());
+                    if (policy != null && policy.queueWait().compareTo(route.deadline()) >= 0) {
+                        reader.problem(
+                                ErrorCode.OUT_OF_RANGE,
+                                "deadline",
+                                "the deadline of route '"
+                                        + id
+                                        + "' is not longer than the queueWait of policy '"
+                                        + policy.id()
+                                        + "'");
+                    }
+                });
+    }
+
+    private RouteConfig route(RouteId id) {
+        RouteConfig route = mConfig.routes().get(id);
+        if (route == null) {
+            throw new IllegalStateException("route " + id + " was read but not compiled");
+        }
+        return route;
+    }
+
+    private static void check(
+            EntryReader reader, String field, NamedId target, Collection<? extends NamedId> known) {
+        if (known.contains(target)) {
+            return;
+        }
+        List<String> names = known.stream().map(NamedId::name).toList();
+        String hint =
+                NearName.of(target.name(), names)
+                        .map(near -> "; did you mean '" + near + "'?")
+                        .orElse("");
+        reader.problem(
+                ErrorCode.DANGLING_REFERENCE,
+                field,
+                field + " '" + target + "' is not in this version" + hint);
+    }
+
+    private static boolean overlap(RouteConfig one, RouteConfig other) {
+        return one.methods().isEmpty()
+                || other.methods().isEmpty()
+                || !Collections.disjoint(one.methods(), other.methods());
+    }
+
+    private void refuseAmbiguous(EntryReader reader, RouteConfig route, RouteConfig other) {
+        EntryReader otherReader = mReaders.get(other.id());
+        SourceLocation first =
+                otherReader == null ? reader.locationOf("path") : otherReader.locationOf("path");
+        reader.problem(
+                ErrorCode.AMBIGUOUS_ROUTE,
+                "path",
+                "routes '"
+                        + other.id()
+                        + "' ("
+                        + first
+                        + ") and '"
+                        + route.id()
+                        + "' match the same calls");
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/ChangeJudge.java
@@ -0,0 +1,181 @@
+package org.azurearch.internal.fold;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.errors.Problem;
+import org.azurearch.errors.SourceLocation;
+import org.azurearch.fold.Change;
+import org.azurearch.fold.ChangeOutcome;
+import org.azurearch.fold.Document;
+import org.azurearch.fold.DocumentName;
+import org.azurearch.internal.config.RuleSets;
+import org.azurearch.lib.SiteId;
+import org.jspecify.annotations.Nullable;
+
+/** Judges changes. The result depends only on the state before and on the change. */
+final class ChangeJudge {
+    private final Map<?, FirmState> mFirms;
+    private final FirmState mFirm;
+    private final Change mChange;
+    private final int mRuleSet;
+    private final SourceLocation mSource;
+
+    /**
+     * Creates a judge of one change.
+     *
+     * @param firms the states of all firms
+     * @param firm the state of the firm of the change
+     * @param change the change
+     * @param ruleSet the rule set in force
+     */
+    ChangeJudge(Map<?, FirmState> firms, FirmState firm, Change change, int ruleSet) {
+        mFirms = firms;
+        mFirm = firm;
+        mChange = change;
+        mRuleSet = ruleSet;
+        mSource = new SourceLocation("change " + change.id(), 0);
+    }
+
+    /**
+     * Judges the change.
+     *
+     * @throws AzurearchException with {@link ErrorCode#UNKNOWN_RULE_SET} when it raises the mesh to
+     *     a rule set that this program does not know
+     */
+    Decision judge() {
+        if (mChange.kind() == Change.Kind.RAISE_RULE_SET) {
+            return raise();
+        }
+        if (mChange.ruleSet() > mRuleSet) {
+            return Decision.refused(ChangeOutcome.Status.REFUSED_RULE_SET);
+        }
+        if (mChange.expectedVersion() > mFirm.version().number()) {
+            return Decision.refused(ChangeOutcome.Status.REFUSED_UNKNOWN_VERSION);
+        }
+        return mChange.kind() == Change.Kind.UNDO ? undo() : publish();
+    }
+
+    private Decision raise() {
+        if (mChange.ruleSet() != mRuleSet + 1) {
+            return Decision.refused(ChangeOutcome.Status.REFUSED_RULE_SET);
+        }
+        if (mChange.ruleSet() > RuleSets.NEWEST) {
+            throw new AzurearchException(
+                    ErrorCode.UNKNOWN_RULE_SET,
+                    "change "
+                            + mChange.id()
+                            + " raises the mesh to rule set "
+                            + mChange.ruleSet()
+                            + "; this program knows them up to "
+                            + RuleSets.NEWEST);
+        }
+        List<Problem> problems = new ArrayList<>();
+        for (FirmState firm : mFirms.values()) {
+            problems.addAll(firm.content().problems(mChange.ruleSet()));
+        }
+        return problems.isEmpty() ? Decision.raised(mChange.ruleSet()) : Decision.invalid(problems);
+    }
+
+    private Decision undo() {
+        Optional<RetainedVersion> retained = mFirm.retained(mChange.undoTo());
+        if (retained.isEmpty()) {
+            return Decision.refused(ChangeOutcome.Status.REFUSED_UNKNOWN_VERSION);
+        }
+        Map<DocumentName, Document> target = retained.get().documents();
+        Map<DocumentName, Document> current = mFirm.content().documents();
+        Set<DocumentName> touched = new TreeSet<>(current.keySet());
+        touched.addAll(target.keySet());
+        touched.removeIf(name -> sameText(target.get(name), current.get(name)));
+        return decide(target, touched);
+    }
+
+    private Decision publish() {
+        List<Problem> problems = new ArrayList<>();
+        Map<DocumentName, Document> target = new HashMap<>(mFirm.content().documents());
+        Set<DocumentName> touched = new HashSet<>();
+        for (SiteId site : mChange.removedOverlays()) {
+            DocumentName name = DocumentName.overlay(site);
+            touchOnce(name, touched, problems);
+            if (target.remove(name) == null && !isConflict(name)) {
+                problems.add(
+                        problem(ErrorCode.BAD_OVERLAY, "removes " + name + ", which is absent"));
+            }
+        }
+        for (Document document : mChange.documents()) {
+            touchOnce(document.name(), touched, problems);
+            target.put(document.name(), document);
+        }
+        if (touched.isEmpty()) {
+            problems.add(problem(ErrorCode.INVALID, "the change touches no document"));
+        }
+        return problems.isEmpty() ? decide(target, touched) : Decision.invalid(problems);
+    }
+
+    private void touchOnce(DocumentName name, Set<DocumentName> touched, List<Problem> problems) {
+        if (!touched.add(name)) {
+            problems.add(problem(ErrorCode.INVALID, "names " + name + " twice"));
+        }
+    }
+
+    private Decision decide(Map<DocumentName, Document> target, Set<DocumentName> touched) {
+        for (DocumentName name : new TreeSet<>(touched)) {
+            Touch touch = mFirm.touches().get(name);
+            if (touch != null && touch.version() > mChange.expectedVersion()) {
+                return Decision.conflict(touch.change());
+            }
+        }
+        List<Problem> problems = new ArrayList<>(sizeProblems(target.values(), touched));
+        FirmContent content = mFirm.content().with(target);
+        if (problems.isEmpty()) {
+            problems.addAll(content.problems(mRuleSet));
+        }
+        return problems.isEmpty()
+                ? Decision.accepted(content, touched)
+                : Decision.invalid(problems);
+    }
+
+    private boolean isConflict(DocumentName name) {
+        Touch touch = mFirm.touches().get(name);
+        return touch != null && touch.version() > mChange.expectedVersion();
+    }
+
+    private List<Problem> sizeProblems(Collection<Document> target, Set<DocumentName> touched) {
+        List<Problem> problems = new ArrayList<>();
+        Set<DocumentName> names = new HashSet<>(mFirm.touches().keySet());
+        names.addAll(touched);
+        bound(names.size(), FoldLimits.DOCUMENT_NAMES, "document names ever used", problems);
+        bound(target.size(), FoldLimits.DOCUMENTS, "documents", problems);
+        long bytes = target.stream().mapToLong(document -> document.text().length).sum();
+        bound(bytes, FoldLimits.CURRENT_BYTES, "bytes in all documents", problems);
+        bound(mChange.note().length(), FoldLimits.NOTE_CHARS, "characters in the note", problems);
+        for (Document document : mChange.documents()) {
+            int chars = document.file().length();
+            bound(chars, FoldLimits.FILE_CHARS, "characters in a file name", problems);
+        }
+        return problems;
+    }
+
+    private void bound(long size, long limit, String what, List<Problem> problems) {
+        if (size > limit) {
+            String message = size + " " + what + " are more than the limit of " + limit;
+            problems.add(problem(ErrorCode.TOO_LARGE, message));
+        }
+    }
+
+    private Problem problem(ErrorCode code, String message) {
+        return new Problem(code, mSource, message);
+    }
+
+    private static boolean sameText(@Nullable Document one, @Nullable Document other) {
+        return one != null && other != null && one.digest().equals(other.digest());
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/ChangeRecord.java
@@ -0,0 +1,114 @@
+package org.azurearch.internal.fold;
+
+import java.util.Optional;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.fold.Change;
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.OperatorId;
+import org.azurearch.thrift.WireChange;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a record of the change stream holds. The digest is of the uncompressed form, so that it does
+ * not depend on how the record was compressed on its way.
+ *
+ * @param digest the digest of the content
+ * @param change the change, or null when the record is malformed
+ * @param sender who sent a malformed record, as far as it can be read, or null
+ */
+public record ChangeRecord(Digest digest, @Nullable Change change, @Nullable Sender sender) {
+    /** First byte of a plain record. */
+    static final byte PLAIN = 1;
+
+    /** First byte of a compressed record. */
+    static final byte COMPRESSED = 2;
+
+    /**
+     * Who sent a malformed record.
+     *
+     * @param change the id of the change
+     * @param firm the firm
+     * @param operator the operator
+     */
+    public record Sender(ChangeId change, FirmId firm, OperatorId operator) {}
+
+    /** Returns the bytes of a change for the log, compressed when that is shorter. */
+    public static byte[] encode(Change change) {
+        byte[] plain = ThriftBytes.write(ChangeMapper.toWire(change));
+        if (plain.length > FoldLimits.CHANGE_BYTES) {
+            throw new AzurearchException(
+                    ErrorCode.TOO_LARGE,
+                    plain.length + " bytes are more than the limit of " + FoldLimits.CHANGE_BYTES);
+        }
+        byte[] compressed = Compression.compress(plain, Compression.NO_DICTIONARY);
+        return compressed.length < plain.length
+                ? framed(COMPRESSED, compressed)
+                : framed(PLAIN, plain);
+    }
+
+    /** Returns the plain form of a record, or the record itself when it is malformed. */
+    public static byte[] plain(byte[] data) {
+        if (data.length == 0 || data[0] != COMPRESSED) {
+            return data;
+        }
+        try {
+            return framed(PLAIN, content(data));
+        } catch (AzurearchException e) {
+            return data;
+        }
+    }
+
+    /** Reads a record; a malformed one has no change. */
+    public static ChangeRecord read(byte[] data) {
+        WireChange wire;
+        byte[] content;
+        try {
+            content = content(data);
+            wire = ThriftBytes.read(new WireChange(), content);
+        } catch (AzurearchException e) {
+            return new ChangeRecord(Digest.of(plain(data)), null, null);
+        }
+        Digest digest = Digest.of(framed(PLAIN, content));
+        try {
+            return new ChangeRecord(digest, ChangeMapper.fromWire(wire), null);
+        } catch (AzurearchException e) {
+            return new ChangeRecord(digest, null, sender(wire).orElse(null));
+        }
+    }
+
+    private static Optional<Sender> sender(WireChange wire) {
+        try {
+            return Optional.of(
+                    new Sender(
+                            ChangeId.fromString(wire.getId()),
+                            FirmId.fromString(wire.getFirm()),
+                            OperatorId.fromString(wire.getOperatorId())));
+        } catch (AzurearchException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static byte[] content(byte[] data) {
+        if (data.length == 0) {
+            throw new AzurearchException(ErrorCode.CORRUPT, "empty record");
+        }
+        byte[] body = java.util.Arrays.copyOfRange(data, 1, data.length);
+        if (data[0] == COMPRESSED) {
+            return Compression.decompress(body, Compression.NO_DICTIONARY, FoldLimits.CHANGE_BYTES);
+        }
+        if (data[0] == PLAIN && body.length <= FoldLimits.CHANGE_BYTES) {
+            return body;
+        }
+        throw new AzurearchException(ErrorCode.CORRUPT, "unknown record format " + data[0]);
+    }
+
+    private static byte[] framed(byte format, byte[] body) {
+        byte[] framed = new byte[body.length + 1];
+        framed[0] = format;
+        System.arraycopy(body, 0, framed, 1, body.length);
+        return framed;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/Decision.java
@@ -0,0 +1,61 @@
+package org.azurearch.internal.fold;
+
+import java.util.List;
+import java.util.Set;
+import org.azurearch.errors.Problem;
+import org.azurearch.fold.ChangeOutcome;
+import org.azurearch.fold.DocumentName;
+import org.azurearch.lib.ChangeId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * How a change was judged.
+ *
+ * @param status the decision
+ * @param content the content of the new version, or null when there is none
+ * @param touched the documents that the change touches
+ * @param winner the change that it conflicts with, or null
+ * @param problems why it is invalid
+ * @param ruleSet the rule set it raises the mesh to, or 0
+ */
+record Decision(
+        ChangeOutcome.Status status,
+        @Nullable FirmContent content,
+        Set<DocumentName> touched,
+        @Nullable ChangeId winner,
+        List<Problem> problems,
+        int ruleSet) {
+    /** Takes copies of the collections. */
+    Decision {
+        touched = Set.copyOf(touched);
+        problems = List.copyOf(problems);
+    }
+
+    /** Returns the decision that makes a new version. */
+    static Decision accepted(FirmContent content, Set<DocumentName> touched) {
+        return new Decision(ChangeOutcome.Status.ACCEPTED, content, touched, null, List.of(), 0);
+    }
+
+    /** Returns the decision that raises the rule set. */
+    static Decision raised(int ruleSet) {
+        return new Decision(
+                ChangeOutcome.Status.ACCEPTED, null, Set.of(), null, List.of(), ruleSet);
+    }
+
+    /** Returns a refusal without more to say. */
+    static Decision refused(ChangeOutcome.Status status) {
+        return new Decision(status, null, Set.of(), null, List.of(), 0);
+    }
+
+    /** Returns the refusal of a change that came too late. */
+    static Decision conflict(ChangeId winner) {
+        return new Decision(
+                ChangeOutcome.Status.REFUSED_CONFLICT, null, Set.of(), winner, List.of(), 0);
+    }
+
+    /** Returns the refusal of an invalid change; keeps the first problems. */
+    static Decision invalid(List<Problem> problems) {
+        List<Problem> kept = problems.subList(0, Math.min(FoldLimits.PROBLEMS, problems.size()));
+        return new Decision(ChangeOutcome.Status.REFUSED_INVALID, null, Set.of(), null, kept, 0);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmContent.java
@@ -0,0 +1,194 @@
+package org.azurearch.internal.fold;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.azurearch.config.SiteConfig;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.errors.InvalidInputException;
+import org.azurearch.errors.Problem;
+import org.azurearch.errors.SourceLocation;
+import org.azurearch.fold.Document;
+import org.azurearch.fold.DocumentName;
+import org.azurearch.internal.config.ParsedDocument;
+import org.azurearch.internal.config.SiteCompiler;
+import org.azurearch.internal.yaml.SchemaCheck;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.SiteId;
+import org.azurearch.lib.VersionId;
+
+/**
+ * The documents of a firm that belong together; immutable. Parsed documents, judgements and the
+ * compiled sites asked for are kept and handed on to the content that follows, so that a change
+ * costs what it touches.
+ */
+final class FirmContent {
+    private static final SiteId SITE_WITHOUT_OVERLAY = SiteId.fromString("site-without-overlay");
+
+    private final FirmId mFirm;
+    private final SortedMap<DocumentName, Document> mDocuments;
+    private final Map<DocumentName, ParsedDocument> mParsed = new ConcurrentHashMap<>();
+    private final Map<SiteId, Integer> mJudgedBy = new ConcurrentHashMap<>();
+    private final Map<SiteId, SiteConfig> mCompiled = new ConcurrentHashMap<>();
+
+    /** Creates content that has nothing in common with earlier content. */
+    FirmContent(FirmId firm, Map<DocumentName, Document> documents) {
+        mFirm = firm;
+        mDocuments = Collections.unmodifiableSortedMap(new TreeMap<>(documents));
+    }
+
+    /** Returns the content with other documents, reusing what they have in common. */
+    FirmContent with(Map<DocumentName, Document> documents) {
+        FirmContent next = new FirmContent(mFirm, documents);
+        mParsed.forEach(
+                (name, parsed) -> {
+                    if (same(next, name)) {
+                        next.mParsed.put(name, parsed);
+                    }
+                });
+        if (same(next, DocumentName.BASE)) {
+            copySame(next, mJudgedBy, next.mJudgedBy);
+            copySame(next, mCompiled, next.mCompiled);
+        }
+        return next;
+    }
+
+    /** Returns the documents, sorted by name. */
+    SortedMap<DocumentName, Document> documents() {
+        return mDocuments;
+    }
+
+    /** Returns the digest over the names and texts. */
+    Digest digest() {
+        List<byte[]> parts = new ArrayList<>();
+        parts.add(mFirm.name().getBytes(StandardCharsets.UTF_8));
+        mDocuments.forEach(
+                (name, document) -> {
+                    parts.add(name.name().getBytes(StandardCharsets.UTF_8));
+                    parts.add(document.digest().bytes());
+                });
+        return Digest.of(parts.toArray(byte[][]::new));
+    }
+
+    /**
+     * Judges the content at every site: the base alone, and merged with each overlay.
+     *
+     * @return the problems, sorted; empty when all sites are valid
+     */
+    List<Problem> problems(int ruleSet) {
+        List<Problem> problems = new ArrayList<>();
+        mDocuments.values().forEach(document -> checkDocument(document, problems));
+        if (!problems.isEmpty() || mDocuments.isEmpty()) {
+            return SchemaCheck.sorted(problems);
+        }
+        if (!mDocuments.containsKey(DocumentName.BASE)) {
+            Document overlay = mDocuments.get(mDocuments.firstKey());
+            String file = overlay == null ? mFirm.name() : overlay.file();
+            String message = "firm '" + mFirm + "' has no base that the overlay could apply to";
+            return List.of(
+                    new Problem(ErrorCode.BAD_OVERLAY, new SourceLocation(file, 0), message));
+        }
+        checkSite(SITE_WITHOUT_OVERLAY, ruleSet, problems);
+        if (problems.isEmpty()) {
+            sites().forEach(site -> checkSite(site, ruleSet, problems));
+        }
+        return SchemaCheck.sorted(problems);
+    }
+
+    /**
+     * Returns the configuration of a site. The content must be valid.
+     *
+     * @param version the version that the configuration is of
+     */
+    SiteConfig at(SiteId site, VersionId version, int ruleSet) {
+        SiteConfig config = mCompiled.computeIfAbsent(site, key -> compile(key, ruleSet));
+        return new SiteConfig(
+                version,
+                site,
+                config.digest(),
+                config.services(),
+                config.classes(),
+                config.policies(),
+                config.routes(),
+                config.limits());
+    }
+
+    private List<SiteId> sites() {
+        return mDocuments.keySet().stream().flatMap(name -> name.overlaySite().stream()).toList();
+    }
+
+    private void checkDocument(Document document, List<Problem> problems) {
+        ParsedDocument parsed;
+        try {
+            parsed = parsed(document);
+        } catch (InvalidInputException e) {
+            problems.addAll(e.problems());
+            return;
+        }
+        SourceLocation location = new SourceLocation(document.file(), 1);
+        if (!parsed.firm().equals(mFirm)) {
+            String message = "the document is of firm '" + parsed.firm() + "', not '" + mFirm + "'";
+            problems.add(new Problem(ErrorCode.BAD_OVERLAY, location, message));
+        }
+        if (!Objects.equals(parsed.site(), document.name().site())) {
+            String message = "the document is not " + document.name();
+            problems.add(new Problem(ErrorCode.BAD_OVERLAY, location, message));
+        }
+    }
+
+    private void checkSite(SiteId site, int ruleSet, List<Problem> problems) {
+        if (mJudgedBy.getOrDefault(site, 0) == ruleSet) {
+            return;
+        }
+        try {
+            compile(site, ruleSet);
+            mJudgedBy.put(site, ruleSet);
+        } catch (InvalidInputException e) {
+            String suffix = site.equals(SITE_WITHOUT_OVERLAY) ? "" : " (at site " + site + ")";
+            for (Problem problem : e.problems()) {
+                problems.add(
+                        new Problem(
+                                problem.code(), problem.location(), problem.message() + suffix));
+            }
+        }
+    }
+
+    private SiteConfig compile(SiteId site, int ruleSet) {
+        Document base = mDocuments.get(DocumentName.BASE);
+        if (base == null) {
+            throw new IllegalStateException("firm " + mFirm + " has no base");
+        }
+        Document overlay = mDocuments.get(DocumentName.overlay(site));
+        return SiteCompiler.compile(
+                new VersionId(mFirm, 0),
+                site,
+                parsed(base),
+                overlay == null ? null : parsed(overlay),
+                ruleSet);
+    }
+
+    private <V> void copySame(FirmContent next, Map<SiteId, V> from, Map<SiteId, V> to) {
+        from.forEach(
+                (site, value) -> {
+                    if (same(next, DocumentName.overlay(site))) {
+                        to.put(site, value);
+                    }
+                });
+    }
+
+    private ParsedDocument parsed(Document document) {
+        return mParsed.computeIfAbsent(
+                document.name(), name -> ParsedDocument.parse(document.file(), document.text()));
+    }
+
+    private boolean same(FirmContent next, DocumentName name) {
+        return mDocuments.get(name) == next.mDocuments.get(name);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmState.java
@@ -0,0 +1,145 @@
+package org.azurearch.internal.fold;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.azurearch.fold.ChangeOutcome;
+import org.azurearch.fold.Document;
+import org.azurearch.fold.DocumentName;
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.VersionId;
+
+/** What the fold knows of one firm; immutable. */
+final class FirmState {
+    private final VersionId mVersion;
+    private final FirmContent mContent;
+    private final List<RetainedVersion> mVersions;
+    private final SortedMap<DocumentName, Touch> mTouches;
+    private final List<ChangeOutcome> mOutcomes;
+    private final Map<ChangeId, ChangeOutcome> mOutcomesById;
+
+    /**
+     * Creates a state.
+     *
+     * @param version the current version
+     * @param content the current documents
+     * @param versions the retained versions, the newest first
+     * @param touches the last change of each document ever used
+     * @param outcomes the retained decisions, the newest first
+     */
+    FirmState(
+            VersionId version,
+            FirmContent content,
+            List<RetainedVersion> versions,
+            Map<DocumentName, Touch> touches,
+            List<ChangeOutcome> outcomes) {
+        mVersion = version;
+        mContent = content;
+        mVersions = List.copyOf(versions);
+        mTouches = Collections.unmodifiableSortedMap(new TreeMap<>(touches));
+        mOutcomes = List.copyOf(outcomes);
+        Map<ChangeId, ChangeOutcome> byId = new HashMap<>();
+        outcomes.forEach(outcome -> byId.put(outcome.change(), outcome));
+        mOutcomesById = byId;
+    }
+
+    /** Returns the state of a firm that has published nothing. */
+    static FirmState empty(FirmId firm) {
+        return new FirmState(
+                new VersionId(firm, 0),
+                new FirmContent(firm, Map.of()),
+                List.of(),
+                Map.of(),
+                List.of());
+    }
+
+    /** Returns the current version; number 0 before the first. */
+    VersionId version() {
+        return mVersion;
+    }
+
+    /** Returns the current documents. */
+    FirmContent content() {
+        return mContent;
+    }
+
+    /** Returns the retained versions, the newest first. */
+    List<RetainedVersion> versions() {
+        return mVersions;
+    }
+
+    /** Returns the last change of each document ever used. */
+    SortedMap<DocumentName, Touch> touches() {
+        return mTouches;
+    }
+
+    /** Returns the retained decisions, the newest first. */
+    List<ChangeOutcome> outcomes() {
+        return mOutcomes;
+    }
+
+    /** Returns the retained decision on a change. */
+    Optional<ChangeOutcome> outcome(ChangeId change) {
+        return Optional.ofNullable(mOutcomesById.get(change));
+    }
+
+    /** Returns a retained version. */
+    Optional<RetainedVersion> retained(long number) {
+        return mVersions.stream().filter(version -> version.number() == number).findFirst();
+    }
+
+    /** Returns the state with one more decision. */
+    FirmState withOutcome(ChangeOutcome outcome) {
+        List<ChangeOutcome> outcomes = new ArrayList<>(mOutcomes.size() + 1);
+        outcomes.add(outcome);
+        outcomes.addAll(mOutcomes);
+        if (outcomes.size() > FoldLimits.OUTCOMES) {
+            outcomes.remove(outcomes.size() - 1);
+        }
+        return new FirmState(mVersion, mContent, mVersions, mTouches, outcomes);
+    }
+
+    /**
+     * Returns the state with one more version.
+     *
+     * @param content the content of the version
+     * @param touched the documents that the change touches
+     * @param change the change
+     */
+    FirmState withVersion(FirmContent content, Set<DocumentName> touched, ChangeId change) {
+        VersionId version = new VersionId(mVersion.firm(), mVersion.number() + 1);
+        List<RetainedVersion> versions = new ArrayList<>();
+        versions.add(new RetainedVersion(version.number(), content.documents()));
+        versions.addAll(mVersions);
+        Map<DocumentName, Touch> touches = new TreeMap<>(mTouches);
+        touched.forEach(name -> touches.put(name, new Touch(version.number(), change)));
+        return new FirmState(version, content, bounded(versions), touches, mOutcomes);
+    }
+
+    /** Drops the oldest versions until number and size are within their bounds. */
+    private static List<RetainedVersion> bounded(List<RetainedVersion> versions) {
+        List<RetainedVersion> kept = new ArrayList<>();
+        Set<Digest> texts = new HashSet<>();
+        long bytes = 0;
+        for (RetainedVersion version : versions) {
+            for (Document document : version.documents().values()) {
+                bytes += texts.add(document.digest()) ? document.text().length : 0;
+            }
+            boolean fits = bytes <= FoldLimits.RETAINED_BYTES && kept.size() < FoldLimits.VERSIONS;
+            if (!fits && !kept.isEmpty()) {
+                return kept;
+            }
+            kept.add(version);
+        }
+        return kept;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/Touch.java
@@ -0,0 +1,11 @@
+package org.azurearch.internal.fold;
+
+import org.azurearch.lib.ChangeId;
+
+/**
+ * The last accepted change of a document.
+ *
+ * @param version the number of the version
+ * @param change the change
+ */
+record Touch(long version, ChangeId change) {}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/package-info.java
@@ -0,0 +1,5 @@
+/** Decisions and state behind the fold of the change stream. */
+@NullMarked
+package org.azurearch.internal.fold;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/NearName.java
@@ -0,0 +1,53 @@
+package org.azurearch.internal.yaml;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Finds the known name that a misspelt one was probably meant to be. */
+public final class NearName {
+    private static final int MAX_NAME_CHARS = 100;
+
+    private NearName() {}
+
+    /**
+     * Returns the nearest known name, if it differs in at most a third of its characters.
+     *
+     * @param name the misspelt name
+     * @param known the known names
+     */
+    public static Optional<String> of(String name, Collection<String> known) {
+        if (name.length() > MAX_NAME_CHARS) {
+            return Optional.empty();
+        }
+        return known.stream()
+                .filter(candidate -> distance(name, candidate) <= tolerated(candidate))
+                .min(
+                        Comparator.comparingInt((String candidate) -> distance(name, candidate))
+                                .thenComparing(Comparator.naturalOrder()));
+    }
+
+    private static int tolerated(String candidate) {
+        return Math.max(1, candidate.length() / 3);
+    }
+
+    /** Returns the Levenshtein distance, ignoring case. */
+    static int distance(String left, String right) {
+        String a = left.toLowerCase(java.util.Locale.ROOT);
+        String b = right.toLowerCase(java.util.Locale.ROOT);
+        int[] row = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            row[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int diagonal = row[0];
+            row[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int substituted = diagonal + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                diagonal = row[j];
+                row[j] = Math.min(substituted, Math.min(row[j], row[j - 1]) + 1);
+            }
+        }
+        return row[b.length()];
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/SchemaCheck.java
@@ -0,0 +1,200 @@
+package org.azurearch.internal.yaml;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.networknt.schema.JsonNodePath;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.PathType;
+import com.networknt.schema.SchemaValidatorsConfig;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.errors.Problem;
+import org.azurearch.errors.SourceLocation;
+import org.azurearch.yaml.YamlEntry;
+import org.azurearch.yaml.YamlList;
+import org.azurearch.yaml.YamlMapping;
+import org.azurearch.yaml.YamlNode;
+
+/** Checks YAML against a JSON schema and says which line breaks it and what was expected. */
+public final class SchemaCheck {
+    private final JsonNode mRoot;
+    private final JsonSchema mSchema;
+
+    private SchemaCheck(JsonNode root) {
+        mRoot = root;
+        mSchema =
+                JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012)
+                        .getSchema(
+                                root,
+                                SchemaValidatorsConfig.builder()
+                                        .pathType(PathType.JSON_POINTER)
+                                        .locale(Locale.ROOT)
+                                        .build());
+        mSchema.initializeValidators();
+    }
+
+    /**
+     * Loads a schema of this program.
+     *
+     * @param anchor a class beside the resource
+     * @param resource the name of the resource
+     */
+    public static SchemaCheck ofResource(Class<?> anchor, String resource) {
+        try (InputStream input = anchor.getResourceAsStream(resource)) {
+            if (input == null) {
+                throw new IllegalStateException("the program lacks its resource " + resource);
+            }
+            return new SchemaCheck(new ObjectMapper().readTree(input));
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot read the resource " + resource, e);
+        }
+    }
+
+    /** Returns all problems of a document, sorted by line and then by text. */
+    public List<Problem> check(YamlMapping document) {
+        List<Problem> problems = new ArrayList<>();
+        for (ValidationMessage message : mSchema.validate(JsonForm.json(document))) {
+            problems.add(problem(document, message));
+        }
+        return sorted(problems);
+    }
+
+    /** Returns problems sorted by file, line and text, each once. */
+    public static List<Problem> sorted(List<Problem> problems) {
+        return problems.stream()
+                .distinct()
+                .sorted(
+                        Comparator.comparing((Problem problem) -> problem.location().file())
+                                .thenComparing(problem -> problem.location().line())
+                                .thenComparing(Problem::message))
+                .toList();
+    }
+
+    private Problem problem(YamlMapping document, ValidationMessage message) {
+        JsonNodePath path = message.getInstanceLocation();
+        YamlNode node = nodeAt(document, path, path.getNameCount());
+        SourceLocation location = locationAt(document, path);
+        String where = path.getNameCount() == 0 ? "" : " at " + dotted(path);
+        String keyword = message.getType();
+        JsonNode rule = rule(message);
+        return switch (keyword) {
+            case "additionalProperties" -> unknownKey(node, message, where);
+            case "required" ->
+                    new Problem(
+                            ErrorCode.MISSING_KEY,
+                            location,
+                            "missing key '" + message.getProperty() + "'" + where);
+            case "type" ->
+                    new Problem(
+                            ErrorCode.WRONG_TYPE,
+                            location,
+                            "expected " + SchemaWords.type(rule) + where + found(node));
+            case "pattern" -> {
+                boolean isName = dotted(path).isEmpty();
+                yield new Problem(
+                        isName ? ErrorCode.BAD_NAME : ErrorCode.WRONG_TYPE,
+                        location,
+                        "expected " + SchemaWords.pattern(rule.asText()) + where + found(node));
+            }
+            case "propertyNames" ->
+                    new Problem(
+                            ErrorCode.BAD_NAME,
+                            keyLocation(node, message).orElse(location),
+                            "a key is not " + SchemaWords.NAME + where);
+            default ->
+                    new Problem(
+                            ErrorCode.OUT_OF_RANGE,
+                            location,
+                            "expected " + SchemaWords.range(keyword, rule) + where + found(node));
+        };
+    }
+
+    private Problem unknownKey(YamlNode node, ValidationMessage message, String where) {
+        String key = String.valueOf(message.getProperty());
+        SourceLocation location = keyLocation(node, message).orElse(node.location());
+        List<String> known = new ArrayList<>();
+        siblings(message).path("properties").fieldNames().forEachRemaining(known::add);
+        String hint =
+                NearName.of(key, known)
+                        .map(near -> "; did you mean '" + near + "'?")
+                        .orElse("; expected one of " + String.join(", ", known));
+        return new Problem(
+                ErrorCode.UNKNOWN_KEY, location, "unknown key '" + key + "'" + where + hint);
+    }
+
+    private static Optional<SourceLocation> keyLocation(YamlNode node, ValidationMessage message) {
+        String key = message.getProperty();
+        return node instanceof YamlMapping mapping
+                ? Optional.ofNullable(mapping.entries().get(String.valueOf(key)))
+                        .map(YamlEntry::location)
+                : Optional.empty();
+    }
+
+    private JsonNode rule(ValidationMessage message) {
+        return siblings(message).path(message.getType());
+    }
+
+    /** Returns the part of the schema that holds the keyword that failed. */
+    private JsonNode siblings(ValidationMessage message) {
+        JsonNodePath path = message.getSchemaLocation().getFragment();
+        JsonNode node = mRoot;
+        for (int i = 0; i < path.getNameCount() - 1; i++) {
+            Object element = path.getElement(i);
+            node =
+                    element instanceof Integer index
+                            ? node.path(index)
+                            : node.path(String.valueOf(element));
+        }
+        return node;
+    }
+
+    private static SourceLocation locationAt(YamlMapping document, JsonNodePath path) {
+        int last = path.getNameCount() - 1;
+        if (last >= 0 && nodeAt(document, path, last) instanceof YamlMapping parent) {
+            YamlEntry entry = parent.entries().get(path.getName(last));
+            if (entry != null) {
+                return entry.location();
+            }
+        }
+        return nodeAt(document, path, path.getNameCount()).location();
+    }
+
+    private static YamlNode nodeAt(YamlMapping document, JsonNodePath path, int depth) {
+        YamlNode node = document;
+        for (int i = 0; i < depth; i++) {
+            Object element = path.getElement(i);
+            if (node instanceof YamlMapping mapping) {
+                node = mapping.value(String.valueOf(element)).orElse(node);
+            } else if (node instanceof YamlList list && element instanceof Integer index) {
+                node = list.items().get(index);
+            }
+        }
+        return node;
+    }
+
+    private static String dotted(JsonNodePath path) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < path.getNameCount(); i++) {
+            Object element = path.getElement(i);
+            if (element instanceof Integer) {
+                text.append('[').append(element).append(']');
+            } else {
+                text.append(i == 0 ? "" : ".").append(element);
+            }
+        }
+        return text.toString();
+    }
+
+    private static String found(YamlNode node) {
+        return ", found " + node.kind();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/SchemaWords.java
@@ -0,0 +1,66 @@
+package org.azurearch.internal.yaml;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.settings.Durations;
+
+/** Says in words what a schema expects. */
+final class SchemaWords {
+    /** What a name looks like. */
+    static final String NAME =
+            "a name of 1 to 96 lower-case letters, digits, dots, underscores and hyphens";
+
+    private static final String NAME_PATTERN = "^[a-z0-9][a-z0-9._-]{0,95}$";
+
+    private SchemaWords() {}
+
+    /** Says what a type is called. */
+    static String type(JsonNode type) {
+        return switch (type.asText()) {
+            case "object" -> "a mapping";
+            case "array" -> "a list";
+            case "integer" -> "a whole number";
+            case "number" -> "a number";
+            case "boolean" -> "true or false";
+            case "string" -> "a text";
+            default -> "one of " + type;
+        };
+    }
+
+    /** Says what a pattern stands for. */
+    static String pattern(String pattern) {
+        if (pattern.equals(NAME_PATTERN)) {
+            return NAME;
+        }
+        if (pattern.equals(Durations.PATTERN)) {
+            return "a duration such as 250ms, 4s, 5m, 2h or 1d";
+        }
+        if (pattern.startsWith("^/")) {
+            return "a path such as /stock/levels without a slash at its end";
+        }
+        return "a text that matches " + pattern;
+    }
+
+    /** Says what a bound or a choice allows. */
+    static String range(String keyword, JsonNode rule) {
+        return switch (keyword) {
+            case "minimum" -> "at least " + rule.asText();
+            case "maximum" -> "at most " + rule.asText();
+            case "minLength" -> "at least " + rule.asText() + " characters";
+            case "maxLength" -> "at most " + rule.asText() + " characters";
+            case "minItems", "minProperties" -> "at least " + rule.asText() + " entries";
+            case "maxItems", "maxProperties" -> "at most " + rule.asText() + " entries";
+            case "uniqueItems" -> "each item once";
+            case "const" -> rule.asText();
+            case "enum" -> "one of " + String.join(", ", texts(rule));
+            default -> keyword + " " + rule;
+        };
+    }
+
+    private static List<String> texts(JsonNode array) {
+        List<String> texts = new ArrayList<>();
+        array.forEach(item -> texts.add(item.asText()));
+        return texts;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/StrictResolver.java
@@ -0,0 +1,27 @@
+package org.azurearch.internal.yaml;
+
+import java.util.regex.Pattern;
+import org.yaml.snakeyaml.nodes.Tag;
+import org.yaml.snakeyaml.resolver.Resolver;
+
+/**
+ * Resolves plain scalars as JSON would, so that {@code no}, {@code 010} and {@code 12:30} stay
+ * text.
+ */
+public final class StrictResolver extends Resolver {
+    private static final Pattern TRUE_FALSE = Pattern.compile("^(?:true|false)$");
+    private static final Pattern WHOLE_NUMBER = Pattern.compile("^-?(?:0|[1-9][0-9]{0,17})$");
+    private static final Pattern DECIMAL =
+            Pattern.compile("^-?(?:0|[1-9][0-9]{0,17})\\.[0-9]{1,17}$");
+    private static final Pattern NOTHING = Pattern.compile("^(?:~|null|)$");
+
+    @Override
+    protected void addImplicitResolvers() {
+        addImplicitResolver(Tag.BOOL, TRUE_FALSE, "tf");
+        addImplicitResolver(Tag.INT, WHOLE_NUMBER, "-0123456789");
+        addImplicitResolver(Tag.FLOAT, DECIMAL, "-0123456789");
+        addImplicitResolver(Tag.NULL, NOTHING, "~n\0");
+        addImplicitResolver(Tag.NULL, EMPTY, null);
+        addImplicitResolver(Tag.MERGE, MERGE, "<");
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/package-info.java
@@ -0,0 +1,5 @@
+/** Reading, checking and comparing YAML nodes. */
+@NullMarked
+package org.azurearch.internal.yaml;
+
+import org.jspecify.annotations.NullMarked;
