--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/RawServer.java
@@ -0,0 +1,161 @@
+package org.azurearch.internal.call;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.azurearch.lib.NetAddress;
+
+/** A backend server on bare sockets that counts the requests it runs and answers by script. */
+final class RawServer implements AutoCloseable {
+    /** Answers one request on the connection it came on. */
+    interface Script {
+        void answer(Request request, Socket connection) throws IOException;
+    }
+
+    /** A request as it came off the wire. */
+    record Request(String head, byte[] body) {
+        String header(String name) {
+            for (String line : head.split("\r\n")) {
+                if (line.toLowerCase(Locale.ROOT).startsWith(name + ":")) {
+                    return line.substring(name.length() + 1).trim();
+                }
+            }
+            return "";
+        }
+
+        String path() {
+            return head.split(" ")[1];
+        }
+    }
+
+    final Map<String, AtomicInteger> mRuns = new ConcurrentHashMap<>();
+    final AtomicInteger mTotal = new AtomicInteger();
+    final AtomicInteger mConnections = new AtomicInteger();
+    private final Set<Socket> mOpen = ConcurrentHashMap.newKeySet();
+    private final ServerSocket mListener;
+    private volatile Script mScript = (request, connection) -> ok(connection, "ok");
+
+    RawServer() throws IOException {
+        mListener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        daemon(this::accept);
+    }
+
+    NetAddress address() {
+        return new NetAddress("127.0.0.1", mListener.getLocalPort());
+    }
+
+    RawServer script(Script script) {
+        mScript = script;
+        return this;
+    }
+
+    int runs(String key) {
+        AtomicInteger runs = mRuns.get(key);
+        return runs == null ? 0 : runs.get();
+    }
+
+    static void ok(Socket connection, String body) throws IOException {
+        raw(connection, "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    static void raw(Socket connection, String bytes) throws IOException {
+        connection.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        connection.getOutputStream().flush();
+    }
+
+    /** Dies as a process does: no listener, every connection closed. */
+    @Override
+    public void close() throws IOException {
+        mListener.close();
+        for (Socket socket : mOpen) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        while (!mListener.isClosed()) {
+            try {
+                Socket socket = mListener.accept();
+                mOpen.add(socket);
+                mConnections.incrementAndGet();
+                daemon(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            for (Request request = read(in); request != null; request = read(in)) {
+                mTotal.incrementAndGet();
+                String key = request.header("run-key");
+                mRuns.computeIfAbsent(key, k -> new AtomicInteger()).incrementAndGet();
+                mScript.answer(request, socket);
+            }
+        } catch (IOException | UncheckedIOException ignored) {
+            // The peer or the test closed the connection.
+        } finally {
+            mOpen.remove(socket);
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+        }
+        Request request = new Request(head.toString(StandardCharsets.ISO_8859_1), new byte[0]);
+        String length = request.header("content-length");
+        if (!length.isEmpty()) {
+            byte[] body = in.readNBytes(Integer.parseInt(length));
+            return body.length == Integer.parseInt(length)
+                    ? new Request(request.head(), body)
+                    : null;
+        }
+        if (request.header("transfer-encoding").equals("chunked")) {
+            return new Request(request.head(), readChunks(in));
+        }
+        return request;
+    }
+
+    private static byte[] readChunks(InputStream in) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            StringBuilder size = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    throw new IOException("cut off");
+                }
+                size.append((char) c);
+            }
+            int bytes = Integer.parseInt(size.toString().trim(), 16);
+            body.write(in.readNBytes(bytes));
+            in.readNBytes(2);
+            if (bytes == 0) {
+                return body.toByteArray();
+            }
+        }
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "raw-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admit/RateLimit.java
@@ -0,0 +1,35 @@
+package org.azurearch.admit;
+
+/** Token bucket that holds one second's worth of calls. Not thread-safe. */
+final class RateLimit {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long MILLIS_PER_SECOND = 1_000L;
+
+    private int mPerSecond;
+    private double mTokens;
+    private long mFilledAtNanos;
+
+    RateLimit(int perSecond, long nowNanos) {
+        mPerSecond = perSecond;
+        mTokens = perSecond;
+        mFilledAtNanos = nowNanos;
+    }
+
+    /** Takes one token, if there is one. */
+    boolean tryTake(int perSecond, long nowNanos) {
+        mPerSecond = perSecond;
+        double filled = (nowNanos - mFilledAtNanos) / NANOS_PER_SECOND * perSecond;
+        mTokens = Math.min(perSecond, mTokens + filled);
+        mFilledAtNanos = nowNanos;
+        if (mTokens < 1.0) {
+            return false;
+        }
+        mTokens -= 1.0;
+        return true;
+    }
+
+    /** Returns when the next token will be there. */
+    long retryAfterMillis() {
+        return (long) Math.ceil((1.0 - mTokens) * MILLIS_PER_SECOND / Math.max(1, mPerSecond));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admit/WaitingCalls.java
@@ -0,0 +1,158 @@
+package org.azurearch.admit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Calls that wait for a slot: classes by rank, within a class the firms by their shares, within a
+ * firm in order of arrival. Not thread-safe.
+ *
+ * @param <T> the type that stands for a call
+ */
+final class WaitingCalls<T> {
+    /** A call that waits. */
+    record Waiting<T>(T call, AdmissionRequest request, long expiresAtNanos) {}
+
+    /** The calls of one firm within a class, and the service it has had by its share. */
+    private static final class FirmQueue<T> {
+        private final Deque<Waiting<T>> mCalls = new ArrayDeque<>();
+        private double mServed;
+    }
+
+    private final TreeMap<Integer, Map<String, FirmQueue<T>>> mByPriority = new TreeMap<>();
+    private int mSize;
+
+    /** Returns how many calls wait. */
+    int size() {
+        return mSize;
+    }
+
+    /** Returns how many calls wait that go before a new one of a priority. */
+    int ahead(int priority) {
+        int ahead = 0;
+        for (Map<String, FirmQueue<T>> firms : mByPriority.headMap(priority, true).values()) {
+            for (FirmQueue<T> queue : firms.values()) {
+                ahead += queue.mCalls.size();
+            }
+        }
+        return ahead;
+    }
+
+    /** Adds a call. */
+    void add(Waiting<T> waiting) {
+        Map<String, FirmQueue<T>> firms =
+                mByPriority.computeIfAbsent(
+                        waiting.request().priority(), priority -> new LinkedHashMap<>());
+        FirmQueue<T> queue = firms.get(waiting.request().firm());
+        if (queue == null) {
+            queue = new FirmQueue<>();
+            queue.mServed = leastServed(firms);
+            firms.put(waiting.request().firm(), queue);
+        }
+        queue.mCalls.addLast(waiting);
+        mSize++;
+    }
+
+    /** Takes the call that is next, or null. */
+    @Nullable Waiting<T> poll() {
+        for (Map<String, FirmQueue<T>> firms : mByPriority.values()) {
+            FirmQueue<T> next = null;
+            for (FirmQueue<T> queue : firms.values()) {
+                if (!queue.mCalls.isEmpty() && (next == null || queue.mServed < next.mServed)) {
+                    next = queue;
+                }
+            }
+            if (next != null) {
+                Waiting<T> waiting = next.mCalls.removeFirst();
+                next.mServed += 1.0 / Math.max(1, waiting.request().share());
+                removed(firms, waiting.request());
+                return waiting;
+            }
+        }
+        return null;
+    }
+
+    /** Takes the newest call of the lowest class, if that class is below a priority. */
+    @Nullable Waiting<T> pollNewestBelow(int priority) {
+        Map.Entry<Integer, Map<String, FirmQueue<T>>> lowest = mByPriority.lastEntry();
+        if (lowest == null || lowest.getKey() <= priority) {
+            return null;
+        }
+        FirmQueue<T> longest = null;
+        for (FirmQueue<T> queue : lowest.getValue().values()) {
+            if (longest == null || queue.mCalls.size() > longest.mCalls.size()) {
+                longest = queue;
+            }
+        }
+        if (longest == null || longest.mCalls.isEmpty()) {
+            return null;
+        }
+        Waiting<T> waiting = longest.mCalls.removeLast();
+        removed(lowest.getValue(), waiting.request());
+        return waiting;
+    }
+
+    /** Removes a call, and says whether it waited. */
+    boolean remove(T call) {
+        for (Map<String, FirmQueue<T>> firms : List.copyOf(mByPriority.values())) {
+            for (FirmQueue<T> queue : List.copyOf(firms.values())) {
+                Iterator<Waiting<T>> calls = queue.mCalls.iterator();
+                while (calls.hasNext()) {
+                    Waiting<T> waiting = calls.next();
+                    if (waiting.call() == call) {
+                        calls.remove();
+                        removed(firms, waiting.request());
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Takes all calls whose time to wait is over. */
+    List<Waiting<T>> pollExpired(long nowNanos) {
+        if (mSize == 0) {
+            return List.of();
+        }
+        List<Waiting<T>> expired = new ArrayList<>();
+        for (Map<String, FirmQueue<T>> firms : mByPriority.values()) {
+            for (FirmQueue<T> queue : firms.values()) {
+                for (Waiting<T> waiting : queue.mCalls) {
+                    if (nowNanos - waiting.expiresAtNanos() >= 0) {
+                        expired.add(waiting);
+                    }
+                }
+            }
+        }
+        expired.forEach(waiting -> remove(waiting.call()));
+        return expired;
+    }
+
+    private void removed(Map<String, FirmQueue<T>> firms, AdmissionRequest request) {
+        mSize--;
+        FirmQueue<T> queue = firms.get(request.firm());
+        boolean othersWait = firms.size() > 1;
+        if (queue != null && queue.mCalls.isEmpty() && !othersWait) {
+            firms.remove(request.firm());
+        }
+        if (firms.values().stream().allMatch(other -> other.mCalls.isEmpty())) {
+            mByPriority.remove(request.priority());
+        }
+    }
+
+    private double leastServed(Map<String, FirmQueue<T>> firms) {
+        double least = Double.MAX_VALUE;
+        for (FirmQueue<T> queue : firms.values()) {
+            least = queue.mCalls.isEmpty() ? least : Math.min(least, queue.mServed);
+        }
+        return least == Double.MAX_VALUE ? 0 : least;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
@@ -0,0 +1,40 @@
+package org.azurearch.call;
+
+import org.azurearch.events.EventCode;
+
+/** Events of the data path, numbers 500 to 599. */
+public enum CallEvent implements EventCode {
+    /** The listener for calls is bound. */
+    LISTENING(500, Level.INFO, "taking calls on {}"),
+    /** The listener for calls drains. */
+    DRAINING(501, Level.INFO, "finishing {} calls before the stop"),
+    /** A handler of the data path failed; the connection is closed. */
+    HANDLER_FAILED(502, Level.ERROR, "the data path failed on a connection: {}"),
+    /** Calls were still under way when the time for a planned stop ran out. */
+    DRAIN_INCOMPLETE(503, Level.WARN, "stopping with {} calls under way");
+
+    private final int mNumber;
+    private final Level mLevel;
+    private final String mMessage;
+
+    CallEvent(int number, Level level, String message) {
+        mNumber = number;
+        mLevel = level;
+        mMessage = message;
+    }
+
+    @Override
+    public int number() {
+        return mNumber;
+    }
+
+    @Override
+    public Level level() {
+        return mLevel;
+    }
+
+    @Override
+    public String message() {
+        return mMessage;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallFailure.java
@@ -0,0 +1,24 @@
+package org.azurearch.call;
+
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Verdict;
+
+/**
+ * Why a call got no answer from a backend server.
+ *
+ * @param verdict whether the request may have run
+ * @param code the stable code
+ * @param detail what happened, for a person
+ * @param retryAfterMillis when the caller may try again; 0 for no advice
+ */
+public record CallFailure(Verdict verdict, ErrorCode code, String detail, long retryAfterMillis) {
+    /** Creates a failure without advice on when to try again. */
+    public static CallFailure of(Verdict verdict, ErrorCode code, String detail) {
+        return new CallFailure(verdict, code, detail, 0);
+    }
+
+    /** Creates a failure of a request that has not run. */
+    public static CallFailure notRun(ErrorCode code, String detail) {
+        return of(Verdict.NOT_RUN, code, detail);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -0,0 +1,209 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.azurearch.admit.Refusal;
+import org.azurearch.call.CallFailure;
+import org.azurearch.call.CallHeaders;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.admit.BackendGate;
+import org.azurearch.lib.Verdict;
+import org.azurearch.member.Announcement;
+import org.jspecify.annotations.Nullable;
+
+/** An exchange with the backend server behind this node: asks for a slot, then uses it. */
+final class BackendExchange implements Exchange, AnswerSink, BackendGate.Waiter {
+    private enum State {
+        WAITING,
+        RUNNING,
+        SHEDDING,
+        DONE
+    }
+
+    private final Lane mLane;
+    private final HttpRequest mHead;
+    private final HopRequest mHop;
+    private final AnswerSink mSink;
+    private final Deque<HttpContent> mPending = new ArrayDeque<>();
+    private State mState = State.WAITING;
+    private @Nullable UpstreamExchange mUpstream;
+    private long mStartedNanos;
+    private boolean mShed;
+    private long mShedRetryMillis;
+
+    BackendExchange(Lane lane, HttpRequest head, HopRequest hop, AnswerSink sink) {
+        mLane = lane;
+        mHead = head;
+        mHop = hop;
+        mSink = sink;
+    }
+
+    @Override
+    public void start() {
+        mLane.gate().submit(this, mHop.admission(mLane.nanos()));
+    }
+
+    @Override
+    public void admitted() {
+        mLane.run(this::begin);
+    }
+
+    @Override
+    public void refused(Refusal refusal) {
+        mLane.run(() -> onRefused(refusal));
+    }
+
+    @Override
+    public void body(HttpContent content) {
+        if (mUpstream != null) {
+            mUpstream.body(content);
+        } else if (mState == State.WAITING) {
+            mPending.add(content);
+        } else {
+            content.release();
+        }
+    }
+
+    @Override
+    public void flush() {
+        if (mUpstream != null) {
+            mUpstream.flush();
+        }
+    }
+
+    @Override
+    public boolean writable() {
+        return mState != State.WAITING && (mUpstream == null || mUpstream.writable());
+    }
+
+    @Override
+    public void pauseAnswer(boolean paused) {
+        if (mUpstream != null) {
+            mUpstream.pauseAnswer(paused);
+        }
+    }
+
+    @Override
+    public Verdict cancel() {
+        State before = mState;
+        mState = State.DONE;
+        releasePending();
+        if (before == State.WAITING) {
+            mLane.gate().cancel(this);
+            return Verdict.NOT_RUN;
+        }
+        Verdict verdict = mUpstream == null ? Verdict.NOT_RUN : mUpstream.cancel();
+        if (before != State.DONE) {
+            mLane.gate().completed(false, -1);
+        }
+        return verdict;
+    }
+
+    @Override
+    public void answerHead(HttpResponse head) {
+        boolean unavailable = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        String verdict = head.headers().get(CallHeaders.VERDICT);
+        HeaderRules.removeOwn(head.headers());
+        mShed = unavailable;
+        if (unavailable && Verdict.NOT_RUN.headerValue().equals(verdict)) {
+            mState = State.SHEDDING;
+            mShedRetryMillis = RetryAfter.millis(head.headers());
+            return;
+        }
+        mSink.answerHead(head);
+    }
+
+    @Override
+    public void answerBody(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        boolean shedding = mState == State.SHEDDING;
+        if (last) {
+            mState = State.DONE;
+            mLane.gate().completed(mShed, mLane.nanos() - mStartedNanos);
+        }
+        if (!shedding) {
+            mSink.answerBody(content);
+            return;
+        }
+        content.release();
+        if (last) {
+            mSink.failed(
+                    new CallFailure(
+                            Verdict.NOT_RUN,
+                            ErrorCode.OVERLOADED,
+                            "the backend server shed the call",
+                            mShedRetryMillis));
+        }
+    }
+
+    @Override
+    public void answerFlush() {
+        mSink.answerFlush();
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        mState = State.DONE;
+        mLane.gate().completed(false, -1);
+        mLane.backendFailed();
+        mSink.failed(failure);
+    }
+
+    @Override
+    public void requestWritable() {
+        mSink.requestWritable();
+    }
+
+    private void begin() {
+        Announcement announcement = mLane.gate().announcement();
+        if (mState == State.DONE) {
+            mLane.gate().completed(false, -1);
+            return;
+        }
+        if (announcement == null) {
+            failed(CallFailure.notRun(ErrorCode.NO_BACKEND_SERVER, "the backend server has left"));
+            return;
+        }
+        mState = State.RUNNING;
+        mStartedNanos = mLane.nanos();
+        UpstreamExchange upstream =
+                new UpstreamExchange(
+                        mLane.backendPool(announcement),
+                        mHead,
+                        this,
+                        ErrorCode.BACKEND_SERVER_FAILED);
+        mUpstream = upstream;
+        upstream.start();
+        for (HttpContent next = mPending.poll(); next != null; next = mPending.poll()) {
+            upstream.body(next);
+        }
+        upstream.flush();
+        if (upstream.writable()) {
+            mSink.requestWritable();
+        }
+    }
+
+    private void onRefused(Refusal refusal) {
+        if (mState == State.DONE) {
+            return;
+        }
+        mState = State.DONE;
+        releasePending();
+        mSink.failed(
+                new CallFailure(
+                        Verdict.NOT_RUN,
+                        refusal.code(),
+                        "the node in front of the backend server refused the call",
+                        refusal.retryAfterMillis()));
+    }
+
+    private void releasePending() {
+        mPending.forEach(HttpContent::release);
+        mPending.clear();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallSettings.java
@@ -0,0 +1,54 @@
+package org.azurearch.internal.call;
+
+import java.time.Duration;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.settings.SettingsSection;
+
+/**
+ * Settings of the data path.
+ *
+ * @param listen where calls are taken
+ * @param advertise the IP address under which other nodes reach the listener
+ * @param threads event loops
+ * @param maxConnections the most connections from callers and other nodes
+ * @param maxBodyBytes the largest body of a request, in bytes
+ * @param senderTimeout the longest that a request under way may stand still
+ * @param idleTimeout the longest that a connection may be without a call
+ * @param drainLinger how long a planned stop serves connections that are open before it closes the
+ *     idle ones
+ * @param drainTimeout the longest that a planned stop waits for calls under way
+ */
+public record CallSettings(
+        NetAddress listen,
+        String advertise,
+        int threads,
+        int maxConnections,
+        long maxBodyBytes,
+        Duration senderTimeout,
+        Duration idleTimeout,
+        Duration drainLinger,
+        Duration drainTimeout) {
+    private static final int DEFAULT_THREADS = 2;
+    private static final int DEFAULT_MAX_CONNECTIONS = 4_000;
+    private static final int DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
+    private static final Duration DEFAULT_SENDER_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration DEFAULT_DRAIN_LINGER = Duration.ofSeconds(1);
+    private static final Duration DEFAULT_DRAIN_TIMEOUT = Duration.ofSeconds(30);
+
+    /** Reads the section {@code calls}. */
+    public static CallSettings from(SettingsSection root) {
+        SettingsSection section = root.section("calls");
+        NetAddress listen = NetAddress.fromString(section.string("listen"));
+        return new CallSettings(
+                listen,
+                section.string("advertise", listen.host()),
+                section.integer("threads", DEFAULT_THREADS),
+                section.integer("maxConnections", DEFAULT_MAX_CONNECTIONS),
+                section.integer("maxBodyBytes", DEFAULT_MAX_BODY_BYTES),
+                section.duration("senderTimeout", DEFAULT_SENDER_TIMEOUT),
+                section.duration("idleTimeout", DEFAULT_IDLE_TIMEOUT),
+                section.duration("drainLinger", DEFAULT_DRAIN_LINGER),
+                section.duration("drainTimeout", DEFAULT_DRAIN_TIMEOUT));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -0,0 +1,301 @@
+package org.azurearch.internal.call;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import org.azurearch.call.CallEvent;
+import org.azurearch.call.CallFailure;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A connection from a caller or from another node. It takes one call at a time; requests that
+ * arrive meanwhile wait their turn.
+ */
+final class CallerHandler extends ChannelInboundHandlerAdapter {
+    private static final int MAX_BACKLOG = 64;
+    private static final int MAX_DISCARDED_BYTES = 256 * 1024;
+
+    private final Lane mLane;
+    private final Channel mChannel;
+    private final AnswerEncoder mEncoder;
+    private final Deque<Object> mBacklog = new ArrayDeque<>();
+    private @Nullable InboundCall mCall;
+    private boolean mRequestEnded = true;
+    private boolean mAnswerEnded = true;
+    private boolean mCloseAfter;
+    private int mDiscardedBytes;
+    private long mProgressNanos;
+
+    CallerHandler(Lane lane, Channel channel, AnswerEncoder encoder) {
+        mLane = lane;
+        mChannel = channel;
+        mEncoder = encoder;
+        mProgressNanos = lane.nanos();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mLane.add(this);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        mProgressNanos = mLane.nanos();
+        if (!mRequestEnded || (mCall == null && mBacklog.isEmpty())) {
+            read(message);
+        } else {
+            mBacklog.add(message);
+            updateAutoRead(false);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mCall != null) {
+            mCall.requestFlush();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mCall != null) {
+            mCall.pauseAnswer(!mChannel.isWritable());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mLane.remove(this);
+        mBacklog.forEach(ReferenceCountUtil::release);
+        mBacklog.clear();
+        InboundCall call = mCall;
+        mCall = null;
+        if (call != null) {
+            call.callerGone();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof RuntimeException) {
+            EventLog.log(CallEvent.HANDLER_FAILED, cause, cause.toString());
+        }
+        mChannel.close();
+    }
+
+    /** Returns when something last moved on this connection. */
+    long progressNanos() {
+        return mProgressNanos;
+    }
+
+    /** Says whether a call is under way. */
+    boolean busy() {
+        return mCall != null;
+    }
+
+    /** Says whether the rest of a request is awaited. */
+    boolean receiving() {
+        return !mRequestEnded && mChannel.config().isAutoRead();
+    }
+
+    /** Stops or resumes reading the request's body. */
+    void pauseRequest(boolean paused) {
+        updateAutoRead(paused);
+    }
+
+    /** Closes the connection once the call under way has ended, at once when there is none. */
+    void closeWhenIdle() {
+        mCloseAfter = true;
+        if (mCall == null) {
+            mChannel.close();
+        }
+    }
+
+    /** Closes the connection at once; an answer under way is cut off where the caller sees it. */
+    void abort() {
+        mChannel.close();
+    }
+
+    /** Writes the head of the answer to the call under way. */
+    void writeHead(HttpResponse head) {
+        mCloseAfter |= mLane.draining();
+        if (mCloseAfter) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        mChannel.write(head, mChannel.voidPromise());
+    }
+
+    /** Writes a part of the answer's body; the last one ends the call. */
+    void writeBody(HttpContent content) {
+        if (content instanceof LastHttpContent) {
+            mAnswerEnded = true;
+            if (mRequestEnded && mCloseAfter) {
+                mCall = null;
+                mChannel.writeAndFlush(content).addListener(ChannelFutureListener.CLOSE);
+                return;
+            }
+            mChannel.writeAndFlush(content, mChannel.voidPromise());
+            completeIfEnded();
+        } else {
+            mChannel.write(content, mChannel.voidPromise());
+        }
+    }
+
+    void flush() {
+        mChannel.flush();
+    }
+
+    boolean writable() {
+        return mChannel.isWritable();
+    }
+
+    /**
+     * Answers the call under way with a failure.
+     *
+     * @param headers adds further headers
+     */
+    void writeProblem(CallFailure failure, Consumer<HttpHeaders> headers) {
+        byte[] body = ProblemAnswer.body(failure);
+        HttpResponse head = ProblemAnswer.head(failure, body.length);
+        headers.accept(head.headers());
+        writeHead(head);
+        writeBody(new DefaultLastHttpContent(Unpooled.wrappedBuffer(body)));
+    }
+
+    private void read(Object message) {
+        if (message instanceof HttpRequest request) {
+            begin(request);
+        } else if (message instanceof HttpContent content) {
+            readContent(content);
+        } else {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        if (mCloseAfter) {
+            ReferenceCountUtil.release(request);
+            return;
+        }
+        String problem = RequestCheck.problem(request);
+        mRequestEnded = false;
+        mAnswerEnded = false;
+        mDiscardedBytes = 0;
+        mEncoder.withoutBody(request.method().equals(HttpMethod.HEAD));
+        if (problem != null) {
+            refuse(problem);
+            return;
+        }
+        mCloseAfter |= !HttpUtil.isKeepAlive(request);
+        if (HttpUtil.is100ContinueExpected(request)) {
+            mChannel.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+        InboundCall call = mLane.newCall(this, request);
+        mCall = call;
+        call.start();
+    }
+
+    /** Answers a message that cannot be trusted, and reads nothing more from this connection. */
+    private void refuse(String problem) {
+        mCloseAfter = true;
+        mRequestEnded = true;
+        updateAutoRead(true);
+        CallFailure failure = CallFailure.notRun(ErrorCode.BAD_REQUEST, problem);
+        writeProblem(failure, headers -> {});
+    }
+
+    private void readContent(HttpContent content) {
+        boolean broken = content.decoderResult().isFailure();
+        boolean last = content instanceof LastHttpContent;
+        mRequestEnded |= last;
+        if (broken) {
+            content.release();
+            brokenBody();
+        } else if (mAnswerEnded || mCall == null) {
+            discard(content);
+        } else {
+            mCall.body(content);
+        }
+        if (last) {
+            completeIfEnded();
+        }
+    }
+
+    private void brokenBody() {
+        mRequestEnded = true;
+        mCloseAfter = true;
+        updateAutoRead(true);
+        if (mCall != null && !mAnswerEnded) {
+            mCall.requestBroken();
+        } else {
+            mChannel.close();
+        }
+    }
+
+    private void discard(HttpContent content) {
+        mDiscardedBytes += content.content().readableBytes();
+        content.release();
+        if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
+            mChannel.close();
+        }
+    }
+
+    private void completeIfEnded() {
+        if (!mAnswerEnded || !mRequestEnded || mCall == null) {
+            return;
+        }
+        mCall = null;
+        if (mCloseAfter) {
+            mChannel.close();
+            return;
+        }
+        if (mBacklog.isEmpty()) {
+            updateAutoRead(false);
+        } else {
+            mChannel.eventLoop().execute(this::readBacklog);
+        }
+    }
+
+    private void readBacklog() {
+        while (mCall == null || !mRequestEnded) {
+            Object next = mBacklog.poll();
+            if (next == null) {
+                break;
+            }
+            read(next);
+        }
+        if (mCall != null) {
+            mCall.requestFlush();
+        }
+        updateAutoRead(false);
+    }
+
+    private void updateAutoRead(boolean paused) {
+        boolean read = !paused && mBacklog.size() < MAX_BACKLOG;
+        if (mChannel.config().isAutoRead() != read) {
+            mChannel.config().setAutoRead(read);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ConnectionPool.java
@@ -0,0 +1,169 @@
+package org.azurearch.internal.call;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.time.TimeSource;
+import org.jspecify.annotations.Nullable;
+
+/** Keep-alive connections of one event loop to one address. Confined to that event loop. */
+final class ConnectionPool {
+    private static final long IDLE_NANOS = Duration.ofSeconds(45).toNanos();
+
+    private final NetAddress mAddress;
+    private final EventLoop mEventLoop;
+    private final ConnectionLimit mLimit;
+    private final TimeSource mTime;
+    private final Bootstrap mBootstrap;
+    private final ConnectionSetup mSetup;
+    private final Deque<UpstreamConnection> mIdle = new ArrayDeque<>();
+    private int mOpen;
+    private boolean mClosed;
+
+    ConnectionPool(
+            NetAddress address,
+            EventLoop eventLoop,
+            ConnectionLimit limit,
+            ConnectionSetup setup,
+            TimeSource time) {
+        mAddress = address;
+        mEventLoop = eventLoop;
+        mLimit = limit;
+        mSetup = setup;
+        mTime = time;
+        mBootstrap =
+                new Bootstrap()
+                        .group(eventLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, setup.connectTimeoutMillis())
+                        .handler(new CodecInitializer());
+    }
+
+    /** Gives the exchange a connection, at once when one is idle. */
+    void acquire(UpstreamExchange exchange) {
+        UpstreamConnection idle = pollIdle();
+        if (idle != null) {
+            exchange.onConnection(idle);
+            return;
+        }
+        if (mClosed || !mLimit.tryAcquire()) {
+            exchange.onNoConnection("no connection to " + mAddress + " is free");
+            return;
+        }
+        open(exchange);
+    }
+
+    /** Opens connections until a number of them is open. */
+    void warm(int connections) {
+        while (!mClosed && mOpen < connections && mLimit.tryAcquire()) {
+            open(null);
+        }
+    }
+
+    /** Takes back a connection that can be used again. */
+    void release(UpstreamConnection connection) {
+        if (mClosed || !connection.channel().isActive()) {
+            connection.channel().close();
+            return;
+        }
+        connection.idleSinceNanos(mTime.nanos());
+        mIdle.push(connection);
+    }
+
+    /** Takes note that a connection is closed. */
+    void closed(UpstreamConnection connection) {
+        mIdle.remove(connection);
+        mOpen--;
+        mLimit.release();
+    }
+
+    /** Closes connections that have been idle for long. */
+    void closeIdle() {
+        long now = mTime.nanos();
+        while (!mIdle.isEmpty() && now - mIdle.peekLast().idleSinceNanos() > IDLE_NANOS) {
+            mIdle.removeLast().channel().close();
+        }
+    }
+
+    /** Returns how many connections are open or being opened. */
+    int open() {
+        return mOpen;
+    }
+
+    /** Closes the idle connections and gives out no more; those in use close after use. */
+    void close() {
+        mClosed = true;
+        for (UpstreamConnection idle = mIdle.poll(); idle != null; idle = mIdle.poll()) {
+            idle.channel().close();
+        }
+    }
+
+    private @Nullable UpstreamConnection pollIdle() {
+        UpstreamConnection idle = mIdle.poll();
+        while (idle != null && !idle.channel().isActive()) {
+            idle = mIdle.poll();
+        }
+        return idle;
+    }
+
+    private void open(@Nullable UpstreamExchange exchange) {
+        mOpen++;
+        ChannelFuture connecting = mBootstrap.connect(mAddress.socketAddress());
+        connecting.addListener(
+                done -> {
+                    if (done.isSuccess()) {
+                        mSetup.prepare(
+                                connecting.channel(),
+                                failure -> opened(connecting.channel(), exchange, failure));
+                    } else {
+                        mOpen--;
+                        mLimit.release();
+                        refused(exchange, String.valueOf(done.cause().getMessage()));
+                    }
+                });
+    }
+
+    private void opened(
+            Channel channel, @Nullable UpstreamExchange exchange, @Nullable String failure) {
+        if (failure != null || !channel.isActive()) {
+            mOpen--;
+            mLimit.release();
+            channel.close();
+            refused(exchange, failure == null ? "connection closed" : failure);
+            return;
+        }
+        UpstreamConnection connection = new UpstreamConnection(this, channel);
+        channel.pipeline().addLast(connection);
+        if (exchange == null) {
+            release(connection);
+        } else {
+            exchange.onConnection(connection);
+        }
+    }
+
+    private void refused(@Nullable UpstreamExchange exchange, String reason) {
+        if (exchange != null) {
+            exchange.onNoConnection("no connection to " + mAddress + ": " + reason);
+        }
+    }
+
+    /** Sets up the codec of a new connection. */
+    private final class CodecInitializer extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            mSetup.secure(channel);
+            channel.pipeline()
+                    .addLast(new HttpClientCodec(HttpLimits.answerConfig(), false, false));
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/DestinationCall.java
@@ -0,0 +1,64 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import org.azurearch.call.CallFailure;
+import org.azurearch.call.CallHeaders;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Verdict;
+import org.jspecify.annotations.Nullable;
+
+/** A call that another node sends to the backend server behind this one. */
+final class DestinationCall extends InboundCall {
+    private final HopRequest mHop;
+
+    DestinationCall(CallerHandler caller, Lane lane, HttpRequest request, HopRequest hop) {
+        super(caller, lane, request, hop.deadlineMillis());
+        mHop = hop;
+    }
+
+    @Override
+    void start() {
+        if (!lane().servesLocally(mHop)) {
+            fail(
+                    new CallFailure(
+                            Verdict.NOT_RUN,
+                            ErrorCode.NO_BACKEND_SERVER,
+                            "the backend server of that service is not here",
+                            0));
+            return;
+        }
+        HttpRequest head = RequestHeads.forBackend(request(), mHop);
+        Exchange exchange = new BackendExchange(lane(), head, mHop, this);
+        exchange(exchange);
+        exchange.start();
+    }
+
+    @Override
+    void decorate(HttpHeaders headers) {
+        headers.set(CallHeaders.CALL_ID, mHop.callId());
+        headers.set(HopHeaders.FREE_SLOTS, lane().gate().freeSlots());
+    }
+
+    @Override
+    void onFailure(CallFailure failure) {
+        fail(failure);
+    }
+
+    @Override
+    void onBody(HttpContent content) {
+        Exchange exchange = exchange();
+        if (exchange == null) {
+            content.release();
+        } else {
+            exchange.body(content);
+        }
+    }
+
+    @Override
+    void onAnswer() {}
+
+    @Override
+    void onEnd(Verdict verdict, @Nullable ErrorCode code) {}
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopExchange.java
@@ -0,0 +1,129 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.azurearch.call.CallFailure;
+import org.azurearch.call.CallHeaders;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Verdict;
+import org.azurearch.route.EndpointLoad;
+import org.jspecify.annotations.Nullable;
+
+/** An exchange through the node in front of the chosen backend server. */
+final class HopExchange implements Exchange, AnswerSink {
+    private final Lane mLane;
+    private final AnswerSink mSink;
+    private final EndpointLoad mLoad;
+    private final String mCallId;
+    private final UpstreamExchange mUpstream;
+    private @Nullable CallFailure mRefusal;
+
+    HopExchange(Lane lane, EndpointLoad load, HttpRequest head, HopRequest hop, AnswerSink sink) {
+        mLane = lane;
+        mSink = sink;
+        mLoad = load;
+        mCallId = Long.toString(hop.callId());
+        mUpstream =
+                new UpstreamExchange(
+                        lane.hopPool(load.endpoint().calls(), load.endpoint().node()),
+                        head,
+                        this,
+                        ErrorCode.PEER_UNAVAILABLE);
+    }
+
+    @Override
+    public void start() {
+        mUpstream.start();
+    }
+
+    @Override
+    public void body(HttpContent content) {
+        mUpstream.body(content);
+    }
+
+    @Override
+    public void flush() {
+        mUpstream.flush();
+    }
+
+    @Override
+    public boolean writable() {
+        return mUpstream.writable();
+    }
+
+    @Override
+    public void pauseAnswer(boolean paused) {
+        mUpstream.pauseAnswer(paused);
+    }
+
+    @Override
+    public Verdict cancel() {
+        return mUpstream.cancel();
+    }
+
+    @Override
+    public void answerHead(HttpResponse head) {
+        Verdict verdict = verdict(head.headers().get(CallHeaders.VERDICT));
+        if (verdict == null || !mCallId.equals(head.headers().get(CallHeaders.CALL_ID))) {
+            mUpstream.cancel();
+            failed(
+                    CallFailure.of(
+                            Verdict.MAY_HAVE_RUN,
+                            ErrorCode.PEER_UNAVAILABLE,
+                            "the answer belongs to another call"));
+            return;
+        }
+        Integer freeSlots = head.headers().getInt(HopHeaders.FREE_SLOTS);
+        if (freeSlots != null) {
+            mLoad.report(freeSlots, mLane.nanos());
+        }
+        ErrorCode code = ErrorCodes.fromCode(head.headers().get(CallHeaders.CODE));
+        long retryAfterMillis = RetryAfter.millis(head.headers());
+        if (code != null) {
+            mRefusal =
+                    new CallFailure(verdict, code, "refused at the destination", retryAfterMillis);
+            return;
+        }
+        HeaderRules.removeOwn(head.headers());
+        mSink.answerHead(head);
+    }
+
+    @Override
+    public void answerBody(HttpContent content) {
+        CallFailure refusal = mRefusal;
+        if (refusal == null) {
+            mSink.answerBody(content);
+            return;
+        }
+        content.release();
+        if (content instanceof LastHttpContent) {
+            mSink.failed(refusal);
+        }
+    }
+
+    @Override
+    public void answerFlush() {
+        mSink.answerFlush();
+    }
+
+    @Override
+    public void failed(CallFailure failure) {
+        mSink.failed(mRefusal != null ? mRefusal : failure);
+    }
+
+    @Override
+    public void requestWritable() {
+        mSink.requestWritable();
+    }
+
+    private static @Nullable Verdict verdict(@Nullable String text) {
+        for (Verdict verdict : Verdict.values()) {
+            if (verdict.headerValue().equals(text)) {
+                return verdict;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopRequest.java
@@ -0,0 +1,105 @@
+package org.azurearch.internal.call;
+
+import java.util.List;
+import org.azurearch.admit.AdmissionRequest;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.route.Route;
+
+/**
+ * What the entry node tells the destination node of a call. It carries all that admission needs, so
+ * that a call keeps the configuration that it began with.
+ *
+ * @param callId a number that the destination repeats in its answer
+ * @param firm the firm
+ * @param service the service
+ * @param callClass the class
+ * @param priority the rank of the class
+ * @param share the weight of the firm
+ * @param callsPerSecond the firm's limit for one node; 0 for none
+ * @param queueLength the most calls that may wait
+ * @param queueWaitMillis the longest that the call may wait
+ * @param deadlineMillis the time that is left for the call
+ */
+record HopRequest(
+        long callId,
+        String firm,
+        String service,
+        String callClass,
+        int priority,
+        int share,
+        int callsPerSecond,
+        int queueLength,
+        long queueWaitMillis,
+        long deadlineMillis) {
+    private static final String SEPARATOR = ";";
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Creates the request of a call on a route. */
+    static HopRequest of(Route route, long callId, long deadlineMillis) {
+        return new HopRequest(
+                callId,
+                route.firm().name(),
+                route.service().id().name(),
+                route.callClass().id().name(),
+                route.callClass().priority(),
+                route.limits().share(),
+                route.limits().callsPerSecond(),
+                route.policy().queueLength(),
+                route.policy().queueWait().toMillis(),
+                deadlineMillis);
+    }
+
+    /**
+     * Parses the header's value.
+     *
+     * @throws AzurearchException with {@link ErrorCode#BAD_REQUEST} when it is malformed
+     */
+    static HopRequest fromString(String text) {
+        List<String> fields = List.of(text.split(SEPARATOR, -1));
+        try {
+            int next = 0;
+            return new HopRequest(
+                    Long.parseLong(fields.get(next++)),
+                    fields.get(next++),
+                    fields.get(next++),
+                    fields.get(next++),
+                    Integer.parseInt(fields.get(next++)),
+                    Integer.parseInt(fields.get(next++)),
+                    Integer.parseInt(fields.get(next++)),
+                    Integer.parseInt(fields.get(next++)),
+                    Long.parseLong(fields.get(next++)),
+                    Long.parseLong(fields.get(next)));
+        } catch (NumberFormatException | IndexOutOfBoundsException e) {
+            throw new AzurearchException(ErrorCode.BAD_REQUEST, "malformed hop header", e);
+        }
+    }
+
+    /** Returns the header's value. */
+    String text() {
+        return String.join(
+                SEPARATOR,
+                Long.toString(callId),
+                firm,
+                service,
+                callClass,
+                Integer.toString(priority),
+                Integer.toString(share),
+                Integer.toString(callsPerSecond),
+                Integer.toString(queueLength),
+                Long.toString(queueWaitMillis),
+                Long.toString(deadlineMillis));
+    }
+
+    /** Returns what admission goes by, with the deadline counted from now. */
+    AdmissionRequest admission(long nowNanos) {
+        return new AdmissionRequest(
+                priority,
+                firm,
+                share,
+                callsPerSecond,
+                queueLength,
+                queueWaitMillis * NANOS_PER_MILLI,
+                nowNanos + deadlineMillis * NANOS_PER_MILLI);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/InboundCall.java
@@ -0,0 +1,212 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import org.azurearch.call.CallFailure;
+import org.azurearch.call.CallHeaders;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Verdict;
+import org.jspecify.annotations.Nullable;
+
+/** A call that came in on a connection, whoever sent it. Confined to one event loop. */
+abstract class InboundCall implements AnswerSink {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final CallerHandler mCaller;
+    private final Lane mLane;
+    private final HttpRequest mRequest;
+    private final long mStartedNanos;
+    private long mDeadlineNanos;
+    private long mBodyBytes;
+    private @Nullable Exchange mExchange;
+    private boolean mAnswerStarted;
+    private boolean mDone;
+
+    InboundCall(CallerHandler caller, Lane lane, HttpRequest request, long deadlineMillis) {
+        mCaller = caller;
+        mLane = lane;
+        mRequest = request;
+        mStartedNanos = lane.nanos();
+        mDeadlineNanos = mStartedNanos + deadlineMillis * NANOS_PER_MILLI;
+        lane.add(this);
+    }
+
+    /** Begins the call. */
+    abstract void start();
+
+    /** Adds headers to the head of an answer. */
+    abstract void decorate(HttpHeaders headers);
+
+    /** Handles a failure while no part of the answer has gone out. */
+    abstract void onFailure(CallFailure failure);
+
+    /** Passes on a part of the request's body; takes over the reference. */
+    abstract void onBody(HttpContent content);
+
+    /** The answer has begun; no further attempt follows. */
+    abstract void onAnswer();
+
+    /** The call has ended, with a verdict, and a code where it failed. */
+    abstract void onEnd(Verdict verdict, @Nullable ErrorCode code);
+
+    final Lane lane() {
+        return mLane;
+    }
+
+    final HttpRequest request() {
+        return mRequest;
+    }
+
+    final @Nullable Exchange exchange() {
+        return mExchange;
+    }
+
+    final void exchange(@Nullable Exchange exchange) {
+        mExchange = exchange;
+    }
+
+    final long startedNanos() {
+        return mStartedNanos;
+    }
+
+    final void deadline(long deadlineMillis) {
+        mDeadlineNanos = mStartedNanos + deadlineMillis * NANOS_PER_MILLI;
+    }
+
+    /** Returns the time that is left, in milliseconds. */
+    final long leftMillis() {
+        return (mDeadlineNanos - mLane.nanos()) / NANOS_PER_MILLI;
+    }
+
+    final boolean done() {
+        return mDone;
+    }
+
+    /** Takes a part of the request's body from the connection. */
+    final void body(HttpContent content) {
+        if (mDone) {
+            content.release();
+            return;
+        }
+        mBodyBytes += content.content().readableBytes();
+        if (mBodyBytes > mLane.settings().maxBodyBytes()) {
+            content.release();
+            giveUp(ErrorCode.TOO_LARGE, "the request's body is larger than the limit");
+            return;
+        }
+        onBody(content);
+        if (mExchange != null && !mExchange.writable()) {
+            mCaller.pauseRequest(true);
+        }
+    }
+
+    final void requestFlush() {
+        if (mExchange != null) {
+            mExchange.flush();
+        }
+    }
+
+    final void pauseAnswer(boolean paused) {
+        if (mExchange != null) {
+            mExchange.pauseAnswer(paused);
+        }
+    }
+
+    /** The rest of the request cannot be trusted. */
+    final void requestBroken() {
+        giveUp(ErrorCode.BAD_REQUEST, "the request's body is malformed");
+    }
+
+    /** The connection is gone: work that nobody waits for stops. */
+    void callerGone() {
+        if (mDone) {
+            return;
+        }
+        Verdict verdict = cancelExchange();
+        end(verdict, ErrorCode.CANCELLED);
+    }
+
+    /** Ends the call when its deadline has passed. */
+    final void checkDeadline(long nowNanos) {
+        if (!mDone && nowNanos - mDeadlineNanos >= 0) {
+            giveUp(ErrorCode.DEADLINE_EXCEEDED, "the deadline of the call has passed");
+        }
+    }
+
+    @Override
+    public final void answerHead(HttpResponse head) {
+        mAnswerStarted = true;
+        onAnswer();
+        HeaderRules.removeHopByHop(head.headers());
+        head.headers().set(CallHeaders.VERDICT, Verdict.RAN.headerValue());
+        decorate(head.headers());
+        mCaller.writeHead(head);
+        if (!mCaller.writable()) {
+            pauseAnswer(true);
+        }
+    }
+
+    @Override
+    public final void answerBody(HttpContent content) {
+        if (content instanceof LastHttpContent) {
+            end(Verdict.RAN, null);
+        }
+        mCaller.writeBody(content);
+    }
+
+    @Override
+    public final void answerFlush() {
+        mCaller.flush();
+    }
+
+    @Override
+    public final void failed(CallFailure failure) {
+        mExchange = null;
+        if (mAnswerStarted) {
+            end(failure.verdict(), failure.code());
+            mCaller.abort();
+        } else {
+            onFailure(failure);
+        }
+    }
+
+    @Override
+    public final void requestWritable() {
+        mCaller.pauseRequest(false);
+    }
+
+    /** Answers with a failure and ends the call. */
+    final void fail(CallFailure failure) {
+        if (mDone) {
+            return;
+        }
+        end(failure.verdict(), failure.code());
+        mCaller.pauseRequest(false);
+        mCaller.writeProblem(failure, this::decorate);
+    }
+
+    private void giveUp(ErrorCode code, String detail) {
+        Verdict verdict = cancelExchange();
+        if (mAnswerStarted) {
+            end(verdict, code);
+            mCaller.abort();
+        } else {
+            fail(CallFailure.of(verdict, code, detail));
+        }
+    }
+
+    private Verdict cancelExchange() {
+        Verdict verdict = mExchange == null ? Verdict.NOT_RUN : mExchange.cancel();
+        mExchange = null;
+        return verdict;
+    }
+
+    private void end(Verdict verdict, @Nullable ErrorCode code) {
+        mDone = true;
+        mLane.remove(this);
+        onEnd(verdict, code);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ReplayBuffer.java
@@ -0,0 +1,46 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.HttpContent;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Keeps the request's body, up to a limit, until it is sure that no attempt needs it again. */
+final class ReplayBuffer {
+    private static final int MAX_BYTES = 64 * 1024;
+
+    private final List<HttpContent> mParts = new ArrayList<>(2);
+    private int mBytes;
+    private boolean mComplete = true;
+
+    /** Keeps a reference to a part of the body; the caller keeps its own. */
+    void add(HttpContent content) {
+        if (!mComplete) {
+            return;
+        }
+        mBytes += content.content().readableBytes();
+        if (mBytes > MAX_BYTES) {
+            discard();
+        } else {
+            mParts.add(content.retainedDuplicate());
+        }
+    }
+
+    /** Says whether all that has arrived so far can be sent again. */
+    boolean complete() {
+        return mComplete;
+    }
+
+    /** Sends all that is kept. */
+    void replay(Exchange exchange) {
+        for (HttpContent part : mParts) {
+            exchange.body(part.retainedDuplicate());
+        }
+    }
+
+    /** Lets go of all that is kept; nothing can be sent again from now on. */
+    void discard() {
+        mComplete = false;
+        mParts.forEach(HttpContent::release);
+        mParts.clear();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RequestHeads.java
@@ -0,0 +1,35 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import org.azurearch.call.CallHeaders;
+
+/** Makes the heads of requests that are sent on. */
+final class RequestHeads {
+    private RequestHeads() {}
+
+    /** Returns the head for another node. */
+    static HttpRequest forHop(HttpRequest request, HopRequest hop) {
+        HttpRequest head = copy(request);
+        head.headers().set(HopHeaders.HOP, hop.text());
+        return head;
+    }
+
+    /** Returns the head for the backend server. */
+    static HttpRequest forBackend(HttpRequest request, HopRequest hop) {
+        HttpRequest head = copy(request);
+        head.headers().set(CallHeaders.CALL_ID, hop.callId());
+        head.headers().set(CallHeaders.DEADLINE_MILLIS, hop.deadlineMillis());
+        return head;
+    }
+
+    private static HttpRequest copy(HttpRequest request) {
+        HttpHeaders headers = request.headers().copy();
+        HeaderRules.removeHopByHop(headers);
+        HeaderRules.removeOwn(headers);
+        return new DefaultHttpRequest(
+                HttpVersion.HTTP_1_1, request.method(), request.uri(), headers);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RetryAfter.java
@@ -0,0 +1,40 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.azurearch.call.CallHeaders;
+import org.jspecify.annotations.Nullable;
+
+/** Reads and writes when a refused call may be tried again. */
+final class RetryAfter {
+    private static final long MILLIS_PER_SECOND = 1_000L;
+    private static final long MAX_MILLIS = 3_600_000L;
+
+    private RetryAfter() {}
+
+    /** Returns the advice of an answer in milliseconds; 0 when there is none. */
+    static long millis(HttpHeaders headers) {
+        long own = number(headers.get(CallHeaders.RETRY_AFTER_MILLIS));
+        return own > 0 ? own : number(headers.get(HttpHeaderNames.RETRY_AFTER)) * MILLIS_PER_SECOND;
+    }
+
+    /** Writes the advice; nothing for 0. */
+    static void write(HttpHeaders headers, long millis) {
+        if (millis > 0) {
+            headers.set(CallHeaders.RETRY_AFTER_MILLIS, millis);
+            long seconds = (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+            headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
+        }
+    }
+
+    private static long number(@Nullable String text) {
+        if (text == null) {
+            return 0;
+        }
+        try {
+            return Math.max(0, Math.min(MAX_MILLIS, Long.parseLong(text.trim())));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ServiceLoads.java
@@ -0,0 +1,85 @@
+package org.azurearch.internal.call;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Endpoint;
+import org.azurearch.route.Candidates;
+import org.azurearch.route.EndpointLoad;
+import org.azurearch.route.OutlierPolicy;
+import org.azurearch.route.RetryBudget;
+import org.azurearch.route.Route;
+import org.azurearch.settings.NodeIdentity;
+import org.jspecify.annotations.Nullable;
+
+/** The endpoints of a service as one event loop sees them. Confined to that event loop. */
+final class ServiceLoads {
+    private static final int PERCENT = 100;
+
+    private final NodeIdentity mIdentity;
+    private final OutlierPolicy mOutliers;
+    private final RetryBudget mRetryBudget = new RetryBudget();
+    private final Map<NodeId, EndpointLoad> mLoads = new HashMap<>();
+    private @Nullable List<Endpoint> mSeen;
+    private Candidates mCandidates = new Candidates(List.of(), List.of(), List.of(), 0);
+
+    ServiceLoads(NodeIdentity identity, OutlierPolicy outliers) {
+        mIdentity = identity;
+        mOutliers = outliers;
+    }
+
+    RetryBudget retryBudget() {
+        return mRetryBudget;
+    }
+
+    /** Returns the candidates, after a look at what the membership knows now. */
+    Candidates candidates(List<Endpoint> endpoints, Route route) {
+        if (endpoints != mSeen
+                || mCandidates.slowStartMillis() != route.service().slowStart().toMillis()) {
+            rebuild(endpoints, route.service().slowStart().toMillis());
+            mSeen = endpoints;
+        }
+        return mCandidates;
+    }
+
+    /** Notes a failure, and ejects the endpoint unless too many are ejected already. */
+    void failed(EndpointLoad load, long nowNanos) {
+        if (!load.failed()) {
+            return;
+        }
+        long ejected = mLoads.values().stream().filter(each -> each.ejected(nowNanos)).count();
+        if ((ejected + 1) * PERCENT <= (long) mLoads.size() * mOutliers.maxEjectedPercent()) {
+            load.eject(nowNanos);
+        }
+    }
+
+    private void rebuild(List<Endpoint> endpoints, long slowStartMillis) {
+        Map<NodeId, EndpointLoad> before = new HashMap<>(mLoads);
+        mLoads.clear();
+        List<EndpointLoad> local = new ArrayList<>();
+        List<EndpointLoad> near = new ArrayList<>();
+        List<EndpointLoad> far = new ArrayList<>();
+        for (Endpoint endpoint : endpoints) {
+            EndpointLoad load = carriedOver(before.get(endpoint.node()), endpoint);
+            mLoads.put(endpoint.node(), load);
+            if (endpoint.dataCentre().equals(mIdentity.dataCentre())) {
+                local.add(load);
+            } else if (endpoint.region().equals(mIdentity.region())) {
+                near.add(load);
+            } else {
+                far.add(load);
+            }
+        }
+        mCandidates = new Candidates(local, near, far, slowStartMillis);
+    }
+
+    private EndpointLoad carriedOver(@Nullable EndpointLoad before, Endpoint endpoint) {
+        if (before != null && before.endpoint().nodeIncarnation() == endpoint.nodeIncarnation()) {
+            before.update(endpoint);
+            return before;
+        }
+        return new EndpointLoad(endpoint, mOutliers);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
@@ -0,0 +1,115 @@
+package org.azurearch.internal.call;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+/** A connection to a backend server or to another node. It carries one exchange at a time. */
+final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+    private final ConnectionPool mPool;
+    private final Channel mChannel;
+    private @Nullable UpstreamExchange mExchange;
+    private boolean mSkippingInterim;
+    private long mIdleSinceNanos;
+
+    UpstreamConnection(ConnectionPool pool, Channel channel) {
+        mPool = pool;
+        mChannel = channel;
+    }
+
+    Channel channel() {
+        return mChannel;
+    }
+
+    /** Hands the connection to an exchange, or takes it back. */
+    void exchange(@Nullable UpstreamExchange exchange) {
+        mExchange = exchange;
+    }
+
+    long idleSinceNanos() {
+        return mIdleSinceNanos;
+    }
+
+    void idleSinceNanos(long nanos) {
+        mIdleSinceNanos = nanos;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        UpstreamExchange exchange = mExchange;
+        if (exchange == null) {
+            ReferenceCountUtil.release(message);
+            mChannel.close();
+        } else if (message instanceof HttpResponse head) {
+            readHead(exchange, head);
+        } else if (message instanceof HttpContent content) {
+            readContent(exchange, content);
+        } else {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mExchange != null) {
+            mExchange.onReadComplete();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mExchange != null && mChannel.isWritable()) {
+            mExchange.onWritable();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mPool.closed(this);
+        UpstreamExchange exchange = mExchange;
+        mExchange = null;
+        if (exchange != null) {
+            exchange.onClosed();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        mChannel.close();
+    }
+
+    private void readHead(UpstreamExchange exchange, HttpResponse head) {
+        if (head.decoderResult().isFailure()) {
+            ReferenceCountUtil.release(head);
+            exchange.onMalformed("malformed answer: " + head.decoderResult().cause().getMessage());
+        } else if (isInterim(head)) {
+            mSkippingInterim = true;
+        } else {
+            exchange.onHead(head);
+        }
+    }
+
+    private void readContent(UpstreamExchange exchange, HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            content.release();
+            exchange.onMalformed("malformed body of an answer");
+        } else if (mSkippingInterim) {
+            mSkippingInterim = !(content instanceof LastHttpContent);
+            content.release();
+        } else {
+            exchange.onContent(content);
+        }
+    }
+
+    private static boolean isInterim(HttpResponse head) {
+        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                && head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
@@ -0,0 +1,225 @@
+package org.azurearch.internal.call;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.azurearch.call.CallFailure;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Verdict;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An exchange over one upstream connection.
+ *
+ * <p>The request counts as sent once the connection has taken the whole head: a server that has
+ * received less cannot have run it. A connection whose exchange did not end in good order is
+ * closed, so that a late answer never meets another request.
+ */
+final class UpstreamExchange implements Exchange {
+    private final ConnectionPool mPool;
+    private final HttpRequest mHead;
+    private final AnswerSink mSink;
+    private final ErrorCode mFailureCode;
+    private final Deque<HttpContent> mPending = new ArrayDeque<>();
+    private @Nullable UpstreamConnection mConnection;
+    private boolean mHeadSent;
+    private boolean mRequestEnded;
+    private boolean mAnswerStarted;
+    private boolean mKeepAlive;
+    private boolean mDone;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param pool where the connection comes from
+     * @param head the request's head
+     * @param sink takes the answer
+     * @param failureCode the code of a failure of the connection
+     */
+    UpstreamExchange(
+            ConnectionPool pool, HttpRequest head, AnswerSink sink, ErrorCode failureCode) {
+        mPool = pool;
+        mHead = head;
+        mSink = sink;
+        mFailureCode = failureCode;
+    }
+
+    @Override
+    public void start() {
+        mPool.acquire(this);
+    }
+
+    @Override
+    public void body(HttpContent content) {
+        UpstreamConnection connection = mConnection;
+        if (mDone) {
+            content.release();
+        } else if (connection == null) {
+            mPending.add(content);
+        } else {
+            write(connection.channel(), content);
+        }
+    }
+
+    @Override
+    public void flush() {
+        if (!mDone && mConnection != null) {
+            mConnection.channel().flush();
+        }
+    }
+
+    @Override
+    public boolean writable() {
+        UpstreamConnection connection = mConnection;
+        return mDone || (connection != null && connection.channel().isWritable());
+    }
+
+    @Override
+    public void pauseAnswer(boolean paused) {
+        if (!mDone && mConnection != null) {
+            mConnection.channel().config().setAutoRead(!paused);
+        }
+    }
+
+    @Override
+    public Verdict cancel() {
+        if (!mDone) {
+            abandon();
+        }
+        return sentVerdict();
+    }
+
+    void onConnection(UpstreamConnection connection) {
+        if (mDone) {
+            mPool.release(connection);
+            return;
+        }
+        mConnection = connection;
+        connection.exchange(this);
+        Channel channel = connection.channel();
+        channel.write(mHead).addListener(written -> mHeadSent = written.isSuccess());
+        for (HttpContent next = mPending.poll(); next != null; next = mPending.poll()) {
+            write(channel, next);
+        }
+        channel.flush();
+        if (!mDone && channel.isWritable()) {
+            mSink.requestWritable();
+        }
+    }
+
+    void onNoConnection(String reason) {
+        if (!mDone) {
+            fail(reason);
+        }
+    }
+
+    void onHead(HttpResponse head) {
+        if (mDone) {
+            return;
+        }
+        if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            onMalformed("the server switched protocols unasked");
+        } else if (!framed(head)) {
+            onMalformed("the answer does not say where it ends");
+        } else {
+            mAnswerStarted = true;
+            mKeepAlive = HttpUtil.isKeepAlive(head);
+            mSink.answerHead(head);
+        }
+    }
+
+    void onContent(HttpContent content) {
+        if (mDone || !mAnswerStarted) {
+            content.release();
+            return;
+        }
+        if (content instanceof LastHttpContent) {
+            finish();
+        }
+        mSink.answerBody(content);
+    }
+
+    void onReadComplete() {
+        if (!mDone) {
+            mSink.answerFlush();
+        }
+    }
+
+    void onWritable() {
+        if (!mDone) {
+            mSink.requestWritable();
+        }
+    }
+
+    void onMalformed(String reason) {
+        if (!mDone) {
+            fail(reason);
+        }
+    }
+
+    void onClosed() {
+        if (!mDone) {
+            fail(mAnswerStarted ? "the answer was cut off" : "the connection was lost");
+        }
+    }
+
+    private void fail(String reason) {
+        abandon();
+        mSink.failed(CallFailure.of(sentVerdict(), mFailureCode, reason));
+    }
+
+    private void finish() {
+        mDone = true;
+        UpstreamConnection connection = mConnection;
+        if (connection == null) {
+            return;
+        }
+        connection.exchange(null);
+        if (mRequestEnded && mKeepAlive) {
+            connection.channel().config().setAutoRead(true);
+            mPool.release(connection);
+        } else {
+            connection.channel().close();
+        }
+    }
+
+    private void abandon() {
+        mDone = true;
+        releasePending();
+        if (mConnection != null) {
+            mConnection.exchange(null);
+            mConnection.channel().close();
+        }
+    }
+
+    private void write(Channel channel, HttpContent content) {
+        mRequestEnded |= content instanceof LastHttpContent;
+        channel.write(content, channel.voidPromise());
+    }
+
+    private void releasePending() {
+        mPending.forEach(HttpContent::release);
+        mPending.clear();
+    }
+
+    private Verdict sentVerdict() {
+        return mHeadSent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    }
+
+    private boolean framed(HttpResponse head) {
+        int status = head.status().code();
+        return mHead.method().equals(HttpMethod.HEAD)
+                || status == HttpResponseStatus.NO_CONTENT.code()
+                || status == HttpResponseStatus.NOT_MODIFIED.code()
+                || HttpUtil.isTransferEncodingChunked(head)
+                || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/package-info.java
@@ -0,0 +1,5 @@
+/** Data path on Netty. */
+@NullMarked
+package org.azurearch.internal.call;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/route/LeastLoadedBalancer.java
@@ -0,0 +1,21 @@
+package org.azurearch.route;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Takes the endpoint with the lowest reported load of all, wherever it is; for comparison. */
+public final class LeastLoadedBalancer implements Balancer {
+    @Override
+    public @Nullable EndpointLoad choose(Candidates candidates, ChoiceContext context) {
+        List<EndpointLoad> all = new ArrayList<>();
+        candidates.tiers().forEach(tier -> all.addAll(EligibleEndpoints.of(tier, context)));
+        EndpointLoad best = null;
+        for (EndpointLoad load : all) {
+            if (best == null || load.busy(context.nowNanos()) < best.busy(context.nowNanos())) {
+                best = load;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/route/PowerOfTwoBalancer.java
@@ -0,0 +1,46 @@
+package org.azurearch.route;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes the less loaded of two endpoints drawn at random from the nearest tier, and goes on to a
+ * farther tier only while the nearer one has no free slot. Ejected endpoints are used only where
+ * nothing else is left.
+ */
+public final class PowerOfTwoBalancer implements Balancer {
+    @Override
+    public @Nullable EndpointLoad choose(Candidates candidates, ChoiceContext context) {
+        EndpointLoad fallback = null;
+        for (List<EndpointLoad> tier : candidates.tiers()) {
+            EndpointLoad best = better(tier, candidates.slowStartMillis(), context);
+            if (best != null && !best.saturated(context.nowNanos())) {
+                return best;
+            }
+            fallback = fallback == null ? best : fallback;
+        }
+        return fallback != null ? fallback : EligibleEndpoints.anyEjected(candidates, context);
+    }
+
+    private static @Nullable EndpointLoad better(
+            List<EndpointLoad> tier, long slowStartMillis, ChoiceContext context) {
+        List<EndpointLoad> eligible = EligibleEndpoints.of(tier, context);
+        int count = eligible.size();
+        if (count <= 1) {
+            return count == 0 ? null : eligible.get(0);
+        }
+        RandomGenerator random = context.random();
+        int first = random.nextInt(count);
+        int second = random.nextInt(count - 1);
+        second += second >= first ? 1 : 0;
+        EndpointLoad a = eligible.get(first);
+        EndpointLoad b = eligible.get(second);
+        return score(a, slowStartMillis, context) <= score(b, slowStartMillis, context) ? a : b;
+    }
+
+    private static double score(EndpointLoad load, long slowStartMillis, ChoiceContext context) {
+        double share = load.endpoint().slots() * load.warmth(slowStartMillis, context.wallMillis());
+        return (load.busy(context.nowNanos()) + 1) / Math.max(share, Double.MIN_NORMAL);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/route/RouteTable.java
@@ -0,0 +1,127 @@
+package org.azurearch.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.azurearch.config.MeshConfig;
+import org.azurearch.config.RouteConfig;
+import org.azurearch.config.SiteConfig;
+import org.azurearch.lib.FirmId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The routes of one configuration, compiled for matching; immutable.
+ *
+ * <p>A route that names the call's host goes before one for any host; then the longest prefix of
+ * whole path segments goes first. Where routes of several firms are equal in this, the firm whose
+ * name sorts first has the call, unless the call names its firm.
+ */
+public final class RouteTable {
+    /** The table without any route. */
+    public static final RouteTable EMPTY = new RouteTable(Map.of());
+
+    private static final String ANY_HOST = "";
+
+    private final Map<String, Map<String, List<Route>>> mByHost;
+
+    private RouteTable(Map<String, Map<String, List<Route>>> byHost) {
+        mByHost = byHost;
+    }
+
+    /** Compiles the routes of all firms of a configuration. */
+    public static RouteTable compile(MeshConfig config) {
+        Map<String, Map<String, List<Route>>> byHost = new HashMap<>();
+        Map<FirmId, SiteConfig> firms = new TreeMap<>(config.firms());
+        firms.forEach(
+                (firm, site) -> {
+                    site.routes().values().stream()
+                            .sorted(Comparator.comparing(RouteConfig::id))
+                            .forEach(route -> add(byHost, resolve(firm, site, route)));
+                });
+        return new RouteTable(byHost);
+    }
+
+    /**
+     * Finds the route of a call.
+     *
+     * @param firm the name of the firm that the call asks for, or null for any
+     * @param host the host that the call names, without port, in lower case
+     * @param path the path, without query
+     * @param method the HTTP method
+     * @return the route, or null when none matches
+     */
+    public @Nullable Route match(@Nullable String firm, String host, String path, String method) {
+        Route named = matchHost(mByHost.get(host), firm, path, method);
+        return named != null ? named : matchHost(mByHost.get(ANY_HOST), firm, path, method);
+    }
+
+    private static @Nullable Route matchHost(
+            @Nullable Map<String, List<Route>> byPrefix,
+            @Nullable String firm,
+            String path,
+            String method) {
+        if (byPrefix == null) {
+            return null;
+        }
+        String prefix = trimmed(path);
+        while (true) {
+            Route route = matchPrefix(byPrefix.get(prefix), firm, method);
+            if (route != null || prefix.isEmpty()) {
+                return route;
+            }
+            prefix = prefix.substring(0, Math.max(0, prefix.lastIndexOf('/')));
+        }
+    }
+
+    private static @Nullable Route matchPrefix(
+            @Nullable List<Route> routes, @Nullable String firm, String method) {
+        if (routes == null) {
+            return null;
+        }
+        for (Route route : routes) {
+            boolean methodMatches =
+                    route.config().methods().isEmpty() || route.config().methods().contains(method);
+            if (methodMatches && (firm == null || route.firm().name().equals(firm))) {
+                return route;
+            }
+        }
+        return null;
+    }
+
+    private static void add(Map<String, Map<String, List<Route>>> byHost, Route route) {
+        byHost.computeIfAbsent(
+                        route.config().host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
+                .computeIfAbsent(trimmed(route.config().pathPrefix()), prefix -> new ArrayList<>())
+                .add(route);
+    }
+
+    private static Route resolve(FirmId firm, SiteConfig site, RouteConfig route) {
+        return new Route(
+                firm,
+                site.version(),
+                route,
+                required(site.services().get(route.service()), route),
+                required(site.classes().get(route.callClass()), route),
+                required(site.policies().get(route.policy()), route),
+                site.limits());
+    }
+
+    private static <T> T required(@Nullable T value, RouteConfig route) {
+        if (value == null) {
+            throw new IllegalStateException("route " + route.id() + " has a dangling reference");
+        }
+        return value;
+    }
+
+    private static String trimmed(String path) {
+        int end = path.length();
+        while (end > 0 && path.charAt(end - 1) == '/') {
+            end--;
+        }
+        return path.substring(0, end);
+    }
+}
