Add check, render and diff commands with the firms' examples

Operators could not see before publishing what a base and its overlays give at each site, nor which line set a value. The three commands judge files as the fold would, print the merged configuration with file and line behind each value, and list what would change per site.

--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/api/CheckCommand.java
@@ -0,0 +1,45 @@
+package org.azurearch.api;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.errors.Problem;
+import org.azurearch.errors.SourceLocation;
+import org.azurearch.fold.Folds;
+
+/** Checks bases and overlays as the mesh would judge them, without publishing anything. */
+public final class CheckCommand {
+    private final DocumentSet mDocuments = new DocumentSet();
+    private int mRuleSet = Folds.NEWEST_RULE_SET;
+
+    /** Adds a file, or all YAML files below a folder. */
+    public CheckCommand addFile(Path path) {
+        mDocuments.add(path);
+        return this;
+    }
+
+    /** Adds a document. */
+    public CheckCommand addDocument(FirmDocument document) {
+        mDocuments.add(document);
+        return this;
+    }
+
+    /** Sets the rule set to judge by; the newest one that this program knows by default. */
+    public CheckCommand setRuleSet(int ruleSet) {
+        mRuleSet = ruleSet;
+        return this;
+    }
+
+    /** Checks the documents and returns every problem found. */
+    public CheckResult call() {
+        List<Problem> problems = new ArrayList<>(mDocuments.problems(mRuleSet));
+        if (problems.isEmpty() && mDocuments.firms().isEmpty()) {
+            SourceLocation nowhere = new SourceLocation("input", 0);
+            problems.add(new Problem(ErrorCode.INVALID, nowhere, "there is no document to check"));
+        }
+        CheckResult.Status status =
+                problems.isEmpty() ? CheckResult.Status.VALID : CheckResult.Status.INVALID;
+        return new CheckResult(status, problems);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/fold/FoldEvent.java
@@ -0,0 +1,40 @@
+package org.azurearch.fold;
+
+import org.azurearch.events.EventCode;
+
+/** Events of the fold. */
+public enum FoldEvent implements EventCode {
+    /** A change became a version. */
+    CHANGE_ACCEPTED(200, Level.INFO, "change {} accepted as {}"),
+    /** A change was refused. */
+    CHANGE_REFUSED(201, Level.INFO, "change {} of firm {} refused: {} {}"),
+    /** A record that is not a change was passed over. */
+    RECORD_SKIPPED(202, Level.WARN, "malformed record at offset {} passed over"),
+    /** The rule set was raised. */
+    RULE_SET_RAISED(203, Level.INFO, "rule set raised from {} to {} at offset {}");
+
+    private final int mNumber;
+    private final Level mLevel;
+    private final String mMessage;
+
+    FoldEvent(int number, Level level, String message) {
+        mNumber = number;
+        mLevel = level;
+        mMessage = message;
+    }
+
+    @Override
+    public int number() {
+        return mNumber;
+    }
+
+    @Override
+    public Level level() {
+        return mLevel;
+    }
+
+    @Override
+    public String message() {
+        return mMessage;
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/config/MergedText.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/MergedText.java
@@ -66,7 +66,7 @@
         String value = inline(entry.value());
         mText.append(' ').append(value);
         if (!(entry.value() instanceof YamlMapping)) {
-            SourceLocation location = locationOf(entry);
+            SourceLocation location = shown(entry.location());
             mValues.add(new Provenance(path, value, location));
             if (mExplain) {
                 mText.append("  # ").append(location.name());
@@ -75,12 +75,14 @@
         mText.append('\n');
     }
 
-    private static SourceLocation locationOf(YamlEntry entry) {
-        boolean isDefault = entry.location().file().equals(DocumentMerge.DEFAULTS_FILE);
-        return isDefault ? new SourceLocation(DocumentMerge.DEFAULTS_FILE, 0) : entry.location();
+    /** Returns a location as it is shown; a default has no line. */
+    static SourceLocation shown(SourceLocation location) {
+        boolean isDefault = location.file().equals(DocumentMerge.DEFAULTS_FILE);
+        return isDefault ? new SourceLocation(DocumentMerge.DEFAULTS_FILE, 0) : location;
     }
 
-    private static String inline(YamlNode node) {
+    /** Returns a value on one line. */
+    public static String inline(YamlNode node) {
         if (node instanceof YamlScalar scalar) {
             return scalar.value() instanceof String text ? quoted(text) : scalar.text();
         }
@@ -88,7 +90,11 @@
             List<String> items = list.items().stream().map(MergedText::inline).toList();
             return "[" + String.join(", ", items) + "]";
         }
-        return "{}";
+        List<String> fields = new ArrayList<>();
+        for (YamlEntry entry : ((YamlMapping) node).entries().values()) {
+            fields.add(entry.key() + ": " + inline(entry.value()));
+        }
+        return "{" + String.join(", ", fields) + "}";
     }
 
     private static String quoted(String text) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmContent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmContent.java
@@ -16,6 +16,7 @@
 import org.azurearch.errors.SourceLocation;
 import org.azurearch.fold.Document;
 import org.azurearch.fold.DocumentName;
+import org.azurearch.internal.config.DocumentMerge;
 import org.azurearch.internal.config.ParsedDocument;
 import org.azurearch.internal.config.SiteCompiler;
 import org.azurearch.internal.yaml.SchemaCheck;
@@ -23,13 +24,15 @@
 import org.azurearch.lib.FirmId;
 import org.azurearch.lib.SiteId;
 import org.azurearch.lib.VersionId;
+import org.azurearch.yaml.YamlMapping;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The documents of a firm that belong together; immutable. Parsed documents, judgements and the
  * compiled sites asked for are kept and handed on to the content that follows, so that a change
  * costs what it touches.
  */
-final class FirmContent {
+public final class FirmContent {
     private static final SiteId SITE_WITHOUT_OVERLAY = SiteId.fromString("site-without-overlay");
 
     private final FirmId mFirm;
@@ -39,13 +42,13 @@
     private final Map<SiteId, SiteConfig> mCompiled = new ConcurrentHashMap<>();
 
     /** Creates content that has nothing in common with earlier content. */
-    FirmContent(FirmId firm, Map<DocumentName, Document> documents) {
+    public FirmContent(FirmId firm, Map<DocumentName, Document> documents) {
         mFirm = firm;
         mDocuments = Collections.unmodifiableSortedMap(new TreeMap<>(documents));
     }
 
     /** Returns the content with other documents, reusing what they have in common. */
-    FirmContent with(Map<DocumentName, Document> documents) {
+    public FirmContent with(Map<DocumentName, Document> documents) {
         FirmContent next = new FirmContent(mFirm, documents);
         mParsed.forEach(
                 (name, parsed) -> {
@@ -61,12 +64,12 @@
     }
 
     /** Returns the documents, sorted by name. */
-    SortedMap<DocumentName, Document> documents() {
+    public SortedMap<DocumentName, Document> documents() {
         return mDocuments;
     }
 
     /** Returns the digest over the names and texts. */
-    Digest digest() {
+    public Digest digest() {
         List<byte[]> parts = new ArrayList<>();
         parts.add(mFirm.name().getBytes(StandardCharsets.UTF_8));
         mDocuments.forEach(
@@ -82,7 +85,7 @@
      *
      * @return the problems, sorted; empty when all sites are valid
      */
-    List<Problem> problems(int ruleSet) {
+    public List<Problem> problems(int ruleSet) {
         List<Problem> problems = new ArrayList<>();
         mDocuments.values().forEach(document -> checkDocument(document, problems));
         if (!problems.isEmpty() || mDocuments.isEmpty()) {
@@ -107,7 +110,7 @@
      *
      * @param version the version that the configuration is of
      */
-    SiteConfig at(SiteId site, VersionId version, int ruleSet) {
+    public SiteConfig at(SiteId site, VersionId version, int ruleSet) {
         SiteConfig config = mCompiled.computeIfAbsent(site, key -> compile(key, ruleSet));
         return new SiteConfig(
                 version,
@@ -120,7 +123,20 @@
                 config.limits());
     }
 
-    private List<SiteId> sites() {
+    /**
+     * Returns the merged document of a site with its defaults. The content must be valid.
+     *
+     * @param site the site, or null for one without an overlay
+     */
+    public YamlMapping merged(@Nullable SiteId site) {
+        Document overlay = site == null ? null : mDocuments.get(DocumentName.overlay(site));
+        List<Problem> problems = new ArrayList<>();
+        ParsedDocument over = overlay == null ? null : parsed(overlay);
+        return DocumentMerge.merge(parsed(base()), over, problems);
+    }
+
+    /** Returns the sites that have an overlay, sorted. */
+    public List<SiteId> sites() {
         return mDocuments.keySet().stream().flatMap(name -> name.overlaySite().stream()).toList();
     }
 
@@ -161,19 +177,23 @@
     }
 
     private SiteConfig compile(SiteId site, int ruleSet) {
-        Document base = mDocuments.get(DocumentName.BASE);
-        if (base == null) {
-            throw new IllegalStateException("firm " + mFirm + " has no base");
-        }
         Document overlay = mDocuments.get(DocumentName.overlay(site));
         return SiteCompiler.compile(
                 new VersionId(mFirm, 0),
                 site,
-                parsed(base),
+                parsed(base()),
                 overlay == null ? null : parsed(overlay),
                 ruleSet);
     }
 
+    private Document base() {
+        Document base = mDocuments.get(DocumentName.BASE);
+        if (base == null) {
+            throw new IllegalStateException("firm " + mFirm + " has no base");
+        }
+        return base;
+    }
+
     private <V> void copySame(FirmContent next, Map<SiteId, V> from, Map<SiteId, V> to) {
         from.forEach(
                 (site, value) -> {
