--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/BackendHandler.java
@@ -0,0 +1,178 @@
+package org.azurearch.standin.backend;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.azurearch.member.BackendState;
+import org.azurearch.standin.http.HttpCall;
+import org.azurearch.standin.http.HttpHandler;
+import org.azurearch.standin.http.HttpReply;
+import org.azurearch.time.TimeSource;
+
+/** Runs requests in slots. Requests arrive on one event loop; the counts may be read anywhere. */
+final class BackendHandler implements HttpHandler {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final long PROMPT_NANOS = 50_000L;
+
+    private final BackendOptions mOptions;
+    private final RunCounter mRunCounter;
+    private final TimeSource mTime;
+    private final Runnable mCrash;
+    private final RandomGenerator mRandom;
+    private final long mStartNanos;
+    private final LaggedLoad mLoad;
+    private final AtomicInteger mInUse = new AtomicInteger();
+    private final LongAdder mRuns = new LongAdder();
+    private final LongAdder mFinished = new LongAdder();
+    private final LongAdder mShed = new LongAdder();
+    private final LongAdder mCancelled = new LongAdder();
+    private volatile BackendState mState = BackendState.STARTING;
+
+    BackendHandler(BackendOptions options, RunCounter runCounter, TimeSource time, Runnable crash) {
+        mOptions = options;
+        mRunCounter = runCounter;
+        mTime = time;
+        mCrash = crash;
+        mRandom = RandomGeneratorFactory.of("L64X128MixRandom").create(options.seed());
+        mStartNanos = time.nanos();
+        mLoad = new LaggedLoad(options.reports().lag());
+    }
+
+    private record LoadReport(int slots, int inUse, String state) {}
+
+    private record RunsReport(long runs, long doubleRuns) {}
+
+    private record KeyReport(int runs) {}
+
+    @Override
+    public void handle(HttpCall call) {
+        switch (call.path()) {
+            case "/health" -> later(call, health(), mOptions.reports().probeCost().toNanos());
+            case "/load" -> call.reply(load());
+            case "/runs" -> call.reply(runs(call.parameter("key")));
+            case "/statistics" -> call.reply(HttpReply.ok(statistics(0)));
+            case "/crash" -> mCrash.run();
+            default -> admit(call);
+        }
+    }
+
+    BackendState state() {
+        return mState;
+    }
+
+    void state(BackendState state) {
+        mState = state;
+    }
+
+    int inUse() {
+        return mInUse.get();
+    }
+
+    BackendStatistics statistics(int connections) {
+        return new BackendStatistics(
+                mRuns.sum(),
+                mFinished.sum(),
+                mShed.sum(),
+                mCancelled.sum(),
+                mRunCounter.doubleRuns(),
+                mInUse.get(),
+                connections);
+    }
+
+    private void admit(HttpCall call) {
+        if (mState != BackendState.READY || mInUse.get() >= mOptions.slots()) {
+            mShed.increment();
+            call.reply(HttpReply.problem(UNAVAILABLE, "shed").with("retry-after", "1"));
+            return;
+        }
+        mInUse.incrementAndGet();
+        run(call);
+    }
+
+    private void run(HttpCall call) {
+        int timesRun = mRunCounter.count(key(call));
+        mRuns.increment();
+        if (call.header("x-crash").isPresent()) {
+            mCrash.run();
+            return;
+        }
+        boolean[] ended = new boolean[1];
+        call.onDisconnect(
+                () -> {
+                    ended[0] = true;
+                    mCancelled.increment();
+                    mInUse.decrementAndGet();
+                });
+        long nanos = workNanos(call);
+        Runnable finish =
+                () -> {
+                    if (!ended[0]) {
+                        finish(call, timesRun);
+                    }
+                };
+        if (nanos < PROMPT_NANOS) {
+            finish.run();
+        } else {
+            call.eventLoop().schedule(finish, nanos, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private long workNanos(HttpCall call) {
+        double cold = mOptions.coldStart().factor(mTime.nanos() - mStartNanos);
+        long work = (long) (mOptions.serviceTime().sampleNanos(mRandom) * cold);
+        long connection = call.firstOnConnection() ? mOptions.connectionCost().toNanos() : 0;
+        return work + connection;
+    }
+
+    private void finish(HttpCall call, int timesRun) {
+        mInUse.decrementAndGet();
+        mFinished.increment();
+        String nonce = call.header(EchoAnswer.NONCE_HEADER).orElse("");
+        int bytes = call.header(EchoAnswer.ANSWER_BYTES_HEADER).map(Integer::parseInt).orElse(0);
+        byte[] body = EchoAnswer.of(nonce, call.body(), bytes);
+        Map<String, String> headers =
+                Map.of(
+                        "content-type",
+                        "text/plain",
+                        EchoAnswer.NONCE_HEADER,
+                        nonce,
+                        "x-times-run",
+                        Integer.toString(timesRun));
+        call.reply(new HttpReply(OK, headers, body));
+    }
+
+    private HttpReply health() {
+        boolean healthy = mOptions.reports().misleading() || mState == BackendState.READY;
+        return HttpReply.json(healthy ? OK : UNAVAILABLE, Map.of("state", mState.name()));
+    }
+
+    private HttpReply load() {
+        boolean misleading = mOptions.reports().misleading();
+        int told = misleading ? 0 : mLoad.read(mInUse.get(), mTime.nanos());
+        return HttpReply.ok(new LoadReport(mOptions.slots(), told, mState.name()));
+    }
+
+    private HttpReply runs(Optional<String> key) {
+        if (key.isPresent()) {
+            return HttpReply.ok(new KeyReport(mRunCounter.runs(key.get())));
+        }
+        return HttpReply.ok(new RunsReport(mRunCounter.runs(), mRunCounter.doubleRuns()));
+    }
+
+    private static String key(HttpCall call) {
+        return call.header("run-key").or(() -> call.header("idempotency-key")).orElse("");
+    }
+
+    private static void later(HttpCall call, HttpReply reply, long nanos) {
+        if (nanos > 0) {
+            call.eventLoop().schedule(() -> call.reply(reply), nanos, TimeUnit.NANOSECONDS);
+        } else {
+            call.reply(reply);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/LaggedLoad.java
@@ -0,0 +1,24 @@
+package org.azurearch.standin.backend;
+
+import java.time.Duration;
+
+/** A load figure that is refreshed only when it has grown too old. Not thread-safe. */
+final class LaggedLoad {
+    private final long mLagNanos;
+    private long mTakenNanos;
+    private int mTold;
+    private boolean mHasValue;
+
+    LaggedLoad(Duration lag) {
+        mLagNanos = lag.toNanos();
+    }
+
+    int read(int actual, long nowNanos) {
+        if (!mHasValue || nowNanos - mTakenNanos >= mLagNanos) {
+            mTold = actual;
+            mTakenNanos = nowNanos;
+            mHasValue = true;
+        }
+        return mTold;
+    }
+}
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpCall.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpCall.java
@@ -23,6 +23,7 @@
     private final HttpHeaders mHeaders;
     private final byte[] mBody;
     private final boolean mKeepAlive;
+    private final boolean mFirstOnConnection;
     private volatile Runnable mOnDisconnect = NOTHING;
 
     HttpCall(
@@ -31,13 +32,15 @@
             String uri,
             HttpHeaders headers,
             byte[] body,
-            boolean keepAlive) {
+            boolean keepAlive,
+            boolean firstOnConnection) {
         mChannel = channel;
         mMethod = method;
         mUri = new QueryStringDecoder(uri);
         mHeaders = headers;
         mBody = body;
         mKeepAlive = keepAlive;
+        mFirstOnConnection = firstOnConnection;
     }
 
     /** Returns the HTTP method, upper-case. */
@@ -79,6 +82,11 @@
         return mChannel.eventLoop();
     }
 
+    /** Says whether this is the first request on its connection. */
+    public boolean firstOnConnection() {
+        return mFirstOnConnection;
+    }
+
     /** Says whether the caller is still connected. */
     public boolean connected() {
         return mChannel.isActive();
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpServer.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpServer.java
@@ -22,6 +22,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.standin.StandinEvent;
@@ -36,6 +37,7 @@
 
     private final EventLoopGroup mLoops;
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicBoolean mClosed = new AtomicBoolean();
     private final Channel mListener;
 
     private HttpServer(NetAddress listen, Limits limits, HttpHandler handler) {
@@ -89,6 +91,9 @@
     /** Closes all connections at once and ends the threads. */
     @Override
     public void close() {
+        if (mClosed.getAndSet(true)) {
+            return;
+        }
         mListener.close().syncUninterruptibly();
         mConnections.close().awaitUninterruptibly(STOP_MILLIS);
         mLoops.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS);
@@ -145,7 +150,8 @@
                             request.uri(),
                             request.headers(),
                             ByteBufUtil.getBytes(request.content()),
-                            HttpUtil.isKeepAlive(request));
+                            HttpUtil.isKeepAlive(request),
+                            mCurrent == null);
             mCurrent = call;
             if (request.decoderResult().isFailure()) {
                 call.reply(HttpReply.problem(BAD_REQUEST, "malformed HTTP message"));
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/proxy/package-info.java
@@ -0,0 +1,5 @@
+/** Proxy for TCP connections that injects faults between real processes. */
+@NullMarked
+package org.azurearch.standin.proxy;
+
+import org.jspecify.annotations.NullMarked;
