--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/CoreContext.java
@@ -0,0 +1,197 @@
+package org.azurearch.internal.spread;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventCode;
+import org.azurearch.fold.FoldState;
+import org.azurearch.log.LogRecord;
+import org.azurearch.spread.Position;
+import org.azurearch.spread.Source;
+
+/** What the parts of the distribution core share: the state, the topology and the effects. */
+final class CoreContext {
+    private final SpreadSettings mSettings;
+    private final FoldFormat mFormat;
+    private final RandomGenerator mRandom;
+    private final List<SpreadEffect> mEffects = new ArrayList<>();
+    private Topology mTopology;
+    private History mHistory;
+    private Source mSource = Source.NONE;
+    private String mHeld = "";
+
+    CoreContext(
+            SpreadSettings settings, FoldFormat format, RandomGenerator random, Topology topology) {
+        mSettings = settings;
+        mFormat = format;
+        mRandom = random;
+        mTopology = topology;
+        mHistory = History.startingAt(format.empty());
+    }
+
+    SpreadSettings settings() {
+        return mSettings;
+    }
+
+    FoldFormat format() {
+        return mFormat;
+    }
+
+    RandomGenerator random() {
+        return mRandom;
+    }
+
+    Topology topology() {
+        return mTopology;
+    }
+
+    void topology(Topology topology) {
+        mTopology = topology;
+    }
+
+    History history() {
+        return mHistory;
+    }
+
+    Position position() {
+        return mHistory.position();
+    }
+
+    Source source() {
+        return mSource;
+    }
+
+    /** Says whether nothing has been folded yet. */
+    boolean empty() {
+        return mHistory.state().offset() < 0;
+    }
+
+    /** Returns why the next record cannot be folded; empty when it can. */
+    String held() {
+        return mHeld;
+    }
+
+    /** Says whether the next record cannot be folded by this program. */
+    boolean blocked() {
+        return !mHeld.isEmpty();
+    }
+
+    /** Says whether this node reads the log. */
+    boolean reader() {
+        return mSettings.policy().everyNodeReads() || mTopology.rank() >= 0;
+    }
+
+    void emit(SpreadEffect effect) {
+        mEffects.add(effect);
+    }
+
+    void report(EventCode event, Object... arguments) {
+        emit(new SpreadEffect.Report(event, List.of(arguments)));
+    }
+
+    /** Returns the effects gathered and forgets them. */
+    List<SpreadEffect> takeEffects() {
+        List<SpreadEffect> taken = List.copyOf(mEffects);
+        mEffects.clear();
+        return taken;
+    }
+
+    /** Returns one element, chosen evenly. */
+    <T> T pick(List<T> choices) {
+        return choices.get(mRandom.nextInt(choices.size()));
+    }
+
+    /** Returns a duration between half of the mean and one and a half times it, in milliseconds. */
+    long jittered(long meanMillis) {
+        return meanMillis / 2 + mRandom.nextLong(meanMillis + 1);
+    }
+
+    /** Folds records of the log, up to the first one that cannot be folded. */
+    void foldRecords(List<LogRecord> records) {
+        History before = mHistory;
+        try {
+            for (LogRecord record : records) {
+                mHistory = mHistory.append(List.of(record));
+            }
+        } catch (AzurearchException e) {
+            hold(e);
+        }
+        announceIfLater(before, Source.LOG);
+    }
+
+    /**
+     * Folds a delta, as a whole or not at all.
+     *
+     * @return whether the node is now at the target or later
+     */
+    boolean foldDelta(Delta delta, Source source) {
+        if (!delta.target().after(position())) {
+            return true;
+        }
+        if (!delta.base().equals(position())) {
+            return false;
+        }
+        List<LogRecord> records = List.of();
+        try {
+            records = mFormat.decodeDelta(mHistory.state(), delta.payload());
+            History next = mHistory.append(records);
+            if (!next.position().equals(delta.target())) {
+                report(SpreadEvent.DELTA_REFUSED, delta.target(), "leads to " + next.position());
+                return false;
+            }
+            History before = mHistory;
+            mHistory = next;
+            announceIfLater(before, source);
+            return true;
+        } catch (AzurearchException e) {
+            refuseDelta(delta, records.size(), e);
+            return false;
+        }
+    }
+
+    /**
+     * Puts a state from a snapshot in force, unless it is at a lower offset.
+     *
+     * @return whether it came into force
+     */
+    boolean install(FoldState state, Source source) {
+        boolean corrects = Position.of(state).contradicts(position());
+        if (state.offset() <= mHistory.state().offset() && !corrects) {
+            return false;
+        }
+        mHistory = History.startingAt(state);
+        mSource = source;
+        emit(new SpreadEffect.Installed(state, source));
+        return true;
+    }
+
+    private void refuseDelta(Delta delta, int records, AzurearchException e) {
+        if (e.code() == ErrorCode.UNKNOWN_RULE_SET && records == 1) {
+            hold(e);
+        } else {
+            report(SpreadEvent.DELTA_REFUSED, delta.target(), String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void hold(AzurearchException e) {
+        String reason = e.code().code() + ": " + e.getMessage();
+        if (reason.equals(mHeld)) {
+            return;
+        }
+        mHeld = reason;
+        SpreadEvent event =
+                e.code() == ErrorCode.UNKNOWN_RULE_SET
+                        ? SpreadEvent.RULE_SET_UNKNOWN
+                        : SpreadEvent.RECORD_REFUSED;
+        report(event, mHistory.state().offset(), reason);
+    }
+
+    private void announceIfLater(History before, Source source) {
+        if (mHistory.state().offset() > before.state().offset()) {
+            mSource = source;
+            emit(new SpreadEffect.Installed(mHistory.state(), source));
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/FoldFormat.java
@@ -0,0 +1,32 @@
+package org.azurearch.internal.spread;
+
+import java.util.List;
+import org.azurearch.fold.FoldState;
+import org.azurearch.log.LogRecord;
+
+/** Binary forms of the folded state and of the records between two states. */
+interface FoldFormat {
+    /** Returns the state before the first record. */
+    FoldState empty();
+
+    /** Encodes a whole state; equal states give equal bytes. */
+    byte[] encodeState(FoldState state);
+
+    /**
+     * Decodes a whole state.
+     *
+     * @throws org.azurearch.errors.AzurearchException with {@code CORRUPT} or {@code
+     *     UNKNOWN_RULE_SET}
+     */
+    FoldState decodeState(byte[] bytes);
+
+    /** Encodes the records that follow a state. */
+    byte[] encodeDelta(FoldState base, List<LogRecord> records);
+
+    /**
+     * Decodes the records that follow a state.
+     *
+     * @throws org.azurearch.errors.AzurearchException with {@code CORRUPT}
+     */
+    List<LogRecord> decodeDelta(FoldState base, byte[] payload);
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/InForce.java
@@ -0,0 +1,41 @@
+package org.azurearch.internal.spread;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.azurearch.config.ConfigInForce;
+import org.azurearch.config.MeshConfig;
+import org.azurearch.fold.FoldState;
+import org.azurearch.lib.SiteId;
+import org.jspecify.annotations.Nullable;
+
+/** The configuration in force at this node's site. */
+final class InForce implements ConfigInForce {
+    private final SiteId mSite;
+    private final List<Consumer<MeshConfig>> mListeners = new CopyOnWriteArrayList<>();
+    private volatile @Nullable MeshConfig mCurrent;
+
+    InForce(SiteId site) {
+        mSite = site;
+    }
+
+    @Override
+    public @Nullable MeshConfig current() {
+        return mCurrent;
+    }
+
+    @Override
+    public void listen(Consumer<MeshConfig> listener) {
+        mListeners.add(listener);
+    }
+
+    /** Puts a state in force; a state without any accepted version changes nothing. */
+    void install(FoldState state) {
+        MeshConfig config = state.at(mSite);
+        if (config.firms().isEmpty()) {
+            return;
+        }
+        mCurrent = config;
+        mListeners.forEach(listener -> listener.accept(config));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/LogCalls.java
@@ -0,0 +1,167 @@
+package org.azurearch.internal.spread;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import org.azurearch.events.EventLog;
+import org.azurearch.fold.FoldState;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.StreamId;
+import org.azurearch.log.LogBatch;
+import org.azurearch.log.LogClient;
+import org.azurearch.log.LogRecord;
+import org.azurearch.log.OffsetRemovedException;
+import org.azurearch.spread.Position;
+import org.azurearch.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/** Carries out the core's reads and appends on the log and turns the answers into inputs. */
+final class LogCalls {
+    private static final Duration APPEND_SPACING = Duration.ofMillis(100);
+
+    private static final Position NOWHERE = new Position(-1, Digest.EMPTY);
+
+    private final LogClient mLog;
+    private final StreamId mChanges;
+    private final StreamId mSnapshots;
+    private final FoldFormat mFormat;
+    private final TimerService mTimers;
+    private final Consumer<SpreadInput> mCore;
+
+    LogCalls(
+            LogClient log,
+            String mesh,
+            FoldFormat format,
+            TimerService timers,
+            Consumer<SpreadInput> core) {
+        mLog = log;
+        mChanges = StreamId.fromString(mesh + ".changes");
+        mSnapshots = StreamId.fromString(mesh + ".snapshots");
+        mFormat = format;
+        mTimers = timers;
+        mCore = core;
+    }
+
+    /** Reads the change stream with a long poll. */
+    void read(long offset) {
+        mLog.read(mChanges, offset, LogFollower.MAX_READ_BYTES, LogFollower.WAIT)
+                .handle(LogCalls::changesInput)
+                .thenAccept(mCore);
+    }
+
+    /** Reads the snapshot stream without a wait. */
+    void readSnapshots(long offset, int maxBytes) {
+        mLog.read(mSnapshots, offset, maxBytes, Duration.ZERO)
+                .handle((batch, failure) -> snapshotsInput(offset, batch, failure))
+                .thenAccept(mCore);
+    }
+
+    /** Looks at the last record of the snapshot stream. */
+    void findNewest() {
+        mLog.read(mSnapshots, 0, 1, Duration.ZERO)
+                .handle((batch, failure) -> batch != null ? batch : probeAfter(failure))
+                .thenCompose(this::lastRecord)
+                .handle(LogCalls::newestInput)
+                .thenAccept(mCore);
+    }
+
+    /** Appends a snapshot: its chunks one after the other, then the manifest. */
+    void save(FoldState state) {
+        SnapshotImage image = SnapshotImage.of(state, mFormat);
+        Deque<byte[]> records = new ArrayDeque<>();
+        image.chunks()
+                .forEach((digest, content) -> records.add(SnapshotRecords.chunk(digest, content)));
+        records.add(SnapshotRecords.manifest(image.manifest()));
+        saveNext(records, Position.of(state));
+    }
+
+    private void saveNext(Deque<byte[]> records, Position position) {
+        byte[] record = records.poll();
+        if (record == null) {
+            EventLog.log(SpreadEvent.SNAPSHOT_SAVED, position);
+            mCore.accept(new SpreadInput.SnapshotSaved(position, true));
+            return;
+        }
+        mLog.append(mSnapshots, record)
+                .whenComplete(
+                        (offset, failure) -> {
+                            if (failure == null) {
+                                mTimers.after(APPEND_SPACING, () -> saveNext(records, position));
+                            } else {
+                                EventLog.log(SpreadEvent.SNAPSHOT_SAVE_FAILED, reason(failure));
+                                mCore.accept(new SpreadInput.SnapshotSaved(position, false));
+                            }
+                        });
+    }
+
+    private static LogBatch probeAfter(Throwable failure) {
+        if (cause(failure) instanceof OffsetRemovedException removed) {
+            return new LogBatch(List.of(), removed.earliest(), -1);
+        }
+        throw new CompletionException(cause(failure));
+    }
+
+    private CompletableFuture<SnapshotSchedule.@Nullable Saved> lastRecord(LogBatch probe) {
+        if (probe.end() < 0) {
+            return mLog.read(mSnapshots, probe.earliest(), 1, Duration.ZERO)
+                    .thenCompose(this::lastRecord);
+        }
+        if (probe.end() == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return mLog.read(mSnapshots, probe.end() - 1, 1, Duration.ZERO)
+                .thenApply(batch -> batch.records().stream().findFirst().orElse(null))
+                .thenApply(LogCalls::saved);
+    }
+
+    private static SnapshotSchedule.@Nullable Saved saved(@Nullable LogRecord record) {
+        return record != null
+                        && SnapshotRecords.parse(record.data())
+                                instanceof SnapshotRecords.Parsed.Contents contents
+                ? new SnapshotSchedule.Saved(
+                        contents.manifest().position(), record.appendedAtMillis())
+                : null;
+    }
+
+    private static SpreadInput newestInput(
+            SnapshotSchedule.@Nullable Saved newest, @Nullable Throwable failure) {
+        if (failure == null) {
+            return new SpreadInput.NewestSnapshot(newest);
+        }
+        EventLog.log(SpreadEvent.SNAPSHOT_SAVE_FAILED, reason(failure));
+        return new SpreadInput.SnapshotSaved(NOWHERE, false);
+    }
+
+    private static SpreadInput changesInput(@Nullable LogBatch batch, @Nullable Throwable failure) {
+        if (batch != null) {
+            return new SpreadInput.LogRead(batch);
+        }
+        return cause(failure) instanceof OffsetRemovedException removed
+                ? new SpreadInput.LogRemoved(removed.earliest())
+                : new SpreadInput.LogFailed(reason(failure));
+    }
+
+    private static SpreadInput snapshotsInput(
+            long asked, @Nullable LogBatch batch, @Nullable Throwable failure) {
+        if (batch != null) {
+            return new SpreadInput.SnapshotsRead(asked, batch);
+        }
+        return cause(failure) instanceof OffsetRemovedException removed
+                ? new SpreadInput.SnapshotsRemoved(removed.earliest())
+                : new SpreadInput.SnapshotsFailed(reason(failure));
+    }
+
+    private static @Nullable Throwable cause(@Nullable Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null
+                ? failure.getCause()
+                : failure;
+    }
+
+    private static String reason(@Nullable Throwable failure) {
+        return String.valueOf(cause(failure));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/LogSnapshotScan.java
@@ -0,0 +1,192 @@
+package org.azurearch.internal.spread;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.fold.FoldState;
+import org.azurearch.lib.Digest;
+import org.azurearch.log.LogBatch;
+import org.azurearch.log.LogRecord;
+import org.azurearch.spread.Position;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Searches the snapshot stream for the newest whole and usable snapshot. It reads windows of
+ * records from the end of the stream backwards, so that older snapshots cost nothing unless the
+ * newer ones are cut off, corrupt or of a rule set that this program does not know.
+ */
+final class LogSnapshotScan {
+    /** The result of a search. */
+    enum Result {
+        /** The search goes on. */
+        SEARCHING,
+        /** A usable snapshot was found. */
+        FOUND,
+        /** The stream holds no snapshot that is usable and later than the state. */
+        NONE,
+        /** The log failed. */
+        FAILED
+    }
+
+    private static final int READ_BYTES = 1 << 20;
+    private static final int WINDOW_RECORDS = 64;
+    private static final long TIMEOUT_MILLIS = 10_000;
+    private static final long NOT_DUE = Long.MAX_VALUE;
+
+    private final CoreContext mContext;
+    private final Map<Digest, byte[]> mChunks = new HashMap<>();
+    private final List<Manifest> mManifests = new ArrayList<>();
+    private final Set<Position> mSkipped = new HashSet<>();
+    private Result mResult = Result.NONE;
+    private @Nullable FoldState mFound;
+    private boolean mProbing;
+    private long mEarliest;
+    private long mWindowStart;
+    private long mWindowEnd;
+    private long mAsked;
+    private long mAskedAt;
+    private String mReason = "";
+
+    LogSnapshotScan(CoreContext context) {
+        mContext = context;
+    }
+
+    /** Returns the result so far. */
+    Result result() {
+        return mResult;
+    }
+
+    /** Returns the state of the snapshot found. */
+    @Nullable FoldState found() {
+        return mFound;
+    }
+
+    /** Returns why the search failed or what it skipped; empty when there was nothing. */
+    String reason() {
+        return mReason;
+    }
+
+    /** Returns when the read under way is given up, in milliseconds. */
+    long dueAt() {
+        return mResult == Result.SEARCHING ? mAskedAt + TIMEOUT_MILLIS : NOT_DUE;
+    }
+
+    /** Starts a search. */
+    void start(long now) {
+        mChunks.clear();
+        mManifests.clear();
+        mSkipped.clear();
+        mFound = null;
+        mReason = "";
+        mResult = Result.SEARCHING;
+        mProbing = true;
+        read(0, 1, now);
+    }
+
+    /** Gives up a read without an answer. */
+    void tick(long now) {
+        if (now >= dueAt()) {
+            failed("no answer in time");
+        }
+    }
+
+    /** Takes a failure. */
+    void failed(String reason) {
+        if (mResult == Result.SEARCHING) {
+            mResult = Result.FAILED;
+            mReason = reason;
+        }
+    }
+
+    /** Notes that the offset asked for has been removed. */
+    void removed(long earliest, long now) {
+        if (mResult != Result.SEARCHING) {
+            return;
+        }
+        mChunks.clear();
+        mManifests.clear();
+        mProbing = true;
+        read(earliest, 1, now);
+    }
+
+    /** Takes an answer. */
+    void answered(long asked, LogBatch batch, long now) {
+        if (mResult != Result.SEARCHING || asked != mAsked) {
+            return;
+        }
+        if (mProbing) {
+            mProbing = false;
+            mEarliest = batch.earliest();
+            mWindowEnd = batch.end();
+            nextWindow(now);
+            return;
+        }
+        batch.records().forEach(this::take);
+        long next = asked + batch.records().size();
+        if (next < mWindowEnd && !batch.records().isEmpty()) {
+            read(next, READ_BYTES, now);
+        } else {
+            choose(now);
+        }
+    }
+
+    private void nextWindow(long now) {
+        mWindowStart = Math.max(mEarliest, mWindowEnd - WINDOW_RECORDS);
+        if (mWindowStart >= mWindowEnd) {
+            mResult = Result.NONE;
+        } else {
+            read(mWindowStart, READ_BYTES, now);
+        }
+    }
+
+    private void take(LogRecord record) {
+        SnapshotRecords.Parsed parsed = SnapshotRecords.parse(record.data());
+        if (parsed instanceof SnapshotRecords.Parsed.Chunk chunk) {
+            mChunks.put(chunk.digest(), chunk.content());
+        } else if (parsed instanceof SnapshotRecords.Parsed.Contents contents) {
+            mManifests.add(contents.manifest());
+        }
+    }
+
+    private void choose(long now) {
+        mManifests.sort(
+                Comparator.comparingLong((Manifest manifest) -> manifest.position().offset())
+                        .reversed());
+        for (Manifest manifest : mManifests) {
+            if (manifest.position().after(mContext.position()) && usable(manifest)) {
+                mResult = Result.FOUND;
+                return;
+            }
+        }
+        mWindowEnd = mWindowStart;
+        nextWindow(now);
+    }
+
+    private boolean usable(Manifest manifest) {
+        if (!mChunks.keySet().containsAll(manifest.chunks())) {
+            mReason = "the snapshot at " + manifest.position() + " lacks chunks";
+            return false;
+        }
+        try {
+            mFound = SnapshotImage.assemble(manifest, mChunks, mContext.format());
+            return true;
+        } catch (AzurearchException e) {
+            mReason = String.valueOf(e.getMessage());
+            if (mSkipped.add(manifest.position())) {
+                mContext.report(SpreadEvent.SNAPSHOT_SKIPPED, manifest.position(), mReason);
+            }
+            return false;
+        }
+    }
+
+    private void read(long offset, int maxBytes, long now) {
+        mAsked = offset;
+        mAskedAt = now;
+        mContext.emit(new SpreadEffect.ReadSnapshots(offset, maxBytes));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/PeerCalls.java
@@ -0,0 +1,161 @@
+package org.azurearch.internal.spread;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Member;
+import org.azurearch.member.MemberView;
+import org.azurearch.spread.Position;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.thrift.WireChunkRequest;
+import org.azurearch.thrift.WireManifestRequest;
+import org.azurearch.thrift.WirePull;
+import org.azurearch.thrift.WirePullReply;
+import org.azurearch.thrift.WirePush;
+import org.azurearch.time.TimeSource;
+import org.azurearch.transport.PeerClient;
+import org.jspecify.annotations.Nullable;
+
+/** Sends the core's requests to peers and turns the replies into inputs. */
+final class PeerCalls {
+    private final PeerClient mClient;
+    private final MemberView mMembers;
+    private final Progress mProgress;
+    private final TimeSource mTime;
+    private final SpreadSettings mSettings;
+    private final Consumer<SpreadInput> mCore;
+
+    PeerCalls(
+            PeerClient client,
+            MemberView members,
+            Progress progress,
+            TimeSource time,
+            SpreadSettings settings,
+            Consumer<SpreadInput> core) {
+        mClient = client;
+        mMembers = members;
+        mProgress = progress;
+        mTime = time;
+        mSettings = settings;
+        mCore = core;
+    }
+
+    /** Pushes a delta. */
+    void push(NodeId to, Delta delta, List<NodeId> subtree) {
+        WirePush push = new WirePush(Wire.delta(delta));
+        if (!subtree.isEmpty()) {
+            push.setSubtree(Wire.names(subtree));
+        }
+        send(
+                to,
+                PeerRequest.push(push),
+                (reply, retryAfterMillis) -> {
+                    if (reply != null && reply.isSetPush()) {
+                        heard(to, Wire.position(reply.getPush().getPosition()));
+                    } else {
+                        mCore.accept(new SpreadInput.PushFailed(to, delta, subtree));
+                    }
+                });
+    }
+
+    /** Pulls what follows a position. */
+    void pull(NodeId to, Position position, int maxBytes) {
+        Member self = mMembers.self();
+        WirePull pull = new WirePull(self.node().name(), Wire.position(position), maxBytes);
+        pull.setDataCentre(self.dataCentre().name());
+        send(
+                to,
+                PeerRequest.pull(pull),
+                (reply, retryAfterMillis) ->
+                        mCore.accept(
+                                reply != null && reply.isSetPull()
+                                        ? pulled(to, reply.getPull())
+                                        : new SpreadInput.PullFailed(to, retryAfterMillis)));
+    }
+
+    /** Asks for the manifest of a snapshot. */
+    void manifest(NodeId to) {
+        send(
+                to,
+                PeerRequest.manifest(new WireManifestRequest()),
+                (reply, retryAfterMillis) ->
+                        mCore.accept(
+                                reply != null && reply.isSetManifest()
+                                        ? new SpreadInput.ManifestAnswered(
+                                                to, Wire.manifest(reply.getManifest()))
+                                        : new SpreadInput.FetchFailed(to, null, retryAfterMillis)));
+    }
+
+    /** Asks for a chunk of a snapshot. */
+    void chunk(NodeId to, Digest digest) {
+        send(
+                to,
+                PeerRequest.chunk(new WireChunkRequest(Wire.buffer(digest))),
+                (reply, retryAfterMillis) ->
+                        mCore.accept(
+                                reply != null && reply.isSetChunk()
+                                        ? new SpreadInput.ChunkAnswered(
+                                                to, digest, content(digest, reply))
+                                        : new SpreadInput.FetchFailed(
+                                                to, digest, retryAfterMillis)));
+    }
+
+    private SpreadInput pulled(NodeId to, WirePullReply reply) {
+        Position position = Wire.position(reply.getPosition());
+        heard(to, position);
+        Delta delta = reply.isSetDelta() ? Wire.delta(reply.getDelta()) : null;
+        return new SpreadInput.PullAnswered(to, position, delta, reply.isSnapshotNeeded());
+    }
+
+    private void heard(NodeId node, Position position) {
+        mMembers.member(node)
+                .ifPresent(
+                        member ->
+                                mProgress.heard(
+                                        node,
+                                        member.dataCentre(),
+                                        position.offset(),
+                                        mTime.wallMillis()));
+    }
+
+    private static byte @Nullable [] content(Digest digest, PeerReply reply) {
+        return reply.getChunk().isSetData()
+                ? SnapshotRecords.expand(digest, reply.getChunk().getData())
+                : null;
+    }
+
+    /** Sends a request; the receiver gets the reply, or null and the time to wait when busy. */
+    private void send(
+            NodeId to, PeerRequest request, BiConsumer<@Nullable PeerReply, Long> receiver) {
+        Optional<Member> member = mMembers.member(to);
+        CompletableFuture<PeerReply> reply =
+                member.isPresent()
+                        ? mClient.send(member.get().peer(), request, mSettings.peerTimeout())
+                        : CompletableFuture.failedFuture(
+                                new AzurearchException(
+                                        ErrorCode.PEER_UNAVAILABLE, "unknown node " + to));
+        reply.handle((answer, failure) -> answer)
+                .thenAccept(answer -> deliver(answer, receiver))
+                .exceptionally(
+                        malformed -> {
+                            receiver.accept(null, 0L);
+                            return null;
+                        });
+    }
+
+    private static void deliver(
+            @Nullable PeerReply answer, BiConsumer<@Nullable PeerReply, Long> receiver) {
+        if (answer != null && answer.isSetBusy()) {
+            receiver.accept(null, Math.max(1L, answer.getBusy().getRetryAfterMillis()));
+        } else {
+            receiver.accept(answer, 0L);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/PeerService.java
@@ -0,0 +1,167 @@
+package org.azurearch.internal.spread;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.MemberView;
+import org.azurearch.spread.Position;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.thrift.WireBusy;
+import org.azurearch.thrift.WireChunk;
+import org.azurearch.thrift.WireNodeProgress;
+import org.azurearch.thrift.WireProgress;
+import org.azurearch.thrift.WirePull;
+import org.azurearch.thrift.WirePullReply;
+import org.azurearch.thrift.WirePush;
+import org.azurearch.thrift.WirePushReply;
+import org.azurearch.time.TimeSource;
+import org.azurearch.transport.PeerServer;
+import org.jspecify.annotations.Nullable;
+
+/** Answers the requests of other nodes from the published view; never waits for the core. */
+final class PeerService {
+    private static final int MAX_REPLY_BYTES = 1 << 20;
+    private static final long RING_FULL_RETRY_MILLIS = 200;
+    private static final long SERVE_BYTES_PER_MILLI = 8 << 10;
+    private static final long SERVE_BURST_BYTES = 8 << 20;
+
+    private final FoldFormat mFormat;
+    private final Supplier<SpreadView> mView;
+    private final Predicate<SpreadInput> mCore;
+    private final MemberView mMembers;
+    private final Progress mProgress;
+    private final TimeSource mTime;
+    private final ServeLimiter mLimiter;
+    private final SnapshotCache mSnapshots;
+
+    /**
+     * Creates the service.
+     *
+     * @param format the binary forms
+     * @param view gives the published view
+     * @param core takes an input, and says whether it had room for it
+     * @param members the membership
+     * @param progress where positions of other nodes are noted
+     * @param time the time
+     * @param compressionLevel the zstd level of chunks
+     */
+    PeerService(
+            FoldFormat format,
+            Supplier<SpreadView> view,
+            Predicate<SpreadInput> core,
+            MemberView members,
+            Progress progress,
+            TimeSource time,
+            int compressionLevel) {
+        mFormat = format;
+        mView = view;
+        mCore = core;
+        mMembers = members;
+        mProgress = progress;
+        mTime = time;
+        mLimiter = new ServeLimiter(SERVE_BYTES_PER_MILLI, SERVE_BURST_BYTES, time.nanos());
+        mSnapshots = new SnapshotCache(format, compressionLevel);
+    }
+
+    /** Registers the handlers. */
+    void register(PeerServer server) {
+        server.handle(PeerRequest._Fields.PUSH, request -> push(request.getPush()));
+        server.handle(PeerRequest._Fields.PULL, request -> pull(request.getPull()));
+        server.handle(PeerRequest._Fields.MANIFEST, request -> manifest());
+        server.handle(
+                PeerRequest._Fields.CHUNK,
+                request -> chunk(Digest.fromBytes(request.getChunk().getDigest())));
+        server.handle(
+                PeerRequest._Fields.PROGRESS,
+                request -> progress(request.getProgress().getOffset()));
+    }
+
+    private PeerReply push(WirePush push) {
+        List<NodeId> subtree =
+                push.isSetSubtree()
+                        ? push.getSubtree().stream().map(NodeId::fromString).toList()
+                        : List.of();
+        boolean taken = mCore.test(new SpreadInput.Pushed(Wire.delta(push.getDelta()), subtree));
+        return taken
+                ? PeerReply.push(new WirePushReply(Wire.position(mView.get().position())))
+                : busy(RING_FULL_RETRY_MILLIS);
+    }
+
+    private PeerReply pull(WirePull pull) {
+        NodeId node = NodeId.fromString(pull.getNode());
+        Position theirs = Wire.position(pull.getPosition());
+        if (pull.isSetDataCentre()) {
+            DataCentreId dataCentre = DataCentreId.fromString(pull.getDataCentre());
+            mProgress.heard(node, dataCentre, theirs.offset(), mTime.wallMillis());
+        }
+        SpreadView view = mView.get();
+        if (theirs.after(view.position())) {
+            mCore.test(new SpreadInput.PeerAhead(node, theirs));
+        }
+        if (!view.position().after(theirs) || pull.getMaxBytes() == 0) {
+            return pullReply(view, null, false);
+        }
+        int maxBytes = Math.min(MAX_REPLY_BYTES, pull.getMaxBytes());
+        Optional<Delta> delta = view.history().deltaFrom(theirs, maxBytes, mFormat);
+        if (delta.isEmpty()) {
+            return pullReply(view, null, true);
+        }
+        long wait = mLimiter.take(delta.get().payload().length, mTime.nanos());
+        return wait > 0 ? busy(wait) : pullReply(view, delta.get(), false);
+    }
+
+    private PeerReply manifest() {
+        return PeerReply.manifest(
+                Wire.manifest(mSnapshots.manifest(mView.get().history().state())));
+    }
+
+    private PeerReply chunk(Digest digest) {
+        byte[] data = mSnapshots.chunk(digest);
+        WireChunk chunk = new WireChunk(Wire.buffer(digest));
+        if (data != null) {
+            long wait = mLimiter.take(data.length, mTime.nanos());
+            if (wait > 0) {
+                return busy(wait);
+            }
+            chunk.setData(ByteBuffer.wrap(data));
+        }
+        return PeerReply.chunk(chunk);
+    }
+
+    private PeerReply progress(long offset) {
+        Position own = mView.get().position();
+        DataCentreId home = mMembers.self().dataCentre();
+        Progress.Count count = mProgress.count(mMembers, home, offset, own.offset());
+        WireProgress wire =
+                new WireProgress(home.name(), Wire.position(own), count.total(), count.inForce());
+        long now = mTime.wallMillis();
+        count.laggards()
+                .forEach(
+                        laggard ->
+                                wire.addToLaggards(
+                                        new WireNodeProgress(
+                                                laggard.node().name(),
+                                                laggard.heard().offset(),
+                                                now - laggard.heard().atMillis())));
+        return PeerReply.progress(wire);
+    }
+
+    private static PeerReply pullReply(
+            SpreadView view, @Nullable Delta delta, boolean snapshotNeeded) {
+        WirePullReply reply = new WirePullReply(Wire.position(view.position()), snapshotNeeded);
+        if (delta != null) {
+            reply.setDelta(Wire.delta(delta));
+        }
+        return PeerReply.pull(reply);
+    }
+
+    private static PeerReply busy(long retryAfterMillis) {
+        return PeerReply.busy(new WireBusy(retryAfterMillis));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/ProgressSurvey.java
@@ -0,0 +1,149 @@
+package org.azurearch.internal.spread;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.azurearch.fold.ChangeOutcome;
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Member;
+import org.azurearch.member.MemberView;
+import org.azurearch.spread.ChangeProgress;
+import org.azurearch.spread.ChangeProgress.DataCentreProgress;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.thrift.WireProgress;
+import org.azurearch.thrift.WireProgressRequest;
+import org.azurearch.time.TimeSource;
+import org.azurearch.transport.PeerClient;
+import org.jspecify.annotations.Nullable;
+
+/** Asks the readers of every data centre how far the nodes there have come. */
+final class ProgressSurvey {
+    private final PeerClient mClient;
+    private final MemberView mMembers;
+    private final SpreadRunner mRunner;
+    private final SpreadSettings mSettings;
+    private final TimeSource mTime;
+    private final long mStartedAtMillis;
+
+    ProgressSurvey(
+            PeerClient client,
+            MemberView members,
+            SpreadRunner runner,
+            SpreadSettings settings,
+            TimeSource time) {
+        mClient = client;
+        mMembers = members;
+        mRunner = runner;
+        mSettings = settings;
+        mTime = time;
+        mStartedAtMillis = time.wallMillis();
+    }
+
+    /** Returns the stage of a decided change. */
+    static ChangeProgress.Status status(
+            ChangeOutcome outcome, List<DataCentreProgress> dataCentres) {
+        if (outcome.status() != ChangeOutcome.Status.ACCEPTED) {
+            return ChangeProgress.Status.REFUSED;
+        }
+        boolean everywhere =
+                dataCentres.stream()
+                        .allMatch(
+                                each ->
+                                        each.silentSinceMillis() == 0
+                                                && each.inForce() == each.total());
+        return everywhere ? ChangeProgress.Status.IN_FORCE : ChangeProgress.Status.ACCEPTED;
+    }
+
+    /** Asks every data centre how many nodes have reached an offset. */
+    CompletableFuture<List<DataCentreProgress>> ask(long offset) {
+        Topology topology = Topology.of(mMembers, mSettings.readers());
+        List<CompletableFuture<DataCentreProgress>> answers = new ArrayList<>();
+        topology.readers()
+                .forEach((dataCentre, readers) -> answers.add(ask(dataCentre, readers, offset)));
+        return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .thenApply(done -> answers.stream().map(CompletableFuture::join).toList());
+    }
+
+    private CompletableFuture<DataCentreProgress> ask(
+            DataCentreId dataCentre, List<NodeId> readers, long offset) {
+        List<CompletableFuture<@Nullable DataCentreProgress>> answers = new ArrayList<>();
+        for (NodeId reader : readers) {
+            answers.add(askReader(dataCentre, reader, offset));
+        }
+        return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                .thenApply(done -> best(dataCentre, answers));
+    }
+
+    private CompletableFuture<@Nullable DataCentreProgress> askReader(
+            DataCentreId dataCentre, NodeId reader, long offset) {
+        if (reader.equals(mMembers.self().node())) {
+            return CompletableFuture.completedFuture(own(dataCentre, offset));
+        }
+        Member member = mMembers.member(reader).orElse(null);
+        if (member == null) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return mClient.send(
+                        member.peer(),
+                        PeerRequest.progress(new WireProgressRequest(offset)),
+                        mSettings.peerTimeout())
+                .handle((reply, failure) -> answer(dataCentre, reply));
+    }
+
+    private DataCentreProgress own(DataCentreId dataCentre, long offset) {
+        Progress.Count count =
+                mRunner.progress()
+                        .count(mMembers, dataCentre, offset, mRunner.view().position().offset());
+        List<NodeId> laggards = count.laggards().stream().map(Progress.Laggard::node).toList();
+        return new DataCentreProgress(dataCentre, count.total(), count.inForce(), laggards, 0);
+    }
+
+    private static @Nullable DataCentreProgress answer(
+            DataCentreId dataCentre, @Nullable PeerReply reply) {
+        if (reply == null || !reply.isSetProgress()) {
+            return null;
+        }
+        WireProgress wire = reply.getProgress();
+        List<NodeId> laggards =
+                wire.isSetLaggards()
+                        ? wire.getLaggards().stream()
+                                .map(each -> NodeId.fromString(each.getNode()))
+                                .toList()
+                        : List.of();
+        return new DataCentreProgress(dataCentre, wire.getTotal(), wire.getInForce(), laggards, 0);
+    }
+
+    private DataCentreProgress best(
+            DataCentreId dataCentre,
+            List<CompletableFuture<@Nullable DataCentreProgress>> answers) {
+        DataCentreProgress best = null;
+        for (CompletableFuture<@Nullable DataCentreProgress> answer : answers) {
+            DataCentreProgress next = answer.join();
+            boolean better =
+                    next != null
+                            && (best == null
+                                    || next.total() - next.inForce()
+                                            < best.total() - best.inForce());
+            best = better ? next : best;
+        }
+        return best != null ? best : silent(dataCentre);
+    }
+
+    private DataCentreProgress silent(DataCentreId dataCentre) {
+        List<NodeId> nodes =
+                mMembers.all().stream()
+                        .filter(member -> member.dataCentre().equals(dataCentre))
+                        .map(Member::node)
+                        .toList();
+        long heard = mRunner.progress().lastHeard(dataCentre);
+        long since = heard > 0 ? heard : Math.min(mStartedAtMillis, mTime.wallMillis());
+        return new DataCentreProgress(
+                dataCentre,
+                nodes.size(),
+                0,
+                nodes.subList(0, Math.min(nodes.size(), Progress.MAX_LAGGARDS)),
+                since);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/Puller.java
@@ -0,0 +1,172 @@
+package org.azurearch.internal.spread;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.lib.NodeId;
+import org.azurearch.spread.Position;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides on anti-entropy pulls. One pull is under way at a time; it reports this node's position
+ * and brings what the node lacks.
+ */
+final class Puller {
+    /** The most bytes of records that a pull asks for. */
+    static final int MAX_PULL_BYTES = 512 << 10;
+
+    private static final long START_PERIOD_MILLIS = 300;
+    private static final long RETRY_PERIOD_MILLIS = 500;
+    private static final long TIMEOUT_SLACK_MILLIS = 500;
+    private static final int WIDER_EVERY = 4;
+    private static final int SILENT_PULLS = 5;
+    private static final int STUCK_AFTER_REFUSED = 3;
+    private static final long NOT_DUE = Long.MAX_VALUE;
+
+    private final CoreContext mContext;
+    private final DigestVotes mVotes = new DigestVotes();
+    private @Nullable NodeId mAsked;
+    private long mAskedAt;
+    private long mNextAt;
+    private int mPulls;
+    private int mFailures;
+    private int mFruitless;
+    private int mRefused;
+    private int mMaxBytes = MAX_PULL_BYTES;
+
+    Puller(CoreContext context, long now) {
+        mContext = context;
+        mNextAt =
+                context.settings().policy().everyNodeReads()
+                        ? NOT_DUE
+                        : now + context.random().nextLong(START_PERIOD_MILLIS);
+    }
+
+    /** Returns when the next step is due, in milliseconds. */
+    long dueAt() {
+        return mAsked == null ? mNextAt : mAskedAt + timeoutMillis();
+    }
+
+    /** Returns how many pulls in a row were not answered. */
+    int failures() {
+        return mFailures;
+    }
+
+    /** Returns how many pulls of a node without state have brought none. */
+    int fruitless() {
+        return mFruitless;
+    }
+
+    /** Says whether several deltas in a row could not be folded. */
+    boolean stuck() {
+        return mRefused >= STUCK_AFTER_REFUSED;
+    }
+
+    /** Brings the next pull forward. */
+    void within(long delayMillis, long now) {
+        if (mNextAt != NOT_DUE) {
+            long delay = delayMillis == 0 ? 0 : mContext.random().nextLong(delayMillis + 1);
+            mNextAt = Math.min(mNextAt, now + delay);
+        }
+    }
+
+    /** Pulls when it is time. */
+    void tick(long now) {
+        if (mAsked != null && now >= mAskedAt + timeoutMillis()) {
+            failed(mAsked, 0, now);
+        }
+        if (mAsked == null && now >= mNextAt) {
+            mNextAt = now + periodMillis();
+            List<NodeId> candidates = candidates();
+            if (!candidates.isEmpty()) {
+                ask(mContext.pick(candidates), now);
+            }
+        }
+    }
+
+    /** Pulls from a node that is known to be ahead, unless a pull is under way. */
+    void askAhead(NodeId node, long now) {
+        if (mAsked == null && mNextAt != NOT_DUE) {
+            ask(node, now);
+        }
+    }
+
+    /**
+     * Takes an answer; its delta has been folded already.
+     *
+     * @param by the node that answered
+     * @param theirs its position
+     * @param gave whether it gave a delta
+     * @param folded whether the delta, if any, could be folded
+     * @param now the time, in milliseconds
+     * @return the digest that most nodes have at this node's offset, when this node's differs
+     */
+    @Nullable Position answered(
+            NodeId by, Position theirs, boolean gave, boolean folded, long now) {
+        settle(by);
+        mFailures = 0;
+        if (mContext.empty()) {
+            mFruitless++;
+        }
+        mMaxBytes = folded ? MAX_PULL_BYTES : 1;
+        mRefused = folded ? 0 : mRefused + 1;
+        if (gave && theirs.after(mContext.position()) && !mContext.blocked()) {
+            within(folded ? 0 : RETRY_PERIOD_MILLIS, now);
+        }
+        return mVotes.count(by, theirs, mContext.position());
+    }
+
+    /** Takes a failure. */
+    void failed(NodeId by, long retryAfterMillis, long now) {
+        settle(by);
+        mFailures++;
+        mFruitless++;
+        if (mFailures % SILENT_PULLS == 0) {
+            mContext.report(SpreadEvent.PEERS_SILENT, mFailures);
+        }
+        long wait = mContext.jittered(RETRY_PERIOD_MILLIS);
+        mNextAt = Math.min(mNextAt, now + Math.max(wait, retryAfterMillis));
+    }
+
+    private void settle(NodeId by) {
+        if (by.equals(mAsked)) {
+            mAsked = null;
+        }
+    }
+
+    private void ask(NodeId node, long now) {
+        mAsked = node;
+        mAskedAt = now;
+        mPulls++;
+        int maxBytes = mContext.blocked() ? 0 : mMaxBytes;
+        mContext.emit(new SpreadEffect.Pull(node, mContext.position(), maxBytes));
+    }
+
+    private long timeoutMillis() {
+        return mContext.settings().peerTimeout().toMillis() + TIMEOUT_SLACK_MILLIS;
+    }
+
+    private long periodMillis() {
+        return mContext.empty()
+                ? mContext.jittered(START_PERIOD_MILLIS)
+                : mContext.jittered(mContext.settings().policy().antiEntropyPeriod().toMillis());
+    }
+
+    private List<NodeId> candidates() {
+        Topology topology = mContext.topology();
+        boolean wider = mPulls % WIDER_EVERY == WIDER_EVERY - 1 || mFailures > 1;
+        List<NodeId> near = topology.homeReaders();
+        List<NodeId> far = topology.remoteReaders();
+        if (mContext.empty()) {
+            near = topology.neighbours();
+            wider = mFruitless % 2 == 1;
+        } else if (mContext.reader() && !far.isEmpty()) {
+            near = far;
+        }
+        List<NodeId> chosen = new ArrayList<>(near);
+        if (wider || chosen.isEmpty()) {
+            chosen.addAll(topology.neighbours());
+            chosen.addAll(far);
+        }
+        return chosen;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/Resync.java
@@ -0,0 +1,185 @@
+package org.azurearch.internal.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.azurearch.fold.FoldState;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.NodeId;
+import org.azurearch.log.LogBatch;
+import org.azurearch.spread.Source;
+import org.azurearch.time.Backoff;
+import org.jspecify.annotations.Nullable;
+
+/** Fetches a snapshot: from peers in the data centre, from peers elsewhere, then from the log. */
+final class Resync {
+    private static final int NEAR_PEERS = 3;
+    private static final int FAR_PEERS = 2;
+    private static final Duration BACKOFF_BASE = Duration.ofMillis(500);
+    private static final Duration BACKOFF_MAX = Duration.ofSeconds(10);
+
+    private final CoreContext mContext;
+    private final PeerFetch mPeers;
+    private final LogSnapshotScan mLog;
+    private final Backoff mBackoff;
+    private boolean mActive;
+    private boolean mLogToo;
+    private boolean mScanning;
+    private boolean mLogSearched;
+    private long mNotBefore;
+
+    Resync(CoreContext context) {
+        mContext = context;
+        mPeers = new PeerFetch(context);
+        mLog = new LogSnapshotScan(context);
+        mBackoff = new Backoff(BACKOFF_BASE, BACKOFF_MAX, context.random());
+    }
+
+    /** Says whether a snapshot is being fetched. */
+    boolean active() {
+        return mActive;
+    }
+
+    /** Returns when the next step is due, in milliseconds. */
+    long dueAt() {
+        return Math.min(mPeers.dueAt(), mLog.dueAt());
+    }
+
+    /**
+     * Starts, unless a fetch is under way or the last one has failed just now.
+     *
+     * @param first the peer to ask first, or null
+     * @param logToo whether the log is read when no peer gives a snapshot
+     */
+    void start(@Nullable NodeId first, boolean logToo, long now) {
+        if (mActive || now < mNotBefore) {
+            return;
+        }
+        mActive = true;
+        mLogToo = logToo;
+        mScanning = false;
+        mLogSearched = false;
+        mContext.report(SpreadEvent.RESYNC_STARTED, mContext.position());
+        mPeers.start(peers(first), now);
+        advance(now);
+    }
+
+    /** Takes note of the time. */
+    void tick(long now) {
+        mPeers.tick(now);
+        mLog.tick(now);
+        advance(now);
+    }
+
+    /** Takes a manifest. */
+    void manifest(NodeId by, Manifest manifest, long now) {
+        install(mPeers.manifest(by, manifest, now), Source.PEER_SNAPSHOT);
+        advance(now);
+    }
+
+    /** Takes a chunk. */
+    void chunk(NodeId by, Digest digest, byte @Nullable [] content, long now) {
+        install(mPeers.chunk(by, digest, content, now), Source.PEER_SNAPSHOT);
+        advance(now);
+    }
+
+    /** Takes the failure of a request to a peer. */
+    void fetchFailed(NodeId by, @Nullable Digest digest, long retryAfterMillis, long now) {
+        mPeers.failed(by, digest, retryAfterMillis, now);
+        advance(now);
+    }
+
+    /** Takes records of the snapshot stream. */
+    void snapshotsRead(long asked, LogBatch batch, long now) {
+        mLog.answered(asked, batch, now);
+        advance(now);
+    }
+
+    /** Notes that an offset of the snapshot stream has been removed. */
+    void snapshotsRemoved(long earliest, long now) {
+        mLog.removed(earliest, now);
+        advance(now);
+    }
+
+    /** Takes the failure of a read of the snapshot stream. */
+    void snapshotsFailed(String reason, long now) {
+        mLog.failed(reason);
+        advance(now);
+    }
+
+    /**
+     * Says whether the log has been searched without failure since the last start, so that its
+     * records can be folded from the first one.
+     */
+    boolean logSearched() {
+        return mLogSearched;
+    }
+
+    private void advance(long now) {
+        if (!mActive || mPeers.active()) {
+            return;
+        }
+        if (!mLogToo) {
+            end(false, "no peer gave one", now);
+            return;
+        }
+        if (!mScanning) {
+            mScanning = true;
+            mLog.start(now);
+            return;
+        }
+        switch (mLog.result()) {
+            case SEARCHING -> {}
+            case FOUND -> {
+                mLogSearched = true;
+                install(mLog.found(), Source.LOG_SNAPSHOT);
+            }
+            case NONE -> {
+                mLogSearched = true;
+                end(false, mLog.reason(), now);
+            }
+            case FAILED -> end(false, mLog.reason(), now);
+            default -> throw new IllegalStateException("result " + mLog.result());
+        }
+    }
+
+    private void install(@Nullable FoldState state, Source source) {
+        if (state != null) {
+            mContext.install(state, source);
+            end(true, "", 0);
+        }
+    }
+
+    private void end(boolean done, String reason, long now) {
+        mActive = false;
+        if (done) {
+            mBackoff.reset();
+        } else {
+            mNotBefore = now + mBackoff.next().toMillis();
+            if (reason.isEmpty()) {
+                mContext.report(SpreadEvent.SNAPSHOT_NONE);
+            } else {
+                mContext.report(SpreadEvent.RESYNC_FAILED, reason);
+            }
+        }
+    }
+
+    private List<NodeId> peers(@Nullable NodeId first) {
+        List<NodeId> peers = new ArrayList<>();
+        if (first != null) {
+            peers.add(first);
+        }
+        addSome(peers, mContext.topology().neighbours(), NEAR_PEERS);
+        addSome(peers, mContext.topology().remoteReaders(), FAR_PEERS);
+        return peers;
+    }
+
+    private void addSome(List<NodeId> peers, List<NodeId> from, int most) {
+        List<NodeId> shuffled = new ArrayList<>(from);
+        shuffled.removeAll(peers);
+        Collections.shuffle(shuffled, new Random(mContext.random().nextLong()));
+        peers.addAll(shuffled.subList(0, Math.min(most, shuffled.size())));
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadCore.java
@@ -0,0 +1,201 @@
+package org.azurearch.internal.spread;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.azurearch.lib.NodeId;
+import org.azurearch.spread.Position;
+import org.azurearch.spread.Source;
+
+/**
+ * The decisions of the distribution: takes an input and the time, changes its state and returns the
+ * effects to carry out. It has no thread, no clock and no I/O of its own. Not thread-safe.
+ */
+final class SpreadCore {
+    private static final long BEHIND_PULL_MILLIS = 50;
+
+    private final CoreContext mContext;
+    private final LogFollower mLog;
+    private final Pusher mPusher;
+    private final Puller mPuller;
+    private final Resync mResync;
+    private final SnapshotSchedule mSnapshots;
+
+    /**
+     * Creates a core without state.
+     *
+     * @param settings the settings
+     * @param format the binary forms
+     * @param random the source of jitter and choice
+     * @param topology the topology at the start
+     * @param nowMillis the time, in milliseconds from an arbitrary origin
+     */
+    SpreadCore(
+            SpreadSettings settings,
+            FoldFormat format,
+            RandomGenerator random,
+            Topology topology,
+            long nowMillis) {
+        mContext = new CoreContext(settings, format, random, topology);
+        mLog = new LogFollower(mContext, nowMillis);
+        mPusher = new Pusher(mContext);
+        mPuller = new Puller(mContext, nowMillis);
+        mResync = new Resync(mContext);
+        mSnapshots = new SnapshotSchedule(mContext, nowMillis);
+    }
+
+    /** Returns the state and the records that led to it. */
+    History history() {
+        return mContext.history();
+    }
+
+    /** Returns where the state came from last. */
+    Source source() {
+        return mContext.source();
+    }
+
+    /** Says whether this node reads the log. */
+    boolean reader() {
+        return mContext.reader();
+    }
+
+    /** Returns what holds this node up; empty when nothing does. */
+    String reason() {
+        if (mContext.blocked()) {
+            return mContext.held();
+        }
+        if (!mContext.empty()) {
+            return mLog.down() ? "the log cannot be read: " + mLog.failure() : "";
+        }
+        if (!mLog.failure().isEmpty()) {
+            return "no peer has given a state and the log cannot be read: " + mLog.failure();
+        }
+        return mContext.reader() ? "no record has been read yet" : "no peer has given a state yet";
+    }
+
+    /** Returns when the next {@link SpreadInput.Tick} is due, in milliseconds. */
+    long dueAt() {
+        long log = mContext.reader() ? mLog.dueAt() : Long.MAX_VALUE;
+        return Math.min(
+                Math.min(Math.min(log, mPusher.dueAt()), mPuller.dueAt()),
+                Math.min(mResync.dueAt(), mSnapshots.dueAt()));
+    }
+
+    /**
+     * Takes an input.
+     *
+     * @param input the input
+     * @param now the time, in milliseconds from the origin of the start
+     * @param wallMillis the wall clock, in milliseconds since the epoch
+     * @return the effects to carry out, in order
+     */
+    List<SpreadEffect> handle(SpreadInput input, long now, long wallMillis) {
+        Position before = mContext.position();
+        if (input instanceof SpreadInput.Members members) {
+            mContext.topology(members.topology());
+        } else if (!handleExchange(input, now) && !handleLog(input, now)) {
+            handleSnapshot(input, now, wallMillis);
+        }
+        if (mContext.position().after(before)) {
+            mPusher.moved(before, mContext.source(), now);
+            mSnapshots.moved(now);
+        }
+        tick(now);
+        return mContext.takeEffects();
+    }
+
+    private void tick(long now) {
+        mResync.tick(now);
+        if (mResync.logSearched()) {
+            mLog.snapshotSearched();
+        }
+        if (mLog.wantsSnapshot(mPuller.fruitless(), now)) {
+            mResync.start(null, true, now);
+        }
+        mLog.tick(mPuller.fruitless(), mResync.active(), now);
+        mPusher.tick(now);
+        mPuller.tick(now);
+        mSnapshots.tick(now);
+    }
+
+    private boolean handleExchange(SpreadInput input, long now) {
+        if (input instanceof SpreadInput.Pushed pushed) {
+            pushed(pushed, now);
+        } else if (input instanceof SpreadInput.PushFailed failed) {
+            mPusher.send(failed.delta(), failed.subtree());
+        } else if (input instanceof SpreadInput.PullAnswered answer) {
+            pullAnswered(answer, now);
+        } else if (input instanceof SpreadInput.PullFailed failed) {
+            mPuller.failed(failed.by(), failed.retryAfterMillis(), now);
+        } else if (input instanceof SpreadInput.PeerAhead ahead) {
+            if (ahead.position().after(mContext.position()) && !mContext.blocked()) {
+                mPuller.askAhead(ahead.node(), now);
+            }
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean handleLog(SpreadInput input, long now) {
+        if (input instanceof SpreadInput.LogRead read) {
+            mLog.answered(read.batch(), now);
+        } else if (input instanceof SpreadInput.LogFailed failed) {
+            mLog.failed(failed.reason(), now);
+        } else if (input instanceof SpreadInput.LogRemoved removed) {
+            mLog.removed(removed.earliest(), now);
+            mResync.start(null, true, now);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void handleSnapshot(SpreadInput input, long now, long wallMillis) {
+        if (input instanceof SpreadInput.ManifestAnswered answer) {
+            mResync.manifest(answer.by(), answer.manifest(), now);
+        } else if (input instanceof SpreadInput.ChunkAnswered answer) {
+            mResync.chunk(answer.by(), answer.digest(), answer.content(), now);
+        } else if (input instanceof SpreadInput.FetchFailed failed) {
+            mResync.fetchFailed(failed.by(), failed.digest(), failed.retryAfterMillis(), now);
+        } else if (input instanceof SpreadInput.SnapshotsRead read) {
+            mResync.snapshotsRead(read.asked(), read.batch(), now);
+        } else if (input instanceof SpreadInput.SnapshotsRemoved removed) {
+            mResync.snapshotsRemoved(removed.earliest(), now);
+        } else if (input instanceof SpreadInput.SnapshotsFailed failed) {
+            mResync.snapshotsFailed(failed.reason(), now);
+        } else if (input instanceof SpreadInput.NewestSnapshot newest) {
+            mSnapshots.newest(newest.newest(), now, wallMillis);
+        } else if (input instanceof SpreadInput.SnapshotSaved saved) {
+            mSnapshots.saved(saved.position(), saved.done(), now);
+        }
+    }
+
+    private void pushed(SpreadInput.Pushed pushed, long now) {
+        mPusher.send(pushed.delta(), pushed.subtree());
+        boolean ahead = pushed.delta().target().after(mContext.position());
+        boolean current = mContext.foldDelta(pushed.delta(), Source.PUSH);
+        mPusher.pushedByOther(pushed.delta().target());
+        if (!current && !mContext.blocked()) {
+            mPuller.within(BEHIND_PULL_MILLIS, now);
+        } else if (ahead) {
+            mPuller.within(mContext.settings().policy().reportDelay().toMillis(), now);
+        }
+    }
+
+    private void pullAnswered(SpreadInput.PullAnswered answer, long now) {
+        Delta delta = answer.delta();
+        boolean folded = delta == null || mContext.foldDelta(delta, Source.PULL);
+        Position outvotedBy =
+                mPuller.answered(answer.by(), answer.position(), delta != null, folded, now);
+        NodeId by = answer.by();
+        if (outvotedBy != null) {
+            mContext.report(
+                    SpreadEvent.DIGEST_MISMATCH, by, answer.position(), mContext.position());
+            mResync.start(by, false, now);
+        } else if ((answer.snapshotNeeded() || mPuller.stuck())
+                && answer.position().after(mContext.position())
+                && !mContext.blocked()) {
+            mResync.start(by, false, now);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadRunner.java
@@ -0,0 +1,214 @@
+package org.azurearch.internal.spread;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.azurearch.events.EventLog;
+import org.azurearch.fold.FoldState;
+import org.azurearch.log.LogClient;
+import org.azurearch.member.MemberView;
+import org.azurearch.spread.Source;
+import org.azurearch.time.TimerService;
+import org.azurearch.transport.PeerClient;
+import org.azurearch.transport.PeerServer;
+import org.jspecify.annotations.Nullable;
+
+/** The duty that feeds the distribution core and carries out its effects. */
+final class SpreadRunner implements AutoCloseable {
+    private static final Duration VIEW_DEBOUNCE = Duration.ofMillis(100);
+    private static final long MIN_TICK_MILLIS = 1;
+    private static final long MAX_TICK_MILLIS = 1_000;
+
+    private final SpreadSettings mSettings;
+    private final MemberView mMembers;
+    private final TimerService mTimers;
+    private final SpreadCore mCore;
+    private final PeerCalls mPeers;
+    private final LogCalls mLog;
+    private final Progress mProgress = new Progress();
+    private final PeerService mService;
+    private final InputRing mRing;
+    private final AtomicBoolean mMembersChanged = new AtomicBoolean();
+    private final List<Consumer<FoldState>> mListeners = new CopyOnWriteArrayList<>();
+    private final Counter mLogReads;
+    private final Counter mPushes;
+    private final Counter mPulls;
+    private final MetricRegistry mMetrics;
+    private volatile SpreadView mView;
+    private TimerService.@Nullable Subscription mTick;
+
+    /**
+     * What the runner works with.
+     *
+     * @param log the log
+     * @param peers sends requests to other nodes
+     * @param members the membership
+     * @param timers the timers and the time
+     * @param metrics where metrics are registered
+     * @param format the binary forms
+     * @param ring makes the ring that feeds a handler
+     */
+    record Services(
+            LogClient log,
+            PeerClient peers,
+            MemberView members,
+            TimerService timers,
+            MetricRegistry metrics,
+            FoldFormat format,
+            Function<Consumer<SpreadInput>, InputRing> ring) {}
+
+    /**
+     * Creates a runner and starts its thread.
+     *
+     * @param mesh the name of the mesh
+     * @param settings the settings
+     * @param services what it works with
+     * @param seed the seed of jitter and choice
+     */
+    SpreadRunner(String mesh, SpreadSettings settings, Services services, long seed) {
+        mSettings = settings;
+        mMembers = services.members();
+        mTimers = services.timers();
+        mMetrics = services.metrics();
+        mCore =
+                new SpreadCore(
+                        settings,
+                        services.format(),
+                        new SplittableRandom(seed),
+                        Topology.of(mMembers, settings.readers()),
+                        mTimers.time().millis());
+        mView = SpreadView.of(mCore);
+        mPeers =
+                new PeerCalls(
+                        services.peers(),
+                        mMembers,
+                        mProgress,
+                        mTimers.time(),
+                        settings,
+                        this::offer);
+        mLog = new LogCalls(services.log(), mesh, services.format(), mTimers, this::offer);
+        mService =
+                new PeerService(
+                        services.format(),
+                        this::view,
+                        this::offer,
+                        mMembers,
+                        mProgress,
+                        mTimers.time(),
+                        settings.policy().compressionLevel());
+        mLogReads = mMetrics.counter("spread.log.reads");
+        mPushes = mMetrics.counter("spread.pushes");
+        mPulls = mMetrics.counter("spread.pulls");
+        mMetrics.gauge("spread.offset", () -> (Gauge<Long>) () -> view().position().offset());
+        mRing = services.ring().apply(this::handle);
+    }
+
+    /** Registers with the membership and the peer server, and takes the first step. */
+    void start(PeerServer server) {
+        mService.register(server);
+        mMembers.listen(this::membersChanged);
+        offer(new SpreadInput.Tick());
+    }
+
+    /** Returns what other threads may see. */
+    SpreadView view() {
+        return mView;
+    }
+
+    /** Returns how far the other nodes have come. */
+    Progress progress() {
+        return mProgress;
+    }
+
+    /** Adds a listener for states that came into force; called on the duty's thread. */
+    void listen(Consumer<FoldState> listener) {
+        mListeners.add(listener);
+    }
+
+    @Override
+    public void close() {
+        mRing.close();
+    }
+
+    private boolean offer(SpreadInput input) {
+        return mRing.offer(input);
+    }
+
+    private void membersChanged() {
+        if (mMembersChanged.compareAndSet(false, true)) {
+            mTimers.after(VIEW_DEBOUNCE, () -> offer(new SpreadInput.Tick()));
+        }
+    }
+
+    private void handle(SpreadInput input) {
+        if (mMembersChanged.compareAndSet(true, false)) {
+            mProgress.retain(mMembers);
+            step(new SpreadInput.Members(Topology.of(mMembers, mSettings.readers())));
+        }
+        step(input);
+        armTick();
+    }
+
+    private void step(SpreadInput input) {
+        List<SpreadEffect> effects =
+                mCore.handle(input, mTimers.time().millis(), mTimers.time().wallMillis());
+        mView = SpreadView.of(mCore);
+        effects.forEach(this::carryOut);
+    }
+
+    private void armTick() {
+        if (mTick != null) {
+            mTick.cancel();
+        }
+        long wait = mCore.dueAt() - mTimers.time().millis();
+        long bounded = Math.max(MIN_TICK_MILLIS, Math.min(MAX_TICK_MILLIS, wait));
+        mTick = mTimers.after(Duration.ofMillis(bounded), () -> offer(new SpreadInput.Tick()));
+    }
+
+    private void carryOut(SpreadEffect effect) {
+        if (effect instanceof SpreadEffect.ReadLog read) {
+            mLogReads.inc();
+            mLog.read(read.offset());
+        } else if (effect instanceof SpreadEffect.Push push) {
+            mPushes.inc();
+            mPeers.push(push.to(), push.delta(), push.subtree());
+        } else if (effect instanceof SpreadEffect.Pull pull) {
+            mPulls.inc();
+            mPeers.pull(pull.to(), pull.position(), pull.maxBytes());
+        } else if (effect instanceof SpreadEffect.Installed installed) {
+            installed(installed.state(), installed.source());
+        } else if (effect instanceof SpreadEffect.Report report) {
+            EventLog.log(report.event(), report.arguments().toArray());
+        } else {
+            carryOutSnapshot(effect);
+        }
+    }
+
+    private void carryOutSnapshot(SpreadEffect effect) {
+        if (effect instanceof SpreadEffect.AskManifest ask) {
+            mPeers.manifest(ask.to());
+        } else if (effect instanceof SpreadEffect.AskChunk ask) {
+            mPeers.chunk(ask.to(), ask.digest());
+        } else if (effect instanceof SpreadEffect.ReadSnapshots read) {
+            mLog.readSnapshots(read.offset(), read.maxBytes());
+        } else if (effect instanceof SpreadEffect.FindNewestSnapshot) {
+            mLog.findNewest();
+        } else if (effect instanceof SpreadEffect.SaveSnapshot save) {
+            mLog.save(save.state());
+        }
+    }
+
+    private void installed(FoldState state, Source source) {
+        mMetrics.counter("spread.installed." + source.name().toLowerCase(Locale.ROOT)).inc();
+        EventLog.log(SpreadEvent.INSTALLED, mView.position(), source);
+        mListeners.forEach(listener -> listener.accept(state));
+    }
+}
