--- a/org.azurearch/src/main/java/org/azurearch/internal/config/EntryReader.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/EntryReader.java
@@ -38,6 +38,11 @@
         mProblems = problems;
     }
 
+    /** Says whether a field is present. */
+    boolean has(String key) {
+        return fields().value(key).isPresent();
+    }
+
     /** Returns a required text. */
     String text(String key) {
         YamlScalar scalar = scalar(key);
--- a/org.azurearch/src/main/java/org/azurearch/internal/config/RouteRules.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/RouteRules.java
@@ -88,7 +88,7 @@
 
     private static void check(
             EntryReader reader, String field, NamedId target, Collection<? extends NamedId> known) {
-        if (known.contains(target)) {
+        if (known.contains(target) || !reader.has(field)) {
             return;
         }
         List<String> names = known.stream().map(NamedId::name).toList();
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/Compression.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/Compression.java
@@ -46,12 +46,13 @@
      *     {@link ErrorCode#TOO_LARGE} when more would come out
      */
     public static byte[] decompress(byte[] bytes, byte[] dictionary, int maxBytes) {
-        long size = contentSize(bytes);
-        if (size > maxBytes) {
-            throw new AzurearchException(
-                    ErrorCode.TOO_LARGE, size + " bytes are more than the limit of " + maxBytes);
-        }
         try (ZstdDecompressCtx context = new ZstdDecompressCtx()) {
+            long size = contentSize(bytes);
+            if (size > maxBytes) {
+                throw new AzurearchException(
+                        ErrorCode.TOO_LARGE,
+                        size + " bytes are more than the limit of " + maxBytes);
+            }
             if (dictionary.length > 0) {
                 context.loadDict(dictionary);
             }
--- a/org.azurearch/src/main/java/org/azurearch/internal/yaml/SchemaCheck.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/SchemaCheck.java
@@ -109,7 +109,12 @@
                     new Problem(
                             ErrorCode.BAD_NAME,
                             keyLocation(node, message).orElse(location),
-                            "a key is not " + SchemaWords.NAME + where);
+                            "key '"
+                                    + message.getProperty()
+                                    + "'"
+                                    + where
+                                    + " is not "
+                                    + SchemaWords.NAME);
             default ->
                     new Problem(
                             ErrorCode.OUT_OF_RANGE,
--- a/org.azurearch/src/main/java/org/azurearch/yaml/YamlReader.java
+++ b/org.azurearch/src/main/java/org/azurearch/yaml/YamlReader.java
@@ -70,6 +70,10 @@
             root = yaml().compose(new StringReader(text));
         } catch (YAMLException e) {
             throw refused(codeOf(e), locationOf(file, e), messageOf(e));
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            // The library lets these through for some malformed escapes.
+            String message = "the document is not well-formed: " + e.getMessage();
+            throw refused(ErrorCode.YAML_SYNTAX, new SourceLocation(file, 0), message);
         }
         if (root == null) {
             throw refused(
