Run non-idempotent requests at most once and prove nodes to each other

A caller that resends an order after a lost answer got a second run, and any caller could forge the headers between nodes. Hop connections now begin with a mutual proof by the mesh's key, which also shows that the address still belongs to the node meant; headers of the system are dropped on every other connection.

--- a/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
@@ -114,6 +114,7 @@
         }
         shutdown(mAcceptor);
         shutdown(mLoops);
+        mPath.claims().close();
     }
 
     private void closeIdle() {
@@ -155,6 +156,7 @@
                 return;
             }
             AnswerEncoder encoder = new AnswerEncoder();
+            mPath.tls().secureServer(channel);
             channel.pipeline()
                     .addLast(new StrictRequestDecoder())
                     .addLast(encoder)
