Run the whole path as real processes in the demonstration

Until now the parts stood side by side and no request had gone from end to end.

Found on the way: options with a default counted as missing; the administration API left empty lists out of its JSON, so that clients could not read it; an answer 503 with a readiness report was taken for a problem.

--- a/org.azurearch.node/src/main/java/org/azurearch/node/admin/AdminServer.java
+++ b/org.azurearch.node/src/main/java/org/azurearch/node/admin/AdminServer.java
@@ -71,6 +71,7 @@
         properties.put("micronaut.server.host", settings.listen().host());
         properties.put("micronaut.server.port", port == 0 ? RANDOM_PORT : port);
         properties.put("micronaut.server.max-request-size", MAX_BODY_BYTES);
+        properties.put("jackson.serialization-inclusion", "ALWAYS");
         properties.put("micronaut.server.netty.worker.threads", 2);
         properties.put("netty.default.allocator.max-order", 3);
         settings.keyStore()
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/DiffSubcommand.java
@@ -0,0 +1,40 @@
+package org.azurearch.pgm;
+
+import java.nio.file.Path;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.azurearch.api.DiffCommand;
+import org.azurearch.api.DiffResult;
+import org.azurearch.lib.SiteId;
+import org.azurearch.pgm.internal.Output;
+
+/** {@code azurearch diff}. */
+@Command(name = "diff", summary = PgmText.SUMMARY_DIFF)
+public final class DiffSubcommand extends DocumentSubcommand {
+    @Override
+    protected void options(OptionParser parser) {
+        super.options(parser);
+        parser.accepts("before", PgmText.OPTION_BEFORE.format()).withRequiredArg();
+    }
+
+    @Override
+    protected ExitCode run(OptionSet options, Output output) {
+        DiffCommand command = new DiffCommand();
+        for (Object before : options.valuesOf("before")) {
+            command.addBefore(Path.of(String.valueOf(before)));
+        }
+        files(options).forEach(command::addAfter);
+        DiffResult result = command.call();
+        output.result(result, value -> print(value, output));
+        return result.status() == DiffResult.Status.INVALID ? ExitCode.REFUSED : ExitCode.DONE;
+    }
+
+    private static void print(DiffResult result, Output output) {
+        for (DiffResult.SiteDiff site : result.sites()) {
+            String name = site.overlaySite().map(SiteId::name).orElse(PgmText.EVERY_SITE.format());
+            output.line(site.firm() + "/" + name + ":");
+            site.entries().forEach(entry -> output.line("  " + entry.text()));
+        }
+        printProblems(result.problems(), output);
+    }
+}
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/Main.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/Main.java
@@ -9,6 +9,7 @@
 import org.azurearch.errors.Problem;
 import org.azurearch.pgm.internal.CommandCatalog;
 import org.azurearch.pgm.internal.Output;
+import org.azurearch.pgm.internal.Shutdown;
 
 /** Entry point of the command line. */
 public final class Main {
@@ -28,7 +29,9 @@
 
     /** Runs a command and exits with its code. */
     public static void main(String[] arguments) {
-        System.exit(new Main(System.out, System.err).run(arguments).number());
+        ExitCode code = new Main(System.out, System.err).run(arguments);
+        Shutdown.done();
+        System.exit(code.number());
     }
 
     /**
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
@@ -100,6 +100,22 @@
     OPTION_SERVICE_TIME,
     /** Option: cold start of a stand-in backend server. */
     OPTION_COLD_START,
+    /** Option: the folder with the examples. */
+    OPTION_EXAMPLES,
+    /** Option: files or folders. */
+    OPTION_FILES,
+    /** Option: files to compare with. */
+    OPTION_BEFORE,
+    /** Option: the node on the same VM. */
+    OPTION_OWN_NODE,
+    /** Option: what a probe costs. */
+    OPTION_PROBE_COST,
+    /** No file is named. */
+    NO_FILES,
+    /** Name of the sites without an overlay. */
+    EVERY_SITE,
+    /** How to reach the demonstration. */
+    KEEP_HINT,
     /** Option: keep the demonstration running. */
     OPTION_KEEP,
     /** Option: where to write. */
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/Subcommand.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/Subcommand.java
@@ -60,15 +60,16 @@
     protected abstract ExitCode run(OptionSet options, Output output);
 
     /**
-     * Returns the value of a required option.
+     * Returns the value of a required option, or its default.
      *
      * @throws AzurearchException with {@code USAGE} when it is missing
      */
     protected static String required(OptionSet options, String name) {
-        if (!options.hasArgument(name)) {
+        Object value = options.valueOf(name);
+        if (value == null) {
             throw new AzurearchException(ErrorCode.USAGE, PgmText.MISSING_OPTION.format(name));
         }
-        return String.valueOf(options.valueOf(name));
+        return value.toString();
     }
 
     private OptionSet parse(String[] arguments) {
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/CallLoad.java
@@ -0,0 +1,165 @@
+package org.azurearch.pgm.demo;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.standin.backend.EchoAnswer;
+
+/** Calls through the nodes, one after the other on each of a few threads, until closed. */
+final class CallLoad implements AutoCloseable {
+    private static final int THREADS = 4;
+    private static final Duration PAUSE = Duration.ofMillis(10);
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration END_WAIT = Duration.ofSeconds(15);
+    private static final int FIRST_FAILURE = 400;
+
+    private final HttpClient mHttp =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(Duration.ofSeconds(2))
+                    .build();
+    private final List<CallSample> mSamples;
+    private final Map<String, LongAdder> mAnswered = new ConcurrentHashMap<>();
+    private final Map<String, LongAdder> mFailed = new ConcurrentHashMap<>();
+    private final LongAdder mMixed = new LongAdder();
+    private final AtomicInteger mNext = new AtomicInteger();
+    private final List<Thread> mThreads;
+    private volatile List<NetAddress> mNodes;
+    private volatile boolean mClosed;
+
+    /**
+     * Starts calling.
+     *
+     * @param samples the calls to make, in turn
+     * @param nodes the nodes to call, in turn
+     */
+    CallLoad(List<CallSample> samples, List<NetAddress> nodes) {
+        mSamples = List.copyOf(samples);
+        mNodes = List.copyOf(nodes);
+        mThreads =
+                java.util.stream.IntStream.range(0, THREADS)
+                        .mapToObj(i -> new Thread(this::run, "demo-caller-" + i))
+                        .toList();
+        mThreads.forEach(thread -> thread.setDaemon(true));
+        mThreads.forEach(Thread::start);
+    }
+
+    /** Sets the nodes to call from now on. */
+    void nodes(List<NetAddress> nodes) {
+        mNodes = List.copyOf(nodes);
+    }
+
+    /** Returns how many calls were answered with success so far. */
+    long answered() {
+        return mAnswered.values().stream().mapToLong(LongAdder::sum).sum();
+    }
+
+    /** Returns how many calls failed so far. */
+    long failed() {
+        return mFailed.values().stream().mapToLong(LongAdder::sum).sum();
+    }
+
+    /** Returns how many answers belonged to another call. */
+    long mixed() {
+        return mMixed.sum();
+    }
+
+    /** Returns the calls answered so far by class. */
+    Map<String, Long> answeredByClass() {
+        return sums(mAnswered);
+    }
+
+    /** Returns the failures so far by kind. */
+    Map<String, Long> failures() {
+        return sums(mFailed);
+    }
+
+    @Override
+    public void close() {
+        mClosed = true;
+        for (Thread thread : mThreads) {
+            try {
+                thread.join(END_WAIT.toMillis());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private void run() {
+        while (!mClosed) {
+            int turn = mNext.getAndIncrement();
+            List<NetAddress> nodes = mNodes;
+            call(mSamples.get(turn % mSamples.size()), nodes.get(turn % nodes.size()));
+            LockSupport.parkNanos(PAUSE.toNanos());
+        }
+    }
+
+    private void call(CallSample sample, NetAddress node) {
+        String nonce = UUID.randomUUID().toString();
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(URI.create("http://" + node + sample.path()))
+                        .timeout(TIMEOUT)
+                        .header(EchoAnswer.NONCE_HEADER, nonce);
+        if (!sample.idempotent()) {
+            byte[] body = bodyOf(sample, nonce);
+            request.header("idempotency-key", nonce)
+                    .POST(HttpRequest.BodyPublishers.ofByteArray(body));
+        }
+        try {
+            HttpResponse<byte[]> response =
+                    mHttp.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
+            note(sample, nonce, response);
+        } catch (IOException e) {
+            count(mFailed, sample.callClass() + " " + e.getClass().getSimpleName());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void note(CallSample sample, String nonce, HttpResponse<byte[]> response) {
+        if (response.statusCode() >= FIRST_FAILURE) {
+            String code = response.headers().firstValue("azurearch-code").orElse("no code");
+            String verdict = response.headers().firstValue("azurearch-verdict").orElse("none");
+            count(
+                    mFailed,
+                    sample.callClass() + " " + response.statusCode() + " " + code + " " + verdict);
+            return;
+        }
+        if (!Arrays.equals(response.body(), EchoAnswer.of(nonce, bodyOf(sample, nonce), 0))) {
+            mMixed.increment();
+        }
+        count(mAnswered, sample.callClass());
+    }
+
+    private static byte[] bodyOf(CallSample sample, String nonce) {
+        return sample.idempotent()
+                ? new byte[0]
+                : ("demo " + nonce).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static void count(Map<String, LongAdder> counts, String key) {
+        counts.computeIfAbsent(key, k -> new LongAdder()).increment();
+    }
+
+    private static Map<String, Long> sums(Map<String, LongAdder> counts) {
+        Map<String, Long> sums = new TreeMap<>();
+        counts.forEach((key, value) -> sums.put(key, value.sum()));
+        return sums;
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/CallSample.java
@@ -0,0 +1,21 @@
+package org.azurearch.pgm.demo;
+
+/**
+ * A call as a user of the firm makes it.
+ *
+ * @param callClass the class that its route has
+ * @param method the HTTP method
+ * @param path the path
+ * @param idempotent whether its route is idempotent
+ */
+public record CallSample(String callClass, String method, String path, boolean idempotent) {
+    /** Returns an idempotent read. */
+    static CallSample read(String callClass, String path) {
+        return new CallSample(callClass, "GET", path, true);
+    }
+
+    /** Returns a non-idempotent post. */
+    static CallSample post(String callClass, String path) {
+        return new CallSample(callClass, "POST", path, false);
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/ChildProcess.java
@@ -0,0 +1,138 @@
+package org.azurearch.pgm.demo;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+
+/** A command of this program that runs in a process of its own. */
+public final class ChildProcess implements AutoCloseable {
+    private static final String READY = "ready ";
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(30);
+
+    private final String mName;
+    private final Process mProcess;
+    private final CompletableFuture<String> mReady = new CompletableFuture<>();
+
+    private ChildProcess(String name, Process process) {
+        mName = name;
+        mProcess = process;
+        Thread reader = new Thread(this::readOutput, "output-of-" + name);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /**
+     * Starts a command.
+     *
+     * @param name the name of the process, for messages
+     * @param heapMegabytes the bound on its heap, in MiB
+     * @param log the file that its log goes to
+     * @param arguments the command and its arguments
+     */
+    public static ChildProcess start(
+            String name, int heapMegabytes, Path log, List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-Xmx" + heapMegabytes + "m");
+        command.add("-XX:+UseSerialGC");
+        command.add("-XX:TieredStopAtLevel=1");
+        command.add("-cp");
+        command.add(System.getProperty("java.class.path"));
+        command.add("org.azurearch.pgm.Main");
+        command.addAll(arguments);
+        try {
+            Process process =
+                    new ProcessBuilder(command)
+                            .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                            .start();
+            return new ChildProcess(name, process);
+        } catch (IOException e) {
+            throw new AzurearchException(ErrorCode.INTERNAL, "cannot start " + name, e);
+        }
+    }
+
+    /**
+     * Waits until the process has printed its line {@code ready ...}.
+     *
+     * @return the words of the line
+     * @throws AzurearchException with {@code INTERNAL} when it ends or takes too long
+     */
+    public List<String> awaitReady() {
+        try {
+            String line = mReady.get(START_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            return List.of(line.split(" "));
+        } catch (ExecutionException | TimeoutException e) {
+            throw new AzurearchException(ErrorCode.INTERNAL, mName + " did not start", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new AzurearchException(ErrorCode.CANCELLED, "interrupted", e);
+        }
+    }
+
+    /** Returns the process id. */
+    public long pid() {
+        return mProcess.pid();
+    }
+
+    /**
+     * Asks the process to stop and waits until it has.
+     *
+     * @throws AzurearchException with {@code INTERNAL} when it takes too long; it is then killed
+     */
+    public void stop() {
+        mProcess.destroy();
+        if (!awaitEnd()) {
+            kill();
+            throw new AzurearchException(ErrorCode.INTERNAL, mName + " did not stop in time");
+        }
+    }
+
+    /** Kills the process and waits until it has ended. */
+    public void kill() {
+        mProcess.destroyForcibly();
+        awaitEnd();
+    }
+
+    @Override
+    public void close() {
+        if (mProcess.isAlive()) {
+            kill();
+        }
+    }
+
+    private boolean awaitEnd() {
+        try {
+            return mProcess.waitFor(STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private void readOutput() {
+        try (BufferedReader in =
+                new BufferedReader(
+                        new InputStreamReader(mProcess.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                if (line.startsWith(READY)) {
+                    mReady.complete(line);
+                }
+            }
+            mReady.completeExceptionally(new IOException(mName + " ended"));
+        } catch (IOException e) {
+            mReady.completeExceptionally(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/ConflictStep.java
@@ -0,0 +1,57 @@
+package org.azurearch.pgm.demo;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.azurearch.admin.AdminClient;
+import org.azurearch.admin.ChangeReport;
+import org.azurearch.admin.PublishCommand;
+import org.azurearch.admin.VersionsCommand;
+
+/** Two operators publish the base at once, both based on the same version. */
+final class ConflictStep implements DemoStep {
+    private static final Duration MOST = Duration.ofSeconds(10);
+
+    private final Examples mExamples;
+
+    ConflictStep(Examples examples) {
+        mExamples = examples;
+    }
+
+    @Override
+    public String title() {
+        return "of two racing publications one wins and the other is told";
+    }
+
+    @Override
+    public StepResult run(DemoContext context) {
+        DemoMesh mesh = context.mesh();
+        AdminClient first = mesh.client(mesh.vms().get(0));
+        AdminClient second = mesh.client(mesh.vms().get(1));
+        long version = new VersionsCommand(first, mesh.plan().firm()).call().current();
+        CompletableFuture<ChangeReport> a =
+                CompletableFuture.supplyAsync(() -> publish(mesh, first, version, "# one\n"));
+        CompletableFuture<ChangeReport> b =
+                CompletableFuture.supplyAsync(() -> publish(mesh, second, version, "# two\n"));
+        ChangeReport one = a.join();
+        ChangeReport two = b.join();
+        boolean kept = wins(one, two) || wins(two, one);
+        return StepResult.of(title(), kept, one.status() + " and " + two.status());
+    }
+
+    private ChangeReport publish(
+            DemoMesh mesh, AdminClient client, long expected, String addedLine) {
+        return new PublishCommand(client, mesh.plan().firm())
+                .addDocument(mExamples.baseWith(addedLine))
+                .setExpectedVersion(expected)
+                .setWait(MOST)
+                .call();
+    }
+
+    private static boolean wins(ChangeReport winner, ChangeReport loser) {
+        ChangeReport.Outcome outcome = loser.outcome();
+        return winner.status().equals("in-force")
+                && outcome != null
+                && outcome.conflict()
+                && winner.change().equals(outcome.winner());
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/Demo.java
@@ -0,0 +1,74 @@
+package org.azurearch.pgm.demo;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.lib.ProgressMonitor;
+import org.azurearch.pgm.PgmText;
+
+/** Runs a firm at the size of today and checks what is promised. */
+public final class Demo implements AutoCloseable {
+    private final DemoMesh mMesh;
+    private final Examples mExamples;
+    private final ProgressMonitor mMonitor;
+
+    /**
+     * Starts all processes.
+     *
+     * @param plan the firm
+     * @param examples the folder with the firm's documents
+     * @param folder where settings and logs are written
+     * @param monitor told of the progress
+     */
+    public Demo(FirmPlan plan, Path examples, Path folder, ProgressMonitor monitor) {
+        mExamples = new Examples(plan, examples);
+        mMonitor = monitor;
+        mMesh = new DemoMesh(plan, folder, monitor);
+    }
+
+    /** Runs the steps one after the other, all of them even if one is broken. */
+    public DemoReport run() {
+        List<DemoStep> steps =
+                List.of(
+                        new MembershipStep(),
+                        new PublishStep(mExamples),
+                        new CallsStep(),
+                        new RefusedStep(mExamples),
+                        new ConflictStep(mExamples),
+                        new RestartStep(),
+                        new DrainStep(),
+                        new UndoStep(),
+                        new PromisesStep());
+        List<StepResult> results = new ArrayList<>();
+        mMonitor.begin("steps", steps.size());
+        try (DemoContext context = new DemoContext(mMesh)) {
+            for (DemoStep step : steps) {
+                results.add(perform(step, context));
+                mMonitor.update(1);
+            }
+        }
+        mMonitor.end();
+        return new DemoReport(mMesh.plan().firm().name(), results);
+    }
+
+    /** Returns how to reach the processes. */
+    public String hint() {
+        NodeAddresses node = mMesh.vms().get(0).addresses();
+        return PgmText.KEEP_HINT.format(
+                node.admin(), mMesh.plan().firm(), mMesh.token(), node.calls());
+    }
+
+    @Override
+    public void close() {
+        mMesh.close();
+    }
+
+    private static StepResult perform(DemoStep step, DemoContext context) {
+        try {
+            return step.run(context);
+        } catch (AzurearchException e) {
+            return StepResult.of(step.title(), false, String.valueOf(e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/DemoReport.java
@@ -0,0 +1,36 @@
+package org.azurearch.pgm.demo;
+
+import java.util.List;
+
+/**
+ * What came of a demonstration.
+ *
+ * @param firm the firm
+ * @param steps the results of its steps
+ */
+public record DemoReport(String firm, List<StepResult> steps) {
+    /** Takes a copy of the list. */
+    public DemoReport {
+        steps = List.copyOf(steps);
+    }
+
+    /** Says whether every step kept what is promised. */
+    public boolean kept() {
+        return steps.stream().allMatch(step -> step.status() == StepResult.Status.KEPT);
+    }
+
+    /** Returns the results as a table. */
+    public String table() {
+        int width = steps.stream().mapToInt(step -> step.step().length()).max().orElse(0);
+        StringBuilder table = new StringBuilder();
+        for (StepResult step : steps) {
+            table.append(
+                    String.format(
+                            "%-6s  %-" + Math.max(1, width) + "s  %s%n",
+                            step.status(),
+                            step.step(),
+                            step.detail()));
+        }
+        return table.toString().stripTrailing();
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/DrainStep.java
@@ -0,0 +1,44 @@
+package org.azurearch.pgm.demo;
+
+import java.time.Duration;
+import java.util.List;
+import org.azurearch.admin.AdminClient;
+import org.azurearch.standin.backend.BackendStatistics;
+
+/** Drains a backend server while calls go on. */
+final class DrainStep implements DemoStep {
+    private static final Duration NO_NEW_WORK_WITHIN = Duration.ofSeconds(2);
+    private static final Duration OBSERVED = Duration.ofSeconds(2);
+
+    @Override
+    public String title() {
+        return "drain a backend server while calls go on";
+    }
+
+    @Override
+    public StepResult run(DemoContext context) {
+        DemoMesh mesh = context.mesh();
+        CallLoad load = context.load();
+        DemoVm vm = mesh.vms().get(2);
+        long failedBefore = load.failed();
+        mesh.client(vm).post("/v1/backend/drain", "", String.class);
+        Waiting waiting = new Waiting();
+        waiting.pause(NO_NEW_WORK_WITHIN);
+        long runsAfterDrain = runs(vm);
+        waiting.pause(OBSERVED);
+        long late = runs(vm) - runsAfterDrain;
+        long failed = load.failed() - failedBefore;
+        String detail =
+                "requests that it began later than 2 s after: "
+                        + late
+                        + ", calls failed: "
+                        + (failed == 0 ? "none" : load.failures());
+        return StepResult.of(title(), late == 0 && failed == 0, detail);
+    }
+
+    private static long runs(DemoVm vm) {
+        return new AdminClient(List.of(vm.backendAddress()), "", null)
+                .get("/statistics", BackendStatistics.class)
+                .runs();
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/PublishStep.java
@@ -0,0 +1,44 @@
+package org.azurearch.pgm.demo;
+
+import java.time.Duration;
+import org.azurearch.admin.ChangeReport;
+import org.azurearch.time.SystemTimeSource;
+import org.azurearch.time.TimeSource;
+
+/** Publishes the examples and waits until they are in force everywhere. */
+final class PublishStep implements DemoStep {
+    private static final Duration TARGET = Duration.ofSeconds(4);
+    private static final Duration MOST = Duration.ofSeconds(30);
+    private static final String IN_FORCE = "in-force";
+
+    private final Examples mExamples;
+    private final TimeSource mTime = new SystemTimeSource();
+
+    PublishStep(Examples examples) {
+        mExamples = examples;
+    }
+
+    @Override
+    public String title() {
+        return "publish base and overlays";
+    }
+
+    @Override
+    public StepResult run(DemoContext context) {
+        DemoMesh mesh = context.mesh();
+        DemoVm vm = mesh.vms().get(0);
+        long start = mTime.nanos();
+        ChangeReport report =
+                mExamples.publishAll(mesh.client(vm)).setNote("demo").setWait(MOST).call();
+        Duration took = Duration.ofNanos(mTime.nanos() - start);
+        boolean kept = report.status().equals(IN_FORCE) && took.compareTo(TARGET) <= 0;
+        String detail =
+                report.status()
+                        + " on all nodes of "
+                        + report.dataCentres().size()
+                        + " data centres after "
+                        + took.toMillis()
+                        + " ms (target 4000)";
+        return StepResult.of(title(), kept, detail);
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/RefusedStep.java
@@ -0,0 +1,46 @@
+package org.azurearch.pgm.demo;
+
+import java.time.Duration;
+import org.azurearch.admin.ChangeReport;
+import org.azurearch.admin.PublishCommand;
+import org.azurearch.admin.VersionsCommand;
+
+/** Publishes an overlay whose route names a service that does not exist. */
+final class RefusedStep implements DemoStep {
+    private static final Duration MOST = Duration.ofSeconds(10);
+    private static final String REFUSED = "refused";
+
+    private final Examples mExamples;
+
+    RefusedStep(Examples examples) {
+        mExamples = examples;
+    }
+
+    @Override
+    public String title() {
+        return "a publication with a dangling route is refused whole";
+    }
+
+    @Override
+    public StepResult run(DemoContext context) {
+        DemoMesh mesh = context.mesh();
+        var client = mesh.client(mesh.vms().get(mesh.vms().size() - 1));
+        long before = new VersionsCommand(client, mesh.plan().firm()).call().current();
+        ChangeReport report =
+                new PublishCommand(client, mesh.plan().firm())
+                        .addDocument(mExamples.danglingOverlay())
+                        .setWait(MOST)
+                        .call();
+        long after = new VersionsCommand(client, mesh.plan().firm()).call().current();
+        ChangeReport.Outcome outcome = report.outcome();
+        String problem =
+                outcome == null || outcome.problems().isEmpty()
+                        ? "no problem named"
+                        : outcome.problems().get(0).text();
+        boolean kept =
+                report.status().equals(REFUSED)
+                        && before == after
+                        && problem.contains("dangling-reference");
+        return StepResult.of(title(), kept, problem);
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/admin/AdminClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/admin/AdminClient.java
@@ -119,7 +119,7 @@
 
     private <T> T answer(HttpResponse<String> response, Class<T> type) {
         try {
-            if (response.statusCode() >= FIRST_ERROR_STATUS) {
+            if (response.statusCode() >= FIRST_ERROR_STATUS && isProblem(response)) {
                 throw mJson.readValue(response.body(), ProblemDetails.class).exception();
             }
             if (type == String.class) {
@@ -134,6 +134,13 @@
         }
     }
 
+    private static boolean isProblem(HttpResponse<String> response) {
+        return response.headers()
+                .firstValue("content-type")
+                .filter(type -> type.startsWith(ProblemDetails.MEDIA_TYPE))
+                .isPresent();
+    }
+
     private HttpRequest.BodyPublisher json(Object body) {
         try {
             return HttpRequest.BodyPublishers.ofString(mJson.writeValueAsString(body));
--- a/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
@@ -11,9 +11,7 @@
     /** A handler of the data path failed; the connection is closed. */
     HANDLER_FAILED(502, Level.ERROR, "the data path failed on a connection: {}"),
     /** Calls were still under way when the time for a planned stop ran out. */
-    DRAIN_INCOMPLETE(503, Level.WARN, "stopping with {} calls under way"),
-    /** A record of the claims stream is malformed and skipped. */
-    CLAIM_MALFORMED(504, Level.WARN, "skipping the malformed claims record {}");
+    DRAIN_INCOMPLETE(503, Level.WARN, "stopping with {} calls under way");
 
     private final int mNumber;
     private final Level mLevel;
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -106,11 +106,6 @@
 
     @Override
     public void answerHead(HttpResponse head) {
-        String callId = head.headers().get(CallHeaders.CALL_ID);
-        if (callId != null && !callId.equals(Long.toString(mHop.callId()))) {
-            crossed();
-            return;
-        }
         boolean unavailable = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
         String verdict = head.headers().get(CallHeaders.VERDICT);
         HeaderRules.removeOwn(head.headers());
@@ -164,17 +159,6 @@
         mSink.requestWritable();
     }
 
-    private void crossed() {
-        if (mUpstream != null) {
-            mUpstream.cancel();
-        }
-        failed(
-                CallFailure.of(
-                        Verdict.MAY_HAVE_RUN,
-                        ErrorCode.BACKEND_SERVER_FAILED,
-                        "the answer belongs to another request"));
-    }
-
     private void begin() {
         Announcement announcement = mLane.gate().announcement();
         if (mState == State.DONE) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/DestinationCall.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/DestinationCall.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import org.azurearch.call.CallFailure;
 import org.azurearch.call.CallHeaders;
 import org.azurearch.errors.ErrorCode;
@@ -30,7 +29,7 @@
                             0));
             return;
         }
-        HttpRequest head = RequestHeads.forBackend(request(), mHop, lane().signer());
+        HttpRequest head = RequestHeads.forBackend(request(), mHop);
         Exchange exchange = new BackendExchange(lane(), head, mHop, this);
         exchange(exchange);
         exchange.start();
@@ -58,21 +57,7 @@
     }
 
     @Override
-    boolean wantsBody() {
-        Exchange exchange = exchange();
-        return exchange == null || exchange.writable();
-    }
-
-    @Override
-    void onAnswer(HttpResponse head) {}
-
-    @Override
-    void onAnswerBody(HttpContent content) {}
-
-    @Override
-    boolean runsWithoutCaller() {
-        return false;
-    }
+    void onAnswer() {}
 
     @Override
     void onEnd(Verdict verdict, @Nullable ErrorCode code) {}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HopRequest.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopRequest.java
@@ -20,7 +20,6 @@
  * @param queueLength the most calls that may wait
  * @param queueWaitMillis the longest that the call may wait
  * @param deadlineMillis the time that is left for the call
- * @param context the context of the calls that the backend server makes for this one
  */
 record HopRequest(
         long callId,
@@ -32,13 +31,12 @@
         int callsPerSecond,
         int queueLength,
         long queueWaitMillis,
-        long deadlineMillis,
-        CallContext context) {
+        long deadlineMillis) {
     private static final String SEPARATOR = ";";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Creates the request of a call on a route. */
-    static HopRequest of(Route route, long callId, long deadlineMillis, CallContext context) {
+    static HopRequest of(Route route, long callId, long deadlineMillis) {
         return new HopRequest(
                 callId,
                 route.firm().name(),
@@ -49,8 +47,7 @@
                 route.limits().callsPerSecond(),
                 route.policy().queueLength(),
                 route.policy().queueWait().toMillis(),
-                deadlineMillis,
-                context);
+                deadlineMillis);
     }
 
     /**
@@ -72,8 +69,7 @@
                     Integer.parseInt(fields.get(next++)),
                     Integer.parseInt(fields.get(next++)),
                     Long.parseLong(fields.get(next++)),
-                    Long.parseLong(fields.get(next++)),
-                    CallContext.fromPlain(fields.get(next)));
+                    Long.parseLong(fields.get(next)));
         } catch (NumberFormatException | IndexOutOfBoundsException e) {
             throw new AzurearchException(ErrorCode.BAD_REQUEST, "malformed hop header", e);
         }
@@ -92,8 +88,7 @@
                 Integer.toString(callsPerSecond),
                 Integer.toString(queueLength),
                 Long.toString(queueWaitMillis),
-                Long.toString(deadlineMillis),
-                context.plain());
+                Long.toString(deadlineMillis));
     }
 
     /** Returns what admission goes by, with the deadline counted from now. */
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/InboundCall.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/InboundCall.java
@@ -23,8 +23,6 @@
     private long mBodyBytes;
     private @Nullable Exchange mExchange;
     private boolean mAnswerStarted;
-    private boolean mBodyEnded;
-    private boolean mCallerGone;
     private boolean mDone;
 
     InboundCall(CallerHandler caller, Lane lane, HttpRequest request, long deadlineMillis) {
@@ -45,20 +43,11 @@
     /** Handles a failure while no part of the answer has gone out. */
     abstract void onFailure(CallFailure failure);
 
-    /** Says whether more of the request's body should be read now. */
-    abstract boolean wantsBody();
-
     /** Passes on a part of the request's body; takes over the reference. */
     abstract void onBody(HttpContent content);
 
     /** The answer has begun; no further attempt follows. */
-    abstract void onAnswer(HttpResponse head);
-
-    /** A part of the answer's body passes. */
-    abstract void onAnswerBody(HttpContent content);
-
-    /** Says whether the call goes on though its caller is gone. */
-    abstract boolean runsWithoutCaller();
+    abstract void onAnswer();
 
     /** The call has ended, with a verdict, and a code where it failed. */
     abstract void onEnd(Verdict verdict, @Nullable ErrorCode code);
@@ -92,11 +81,6 @@
         return (mDeadlineNanos - mLane.nanos()) / NANOS_PER_MILLI;
     }
 
-    /** Says whether the whole request has arrived. */
-    final boolean bodyEnded() {
-        return mBodyEnded;
-    }
-
     final boolean done() {
         return mDone;
     }
@@ -107,7 +91,6 @@
             content.release();
             return;
         }
-        mBodyEnded |= content instanceof LastHttpContent;
         mBodyBytes += content.content().readableBytes();
         if (mBodyBytes > mLane.settings().maxBodyBytes()) {
             content.release();
@@ -115,7 +98,7 @@
             return;
         }
         onBody(content);
-        if (!mDone && !mBodyEnded && !wantsBody()) {
+        if (mExchange != null && !mExchange.writable()) {
             mCaller.pauseRequest(true);
         }
     }
@@ -138,15 +121,10 @@
     }
 
     /** The connection is gone: work that nobody waits for stops. */
-    final void callerGone() {
+    void callerGone() {
         if (mDone) {
             return;
         }
-        if (runsWithoutCaller()) {
-            mCallerGone = true;
-            pauseAnswer(false);
-            return;
-        }
         Verdict verdict = cancelExchange();
         end(verdict, ErrorCode.CANCELLED);
     }
@@ -161,11 +139,8 @@
     @Override
     public final void answerHead(HttpResponse head) {
         mAnswerStarted = true;
+        onAnswer();
         HeaderRules.removeHopByHop(head.headers());
-        onAnswer(head);
-        if (mCallerGone) {
-            return;
-        }
         head.headers().set(CallHeaders.VERDICT, Verdict.RAN.headerValue());
         decorate(head.headers());
         mCaller.writeHead(head);
@@ -176,15 +151,10 @@
 
     @Override
     public final void answerBody(HttpContent content) {
-        onAnswerBody(content);
         if (content instanceof LastHttpContent) {
             end(Verdict.RAN, null);
         }
-        if (mCallerGone) {
-            content.release();
-        } else {
-            mCaller.writeBody(content);
-        }
+        mCaller.writeBody(content);
     }
 
     @Override
@@ -214,9 +184,6 @@
             return;
         }
         end(failure.verdict(), failure.code());
-        if (mCallerGone) {
-            return;
-        }
         mCaller.pauseRequest(false);
         mCaller.writeProblem(failure, this::decorate);
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
@@ -114,7 +114,6 @@
         }
         shutdown(mAcceptor);
         shutdown(mLoops);
-        mPath.claims().close();
     }
 
     private void closeIdle() {
@@ -156,7 +155,6 @@
                 return;
             }
             AnswerEncoder encoder = new AnswerEncoder();
-            mPath.tls().secureServer(channel);
             channel.pipeline()
                     .addLast(new StrictRequestDecoder())
                     .addLast(encoder)
