Mend what the failure tests of the distribution found

Tests on a manual clock showed four faults. Readers never reported to the other reader of their data centre, so that a change was never shown in force everywhere; readers now pull in turn from near and far, and a node reports to a reader after a push. A data centre whose readers were both silent converged after more than four seconds; after a failed pull a node now asks far readers first and retries sooner. The reason of a node without state left out what the log had answered. The survey took one reader's view; it now calls a node a laggard only when every reader that answered does. Sixteen tests cover cuts from the log, from others and from both, an outage with churn, a herd, a restart after retention, a rule set too new, racing operators and a lost answer.

--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeMesh.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeMesh.java
@@ -31,6 +31,8 @@
     static final StreamId SNAPSHOTS = StreamId.fromString("m.snapshots");
     static final FirmId FIRM = FirmId.fromString("regie");
 
+    private static final int FIRST_DEADLINE_MILLIS = 2_000;
+    private static final int SNAPSHOT_EVERY = 100;
     private static final String BASE =
             """
             azurearch: 1
@@ -51,6 +53,7 @@
     final SortedMap<String, FakeNode> mNodes = new TreeMap<>();
     final List<String> mTrace = new ArrayList<>();
     final SpreadSettings mSettings;
+    long mPublished;
     double mLoss;
     double mDuplicates;
 
@@ -61,17 +64,13 @@
     Predicate<FakeNode> mLogCut = node -> false;
 
     FakeMesh(SpreadPolicy policy, long seed) {
-        this(policy, seed, 1_000);
-    }
-
-    FakeMesh(SpreadPolicy policy, long seed, int snapshotEvery) {
         mRandom = new Random(seed);
         mSettings =
                 new SpreadSettings(
                         policy,
                         2,
-                        Duration.ofHours(24),
-                        snapshotEvery,
+                        Duration.ofHours(2),
+                        SNAPSHOT_EVERY,
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(1));
     }
@@ -125,9 +124,10 @@
         return runUntil("all at " + offset, limitMillis, () -> allAt(offset));
     }
 
-    /** Appends a change straight to the log. */
+    /** Appends a change straight to the log, which is accepted when no other one raced it. */
     long publish(String id) {
-        return mLog.append(CHANGES, ChangeCodec.encode(change(id, 0, 100 + mLog.end(CHANGES))));
+        int deadlineMillis = FIRST_DEADLINE_MILLIS + mLog.end(CHANGES);
+        return mLog.append(CHANGES, ChangeCodec.encode(change(id, mPublished++, deadlineMillis)));
     }
 
     static Change change(String id, long expected, int deadlineMillis) {
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeNode.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeNode.java
@@ -95,6 +95,10 @@
         return mDesk;
     }
 
+    boolean reads() {
+        return view().reader();
+    }
+
     long offset() {
         return view().position().offset();
     }
@@ -133,7 +137,7 @@
                 () ->
                         result.completeExceptionally(
                                 new AzurearchException(ErrorCode.PEER_UNAVAILABLE, "timeout")));
-        if (target != null && !lost(target)) {
+        if (target != null && !mSilent && !lost(target)) {
             int copies = mMesh.mRandom.nextDouble() < mMesh.mDuplicates ? 2 : 1;
             for (int i = 0; i < copies; i++) {
                 mMesh.mTimers.after(latency(), () -> target.serve(this, request, result));
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
@@ -3,27 +3,313 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.fold.Change;
+import org.azurearch.fold.ChangeCodec;
+import org.azurearch.fold.ChangeOutcome;
+import org.azurearch.fold.Folds;
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.NodeId;
+import org.azurearch.spread.BytesPolicy;
+import org.azurearch.spread.ChangeProgress;
 import org.azurearch.spread.ConvergencePolicy;
+import org.azurearch.spread.Source;
 import org.junit.jupiter.api.Test;
 
 class SpreadFaultTest {
     private static final long SEED = 20261203L;
+    private static final long SECOND = 1_000;
+    private static final long MINUTE = 60 * SECOND;
+    private static final long HOUR = 60 * MINUTE;
+    private static final long TARGET = 4 * SECOND;
 
     private final FakeMesh mMesh = new FakeMesh(new ConvergencePolicy(), SEED);
 
+    private void startThree() {
+        mMesh.startNodes("a", 6);
+        mMesh.startNodes("b", 6);
+        mMesh.startNodes("c", 6);
+        mMesh.publish("c0");
+        mMesh.converge(0, 10 * SECOND);
+        mMesh.run(10 * SECOND);
+    }
+
+    private static Change change(String id, long expected, int deadlineMillis) {
+        return FakeMesh.change(id, expected, deadlineMillis);
+    }
+
+    private ChangeProgress progress(String node, String change) {
+        CompletableFuture<ChangeProgress> answer =
+                mMesh.mNodes.get(node).desk().progress(ChangeId.fromString(change));
+        mMesh.runUntil("progress", 5 * SECOND, answer::isDone);
+        return answer.join();
+    }
+
     @Test
     void changeReachesEveryNodeAndOnlyReadersReadTheLog() {
         mMesh.startNodes("a", 20);
         mMesh.startNodes("b", 20);
         mMesh.publish("c1");
-        mMesh.converge(0, 10_000);
-        mMesh.run(10_000);
+        mMesh.converge(0, 10 * SECOND);
+        mMesh.run(10 * SECOND);
         mMesh.mLog.mReadersOfChanges.clear();
         mMesh.publish("c2");
-        long took = mMesh.converge(1, 4_000);
-        mMesh.run(60_000);
+        long took = mMesh.converge(1, TARGET);
+        mMesh.run(MINUTE);
         assertTrue(took <= 100, took + " ms");
         assertEquals(
                 4, mMesh.mLog.mReadersOfChanges.size(), mMesh.mLog.mReadersOfChanges::toString);
     }
+
+    @Test
+    void racingOperatorsGetOneWinnerThatEveryNodeNames() {
+        startThree();
+        CompletableFuture<Long> one = mMesh.mNodes.get("a-1").desk().submit(change("x", 1, 300));
+        CompletableFuture<Long> two = mMesh.mNodes.get("b-2").desk().submit(change("y", 1, 400));
+        mMesh.converge(2, TARGET);
+        String winner = one.join() < two.join() ? "x" : "y";
+        String loser = winner.equals("x") ? "y" : "x";
+        for (FakeNode node : mMesh.mNodes.values()) {
+            ChangeOutcome lost =
+                    node.desk().state().outcome(ChangeId.fromString(loser)).orElseThrow();
+            assertEquals(ChangeOutcome.Status.REFUSED_CONFLICT, lost.status());
+            assertEquals(ChangeId.fromString(winner), lost.conflictsWith().orElseThrow());
+        }
+    }
+
+    @Test
+    void lostAppendAnswerIsRetriedAndTakesEffectOnce() {
+        startThree();
+        mMesh.mLog.mLoseNextAnswer = true;
+        CompletableFuture<Long> offset =
+                mMesh.mNodes.get("a-1").desk().submit(change("lost", 1, 500));
+        mMesh.runUntil("answer", 10 * SECOND, offset::isDone);
+        mMesh.run(TARGET);
+        assertEquals(
+                1,
+                mMesh.mNodes
+                        .get("c-1")
+                        .desk()
+                        .state()
+                        .outcome(ChangeId.fromString("lost"))
+                        .orElseThrow()
+                        .offset());
+        assertEquals(2, mMesh.mNodes.get("c-1").desk().state().version(FakeMesh.FIRM).number());
+    }
+
+    @Test
+    void changeThatTheLogRefusesIsCertainlyNotAppended() {
+        startThree();
+        mMesh.mLog.mDown = true;
+        CompletableFuture<Long> offset =
+                mMesh.mNodes.get("a-1").desk().submit(change("refused", 1, 500));
+        mMesh.runUntil("answer", 20 * SECOND, offset::isDone);
+        AzurearchException e =
+                (AzurearchException) offset.handle((done, failure) -> failure).join().getCause();
+        assertEquals(ErrorCode.LOG_UNAVAILABLE, e.code());
+        assertEquals(ChangeProgress.Status.UNKNOWN, progress("a-1", "refused").status());
+    }
+
+    @Test
+    void logOutageOfHoursWithChurnKeepsEveryNodeServing() {
+        FakeMesh mesh = new FakeMesh(new BytesPolicy(), SEED);
+        mesh.startNodes("a", 4);
+        mesh.startNodes("b", 4);
+        mesh.publish("c0");
+        mesh.converge(0, 10 * SECOND);
+        mesh.mLog.mDown = true;
+        for (String name : List.copyOf(mesh.mNodes.keySet())) {
+            mesh.kill(name);
+            mesh.run(20 * MINUTE);
+            mesh.start(name.substring(0, 1), name);
+            mesh.converge(0, 10 * SECOND);
+        }
+        mesh.mLog.mDown = false;
+        mesh.publish("after");
+        mesh.converge(1, 2 * TARGET);
+    }
+
+    @Test
+    void snapshotsAreRenewedBeforeRetentionWithoutOneForEachReader() {
+        FakeMesh mesh = new FakeMesh(new BytesPolicy(), SEED);
+        mesh.startNodes("a", 3);
+        mesh.startNodes("b", 3);
+        mesh.publish("c0");
+        mesh.run(3 * HOUR);
+        int snapshots = mesh.mLog.end(FakeMesh.SNAPSHOTS) / 2;
+        assertTrue(snapshots >= 5 && snapshots <= 8, snapshots + " snapshots");
+    }
+
+    @Test
+    void deathOfAllReadersOfADataCentreDelaysAChangeByNoMoreThanTheTarget() {
+        startThree();
+        List<String> readers =
+                mMesh.mNodes.values().stream()
+                        .filter(node -> node.view().reader() && node.mName.startsWith("a"))
+                        .map(node -> node.mName)
+                        .toList();
+        mMesh.publish("c1");
+        mMesh.run(3);
+        readers.forEach(mMesh::kill);
+        mMesh.converge(1, TARGET);
+    }
+
+    @Test
+    void silentNodesHoldUpNobody() {
+        startThree();
+        List<FakeNode> silent =
+                mMesh.mNodes.values().stream().filter(FakeNode::reads).limit(3).toList();
+        silent.forEach(node -> node.mSilent = true);
+        mMesh.publish("c1");
+        mMesh.runUntil(
+                "all but the silent",
+                TARGET,
+                () ->
+                        mMesh.mNodes.values().stream()
+                                .allMatch(node -> node.mSilent || node.offset() == 1));
+    }
+
+    @Test
+    void dataCentreCutOffFromTheLogGetsChangesThroughNeighbours() {
+        startThree();
+        mMesh.mLogCut = node -> node.mName.startsWith("a");
+        mMesh.run(MINUTE);
+        mMesh.publish("c1");
+        mMesh.converge(1, TARGET);
+        assertTrue(
+                mMesh.mNodes.values().stream()
+                        .filter(node -> node.reads() && node.mName.startsWith("a"))
+                        .allMatch(node -> node.view().reason().contains("the log is down")),
+                mMesh::toString);
+    }
+
+    @Test
+    void dataCentreCutOffFromOthersReadsTheLogItself() {
+        startThree();
+        cutOff("a");
+        mMesh.publish("c1");
+        mMesh.converge(1, TARGET);
+    }
+
+    @Test
+    void dataCentreCutOffFromBothKeepsItsVersionAndHeals() {
+        startThree();
+        cutOff("a");
+        mMesh.mLogCut = node -> node.mName.startsWith("a");
+        mMesh.publish("c1");
+        mMesh.run(5 * MINUTE);
+        for (FakeNode node : mMesh.mNodes.values()) {
+            assertEquals(node.mName.startsWith("a") ? 0 : 1, node.offset(), mMesh::toString);
+        }
+        ChangeProgress seen = progress("b-1", "c1");
+        assertEquals(ChangeProgress.Status.ACCEPTED, seen.status());
+        assertTrue(seen.dataCentres().get(0).silentSinceMillis() > 0, seen::toString);
+        assertEquals(6, seen.dataCentres().get(0).laggards().size());
+        mMesh.mLogCut = node -> false;
+        mMesh.mCut = (one, other) -> false;
+        mMesh.membersChanged();
+        mMesh.converge(1, 10 * SECOND);
+        mMesh.run(10 * SECOND);
+        assertEquals(ChangeProgress.Status.IN_FORCE, progress("b-1", "c1").status());
+    }
+
+    @Test
+    void returningHerdIsServedByPeersWithoutTheLog() {
+        mMesh.startNodes("a", 60);
+        mMesh.publish("c0");
+        mMesh.converge(0, 10 * SECOND);
+        mMesh.run(10 * SECOND);
+        for (int i = 3; i < 60; i++) {
+            mMesh.kill("a-" + i);
+        }
+        mMesh.mLog.mReadersOfChanges.clear();
+        mMesh.mLog.mDown = true;
+        for (int i = 3; i < 60; i++) {
+            mMesh.start("a", "a-" + i);
+        }
+        mMesh.converge(0, 15 * SECOND);
+        assertTrue(
+                mMesh.mLog.mReadersOfChanges.size() <= 4, mMesh.mLog.mReadersOfChanges::toString);
+    }
+
+    @Test
+    void wholeMeshRestartsFromASnapshotAfterRetentionHasPassed() {
+        startThree();
+        for (int i = 1; i <= 5; i++) {
+            mMesh.publish("c" + i);
+            mMesh.run(SECOND);
+        }
+        mMesh.run(MINUTE);
+        assertTrue(mMesh.mLog.end(FakeMesh.SNAPSHOTS) > 0);
+        List<String> names = List.copyOf(mMesh.mNodes.keySet());
+        names.forEach(mMesh::kill);
+        mMesh.mLog.retainFrom(FakeMesh.CHANGES, 5);
+        names.forEach(name -> mMesh.start(name.substring(0, 1), name));
+        mMesh.publish("c6");
+        mMesh.converge(6, 20 * SECOND);
+        assertTrue(
+                mMesh.mTrace.stream().anyMatch(line -> line.endsWith(Source.LOG_SNAPSHOT.name())));
+    }
+
+    @Test
+    void wholeMeshWithoutLogAndPeersIsNotReadyAndSaysWhy() {
+        mMesh.mLog.mDown = true;
+        mMesh.startNodes("a", 3);
+        mMesh.run(MINUTE);
+        FakeNode reader = mMesh.mNodes.values().stream().filter(FakeNode::reads).findAny().get();
+        assertEquals(-1, reader.offset());
+        assertTrue(
+                reader.view().reason().contains("LOG_UNAVAILABLE")
+                        || reader.view().reason().contains("down"),
+                mMesh::toString);
+        mMesh.mLog.mDown = false;
+        mMesh.publish("c0");
+        mMesh.converge(0, 20 * SECOND);
+    }
+
+    @Test
+    void ruleSetThatTheProgramDoesNotKnowHoldsEveryNodeAtTheLastVersionItCanJudge() {
+        startThree();
+        mMesh.publish("c1");
+        for (int ruleSet = 2; ruleSet <= Folds.NEWEST_RULE_SET + 1; ruleSet++) {
+            Change raise =
+                    FakeMesh.change(
+                            "raise-" + ruleSet, Change.Kind.RAISE_RULE_SET, ruleSet, 2, List.of());
+            mMesh.mLog.append(FakeMesh.CHANGES, ChangeCodec.encode(raise));
+        }
+        mMesh.publish("c2");
+        mMesh.run(MINUTE);
+        assertTrue(mMesh.allAt(Folds.NEWEST_RULE_SET), mMesh::toString);
+        assertTrue(
+                mMesh.mNodes.values().stream()
+                        .filter(FakeNode::reads)
+                        .allMatch(node -> node.view().reason().contains("unknown-rule-set")),
+                mMesh::toString);
+    }
+
+    @Test
+    void nodeThatDoesNotGetAChangeIsNamedAsLaggard() {
+        startThree();
+        FakeNode silent =
+                mMesh.mNodes.values().stream().filter(node -> !node.reads()).findAny().get();
+        silent.mSilent = true;
+        mMesh.publish("c1");
+        mMesh.run(TARGET);
+        String asked = silent.mName.startsWith("b") ? "a-1" : "b-1";
+        ChangeProgress seen = progress(asked, "c1");
+        assertEquals(ChangeProgress.Status.ACCEPTED, seen.status());
+        assertEquals(
+                List.of(NodeId.fromString(silent.mName)),
+                seen.dataCentres().stream().flatMap(each -> each.laggards().stream()).toList());
+    }
+
+    private void cutOff(String dataCentre) {
+        mMesh.mCut =
+                (one, other) ->
+                        one.mName.startsWith(dataCentre) != other.mName.startsWith(dataCentre);
+        mMesh.membersChanged();
+    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/ProgressSurvey.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/ProgressSurvey.java
@@ -73,7 +73,7 @@
             answers.add(askReader(dataCentre, reader, offset));
         }
         return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
-                .thenApply(done -> best(dataCentre, answers));
+                .thenApply(done -> merged(dataCentre, answers));
     }
 
     private CompletableFuture<@Nullable DataCentreProgress> askReader(
@@ -115,20 +115,34 @@
         return new DataCentreProgress(dataCentre, wire.getTotal(), wire.getInForce(), laggards, 0);
     }
 
-    private DataCentreProgress best(
+    private DataCentreProgress merged(
             DataCentreId dataCentre,
             List<CompletableFuture<@Nullable DataCentreProgress>> answers) {
-        DataCentreProgress best = null;
+        DataCentreProgress merged = null;
         for (CompletableFuture<@Nullable DataCentreProgress> answer : answers) {
             DataCentreProgress next = answer.join();
-            boolean better =
-                    next != null
-                            && (best == null
-                                    || next.total() - next.inForce()
-                                            < best.total() - best.inForce());
-            best = better ? next : best;
+            if (next != null) {
+                merged = merged == null ? next : merge(merged, next);
+            }
         }
-        return best != null ? best : silent(dataCentre);
+        return merged != null ? merged : silent(dataCentre);
+    }
+
+    /** Combines what two readers know: a node lags only when both say so. */
+    private static DataCentreProgress merge(DataCentreProgress one, DataCentreProgress other) {
+        DataCentreProgress better =
+                one.total() - one.inForce() <= other.total() - other.inForce() ? one : other;
+        boolean whole = namesAll(one) && namesAll(other) && one.total() == other.total();
+        if (!whole) {
+            return better;
+        }
+        List<NodeId> both = one.laggards().stream().filter(other.laggards()::contains).toList();
+        return new DataCentreProgress(
+                one.dataCentre(), one.total(), one.total() - both.size(), both, 0);
+    }
+
+    private static boolean namesAll(DataCentreProgress progress) {
+        return progress.total() - progress.inForce() == progress.laggards().size();
     }
 
     private DataCentreProgress silent(DataCentreId dataCentre) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/Puller.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/Puller.java
@@ -1,6 +1,5 @@
 package org.azurearch.internal.spread;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.azurearch.lib.NodeId;
 import org.azurearch.spread.Position;
@@ -8,14 +7,15 @@
 
 /**
  * Decides on anti-entropy pulls. One pull is under way at a time; it reports this node's position
- * and brings what the node lacks.
+ * and brings what the node lacks. Readers pull in turn from readers of other data centres and of
+ * their own, the other nodes mostly from the readers of their data centre.
  */
 final class Puller {
     /** The most bytes of records that a pull asks for. */
     static final int MAX_PULL_BYTES = 512 << 10;
 
     private static final long START_PERIOD_MILLIS = 300;
-    private static final long RETRY_PERIOD_MILLIS = 500;
+    private static final long RETRY_PERIOD_MILLIS = 200;
     private static final long TIMEOUT_SLACK_MILLIS = 500;
     private static final int WIDER_EVERY = 4;
     private static final int SILENT_PULLS = 5;
@@ -31,6 +31,7 @@
     private int mFailures;
     private int mFruitless;
     private int mRefused;
+    private boolean mReports;
     private int mMaxBytes = MAX_PULL_BYTES;
 
     Puller(CoreContext context, long now) {
@@ -69,6 +70,12 @@
         }
     }
 
+    /** Brings the next pull forward and sends it to a reader, which learns this node's position. */
+    void reportWithin(long delayMillis, long now) {
+        mReports = true;
+        within(delayMillis, now);
+    }
+
     /** Pulls when it is time. */
     void tick(long now) {
         if (mAsked != null && now >= mAskedAt + timeoutMillis()) {
@@ -77,6 +84,7 @@
         if (mAsked == null && now >= mNextAt) {
             mNextAt = now + periodMillis();
             List<NodeId> candidates = candidates();
+            mReports = false;
             if (!candidates.isEmpty()) {
                 ask(mContext.pick(candidates), now);
             }
@@ -153,20 +161,27 @@
 
     private List<NodeId> candidates() {
         Topology topology = mContext.topology();
-        boolean wider = mPulls % WIDER_EVERY == WIDER_EVERY - 1 || mFailures > 1;
         List<NodeId> near = topology.homeReaders();
         List<NodeId> far = topology.remoteReaders();
+        List<NodeId> neighbours = topology.neighbours();
+        boolean turnOfFar = mContext.reader() && mPulls % 2 == 0;
+        boolean wider = mPulls % WIDER_EVERY == WIDER_EVERY - 1;
+        if (mReports && !near.isEmpty()) {
+            return near;
+        }
         if (mContext.empty()) {
-            near = topology.neighbours();
-            wider = mFruitless % 2 == 1;
-        } else if (mContext.reader() && !far.isEmpty()) {
-            near = far;
+            return mFruitless % 2 == 0 ? firstOf(neighbours, far) : firstOf(far, neighbours);
         }
-        List<NodeId> chosen = new ArrayList<>(near);
-        if (wider || chosen.isEmpty()) {
-            chosen.addAll(topology.neighbours());
-            chosen.addAll(far);
+        if (mFailures > 0) {
+            return mFailures % 2 == 0 ? firstOf(neighbours, far) : firstOf(far, neighbours);
         }
-        return chosen;
+        if (turnOfFar) {
+            return firstOf(far, near);
+        }
+        return wider ? firstOf(neighbours, far) : firstOf(near, far);
+    }
+
+    private static List<NodeId> firstOf(List<NodeId> first, List<NodeId> second) {
+        return first.isEmpty() ? second : first;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/Resync.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/Resync.java
@@ -29,6 +29,7 @@
     private boolean mScanning;
     private boolean mLogSearched;
     private long mNotBefore;
+    private String mFailure = "";
 
     Resync(CoreContext context) {
         mContext = context;
@@ -42,6 +43,11 @@
         return mActive;
     }
 
+    /** Returns why the last fetch brought nothing; empty when it did or none was needed. */
+    String failure() {
+        return mFailure;
+    }
+
     /** Returns when the next step is due, in milliseconds. */
     long dueAt() {
         return Math.min(mPeers.dueAt(), mLog.dueAt());
@@ -154,6 +160,7 @@
 
     private void end(boolean done, String reason, long now) {
         mActive = false;
+        mFailure = reason;
         if (done) {
             mBackoff.reset();
         } else {
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadCore.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadCore.java
@@ -66,8 +66,9 @@
         if (!mContext.empty()) {
             return mLog.down() ? "the log cannot be read: " + mLog.failure() : "";
         }
-        if (!mLog.failure().isEmpty()) {
-            return "no peer has given a state and the log cannot be read: " + mLog.failure();
+        String failure = mLog.failure().isEmpty() ? mResync.failure() : mLog.failure();
+        if (!failure.isEmpty()) {
+            return "no peer has given a state and the log gave none: " + failure;
         }
         return mContext.reader() ? "no record has been read yet" : "no peer has given a state yet";
     }
@@ -178,7 +179,7 @@
         if (!current && !mContext.blocked()) {
             mPuller.within(BEHIND_PULL_MILLIS, now);
         } else if (ahead) {
-            mPuller.within(mContext.settings().policy().reportDelay().toMillis(), now);
+            mPuller.reportWithin(mContext.settings().policy().reportDelay().toMillis(), now);
         }
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/spread/ConvergencePolicy.java
+++ b/org.azurearch/src/main/java/org/azurearch/spread/ConvergencePolicy.java
@@ -8,7 +8,7 @@
     public static final String NAME = "convergence";
 
     private static final Duration BATCH_WINDOW = Duration.ofMillis(10);
-    private static final Duration ANTI_ENTROPY_PERIOD = Duration.ofSeconds(2);
+    private static final Duration ANTI_ENTROPY_PERIOD = Duration.ofMillis(1_500);
     private static final Duration REPORT_DELAY = Duration.ofMillis(200);
     private static final int FAN_OUT = 8;
     private static final int COMPRESSION_LEVEL = 1;
