Judge a site by what its overlay touches

The base with its defaults and its compiled entries are now shared by all sites, entries that an overlay leaves alone stay the same objects, and the text is printed only for the site that is asked for.

--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/BaseLayer.java
@@ -0,0 +1,70 @@
+package org.azurearch.internal.config;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.azurearch.config.ClassConfig;
+import org.azurearch.config.PolicyConfig;
+import org.azurearch.config.RouteConfig;
+import org.azurearch.config.ServiceConfig;
+import org.azurearch.yaml.YamlEntry;
+import org.azurearch.yaml.YamlMapping;
+
+/**
+ * A base with its defaults, and the compiled form of its entries. All sites share both, so that
+ * judging a site costs what its overlay touches.
+ */
+public final class BaseLayer {
+    private final YamlMapping mWhole;
+    private final EntryCache<ClassConfig> mClasses = cache(Section.CLASSES);
+    private final EntryCache<PolicyConfig> mPolicies = cache(Section.POLICIES);
+    private final EntryCache<ServiceConfig> mServices = cache(Section.SERVICES);
+    private final EntryCache<RouteConfig> mRoutes = cache(Section.ROUTES);
+
+    /** Creates the layer of a base. */
+    public BaseLayer(ParsedDocument base) {
+        YamlMapping root = base.root();
+        Map<String, YamlEntry> whole = new LinkedHashMap<>();
+        YamlMapping limits = Defaults.limits(root.mapping(Defaults.LIMITS));
+        whole.put(Defaults.LIMITS, new YamlEntry(Defaults.LIMITS, limits.location(), limits));
+        for (Section section : Section.values()) {
+            YamlMapping given = root.mapping(section.key());
+            Map<String, YamlEntry> entries = new TreeMap<>();
+            given.entries()
+                    .forEach((key, entry) -> entries.put(key, Defaults.whole(section, entry)));
+            YamlMapping value = new YamlMapping(entries, given.location());
+            whole.put(section.key(), new YamlEntry(section.key(), given.location(), value));
+        }
+        mWhole = new YamlMapping(whole, root.location());
+    }
+
+    /** Returns the limits and the sections, with defaults and entries sorted by key. */
+    YamlMapping whole() {
+        return mWhole;
+    }
+
+    /** Returns the compiled classes. */
+    EntryCache<ClassConfig> classes() {
+        return mClasses;
+    }
+
+    /** Returns the compiled policies. */
+    EntryCache<PolicyConfig> policies() {
+        return mPolicies;
+    }
+
+    /** Returns the compiled services. */
+    EntryCache<ServiceConfig> services() {
+        return mServices;
+    }
+
+    /** Returns the compiled routes. */
+    EntryCache<RouteConfig> routes() {
+        return mRoutes;
+    }
+
+    private <V> EntryCache<V> cache(Section section) {
+        return new EntryCache<>(
+                entry -> mWhole.mapping(section.key()).entries().get(entry.key()) == entry);
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/Defaults.java
@@ -0,0 +1,65 @@
+package org.azurearch.internal.config;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.config.SiteConfig;
+import org.azurearch.yaml.YamlEntry;
+import org.azurearch.yaml.YamlMapping;
+import org.azurearch.yaml.YamlReader;
+
+/** Lays fields over one another, with the defaults at the bottom, in the order of printing. */
+final class Defaults {
+    /** The file name in the location of a default. */
+    static final String FILE = "default";
+
+    /** The key of the limits. */
+    static final String LIMITS = "limits";
+
+    private static final List<String> LIMIT_FIELDS = List.of("callsPerSecond", "share");
+    private static final YamlMapping DEFAULTS = read();
+
+    private Defaults() {}
+
+    /** Returns limits with their defaults. */
+    static YamlMapping limits(YamlMapping limits) {
+        return ordered(layered(DEFAULTS.mapping(LIMITS), limits), LIMIT_FIELDS);
+    }
+
+    /** Returns an entry with the defaults of its section. */
+    static YamlEntry whole(Section section, YamlEntry entry) {
+        YamlMapping fields = layered(DEFAULTS.mapping(section.key()), (YamlMapping) entry.value());
+        return new YamlEntry(entry.key(), entry.location(), ordered(fields, section.fields()));
+    }
+
+    /** Returns the fields of one mapping with those of another over them. */
+    static YamlMapping layered(YamlMapping below, YamlMapping above) {
+        Map<String, YamlEntry> fields = new LinkedHashMap<>(below.entries());
+        fields.putAll(above.entries());
+        return new YamlMapping(fields, above.location());
+    }
+
+    private static YamlMapping ordered(YamlMapping mapping, List<String> order) {
+        Map<String, YamlEntry> fields = new LinkedHashMap<>();
+        for (String key : order) {
+            YamlEntry entry = mapping.entries().get(key);
+            if (entry != null) {
+                fields.put(key, entry);
+            }
+        }
+        return new YamlMapping(fields, mapping.location());
+    }
+
+    private static YamlMapping read() {
+        try (InputStream input = SiteConfig.class.getResourceAsStream("defaults.yaml")) {
+            if (input == null) {
+                throw new IllegalStateException("the program lacks its resource defaults.yaml");
+            }
+            return YamlReader.readMapping(FILE, input.readAllBytes());
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot read the resource defaults.yaml", e);
+        }
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/config/DocumentMerge.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/DocumentMerge.java
@@ -1,12 +1,9 @@
 package org.azurearch.internal.config;
 
-import java.io.IOException;
-import java.io.InputStream;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.azurearch.config.SiteConfig;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.errors.Problem;
 import org.azurearch.errors.SourceLocation;
@@ -14,22 +11,14 @@
 import org.azurearch.yaml.YamlList;
 import org.azurearch.yaml.YamlMapping;
 import org.azurearch.yaml.YamlNode;
-import org.azurearch.yaml.YamlReader;
 import org.azurearch.yaml.YamlScalar;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Merges an overlay over a base, field by field under the same keys, and fills in defaults. Every
- * value keeps the place that set it.
+ * Merges an overlay over a base, field by field under the same keys. Every value keeps the place
+ * that set it; entries that the overlay does not touch stay the same objects.
  */
 public final class DocumentMerge {
-    /** The file name in the location of a default. */
-    public static final String DEFAULTS_FILE = "default";
-
-    private static final String LIMITS = "limits";
-    private static final List<String> LIMIT_FIELDS = List.of("callsPerSecond", "share");
-    private static final YamlMapping DEFAULTS = defaults();
-
     private final YamlMapping mBase;
     private final YamlMapping mOverlay;
     private final List<Problem> mProblems;
@@ -49,17 +38,16 @@
      * @return the limits and the sections in their order, with entries sorted by key
      */
     public static YamlMapping merge(
-            ParsedDocument base, @Nullable ParsedDocument overlay, List<Problem> problems) {
-        YamlMapping over =
-                overlay == null ? YamlMapping.empty(base.root().location()) : overlay.root();
-        return new DocumentMerge(base.root(), over, problems).merged();
+            BaseLayer base, @Nullable ParsedDocument overlay, List<Problem> problems) {
+        return overlay == null
+                ? base.whole()
+                : new DocumentMerge(base.whole(), overlay.root(), problems).merged();
     }
 
     private YamlMapping merged() {
         Map<String, YamlEntry> sections = new LinkedHashMap<>();
-        YamlMapping limits =
-                fields(DEFAULTS.mapping(LIMITS), mBase.mapping(LIMITS), mOverlay.mapping(LIMITS));
-        put(sections, LIMITS, ordered(limits, LIMIT_FIELDS));
+        YamlMapping limits = mBase.mapping(Defaults.LIMITS);
+        put(sections, Defaults.LIMITS, Defaults.layered(limits, mOverlay.mapping(Defaults.LIMITS)));
         for (Section section : Section.values()) {
             put(sections, section.key(), section(section));
         }
@@ -75,8 +63,12 @@
         YamlMapping overlay = mOverlay.mapping(section.key());
         Map<String, YamlEntry> entries = new TreeMap<>(base.entries());
         remove(section, entries);
-        overlay.entries().forEach((key, entry) -> entries.merge(key, entry, this::over));
-        entries.replaceAll((key, entry) -> withDefaults(section, entry));
+        for (YamlEntry entry : overlay.entries().values()) {
+            YamlEntry below = entries.get(entry.key());
+            entries.put(
+                    entry.key(),
+                    below == null ? Defaults.whole(section, entry) : over(below, entry));
+        }
         return new YamlMapping(entries, base.location());
     }
 
@@ -100,43 +92,9 @@
         mProblems.add(new Problem(ErrorCode.BAD_OVERLAY, location, message));
     }
 
-    private YamlEntry over(YamlEntry base, YamlEntry overlay) {
-        YamlMapping merged = fields((YamlMapping) base.value(), (YamlMapping) overlay.value());
-        return new YamlEntry(base.key(), base.location(), merged);
-    }
-
-    private static YamlEntry withDefaults(Section section, YamlEntry entry) {
-        YamlMapping whole = fields(DEFAULTS.mapping(section.key()), (YamlMapping) entry.value());
-        return new YamlEntry(entry.key(), entry.location(), ordered(whole, section.fields()));
-    }
-
-    private static YamlMapping fields(YamlMapping... layers) {
-        Map<String, YamlEntry> fields = new LinkedHashMap<>();
-        for (YamlMapping layer : layers) {
-            fields.putAll(layer.entries());
-        }
-        return new YamlMapping(fields, layers[layers.length - 1].location());
-    }
-
-    private static YamlMapping ordered(YamlMapping mapping, List<String> order) {
-        Map<String, YamlEntry> fields = new LinkedHashMap<>();
-        for (String key : order) {
-            YamlEntry entry = mapping.entries().get(key);
-            if (entry != null) {
-                fields.put(key, entry);
-            }
-        }
-        return new YamlMapping(fields, mapping.location());
-    }
-
-    private static YamlMapping defaults() {
-        try (InputStream input = SiteConfig.class.getResourceAsStream("defaults.yaml")) {
-            if (input == null) {
-                throw new IllegalStateException("the program lacks its resource defaults.yaml");
-            }
-            return YamlReader.readMapping(DEFAULTS_FILE, input.readAllBytes());
-        } catch (IOException e) {
-            throw new IllegalStateException("cannot read the resource defaults.yaml", e);
-        }
+    private static YamlEntry over(YamlEntry base, YamlEntry overlay) {
+        YamlMapping fields =
+                Defaults.layered((YamlMapping) base.value(), (YamlMapping) overlay.value());
+        return new YamlEntry(base.key(), base.location(), fields);
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/config/MergedDiff.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/MergedDiff.java
@@ -13,8 +13,7 @@
 
 /** Compares two merged documents. */
 public final class MergedDiff {
-    private static final SourceLocation NOWHERE =
-            new SourceLocation(DocumentMerge.DEFAULTS_FILE, 0);
+    private static final SourceLocation NOWHERE = new SourceLocation(Defaults.FILE, 0);
 
     private final List<EntryDiff> mDiffs = new ArrayList<>();
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/config/MergedText.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/MergedText.java
@@ -77,8 +77,8 @@
 
     /** Returns a location as it is shown; a default has no line. */
     static SourceLocation shown(SourceLocation location) {
-        boolean isDefault = location.file().equals(DocumentMerge.DEFAULTS_FILE);
-        return isDefault ? new SourceLocation(DocumentMerge.DEFAULTS_FILE, 0) : location;
+        boolean isDefault = location.file().equals(Defaults.FILE);
+        return isDefault ? new SourceLocation(Defaults.FILE, 0) : location;
     }
 
     /** Returns a value on one line. */
--- a/org.azurearch/src/main/java/org/azurearch/internal/config/SiteCompiler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/SiteCompiler.java
@@ -18,6 +18,7 @@
 import org.azurearch.internal.yaml.SchemaCheck;
 import org.azurearch.lib.ClassId;
 import org.azurearch.lib.Digest;
+import org.azurearch.lib.FirmId;
 import org.azurearch.lib.NamedId;
 import org.azurearch.lib.PolicyId;
 import org.azurearch.lib.RouteId;
@@ -36,12 +37,14 @@
     private static final Duration LONGEST_QUEUE_WAIT = Duration.ofMinutes(1);
     private static final Duration LONGEST = Duration.ofHours(1);
 
+    private final BaseLayer mBase;
     private final YamlMapping mMerged;
     private final List<Problem> mProblems = new ArrayList<>();
     private final Map<RouteId, EntryReader> mRouteReaders = new LinkedHashMap<>();
 
-    private SiteCompiler(YamlMapping merged) {
-        mMerged = merged;
+    private SiteCompiler(BaseLayer base, @Nullable ParsedDocument overlay) {
+        mBase = base;
+        mMerged = DocumentMerge.merge(base, overlay, mProblems);
     }
 
     /**
@@ -57,50 +60,76 @@
     public static SiteConfig compile(
             VersionId version,
             SiteId site,
-            ParsedDocument base,
+            BaseLayer base,
             @Nullable ParsedDocument overlay,
             int ruleSet) {
-        List<Problem> problems = new ArrayList<>();
-        YamlMapping merged = DocumentMerge.merge(base, overlay, problems);
-        SiteCompiler compiler = new SiteCompiler(merged);
-        SiteConfig config = compiler.config(version, site);
-        compiler.judge(config, ruleSet);
-        problems.addAll(compiler.mProblems);
+        SiteCompiler compiler = new SiteCompiler(base, overlay);
+        String text = new MergedText(compiler.mMerged).text();
+        Digest digest = Digest.of(text.getBytes(StandardCharsets.UTF_8));
+        SiteConfig config = compiler.config(version, site, digest);
+        List<Problem> problems = compiler.judged(config, ruleSet);
         if (!problems.isEmpty()) {
-            throw new InvalidInputException(SchemaCheck.sorted(problems));
+            throw new InvalidInputException(problems);
         }
         return config;
     }
 
-    private SiteConfig config(VersionId version, SiteId site) {
-        String text = new MergedText(mMerged).text();
+    /**
+     * Returns why a site is invalid, sorted; empty when it is valid.
+     *
+     * @param firm the firm
+     * @param site the site
+     * @param base the base
+     * @param overlay the overlay of the site, or null
+     * @param ruleSet the rules to judge by
+     */
+    public static List<Problem> problems(
+            FirmId firm,
+            SiteId site,
+            BaseLayer base,
+            @Nullable ParsedDocument overlay,
+            int ruleSet) {
+        SiteCompiler compiler = new SiteCompiler(base, overlay);
+        VersionId none = new VersionId(firm, 0);
+        return compiler.judged(compiler.config(none, site, Digest.EMPTY), ruleSet);
+    }
+
+    private SiteConfig config(VersionId version, SiteId site, Digest digest) {
         return new SiteConfig(
                 version,
                 site,
-                Digest.of(text.getBytes(StandardCharsets.UTF_8)),
-                entries(Section.SERVICES, ServiceId::fromString, this::service),
-                entries(Section.CLASSES, ClassId::fromString, this::callClass),
-                entries(Section.POLICIES, PolicyId::fromString, this::policy),
-                entries(Section.ROUTES, RouteId::fromString, this::route),
+                digest,
+                entries(Section.SERVICES, ServiceId::fromString, mBase.services(), this::service),
+                entries(Section.CLASSES, ClassId::fromString, mBase.classes(), this::callClass),
+                entries(Section.POLICIES, PolicyId::fromString, mBase.policies(), this::policy),
+                entries(Section.ROUTES, RouteId::fromString, mBase.routes(), this::route),
                 limits());
     }
 
-    private void judge(SiteConfig config, int ruleSet) {
+    private List<Problem> judged(SiteConfig config, int ruleSet) {
         RouteRules rules = new RouteRules(config, mRouteReaders);
         rules.checkReferences();
         rules.checkAmbiguity();
         if (ruleSet >= RuleSets.QUEUE_WAIT_WITHIN_DEADLINE) {
             rules.checkQueueWait();
         }
+        return SchemaCheck.sorted(mProblems);
     }
 
     private <K extends NamedId, V> Map<K, V> entries(
-            Section section, Function<String, K> id, EntryCompiler<K, V> compiler) {
+            Section section,
+            Function<String, K> id,
+            EntryCache<V> cache,
+            EntryCompiler<K, V> compiler) {
         Map<K, V> compiled = new LinkedHashMap<>();
         for (YamlEntry entry : mMerged.mapping(section.key()).entries().values()) {
             String path = section.key() + "." + entry.key();
             K key = id.apply(entry.key());
-            compiled.put(key, compiler.compile(key, new EntryReader(path, entry, mProblems)));
+            EntryReader reader = new EntryReader(path, entry, mProblems);
+            if (key instanceof RouteId route) {
+                mRouteReaders.put(route, reader);
+            }
+            compiled.put(key, cache.get(entry, mProblems, () -> compiler.compile(key, reader)));
         }
         return compiled;
     }
@@ -136,7 +165,6 @@
     }
 
     private RouteConfig route(RouteId id, EntryReader reader) {
-        mRouteReaders.put(id, reader);
         return new RouteConfig(
                 id,
                 reader.text("host"),
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmContent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmContent.java
@@ -16,6 +16,7 @@
 import org.azurearch.errors.SourceLocation;
 import org.azurearch.fold.Document;
 import org.azurearch.fold.DocumentName;
+import org.azurearch.internal.config.BaseLayer;
 import org.azurearch.internal.config.DocumentMerge;
 import org.azurearch.internal.config.ParsedDocument;
 import org.azurearch.internal.config.SiteCompiler;
@@ -38,6 +39,7 @@
     private final FirmId mFirm;
     private final SortedMap<DocumentName, Document> mDocuments;
     private final Map<DocumentName, ParsedDocument> mParsed = new ConcurrentHashMap<>();
+    private volatile @Nullable BaseLayer mLayer;
     private final Map<SiteId, Integer> mJudgedBy = new ConcurrentHashMap<>();
     private final Map<SiteId, SiteConfig> mCompiled = new ConcurrentHashMap<>();
 
@@ -57,6 +59,7 @@
                     }
                 });
         if (same(next, DocumentName.BASE)) {
+            next.mLayer = mLayer;
             copySame(next, mJudgedBy, next.mJudgedBy);
             copySame(next, mCompiled, next.mCompiled);
         }
@@ -132,7 +135,7 @@
         Document overlay = site == null ? null : mDocuments.get(DocumentName.overlay(site));
         List<Problem> problems = new ArrayList<>();
         ParsedDocument over = overlay == null ? null : parsed(overlay);
-        return DocumentMerge.merge(parsed(base()), over, problems);
+        return DocumentMerge.merge(layer(), over, problems);
     }
 
     /** Returns the sites that have an overlay, sorted. */
@@ -163,27 +166,32 @@
         if (mJudgedBy.getOrDefault(site, 0) == ruleSet) {
             return;
         }
-        try {
-            compile(site, ruleSet);
+        Document overlay = mDocuments.get(DocumentName.overlay(site));
+        ParsedDocument parsed = overlay == null ? null : parsed(overlay);
+        List<Problem> found = SiteCompiler.problems(mFirm, site, layer(), parsed, ruleSet);
+        if (found.isEmpty()) {
             mJudgedBy.put(site, ruleSet);
-        } catch (InvalidInputException e) {
-            String suffix = site.equals(SITE_WITHOUT_OVERLAY) ? "" : " (at site " + site + ")";
-            for (Problem problem : e.problems()) {
-                problems.add(
-                        new Problem(
-                                problem.code(), problem.location(), problem.message() + suffix));
-            }
+        }
+        String suffix = site.equals(SITE_WITHOUT_OVERLAY) ? "" : " (at site " + site + ")";
+        for (Problem problem : found) {
+            String message = problem.message() + suffix;
+            problems.add(new Problem(problem.code(), problem.location(), message));
         }
     }
 
     private SiteConfig compile(SiteId site, int ruleSet) {
         Document overlay = mDocuments.get(DocumentName.overlay(site));
-        return SiteCompiler.compile(
-                new VersionId(mFirm, 0),
-                site,
-                parsed(base()),
-                overlay == null ? null : parsed(overlay),
-                ruleSet);
+        ParsedDocument parsed = overlay == null ? null : parsed(overlay);
+        return SiteCompiler.compile(new VersionId(mFirm, 0), site, layer(), parsed, ruleSet);
+    }
+
+    private BaseLayer layer() {
+        BaseLayer layer = mLayer;
+        if (layer == null) {
+            layer = new BaseLayer(parsed(base()));
+            mLayer = layer;
+        }
+        return layer;
     }
 
     private Document base() {
