--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/report/SlopeFit.java
@@ -0,0 +1,57 @@
+package org.azurearch.standin.bench.report;
+
+import java.util.List;
+import org.azurearch.standin.bench.Series;
+
+/**
+ * A straight line fitted to points by least squares.
+ *
+ * @param intercept the value at x = 0
+ * @param slope the growth of y for each unit of x
+ * @param slopeError the standard error of the slope; 0 with fewer than three points
+ */
+public record SlopeFit(double intercept, double slope, double slopeError) {
+    private static final int FITTED_PARAMETERS = 2;
+
+    /**
+     * Fits a line.
+     *
+     * @param points at least two points with different x
+     * @throws IllegalArgumentException when there are too few
+     */
+    public static SlopeFit of(List<Series.Point> points) {
+        double meanX = points.stream().mapToDouble(Series.Point::x).average().orElse(0);
+        double meanY = points.stream().mapToDouble(Series.Point::y).average().orElse(0);
+        double squares = 0;
+        double products = 0;
+        for (Series.Point point : points) {
+            squares += (point.x() - meanX) * (point.x() - meanX);
+            products += (point.x() - meanX) * (point.y() - meanY);
+        }
+        if (points.size() < FITTED_PARAMETERS || squares == 0) {
+            throw new IllegalArgumentException("a line needs two points with different x");
+        }
+        double slope = products / squares;
+        double intercept = meanY - slope * meanX;
+        return new SlopeFit(intercept, slope, error(points, intercept, slope, squares));
+    }
+
+    /** Returns the value of the line. */
+    public double at(double x) {
+        return intercept + slope * x;
+    }
+
+    private static double error(
+            List<Series.Point> points, double intercept, double slope, double squares) {
+        int freedom = points.size() - FITTED_PARAMETERS;
+        if (freedom == 0) {
+            return 0;
+        }
+        double residuals = 0;
+        for (Series.Point point : points) {
+            double residual = point.y() - intercept - slope * point.x();
+            residuals += residual * residual;
+        }
+        return Math.sqrt(residuals / freedom / squares);
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/report/package-info.java
@@ -0,0 +1,5 @@
+/** Reports and plots of experiment records. */
+@NullMarked
+package org.azurearch.standin.bench.report;
+
+import org.jspecify.annotations.NullMarked;
