Add the load generator and the convergence experiment

Nothing measured how fast versions spread or what calls cost. The load generator keeps its schedule whatever the answers do, counts latency from the due time, checks every answer against the one its request must get, and resends what was lost. BenchMesh runs nodes with kernels of their own in one process.

--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/BackendHandler.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/BackendHandler.java
@@ -15,6 +15,7 @@
 
 /** Runs requests in slots. Requests arrive on one event loop; the counts may be read anywhere. */
 final class BackendHandler implements HttpHandler {
+    private static final String ORDER_KEY = "x-order-key";
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final long PROMPT_NANOS = 50_000L;
@@ -95,7 +96,10 @@
     }
 
     private void run(HttpCall call) {
-        int timesRun = mRunCounter.count(key(call));
+        int timesRun =
+                mRunCounter.count(
+                        call.header(ORDER_KEY).or(() -> call.header("idempotency-key")).orElse(""),
+                        call.header("run-key").orElse(""));
         mRuns.increment();
         if (call.header("x-crash").isPresent()) {
             mCrash.run();
@@ -159,15 +163,11 @@
 
     private HttpReply runs(Optional<String> key) {
         if (key.isPresent()) {
-            return HttpReply.ok(new KeyReport(mRunCounter.runs(key.get())));
+            return HttpReply.ok(new KeyReport(mRunCounter.runsOfOrder(key.get())));
         }
         return HttpReply.ok(new RunsReport(mRunCounter.runs(), mRunCounter.doubleRuns()));
     }
 
-    private static String key(HttpCall call) {
-        return call.header("run-key").or(() -> call.header("idempotency-key")).orElse("");
-    }
-
     private static void later(HttpCall call, HttpReply reply, long nanos) {
         if (nanos > 0) {
             call.eventLoop().schedule(() -> call.reply(reply), nanos, TimeUnit.NANOSECONDS);
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/RunCounter.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/RunCounter.java
@@ -9,23 +9,33 @@
  * on different servers are seen. Thread-safe.
  */
 public final class RunCounter {
-    private final Map<String, Integer> mRunsByKey = new ConcurrentHashMap<>();
+    private final Map<String, Integer> mRunsByOrder = new ConcurrentHashMap<>();
+    private final Map<String, Integer> mRunsByAttempt = new ConcurrentHashMap<>();
     private final LongAdder mRuns = new LongAdder();
 
     /**
      * Counts a run.
      *
-     * @param key the request's key; empty for a request without one
-     * @return how often the key has run, this run included; 1 without a key
+     * @param orderKey the key that all sendings of a request share; empty for none
+     * @param attemptKey the key of one sending; empty for none
+     * @return how often the order key has run, this run included; 1 without one
      */
-    public int count(String key) {
+    public int count(String orderKey, String attemptKey) {
         mRuns.increment();
-        return key.isEmpty() ? 1 : mRunsByKey.merge(key, 1, Integer::sum);
+        if (!attemptKey.isEmpty()) {
+            mRunsByAttempt.merge(attemptKey, 1, Integer::sum);
+        }
+        return orderKey.isEmpty() ? 1 : mRunsByOrder.merge(orderKey, 1, Integer::sum);
     }
 
-    /** Returns how often a key has run. */
-    public int runs(String key) {
-        return mRunsByKey.getOrDefault(key, 0);
+    /** Returns how often an order key has run. */
+    public int runsOfOrder(String key) {
+        return mRunsByOrder.getOrDefault(key, 0);
+    }
+
+    /** Returns how often an attempt key has run. */
+    public int runsOfAttempt(String key) {
+        return mRunsByAttempt.getOrDefault(key, 0);
     }
 
     /** Returns all runs, with a key or without. */
@@ -33,8 +43,8 @@
         return mRuns.sum();
     }
 
-    /** Returns how many keys have run more than once. */
+    /** Returns how many order keys have run more than once. */
     public long doubleRuns() {
-        return mRunsByKey.values().stream().filter(runs -> runs > 1).count();
+        return mRunsByOrder.values().stream().filter(runs -> runs > 1).count();
     }
 }
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/MeshCost.java
@@ -0,0 +1,107 @@
+package org.azurearch.standin.bench.experiments;
+
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.concurrent.locks.LockSupport;
+import org.azurearch.standin.bench.ExperimentResults;
+import org.azurearch.standin.bench.mesh.BenchMesh;
+import org.azurearch.standin.bench.mesh.MeshNode;
+import org.azurearch.standin.log.LogStatistics;
+
+/**
+ * What a mesh spent over some time.
+ *
+ * @param nodes how many nodes
+ * @param seconds the time
+ * @param peerBytes bytes that nodes sent to each other
+ * @param logBytes bytes of content that nodes read from the log
+ * @param logReads reads that the log answered
+ * @param logAppends records that the log took
+ * @param processorSeconds processor time of the whole process, the log's included
+ */
+record MeshCost(
+        int nodes,
+        double seconds,
+        double peerBytes,
+        double logBytes,
+        double logReads,
+        double logAppends,
+        double processorSeconds) {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double PERCENT = 100.0;
+
+    /** Counters of a mesh at one time. */
+    record Sample(
+            int nodes,
+            long nanos,
+            long peerBytes,
+            long logBytes,
+            long logReads,
+            long logAppends,
+            long processorNanos) {}
+
+    static Sample sample(BenchMesh mesh) {
+        long sent = 0;
+        for (MeshNode node : mesh.nodes()) {
+            sent += node.counters("control.sent.bytes.");
+        }
+        LogStatistics log = mesh.log().statistics();
+        return new Sample(
+                mesh.nodes().size(),
+                System.nanoTime(),
+                sent,
+                log.readBytes(),
+                log.reads(),
+                log.appends(),
+                processorNanos());
+    }
+
+    static MeshCost between(Sample before, Sample after) {
+        return new MeshCost(
+                after.nodes(),
+                (after.nanos() - before.nanos()) / NANOS_PER_SECOND,
+                after.peerBytes() - before.peerBytes(),
+                after.logBytes() - before.logBytes(),
+                after.logReads() - before.logReads(),
+                after.logAppends() - before.logAppends(),
+                (after.processorNanos() - before.processorNanos()) / NANOS_PER_SECOND);
+    }
+
+    /** Measures what a mesh spends while nothing is published. */
+    static MeshCost over(BenchMesh mesh, Duration time) {
+        Sample before = sample(mesh);
+        LockSupport.parkNanos(time.toNanos());
+        return between(before, sample(mesh));
+    }
+
+    double controlBytes() {
+        return peerBytes + logBytes;
+    }
+
+    double controlBytesPerNodeSecond() {
+        return controlBytes() / nodes / seconds;
+    }
+
+    double logReadsPerSecond() {
+        return logReads / seconds;
+    }
+
+    void addTo(ExperimentResults results, String prefix) {
+        results.figure(prefix + "peer-bytes", peerBytes / nodes / seconds, "B/s per node");
+        results.figure(prefix + "log-read-bytes", logBytes / nodes / seconds, "B/s per node");
+        results.figure(prefix + "log-reads", logReads / seconds, "reads/s");
+        results.figure(prefix + "log-appends", logAppends / seconds, "appends/s");
+        results.figure(
+                prefix + "processor",
+                processorSeconds / seconds / nodes * PERCENT,
+                "% of a core per node, log included");
+    }
+
+    private static long processorNanos() {
+        if (ManagementFactory.getOperatingSystemMXBean()
+                instanceof com.sun.management.OperatingSystemMXBean system) {
+            return system.getProcessCpuTime();
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/mesh/BenchMesh.java
@@ -0,0 +1,189 @@
+package org.azurearch.standin.bench.mesh;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.settings.SettingsSection;
+import org.azurearch.standin.log.LogServer;
+
+/** A log and nodes in this process, joined over loopback. */
+public final class BenchMesh implements AutoCloseable {
+    private static final NetAddress EPHEMERAL = new NetAddress("127.0.0.1", 0);
+    private static final String KEY =
+            "6b8a3f51c0d94e27a5b1f0c3d2e4978811223344556677889900aabbccddeeff";
+    private static final int START_THREADS = 8;
+    private static final long POLL_NANOS = 1_000_000L;
+    private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(60);
+
+    private final MeshPlan mPlan;
+    private final LogServer mLog;
+    private final List<MeshNode> mNodes = new ArrayList<>();
+
+    /** Starts a log and one node in each data centre, then the others side by side. */
+    public BenchMesh(MeshPlan plan) {
+        mPlan = plan;
+        mLog = LogServer.start(EPHEMERAL, plan.log());
+        int first = Math.min(plan.nodes(), plan.dataCentres());
+        for (int node = 0; node < first; node++) {
+            mNodes.add(new MeshNode(settings(node)));
+        }
+        startSideBySide(first, plan.nodes());
+    }
+
+    /** Returns the log. */
+    public LogServer log() {
+        return mLog;
+    }
+
+    /** Returns the nodes, in the order of their numbers. */
+    public List<MeshNode> nodes() {
+        return List.copyOf(mNodes);
+    }
+
+    /** Waits until every node knows every other one as reachable. */
+    public void awaitJoined() {
+        await(
+                "every node knows every other",
+                JOIN_TIMEOUT,
+                () -> mNodes.stream().allMatch(this::knowsAll));
+    }
+
+    /** Waits until a record, or a later one, is in force on every node. */
+    public void awaitInForce(long offset, Duration most) {
+        await(
+                "offset " + offset + " is in force",
+                most,
+                () -> mNodes.stream().allMatch(node -> node.offset() >= offset));
+    }
+
+    /** Closes a node as a crash does: without telling the others where that can be helped. */
+    public void stop(int node) {
+        mNodes.get(node).close();
+    }
+
+    /** Starts nodes again that were stopped; all at once. */
+    public void restart(List<Integer> numbers) {
+        ExecutorService starters = Executors.newFixedThreadPool(START_THREADS);
+        try {
+            Map<Integer, Future<MeshNode>> started = new HashMap<>();
+            for (int number : numbers) {
+                SettingsSection settings = settings(number);
+                started.put(number, starters.submit(() -> new MeshNode(settings)));
+            }
+            started.forEach((number, node) -> mNodes.set(number, result(node)));
+        } finally {
+            starters.shutdownNow();
+        }
+    }
+
+    /**
+     * Waits for a condition.
+     *
+     * @throws AzurearchException with {@code DEADLINE_EXCEEDED} when it did not come about
+     */
+    public static void await(String what, Duration most, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + most.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - deadline > 0) {
+                throw new AzurearchException(
+                        ErrorCode.DEADLINE_EXCEEDED, "not within " + most + ": " + what);
+            }
+            LockSupport.parkNanos(POLL_NANOS);
+        }
+    }
+
+    @Override
+    public void close() {
+        ExecutorService stoppers = Executors.newFixedThreadPool(START_THREADS);
+        try {
+            List<Future<?>> stopped = new ArrayList<>();
+            mNodes.forEach(node -> stopped.add(stoppers.submit(node::close)));
+            stopped.forEach(BenchMesh::result);
+        } finally {
+            stoppers.shutdownNow();
+            mLog.close();
+        }
+    }
+
+    private void startSideBySide(int from, int to) {
+        ExecutorService starters = Executors.newFixedThreadPool(START_THREADS);
+        try {
+            List<Future<MeshNode>> started = new ArrayList<>();
+            for (int node = from; node < to; node++) {
+                SettingsSection settings = settings(node);
+                started.add(starters.submit(() -> new MeshNode(settings)));
+            }
+            started.forEach(node -> mNodes.add(result(node)));
+        } finally {
+            starters.shutdownNow();
+        }
+    }
+
+    private SettingsSection settings(int node) {
+        Map<String, Map<String, Object>> sections = new HashMap<>();
+        sections.put(
+                "node",
+                Map.of(
+                        "mesh",
+                        "bench",
+                        "id",
+                        "node" + node,
+                        "dataCentre",
+                        mPlan.dataCentreOf(node),
+                        "region",
+                        mPlan.regionOf(node)));
+        sections.put("log", Map.of("address", mLog.address().name()));
+        sections.put("peers", Map.of("listen", EPHEMERAL.name(), "key", KEY, "seeds", seeds(node)));
+        sections.put("calls", Map.of("listen", EPHEMERAL.name(), "threads", 1));
+        sections.put("spread", Map.of("policy", mPlan.policy()));
+        mPlan.sections()
+                .forEach(
+                        (name, values) -> {
+                            Map<String, Object> merged =
+                                    new HashMap<>(sections.getOrDefault(name, Map.of()));
+                            merged.putAll(values);
+                            sections.put(name, merged);
+                        });
+        return new SettingsSection("", sections);
+    }
+
+    /** Seeds are the first nodes, the one of the same data centre before the others. */
+    private List<String> seeds(int node) {
+        List<String> seeds = new ArrayList<>();
+        int own = node % mPlan.dataCentres();
+        if (own < mNodes.size() && own != node) {
+            seeds.add(mNodes.get(own).peerAddress().name());
+        }
+        if (!mNodes.isEmpty() && node != 0) {
+            seeds.add(mNodes.get(0).peerAddress().name());
+        }
+        return seeds;
+    }
+
+    private boolean knowsAll(MeshNode node) {
+        return node.members().all().stream().filter(member -> member.reachable()).count()
+                >= mNodes.size();
+    }
+
+    private static <T> T result(Future<T> future) {
+        try {
+            return future.get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new AzurearchException(ErrorCode.CANCELLED, "interrupted", e);
+        } catch (ExecutionException e) {
+            throw new AzurearchException(ErrorCode.INTERNAL, "node failed: " + e.getCause(), e);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/mesh/MeshNode.java
@@ -0,0 +1,127 @@
+package org.azurearch.standin.bench.mesh;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.azurearch.call.CallServer;
+import org.azurearch.config.ConfigInForce;
+import org.azurearch.config.MeshConfig;
+import org.azurearch.kernel.Kernel;
+import org.azurearch.kernel.NodeKernel;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.member.LocalBackend;
+import org.azurearch.member.MemberView;
+import org.azurearch.settings.SettingsSection;
+import org.azurearch.spread.ChangeDesk;
+import org.azurearch.time.SystemTimerService;
+import org.azurearch.time.TimerService;
+
+/** A node that runs in this process, with a kernel of its own. */
+public final class MeshNode implements AutoCloseable {
+    private final TimerService mTimers = new SystemTimerService();
+    private final Map<Long, Long> mInForceNanos = new ConcurrentHashMap<>();
+    private final SettingsSection mSettings;
+    private final Kernel mKernel;
+
+    /**
+     * Starts a node.
+     *
+     * @param settings its settings
+     */
+    public MeshNode(SettingsSection settings) {
+        mSettings = settings;
+        mKernel = startKernel(settings);
+        ConfigInForce config = mKernel.service(ConfigInForce.class);
+        config.listen(this::note);
+        MeshConfig current = config.current();
+        if (current != null) {
+            note(current);
+        }
+    }
+
+    /** Returns the settings. */
+    public SettingsSection settings() {
+        return mSettings;
+    }
+
+    /** Returns the kernel. */
+    public Kernel kernel() {
+        return mKernel;
+    }
+
+    /** Returns where changes are handed in. */
+    public ChangeDesk desk() {
+        return mKernel.service(ChangeDesk.class);
+    }
+
+    /** Returns the nodes that this one knows of. */
+    public MemberView members() {
+        return mKernel.service(MemberView.class);
+    }
+
+    /** Returns the backend server behind this node. */
+    public LocalBackend backend() {
+        return mKernel.service(LocalBackend.class);
+    }
+
+    /** Returns where the node takes calls. */
+    public NetAddress callsAddress() {
+        return mKernel.service(CallServer.class).address();
+    }
+
+    /** Returns where the node takes exchanges. */
+    public NetAddress peerAddress() {
+        return members().self().peer();
+    }
+
+    /** Returns the offset of the configuration in force, -1 before the first. */
+    public long offset() {
+        MeshConfig current = mKernel.service(ConfigInForce.class).current();
+        return current == null ? -1 : current.offset();
+    }
+
+    /**
+     * Returns when a record came into force here.
+     *
+     * @param offset the offset of the record
+     * @return the time by {@link System#nanoTime()}; {@link Long#MAX_VALUE} when it has not
+     */
+    public long inForceNanos(long offset) {
+        return mInForceNanos.entrySet().stream()
+                .filter(entry -> entry.getKey() >= offset)
+                .mapToLong(Map.Entry::getValue)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
+    /** Returns the sum of the counters whose names begin so. */
+    public long counters(String prefix) {
+        return mKernel
+                .service(MetricRegistry.class)
+                .getCounters((name, metric) -> name.startsWith(prefix))
+                .values()
+                .stream()
+                .mapToLong(Counter::getCount)
+                .sum();
+    }
+
+    @Override
+    public void close() {
+        mKernel.close();
+        mTimers.close();
+    }
+
+    private void note(MeshConfig config) {
+        mInForceNanos.putIfAbsent(config.offset(), System.nanoTime());
+    }
+
+    private Kernel startKernel(SettingsSection settings) {
+        try {
+            return NodeKernel.start(settings, mTimers);
+        } catch (RuntimeException e) {
+            mTimers.close();
+            throw e;
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/mesh/SampleDocuments.java
@@ -0,0 +1,143 @@
+package org.azurearch.standin.bench.mesh;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.fold.Change;
+import org.azurearch.fold.Document;
+import org.azurearch.fold.DocumentName;
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.OperatorId;
+import org.azurearch.lib.SiteId;
+
+/**
+ * Documents of a firm of any size. A variant differs from the one before it in a few values.
+ *
+ * @param firm the firm
+ * @param services how many services
+ * @param slots the slots of each backend server
+ * @param sites the sites that have an overlay
+ */
+public record SampleDocuments(FirmId firm, int services, int slots, List<SiteId> sites) {
+    private static final int BASE_QUEUE = 20;
+    private static final int BASE_CONNECTIONS = 100;
+
+    /** Takes a copy of the sites. */
+    public SampleDocuments {
+        sites = List.copyOf(sites);
+    }
+
+    /** Returns the name of a service. */
+    public static String service(int number) {
+        return "service" + number;
+    }
+
+    /**
+     * Returns the text of the base.
+     *
+     * @param variant counts the changes so far; 0 for the first text
+     * @param changed how many services each variant changes
+     */
+    public String base(int variant, int changed) {
+        StringBuilder text = new StringBuilder();
+        text.append("azurearch: 1\nkind: base\nfirm: ").append(firm).append('\n');
+        text.append("limits: {callsPerSecond: 0, share: 1}\n");
+        text.append("classes:\n  orders: {priority: 0}\n  interactive: {priority: 1}\n");
+        text.append("  history: {priority: 5}\n");
+        text.append("policies:\n");
+        text.append("  once: {attempts: 2, retryBudgetPercent: 10, queueLength: ")
+                .append(BASE_QUEUE)
+                .append(", queueWait: 200ms}\n");
+        text.append("  read: {attempts: 3, retryBudgetPercent: 20, queueLength: ")
+                .append(BASE_QUEUE)
+                .append(", queueWait: 200ms}\n");
+        text.append("services:\n");
+        for (int number = 0; number < services; number++) {
+            appendService(text, number, connections(number, variant, changed));
+        }
+        text.append("routes:\n");
+        for (int number = 0; number < services; number++) {
+            appendRoutes(text, service(number));
+        }
+        return text.toString();
+    }
+
+    /** Returns the text of a site's overlay. */
+    public String overlay(SiteId site) {
+        return "azurearch: 1\nkind: overlay\nfirm: "
+                + firm
+                + "\nsite: "
+                + site
+                + "\nservices:\n  "
+                + service(0)
+                + ": {connections: 50}\n";
+    }
+
+    /** Returns the change that publishes the base and every overlay for the first time. */
+    public Change first(long nowMillis) {
+        List<Document> documents = new ArrayList<>();
+        documents.add(document(DocumentName.BASE, "base.yaml", base(0, 0)));
+        for (SiteId site : sites) {
+            String file = "overlays/" + site + ".yaml";
+            documents.add(document(DocumentName.overlay(site), file, overlay(site)));
+        }
+        return change("first", 0, documents, nowMillis);
+    }
+
+    /** Returns the change from one variant of the base to the next. */
+    public Change next(int variant, int changed, long version, long nowMillis) {
+        Document base = document(DocumentName.BASE, "base.yaml", base(variant, changed));
+        return change("variant" + variant, version, List.of(base), nowMillis);
+    }
+
+    private Change change(
+            String id, long expectedVersion, List<Document> documents, long nowMillis) {
+        return new Change(
+                ChangeId.fromString(firm + "-" + id),
+                Change.Kind.PUBLISH,
+                firm,
+                OperatorId.fromString("bench"),
+                1,
+                expectedVersion,
+                documents,
+                List.of(),
+                0,
+                "",
+                nowMillis);
+    }
+
+    private static Document document(DocumentName name, String file, String text) {
+        return Document.of(name, file, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Each variant changes the next few services in turn. */
+    private int connections(int number, int variant, int changed) {
+        int touched = 0;
+        for (int step = 1; step <= variant; step++) {
+            int first = (step - 1) * changed % services;
+            if (Math.floorMod(number - first, services) < changed) {
+                touched++;
+            }
+        }
+        return BASE_CONNECTIONS + touched;
+    }
+
+    private void appendService(StringBuilder text, int number, int connections) {
+        text.append("  ").append(service(number)).append(": {slots: ").append(slots);
+        text.append(", connections: ").append(connections);
+        text.append(", slowStart: 10s, probePath: /health, probePeriod: 2s}\n");
+    }
+
+    private static void appendRoutes(StringBuilder text, String service) {
+        text.append("  ").append(service).append("-read: {path: /").append(service);
+        text.append("/read, methods: [GET], service: ").append(service);
+        text.append(", class: interactive, policy: read, idempotent: true, deadline: 2s}\n");
+        text.append("  ").append(service).append("-history: {path: /").append(service);
+        text.append("/history, methods: [GET], service: ").append(service);
+        text.append(", class: history, policy: read, idempotent: true, deadline: 5s}\n");
+        text.append("  ").append(service).append("-order: {path: /").append(service);
+        text.append("/order, methods: [POST], service: ").append(service);
+        text.append(", class: orders, policy: once, idempotent: false, deadline: 5s}\n");
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadGenerator.java
@@ -0,0 +1,158 @@
+package org.azurearch.standin.load;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.azurearch.lib.NetAddress;
+
+/**
+ * Sends requests on a schedule that does not depend on the answers. Latencies count from the time
+ * that a request was due, so that a stall shows in every request it delays. Targets take turns
+ * within one run, so that they meet the same state of the machine.
+ */
+public final class LoadGenerator implements AutoCloseable {
+    private static final int THREADS = 2;
+    private static final long SPIN_NANOS = 80_000L;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final long SETTLE_POLL_NANOS = 1_000_000L;
+    private static final long STOP_MILLIS = 1_000L;
+
+    private final EventLoopGroup mLoops =
+            new MultiThreadIoEventLoopGroup(
+                    THREADS,
+                    new DefaultThreadFactory("standin-load", true),
+                    NioIoHandler.newFactory());
+    private final List<EventLoop> mLoopList = new ArrayList<>();
+    private final LoadPlan mPlan;
+    private final List<LoadTarget> mTargets;
+    private final LoadObserver mObserver;
+    private final LoadReport mReport = new LoadReport();
+    private final List<Map<NetAddress, LoadPool>> mPools = new ArrayList<>();
+    private final AtomicLong mUnderWay = new AtomicLong();
+
+    /**
+     * Creates a generator.
+     *
+     * @param targets at least one target
+     * @param observer told of the end of each sending
+     */
+    public LoadGenerator(LoadPlan plan, List<LoadTarget> targets, LoadObserver observer) {
+        mPlan = plan;
+        mTargets = List.copyOf(targets);
+        mObserver = observer;
+        for (int index = 0; index < THREADS; index++) {
+            EventLoop loop = mLoops.next();
+            mLoopList.add(loop);
+            mPools.add(pools(loop));
+        }
+    }
+
+    /**
+     * Sends the load and waits until every request has ended.
+     *
+     * @return counts and latencies
+     */
+    public LoadReport run() {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(mPlan.seed());
+        long total = mPlan.duration().toNanos() / NANOS_PER_SECOND * mPlan.perSecond();
+        long partial = mPlan.duration().toNanos() % NANOS_PER_SECOND;
+        total += partial * mPlan.perSecond() / NANOS_PER_SECOND;
+        long start = System.nanoTime();
+        for (long number = 0; number < total; number++) {
+            long due = start + number * NANOS_PER_SECOND / mPlan.perSecond();
+            awaitTime(due);
+            LoadTarget target = mTargets.get((int) (number % mTargets.size()));
+            mUnderWay.incrementAndGet();
+            send(new LoadRequest(pick(random), target, number, 0, due));
+        }
+        awaitEnd();
+        return mReport;
+    }
+
+    @Override
+    public void close() {
+        mLoops.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    void ended(LoadRequest request, LoadOutcome outcome) {
+        long latency = System.nanoTime() - request.intendedNanos();
+        mReport.add(request.target(), request.kind(), outcome, latency);
+        mObserver.ended(
+                request.target(),
+                request.kind(),
+                request.orderKey(mPlan.seed()),
+                request.attemptKey(mPlan.seed()),
+                outcome);
+        if (outcome.unknown() && request.attempt() < mPlan.resends()) {
+            send(request.resend());
+        } else {
+            mUnderWay.decrementAndGet();
+        }
+    }
+
+    private Map<NetAddress, LoadPool> pools(EventLoop loop) {
+        int connections = Math.max(1, mPlan.connections() / THREADS);
+        Map<NetAddress, LoadPool> pools = new HashMap<>();
+        for (LoadTarget target : mTargets) {
+            for (NetAddress address : target.addresses()) {
+                pools.put(address, new LoadPool(loop, address, mPlan, connections, this));
+            }
+        }
+        return pools;
+    }
+
+    private void send(LoadRequest request) {
+        long turn = request.number() / mTargets.size() + request.attempt();
+        List<NetAddress> addresses = request.target().addresses();
+        NetAddress address = addresses.get((int) (turn % addresses.size()));
+        int thread = (int) (turn / addresses.size() % THREADS);
+        LoadPool pool = mPools.get(thread).get(address);
+        if (pool == null) {
+            throw new IllegalStateException("no pool for " + address);
+        }
+        mLoopList.get(thread).execute(() -> pool.send(request));
+    }
+
+    private RequestKind pick(RandomGenerator random) {
+        int total = mPlan.kinds().stream().mapToInt(RequestKind::weight).sum();
+        int drawn = random.nextInt(total);
+        for (RequestKind kind : mPlan.kinds()) {
+            drawn -= kind.weight();
+            if (drawn < 0) {
+                return kind;
+            }
+        }
+        throw new IllegalStateException("weights do not add up");
+    }
+
+    private void awaitEnd() {
+        long most = mPlan.timeout().toNanos() * (mPlan.resends() + 2);
+        long deadline = System.nanoTime() + most;
+        while (mUnderWay.get() > 0 && System.nanoTime() - deadline < 0) {
+            LockSupport.parkNanos(SETTLE_POLL_NANOS);
+        }
+    }
+
+    private static void awaitTime(long due) {
+        long left = due - System.nanoTime();
+        while (left > 0) {
+            if (left > SPIN_NANOS) {
+                LockSupport.parkNanos(left - SPIN_NANOS);
+            } else {
+                Thread.onSpinWait();
+            }
+            left = due - System.nanoTime();
+        }
+    }
+}
