--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SnapshotFaultTest.java
@@ -0,0 +1,107 @@
+package org.azurearch.internal.spread;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Digest;
+import org.azurearch.spread.ConvergencePolicy;
+import org.azurearch.spread.Position;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Restarts of a whole mesh from the log, of which retention has removed the first records. */
+class SnapshotFaultTest {
+    private static final long SECOND = 1_000;
+    private static final long LIMIT = 30 * SECOND;
+
+    private final FakeMesh mMesh = new FakeMesh(new ConvergencePolicy(), 5);
+
+    @BeforeEach
+    void saveTwoSnapshots() {
+        mMesh.startNodes("a", 3);
+        mMesh.publish("c0");
+        mMesh.converge(0, LIMIT);
+        mMesh.runUntil("first snapshot", LIMIT, () -> mMesh.mLog.end(FakeMesh.SNAPSHOTS) == 2);
+        for (int i = 1; i <= 100; i++) {
+            mMesh.publish("c" + i);
+        }
+        mMesh.converge(100, LIMIT);
+        mMesh.runUntil("second snapshot", LIMIT, () -> mMesh.mLog.end(FakeMesh.SNAPSHOTS) == 4);
+    }
+
+    private void restartWithout(long recordsBefore) {
+        List<String> names = List.copyOf(mMesh.mNodes.keySet());
+        names.forEach(mMesh::kill);
+        mMesh.mLog.retainFrom(FakeMesh.CHANGES, recordsBefore);
+        mMesh.mTrace.clear();
+        names.forEach(name -> mMesh.start("a", name));
+    }
+
+    private boolean installedFromLogSnapshot(long offset) {
+        return mMesh.mTrace.stream()
+                .anyMatch(line -> line.endsWith("installs " + offset + " from LOG_SNAPSHOT"));
+    }
+
+    @Test
+    void newestSnapshotIsUsed() {
+        restartWithout(101);
+        mMesh.converge(100, LIMIT);
+        assertTrue(installedFromLogSnapshot(100), mMesh::toString);
+    }
+
+    @Test
+    void corruptChunkLeadsToTheSnapshotBefore() {
+        mMesh.mLog.corrupt(FakeMesh.SNAPSHOTS, 2);
+        restartWithout(1);
+        mMesh.converge(100, LIMIT);
+        assertTrue(installedFromLogSnapshot(0), mMesh::toString);
+    }
+
+    @Test
+    void snapshotCutOffHalfWayIsSkipped() {
+        restartWithout(1);
+        byte[] chunk = SnapshotRecords.chunk(Digest.of(new byte[] {1}), new byte[] {1});
+        mMesh.mLog.append(FakeMesh.SNAPSHOTS, chunk);
+        mMesh.converge(100, LIMIT);
+        assertTrue(installedFromLogSnapshot(100), mMesh::toString);
+    }
+
+    @Test
+    void manifestOfMissingChunksIsSkipped() {
+        restartWithout(1);
+        Position later = new Position(500, Digest.EMPTY);
+        Manifest manifest = new Manifest(later, List.of(Digest.of(new byte[] {9})), 1);
+        mMesh.mLog.append(FakeMesh.SNAPSHOTS, SnapshotRecords.manifest(manifest));
+        mMesh.converge(100, LIMIT);
+        assertTrue(installedFromLogSnapshot(100), mMesh::toString);
+    }
+
+    @Test
+    void snapshotThatRetentionHasCutIsNoSnapshotAndTheReasonSaysSo() {
+        mMesh.mLog.retainFrom(FakeMesh.SNAPSHOTS, 3);
+        restartWithout(101);
+        mMesh.run(LIMIT);
+        assertTrue(mMesh.allAt(-1), mMesh::toString);
+        assertTrue(
+                mMesh.mNodes.values().stream()
+                        .filter(FakeNode::reads)
+                        .allMatch(node -> !node.view().reason().isEmpty()));
+    }
+
+    @Test
+    void chunkOfAnotherContentIsCorrupt() {
+        byte[] content = {1, 2, 3};
+        byte[] packed = SnapshotRecords.compress(content, 1);
+        assertArrayEquals(content, SnapshotRecords.expand(Digest.of(content), packed));
+        AzurearchException e =
+                assertThrows(
+                        AzurearchException.class,
+                        () -> SnapshotRecords.expand(Digest.EMPTY, packed));
+        assertEquals(ErrorCode.CORRUPT, e.code());
+    }
+}
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
@@ -144,7 +144,7 @@
     }
 
     @Test
-    void deathOfAllReadersOfADataCentreDelaysAChangeByNoMoreThanTheTarget() {
+    void deathOfBothReadersDelaysChangesByNoMoreThanTheTarget() {
         startThree();
         List<String> readers =
                 mMesh.mNodes.values().stream()
@@ -236,7 +236,7 @@
     }
 
     @Test
-    void wholeMeshRestartsFromASnapshotAfterRetentionHasPassed() {
+    void wholeMeshRestartsFromSnapshotAfterRetentionHasPassed() {
         startThree();
         for (int i = 1; i <= 5; i++) {
             mMesh.publish("c" + i);
@@ -291,7 +291,7 @@
     }
 
     @Test
-    void nodeThatDoesNotGetAChangeIsNamedAsLaggard() {
+    void nodeWithoutTheChangeIsNamedAsLaggard() {
         startThree();
         FakeNode silent =
                 mMesh.mNodes.values().stream().filter(node -> !node.reads()).findAny().get();
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SnapshotSchedule.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SnapshotSchedule.java
@@ -58,7 +58,7 @@
 
     /** Notes that the state has moved on, so that a snapshot may be due sooner. */
     void moved(long now) {
-        if (!mBusy && recordsSince() >= mContext.settings().snapshotEvery()) {
+        if (!mBusy && mContext.reader() && due(now)) {
             mDueAt = Math.min(mDueAt, now + delay());
         }
     }
