Say in the demonstration which nodes lag

A broken step said 'accepted' and not why; and calls and nodes were taken in turn by the same counter, so that each kind of call reached only a few nodes. Names lagging nodes and silent data centres, and takes the nodes in turn for each round of calls.

--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/CallLoad.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/CallLoad.java
@@ -105,7 +105,8 @@
         while (!mClosed) {
             int turn = mNext.getAndIncrement();
             List<NetAddress> nodes = mNodes;
-            call(mSamples.get(turn % mSamples.size()), nodes.get(turn % nodes.size()));
+            int round = turn / mSamples.size();
+            call(mSamples.get(turn % mSamples.size()), nodes.get(round % nodes.size()));
             LockSupport.parkNanos(PAUSE.toNanos());
         }
     }
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/ChangeSummary.java
@@ -0,0 +1,36 @@
+package org.azurearch.pgm.demo;
+
+import java.util.stream.Collectors;
+import org.azurearch.admin.ChangeReport;
+
+/** Where a change stands, on one line. */
+final class ChangeSummary {
+    private ChangeSummary() {}
+
+    /** Returns the status, and the data centres that lag if there are any. */
+    static String of(ChangeReport report) {
+        String lagging =
+                report.dataCentres().stream()
+                        .filter(ChangeSummary::lags)
+                        .map(ChangeSummary::text)
+                        .collect(Collectors.joining(", "));
+        return lagging.isEmpty() ? report.status() : report.status() + " (" + lagging + ")";
+    }
+
+    private static boolean lags(ChangeReport.DataCentreReport progress) {
+        return progress.silentSinceMillis() > 0 || progress.inForce() < progress.total();
+    }
+
+    private static String text(ChangeReport.DataCentreReport progress) {
+        if (progress.silentSinceMillis() > 0) {
+            return progress.dataCentre() + " silent";
+        }
+        return progress.dataCentre()
+                + " "
+                + progress.inForce()
+                + " of "
+                + progress.total()
+                + ", not on "
+                + progress.laggards();
+    }
+}
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/ConflictStep.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/ConflictStep.java
@@ -35,7 +35,8 @@
         ChangeReport one = a.join();
         ChangeReport two = b.join();
         boolean kept = wins(one, two) || wins(two, one);
-        return StepResult.of(title(), kept, one.status() + " and " + two.status());
+        return StepResult.of(
+                title(), kept, ChangeSummary.of(one) + " and " + ChangeSummary.of(two));
     }
 
     private ChangeReport publish(
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/FirmPlan.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/FirmPlan.java
@@ -93,7 +93,7 @@
                         CallSample.post("notices", "/notices"),
                         CallSample.read("closures", "/closures"),
                         CallSample.read("lookups", "/lookup"),
-                        CallSample.read("history", "/history")));
+                        CallSample.read("history", "/detours")));
     }
 
     private static List<DataCentreId> dataCentres(String... names) {
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/PublishStep.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/PublishStep.java
@@ -33,7 +33,7 @@
         Duration took = Duration.ofNanos(mTime.nanos() - start);
         boolean kept = report.status().equals(IN_FORCE) && took.compareTo(TARGET) <= 0;
         String detail =
-                report.status()
+                ChangeSummary.of(report)
                         + " on all nodes of "
                         + report.dataCentres().size()
                         + " data centres after "
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/UndoStep.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/demo/UndoStep.java
@@ -24,6 +24,8 @@
         ChangeReport.Outcome outcome = report.outcome();
         String version = outcome == null ? "no version" : outcome.version();
         return StepResult.of(
-                title(), report.status().equals("in-force"), report.status() + " as " + version);
+                title(),
+                report.status().equals("in-force"),
+                ChangeSummary.of(report) + " as " + version);
     }
 }
