--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/call/SuspectTableTest.java
@@ -0,0 +1,70 @@
+package org.azurearch.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.azurearch.call.SuspectTable.Lifetimes;
+import org.azurearch.call.SuspectTable.Strike;
+import org.junit.jupiter.api.Test;
+
+/** Which requests are blamed for crashes, and for how long. */
+class SuspectTableTest {
+    private static final Lifetimes LIFETIMES = new Lifetimes(600_000, 60_000);
+
+    @Test
+    void secondCrashContainsAndTimeReleases() {
+        SuspectTable once = table(Map.of(), strike("killer", "c1", 100));
+        assertTrue(once.suspect("killer"));
+        assertFalse(once.contained("killer", 200));
+        SuspectTable twice =
+                table(Map.of(), strike("killer", "c1", 100), strike("killer", "c2", 200));
+        assertTrue(twice.contained("killer", 600_199));
+        assertFalse(twice.contained("killer", 600_200));
+        assertEquals(2, twice.contained(300).get(0).crashes());
+    }
+
+    @Test
+    void sameCrashHeardTwiceCountsOnce() {
+        SuspectTable table =
+                table(Map.of(), strike("killer", "c1", 100), strike("killer", "c1", 100));
+        assertFalse(table.contained("killer", 200));
+    }
+
+    @Test
+    void requestThatCompletedIsNotBlamedForEarlierCrashes() {
+        SuspectTable table =
+                table(
+                        Map.of("ordinary", 150L),
+                        strike("killer", "c1", 100),
+                        strike("ordinary", "c1", 100),
+                        strike("killer", "c2", 200),
+                        strike("ordinary", "c2", 200));
+        assertTrue(table.contained("killer", 600_100), "its long containment is not shortened");
+        assertFalse(table.contained("ordinary", 300));
+    }
+
+    @Test
+    void requestsThatCannotBeToldApartAreContainedBriefly() {
+        SuspectTable table =
+                table(
+                        Map.of(),
+                        strike("a", "c1", 100),
+                        strike("b", "c1", 100),
+                        strike("a", "c2", 200),
+                        strike("b", "c2", 200));
+        assertTrue(table.contained("a", 60_199));
+        assertFalse(table.contained("a", 60_200));
+        assertFalse(table.contained("b", 60_200));
+    }
+
+    private static SuspectTable table(Map<String, Long> cleared, Strike... strikes) {
+        return SuspectTable.of(List.of(strikes), cleared, LIFETIMES);
+    }
+
+    private static Strike strike(String fingerprint, String crash, long atMillis) {
+        return new Strike(fingerprint, "target", "POST /orders", crash, atMillis);
+    }
+}
--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/AtMostOnceTest.java
@@ -0,0 +1,237 @@
+package org.azurearch.internal.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.call.RawClient.Answer;
+import org.azurearch.lib.NetAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Non-idempotent requests that their callers send again, to any node and through failures. */
+class AtMostOnceTest {
+    private final FakeMesh mMesh = new FakeMesh();
+    private RawServer mServer;
+    private FakeMesh.Node mFirst;
+    private FakeMesh.Node mSecond;
+
+    @BeforeEach
+    void start() throws IOException {
+        mServer = new RawServer();
+        mServer.script((request, connection) -> RawServer.ok(connection, "order 1"));
+        mFirst = mMesh.start("first");
+        mSecond = mMesh.start("second");
+        mMesh.start("third").backend(mServer.address(), 20);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mMesh.close();
+        mServer.close();
+    }
+
+    @Test
+    void repetitionOnAnyNodeGetsTheFirstAnswer() throws IOException {
+        String ticket = ticket(mFirst);
+        for (FakeMesh.Node node : List.of(mFirst, mSecond, mFirst, mSecond)) {
+            Answer answer = order(node, "a", "azurearch-ticket: " + ticket);
+            assertEquals("200 order 1 ran", summary(answer), answer.toString());
+        }
+        assertEquals(1, mServer.runs("a"));
+    }
+
+    @Test
+    void answersHandOutTickets() throws IOException {
+        String ticket = order(mFirst, "a").header("azurearch-ticket");
+        assertFalse(ticket.isEmpty());
+        order(mSecond, "b", "azurearch-ticket: " + ticket);
+        order(mSecond, "b", "azurearch-ticket: " + ticket);
+        assertEquals(1, mServer.runs("b"));
+    }
+
+    @Test
+    void repetitionsWaitForTheOneUnderWay() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch arrived = new CountDownLatch(1);
+        mServer.script(
+                (request, connection) -> {
+                    arrived.countDown();
+                    await(held);
+                    RawServer.ok(connection, "order 1");
+                });
+        String ticket = ticket(mFirst);
+        List<CompletableFuture<Answer>> answers = new ArrayList<>();
+        answers.add(later(mFirst, ticket));
+        arrived.await();
+        for (int i = 0; i < 4; i++) {
+            answers.add(later(i % 2 == 0 ? mFirst : mSecond, ticket));
+        }
+        held.countDown();
+        for (CompletableFuture<Answer> answer : answers) {
+            assertEquals("200 order 1 ran", summary(answer.get()));
+        }
+        assertEquals(1, mServer.runs("a"));
+    }
+
+    @Test
+    void callerThatLeftFindsTheAnswerLater() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch arrived = new CountDownLatch(1);
+        mServer.script(
+                (request, connection) -> {
+                    arrived.countDown();
+                    await(held);
+                    RawServer.ok(connection, "order 1");
+                });
+        String ticket = ticket(mFirst);
+        try (RawClient impatient = new RawClient(mFirst.address())) {
+            impatient.send(
+                    RawClient.post("/orders", "x", "run-key: a", "azurearch-ticket: " + ticket));
+            arrived.await();
+        }
+        CompletableFuture<Answer> again = later(mSecond, ticket);
+        held.countDown();
+        assertEquals("200 order 1 ran", summary(again.get()));
+        assertEquals(1, mServer.runs("a"));
+    }
+
+    @Test
+    void lostAnswerNeverCausesAnotherRun() throws IOException {
+        mServer.script((request, connection) -> connection.close());
+        String ticket = ticket(mFirst);
+        assertEquals("may-have-run", order(mFirst, "a", "azurearch-ticket: " + ticket).verdict());
+        mServer.script((request, connection) -> RawServer.ok(connection, "order 1"));
+        Answer again = order(mSecond, "a", "azurearch-ticket: " + ticket);
+        assertEquals("outcome-unknown may-have-run", again.code() + " " + again.verdict());
+        assertEquals(1, mServer.runs("a"));
+    }
+
+    @Test
+    void refusedRequestMayRunLaterWithItsTicket() throws IOException {
+        String ticket = ticket(mFirst);
+        mMesh.mNodes.get("third").state(org.azurearch.member.BackendState.DRAINING);
+        assertEquals("not-run", order(mFirst, "a", "azurearch-ticket: " + ticket).verdict());
+        mMesh.mNodes.get("third").state(org.azurearch.member.BackendState.READY);
+        assertEquals(200, order(mSecond, "a", "azurearch-ticket: " + ticket).status());
+        assertEquals(1, mServer.runs("a"));
+    }
+
+    @Test
+    void goneHomeMeansUnknownAndNoRun() throws IOException {
+        String ticket = ticket(mFirst);
+        mFirst.close();
+        Answer answer = order(mSecond, "a", "azurearch-ticket: " + ticket);
+        assertEquals("outcome-unknown may-have-run", answer.code() + " " + answer.verdict());
+        mMesh.mNodes.get("first").seenByOthersAt(new NetAddress("127.0.0.1", 1));
+        assertEquals(0, mServer.runs("a"));
+    }
+
+    @Test
+    void forgedAndReusedTicketsAreRefused() throws IOException {
+        String ticket = ticket(mFirst);
+        Answer forged =
+                order(mFirst, "a", "azurearch-ticket: " + ticket.replace("first", "second"));
+        assertEquals("bad-ticket", forged.code());
+        order(mFirst, "a", "azurearch-ticket: " + ticket);
+        Answer other =
+                RawClient.call(
+                        mFirst.address(),
+                        RawClient.post("/orders/other", "x", "azurearch-ticket: " + ticket));
+        assertEquals("bad-ticket", other.code());
+        assertEquals(1, mServer.mTotal.get());
+    }
+
+    @Test
+    void keyIsClaimedThroughTheLog() throws Exception {
+        List<CompletableFuture<Answer>> answers = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            FakeMesh.Node node = i % 2 == 0 ? mFirst : mSecond;
+            answers.add(supply(() -> order(node, "k", "idempotency-key: k")));
+        }
+        for (CompletableFuture<Answer> answer : answers) {
+            assertEquals("200 order 1 ran", summary(answer.get()), answer.get().toString());
+        }
+        assertEquals(1, mServer.runs("k"));
+    }
+
+    @Test
+    void keyIsNotRunWhileTheLogIsDown() throws IOException {
+        mMesh.mLog.mFailure = new AzurearchException(ErrorCode.LOG_UNAVAILABLE, "down");
+        Answer answer = order(mFirst, "k", "idempotency-key: k");
+        assertEquals("log-unavailable", answer.code());
+        assertEquals(0, mServer.runs("k"));
+        mMesh.mLog.mFailure = null;
+        assertEquals(200, order(mSecond, "k", "idempotency-key: k").status());
+        assertEquals(1, mServer.runs("k"));
+    }
+
+    @Test
+    void lostAppendAnswerIsFoundInTheLog() throws IOException {
+        mMesh.mLog.mFailAfterAppend = true;
+        mMesh.mLog.mFailure = new AzurearchException(ErrorCode.LOG_RESULT_UNKNOWN, "lost");
+        Answer answer = order(mFirst, "k", "idempotency-key: k");
+        assertEquals("200 order 1 ran", summary(answer), answer.toString());
+        order(mSecond, "k", "idempotency-key: k");
+        assertEquals(1, mServer.runs("k"));
+    }
+
+    private static String summary(Answer answer) {
+        return answer.status() + " " + answer.body() + " " + answer.verdict();
+    }
+
+    private static String ticket(FakeMesh.Node node) throws IOException {
+        Answer answer =
+                RawClient.call(node.address(), RawClient.get("/.well-known/azurearch/ticket"));
+        assertTrue(answer.body().contains(answer.header("azurearch-ticket")));
+        return answer.header("azurearch-ticket");
+    }
+
+    private static Answer order(FakeMesh.Node node, String key, String... headers)
+            throws IOException {
+        List<String> all = new ArrayList<>(List.of(headers));
+        all.add("run-key: " + key);
+        return RawClient.call(
+                node.address(), RawClient.post("/orders", "x", all.toArray(new String[0])));
+    }
+
+    private static CompletableFuture<Answer> later(FakeMesh.Node node, String ticket) {
+        return supply(() -> order(node, "a", "azurearch-ticket: " + ticket));
+    }
+
+    private interface Asking {
+        Answer ask() throws IOException;
+    }
+
+    private static CompletableFuture<Answer> supply(Asking asking) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                answer.complete(asking.ask());
+                            } catch (IOException e) {
+                                answer.completeExceptionally(e);
+                            }
+                        });
+        thread.setDaemon(true);
+        thread.start();
+        return answer;
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.azurearch.call.CallServer;
@@ -33,11 +32,8 @@
 import org.azurearch.lib.RouteId;
 import org.azurearch.lib.ServiceId;
 import org.azurearch.lib.SiteId;
-import org.azurearch.lib.StreamId;
 import org.azurearch.lib.VersionId;
-import org.azurearch.log.LogBatch;
 import org.azurearch.log.LogClient;
-import org.azurearch.log.LogRecord;
 import org.azurearch.member.Announcement;
 import org.azurearch.member.BackendState;
 import org.azurearch.member.Board;
@@ -141,6 +137,10 @@
                 Duration.ofSeconds(5));
     }
 
+    Board board() {
+        return mBoard;
+    }
+
     /** Starts a node without a backend server. */
     Node start(String name) {
         Node node = new Node(name);
@@ -195,6 +195,10 @@
             return mKernel.service(CallServer.class).address();
         }
 
+        NetAddress backendAddress() {
+            return mAnnouncement == null ? null : mAnnouncement.address();
+        }
+
         /** Lets other nodes reach this one at another address, such as that of a proxy. */
         void seenByOthersAt(NetAddress address) {
             mSeenByOthers = address;
@@ -431,38 +435,4 @@
             mListeners.add(listener);
         }
     }
-
-    /** A log in memory that can be down or lose the answers to appends. */
-    static final class FakeLog implements LogClient {
-        private final List<LogRecord> mRecords = new ArrayList<>();
-        volatile RuntimeException mFailure;
-        volatile boolean mFailAfterAppend;
-
-        @Override
-        public synchronized CompletableFuture<Long> append(StreamId stream, byte[] data) {
-            RuntimeException failure = mFailure;
-            if (failure != null && !mFailAfterAppend) {
-                return CompletableFuture.failedFuture(failure);
-            }
-            long offset = mRecords.size();
-            mRecords.add(new LogRecord(offset, System.currentTimeMillis(), data));
-            return failure == null
-                    ? CompletableFuture.completedFuture(offset)
-                    : CompletableFuture.failedFuture(failure);
-        }
-
-        @Override
-        public synchronized CompletableFuture<LogBatch> read(
-                StreamId stream, long offset, int maxBytes, Duration wait) {
-            if (mFailure != null && !mFailAfterAppend) {
-                return CompletableFuture.failedFuture(mFailure);
-            }
-            int first = (int) Math.min(offset, mRecords.size());
-            return CompletableFuture.completedFuture(
-                    new LogBatch(mRecords.subList(first, mRecords.size()), 0, mRecords.size()));
-        }
-
-        @Override
-        public void close() {}
-    }
 }
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/RawServer.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/RawServer.java
@@ -54,6 +54,10 @@
         return new NetAddress("127.0.0.1", mListener.getLocalPort());
     }
 
+    boolean closed() {
+        return mListener.isClosed();
+    }
+
     RawServer script(Script script) {
         mScript = script;
         return this;
--- a/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
@@ -11,7 +11,15 @@
     /** A handler of the data path failed; the connection is closed. */
     HANDLER_FAILED(502, Level.ERROR, "the data path failed on a connection: {}"),
     /** Calls were still under way when the time for a planned stop ran out. */
-    DRAIN_INCOMPLETE(503, Level.WARN, "stopping with {} calls under way");
+    DRAIN_INCOMPLETE(503, Level.WARN, "stopping with {} calls under way"),
+    /** A record of the claims stream is malformed and skipped. */
+    CLAIM_MALFORMED(504, Level.WARN, "skipping the malformed claims record {}"),
+    /** The backend server died with requests in flight, which are suspect from now on. */
+    BACKEND_SERVER_CRASHED(505, Level.WARN, "crash {} of the backend server took {} requests"),
+    /** A request took down a second backend server and is refused from now on. */
+    REQUEST_CONTAINED(506, Level.ERROR, "request {} is contained after crashes: {}"),
+    /** An operator released a contained request. */
+    REQUEST_RELEASED(507, Level.INFO, "request {} is released");
 
     private final int mNumber;
     private final Level mLevel;
--- a/org.azurearch/src/main/java/org/azurearch/call/CallFailure.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallFailure.java
@@ -17,6 +17,11 @@
         return new CallFailure(verdict, code, detail, 0);
     }
 
+    /** Returns the same failure with another verdict. */
+    public CallFailure withVerdict(Verdict other) {
+        return new CallFailure(other, code, detail, retryAfterMillis);
+    }
+
     /** Creates a failure of a request that has not run. */
     public static CallFailure notRun(ErrorCode code, String detail) {
         return of(Verdict.NOT_RUN, code, detail);
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -10,6 +10,7 @@
 import org.azurearch.admit.Refusal;
 import org.azurearch.call.CallFailure;
 import org.azurearch.call.CallHeaders;
+import org.azurearch.call.SuspectTable;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.internal.admit.BackendGate;
 import org.azurearch.lib.Verdict;
@@ -30,6 +31,8 @@
     private final HopRequest mHop;
     private final AnswerSink mSink;
     private final Deque<HttpContent> mPending = new ArrayDeque<>();
+    private final RequestPrint mPrint;
+    private boolean mHeldForPrint;
     private State mState = State.WAITING;
     private @Nullable UpstreamExchange mUpstream;
     private long mStartedNanos;
@@ -39,15 +42,39 @@
     BackendExchange(Lane lane, HttpRequest head, HopRequest hop, AnswerSink sink) {
         mLane = lane;
         mHead = head;
+        mPrint = new RequestPrint(head);
         mHop = hop;
         mSink = sink;
     }
 
     @Override
     public void start() {
+        SuspectTable suspects = mLane.crashWatch().table();
+        mHeldForPrint = !suspects.isEmpty() && suspects.watches(mPrint.target());
+        if (!mHeldForPrint) {
+            submit();
+        }
+    }
+
+    private void submit() {
+        mHeldForPrint = false;
         mLane.gate().submit(this, mHop.admission(mLane.nanos()));
     }
 
+    /** Goes on once enough of a request is known whose like was in flight at a crash. */
+    private void submitUnlessContained() {
+        if (mLane.crashWatch().contains(mPrint)) {
+            mState = State.DONE;
+            releasePending();
+            mSink.failed(
+                    CallFailure.notRun(
+                            ErrorCode.SUSPECT_REQUEST,
+                            "a request like this one crashed several backend servers"));
+        } else {
+            submit();
+        }
+    }
+
     @Override
     public void admitted() {
         mLane.run(this::begin);
@@ -60,10 +87,14 @@
 
     @Override
     public void body(HttpContent content) {
+        mPrint.add(content);
         if (mUpstream != null) {
             mUpstream.body(content);
         } else if (mState == State.WAITING) {
             mPending.add(content);
+            if (mHeldForPrint && mPrint.complete()) {
+                submitUnlessContained();
+            }
         } else {
             content.release();
         }
@@ -78,7 +109,8 @@
 
     @Override
     public boolean writable() {
-        return mState != State.WAITING && (mUpstream == null || mUpstream.writable());
+        return mHeldForPrint
+                || (mState != State.WAITING && (mUpstream == null || mUpstream.writable()));
     }
 
     @Override
@@ -93,6 +125,9 @@
         State before = mState;
         mState = State.DONE;
         releasePending();
+        if (before == State.WAITING && mHeldForPrint) {
+            return Verdict.NOT_RUN;
+        }
         if (before == State.WAITING) {
             mLane.gate().cancel(this);
             return Verdict.NOT_RUN;
@@ -106,6 +141,11 @@
 
     @Override
     public void answerHead(HttpResponse head) {
+        String callId = head.headers().get(CallHeaders.CALL_ID);
+        if (callId != null && !callId.equals(Long.toString(mHop.callId()))) {
+            crossed();
+            return;
+        }
         boolean unavailable = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
         String verdict = head.headers().get(CallHeaders.VERDICT);
         HeaderRules.removeOwn(head.headers());
@@ -127,6 +167,9 @@
             mLane.gate().completed(mShed, mLane.nanos() - mStartedNanos);
         }
         if (!shedding) {
+            if (last) {
+                mLane.crashWatch().completed(mPrint);
+            }
             mSink.answerBody(content);
             return;
         }
@@ -150,7 +193,11 @@
     public void failed(CallFailure failure) {
         mState = State.DONE;
         mLane.gate().completed(false, -1);
-        mLane.backendFailed();
+        if (failure.verdict() == Verdict.NOT_RUN) {
+            mLane.backendUnreachable();
+        } else {
+            mLane.backendFailed(mPrint);
+        }
         mSink.failed(failure);
     }
 
@@ -159,6 +206,17 @@
         mSink.requestWritable();
     }
 
+    private void crossed() {
+        if (mUpstream != null) {
+            mUpstream.cancel();
+        }
+        failed(
+                CallFailure.of(
+                        Verdict.MAY_HAVE_RUN,
+                        ErrorCode.BACKEND_SERVER_FAILED,
+                        "the answer belongs to another request"));
+    }
+
     private void begin() {
         Announcement announcement = mLane.gate().announcement();
         if (mState == State.DONE) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallPlugin.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallPlugin.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeoutException;
 import org.azurearch.call.CallEvent;
 import org.azurearch.call.CallServer;
+import org.azurearch.call.CrashContainment;
 import org.azurearch.events.EventLog;
 import org.azurearch.kernel.Kernel;
 import org.azurearch.kernel.Plugin;
@@ -37,6 +38,7 @@
         mServer = server;
         server.start();
         kernel.register(CallServer.class, server);
+        kernel.register(CrashContainment.class, path.crashWatch());
         kernel.service(LocalNode.class).callsAddress(server.address());
     }
 
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallResolver.java
@@ -0,0 +1,112 @@
+package org.azurearch.internal.call;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.Locale;
+import java.util.Optional;
+import org.azurearch.call.CallFailure;
+import org.azurearch.call.CallHeaders;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.route.Route;
+import org.azurearch.route.RouteTable;
+import org.jspecify.annotations.Nullable;
+
+/** Finds the route, the context and the deadline of a call. */
+final class CallResolver {
+    /** The deadline of a call whose route is not known yet, in milliseconds. */
+    static final long DEFAULT_DEADLINE_MILLIS = 60_000L;
+
+    /**
+     * What was found.
+     *
+     * @param route the route, or null where the call is refused
+     * @param context the context
+     * @param deadlineMillis the time that the call has
+     * @param refusal why the call is refused, or null
+     */
+    record Resolution(
+            @Nullable Route route,
+            CallContext context,
+            long deadlineMillis,
+            @Nullable CallFailure refusal) {
+        static Resolution refused(@Nullable Route route, ErrorCode code, String detail) {
+            return new Resolution(
+                    route,
+                    CallContext.ROOT,
+                    DEFAULT_DEADLINE_MILLIS,
+                    CallFailure.notRun(code, detail));
+        }
+    }
+
+    private CallResolver() {}
+
+    /** Resolves a call; {@code home} says what another node has resolved already, or is null. */
+    static Resolution resolve(Lane lane, HttpRequest request, @Nullable HomeRequest home) {
+        RouteTable table = lane.routes();
+        if (table == null) {
+            return Resolution.refused(
+                    null, ErrorCode.NOT_READY, "this node holds no accepted configuration yet");
+        }
+        HttpHeaders headers = request.headers();
+        Route route =
+                table.match(
+                        headers.get(CallHeaders.FIRM),
+                        hostOf(headers),
+                        RequestCheck.pathOf(request.uri()),
+                        request.method().name());
+        if (route == null) {
+            return Resolution.refused(null, ErrorCode.NO_ROUTE, "no route matches the call");
+        }
+        if (HttpUtil.getContentLength(request, 0L) > lane.settings().maxBodyBytes()) {
+            return Resolution.refused(route, ErrorCode.TOO_LARGE, "the body is too large");
+        }
+        return home != null
+                ? new Resolution(route, home.context(), home.deadlineMillis(), null)
+                : withContext(lane, route, headers);
+    }
+
+    private static Resolution withContext(Lane lane, Route route, HttpHeaders headers) {
+        String text = headers.get(CallHeaders.CONTEXT);
+        Optional<CallContext> context = CallContext.fromString(lane.signer(), text);
+        if (text != null && context.isEmpty()) {
+            return Resolution.refused(route, ErrorCode.BAD_REQUEST, "malformed call context");
+        }
+        CallContext known = context.orElse(CallContext.ROOT);
+        if (known.depth() >= CallContext.MAX_DEPTH) {
+            return Resolution.refused(
+                    route,
+                    ErrorCode.TOO_DEEP,
+                    "the chain of calls is deeper than " + CallContext.MAX_DEPTH);
+        }
+        long wanted = number(headers.get(CallHeaders.DEADLINE_MILLIS));
+        if (wanted < 0) {
+            return Resolution.refused(route, ErrorCode.BAD_REQUEST, "malformed deadline");
+        }
+        long above = known.deadlineMillis() - lane.wallMillis();
+        long deadline = Math.min(route.config().deadline().toMillis(), Math.min(wanted, above));
+        return deadline > 0
+                ? new Resolution(route, known, deadline, null)
+                : Resolution.refused(
+                        route, ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed already");
+    }
+
+    private static long number(@Nullable String text) {
+        if (text == null) {
+            return Long.MAX_VALUE;
+        }
+        try {
+            return Long.parseLong(text.trim());
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static String hostOf(HttpHeaders headers) {
+        String host = headers.get(HttpHeaderNames.HOST, "");
+        int colon = host.lastIndexOf(':');
+        boolean port = colon > host.lastIndexOf(']');
+        return (port ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallSettings.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallSettings.java
@@ -11,9 +11,11 @@
  * @param advertise the IP address under which other nodes reach the listener
  * @param threads event loops
  * @param maxConnections the most connections from callers and other nodes
+ * @param acceptsPerSecond the most connections accepted a second
  * @param maxBodyBytes the largest body of a request, in bytes
  * @param senderTimeout the longest that a request under way may stand still
  * @param idleTimeout the longest that a connection may be without a call
+ * @param ticketLifetime how long a ticket is valid
  * @param drainLinger how long a planned stop serves connections that are open before it closes the
  *     idle ones
  * @param drainTimeout the longest that a planned stop waits for calls under way
@@ -23,16 +25,20 @@
         String advertise,
         int threads,
         int maxConnections,
+        int acceptsPerSecond,
         long maxBodyBytes,
         Duration senderTimeout,
         Duration idleTimeout,
+        Duration ticketLifetime,
         Duration drainLinger,
         Duration drainTimeout) {
     private static final int DEFAULT_THREADS = 2;
     private static final int DEFAULT_MAX_CONNECTIONS = 4_000;
+    private static final int DEFAULT_ACCEPTS_PER_SECOND = 1_000;
     private static final int DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024;
     private static final Duration DEFAULT_SENDER_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration DEFAULT_TICKET_LIFETIME = Duration.ofMinutes(10);
     private static final Duration DEFAULT_DRAIN_LINGER = Duration.ofSeconds(1);
     private static final Duration DEFAULT_DRAIN_TIMEOUT = Duration.ofSeconds(30);
 
@@ -45,9 +51,11 @@
                 section.string("advertise", listen.host()),
                 section.integer("threads", DEFAULT_THREADS),
                 section.integer("maxConnections", DEFAULT_MAX_CONNECTIONS),
+                section.integer("acceptsPerSecond", DEFAULT_ACCEPTS_PER_SECOND),
                 section.integer("maxBodyBytes", DEFAULT_MAX_BODY_BYTES),
                 section.duration("senderTimeout", DEFAULT_SENDER_TIMEOUT),
                 section.duration("idleTimeout", DEFAULT_IDLE_TIMEOUT),
+                section.duration("ticketLifetime", DEFAULT_TICKET_LIFETIME),
                 section.duration("drainLinger", DEFAULT_DRAIN_LINGER),
                 section.duration("drainTimeout", DEFAULT_DRAIN_TIMEOUT));
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -39,6 +39,7 @@
     private final Lane mLane;
     private final Channel mChannel;
     private final AnswerEncoder mEncoder;
+    private final HopAcceptor mAcceptor;
     private final Deque<Object> mBacklog = new ArrayDeque<>();
     private @Nullable InboundCall mCall;
     private boolean mRequestEnded = true;
@@ -51,6 +52,7 @@
         mLane = lane;
         mChannel = channel;
         mEncoder = encoder;
+        mAcceptor = new HopAcceptor(lane);
         mProgressNanos = lane.nanos();
     }
 
@@ -208,11 +210,14 @@
             return;
         }
         mCloseAfter |= !HttpUtil.isKeepAlive(request);
+        if (OwnAnswers.answered(request, this, mAcceptor, mLane)) {
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             mChannel.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        InboundCall call = mLane.newCall(this, request);
+        InboundCall call = mLane.newCall(this, request, mAcceptor.proved());
         mCall = call;
         call.start();
     }
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimService.java
@@ -0,0 +1,253 @@
+package org.azurearch.internal.call;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.azurearch.call.CallEvent;
+import org.azurearch.call.ClaimTable;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
+import org.azurearch.kernel.Duty;
+import org.azurearch.kernel.OverflowRule;
+import org.azurearch.lib.StreamId;
+import org.azurearch.log.LogBatch;
+import org.azurearch.log.LogClient;
+import org.azurearch.log.LogRecord;
+import org.azurearch.log.OffsetRemovedException;
+import org.azurearch.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Claims callers' idempotency keys through the log: the first claim by offset wins. One duty thread
+ * batches the claims of this node within its share of the append rate, and follows the stream from
+ * the first claim on.
+ */
+final class ClaimService implements AutoCloseable {
+    private static final int RING_CAPACITY = 1_024;
+    private static final int MAX_BATCH = 200;
+    private static final int MAX_READ_BYTES = 1024 * 1024;
+    private static final Duration POLL = Duration.ofSeconds(10);
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration RETRY = Duration.ofMillis(200);
+
+    private static final LogBatch EMPTY = new LogBatch(List.of(), 0, 0);
+
+    private sealed interface Message {}
+
+    private record Ask(Pending pending) implements Message {}
+
+    private record Appended(List<Pending> batch, @Nullable Throwable failure) implements Message {}
+
+    private record Read(@Nullable LogBatch batch, @Nullable Throwable failure) implements Message {}
+
+    private record Tick() implements Message {}
+
+    /** A claim on its way. */
+    private static final class Pending {
+        private final String mKey;
+        private final String mTicket;
+        private final long mDeadlineNanos;
+        private final CompletableFuture<String> mWinner = new CompletableFuture<>();
+
+        Pending(String key, String ticket, long deadlineNanos) {
+            mKey = key;
+            mTicket = ticket;
+            mDeadlineNanos = deadlineNanos;
+        }
+    }
+
+    private final LogClient mLog;
+    private final StreamId mStream;
+    private final TimerService mTimers;
+    private final ClaimSettings mSettings;
+    private final Duty<Message> mDuty;
+    private final ClaimTable mTable;
+    private final List<Pending> mUnsent = new ArrayList<>();
+    private final List<Pending> mAwaited = new ArrayList<>();
+    private final TimerService.Subscription mTicks;
+    private long mNextOffset;
+    private boolean mFollowing;
+    private boolean mAppending;
+    private long mAppendedAtNanos;
+
+    ClaimService(
+            LogClient log,
+            StreamId stream,
+            TimerService timers,
+            ClaimSettings settings,
+            MetricRegistry metrics) {
+        mLog = log;
+        mStream = stream;
+        mTimers = timers;
+        mSettings = settings;
+        mTable = new ClaimTable(settings.lifetime().toMillis());
+        mAppendedAtNanos = timers.time().nanos() - settings.appendInterval().toNanos();
+        mDuty =
+                new Duty<>(
+                        "claims", RING_CAPACITY, OverflowRule.REJECT_NEWEST, metrics, this::handle);
+        mTicks = timers.every(TICK, () -> mDuty.offer(new Tick()));
+    }
+
+    /**
+     * Claims a key.
+     *
+     * @param key the key
+     * @param ticket the ticket that the key gets if this claim is the first
+     * @return the ticket that the key has; it fails when that cannot be known in time
+     */
+    CompletableFuture<String> claim(String key, String ticket) {
+        long deadline = mTimers.time().nanos() + mSettings.timeout().toNanos();
+        Pending pending = new Pending(key, ticket, deadline);
+        if (!mDuty.offer(new Ask(pending))) {
+            pending.mWinner.completeExceptionally(
+                    new AzurearchException(ErrorCode.BUSY, "too many claims"));
+        }
+        return pending.mWinner;
+    }
+
+    @Override
+    public void close() {
+        mTicks.cancel();
+        mDuty.close();
+    }
+
+    private void handle(Message message) {
+        if (message instanceof Ask ask) {
+            onAsk(ask.pending());
+        } else if (message instanceof Appended appended) {
+            onAppended(appended);
+        } else if (message instanceof Read read) {
+            onRead(read);
+        } else {
+            onTick();
+        }
+    }
+
+    private void onAsk(Pending pending) {
+        follow();
+        String winner = mTable.winner(pending.mKey);
+        if (winner != null) {
+            pending.mWinner.complete(winner);
+            return;
+        }
+        mUnsent.add(pending);
+        append();
+    }
+
+    private void onAppended(Appended appended) {
+        mAppending = false;
+        if (unavailable(appended.failure())) {
+            appended.batch().forEach(pending -> fail(pending, "the log is not available"));
+            mAwaited.removeAll(appended.batch());
+        }
+    }
+
+    private void onRead(Read read) {
+        mFollowing = false;
+        LogBatch batch = read.batch();
+        if (batch != null) {
+            batch.records().forEach(this::apply);
+            answerAwaited();
+            follow();
+        } else if (cause(read.failure()) instanceof OffsetRemovedException removed) {
+            mNextOffset = removed.earliest();
+            follow();
+        } else {
+            mFollowing = true;
+            mTimers.after(RETRY, () -> mDuty.offer(new Read(EMPTY, null)));
+        }
+    }
+
+    private void onTick() {
+        long now = mTimers.time().nanos();
+        expire(mUnsent, now);
+        expire(mAwaited, now);
+        append();
+    }
+
+    private void append() {
+        long now = mTimers.time().nanos();
+        boolean early = now - mAppendedAtNanos < mSettings.appendInterval().toNanos();
+        if (mUnsent.isEmpty() || mAppending || early) {
+            return;
+        }
+        List<Pending> batch = List.copyOf(mUnsent.subList(0, Math.min(MAX_BATCH, mUnsent.size())));
+        mUnsent.removeAll(batch);
+        mAwaited.addAll(batch);
+        mAppending = true;
+        mAppendedAtNanos = now;
+        List<ClaimBatch.Claim> claims = new ArrayList<>();
+        batch.forEach(pending -> claims.add(new ClaimBatch.Claim(pending.mKey, pending.mTicket)));
+        mLog.append(mStream, new ClaimBatch(claims).bytes())
+                .whenComplete((offset, failure) -> mDuty.offer(new Appended(batch, failure)));
+    }
+
+    private void follow() {
+        if (mFollowing) {
+            return;
+        }
+        mFollowing = true;
+        mLog.read(mStream, mNextOffset, MAX_READ_BYTES, POLL)
+                .whenComplete((batch, failure) -> mDuty.offer(new Read(batch, failure)));
+    }
+
+    private void apply(LogRecord record) {
+        if (record.offset() < mNextOffset) {
+            return;
+        }
+        mNextOffset = record.offset() + 1;
+        ClaimBatch batch = ClaimBatch.fromBytes(record.data()).orElse(null);
+        if (batch == null) {
+            EventLog.log(CallEvent.CLAIM_MALFORMED, record.offset());
+            return;
+        }
+        for (ClaimBatch.Claim claim : batch.claims()) {
+            mTable.apply(claim.key(), claim.ticket(), record.appendedAtMillis());
+        }
+    }
+
+    private void answerAwaited() {
+        Iterator<Pending> awaited = mAwaited.iterator();
+        while (awaited.hasNext()) {
+            Pending pending = awaited.next();
+            String winner = mTable.winner(pending.mKey);
+            if (winner != null) {
+                awaited.remove();
+                pending.mWinner.complete(winner);
+            }
+        }
+    }
+
+    private static void expire(List<Pending> pendings, long nowNanos) {
+        Iterator<Pending> all = pendings.iterator();
+        while (all.hasNext()) {
+            Pending pending = all.next();
+            if (nowNanos - pending.mDeadlineNanos >= 0) {
+                all.remove();
+                fail(pending, "the log did not answer in time");
+            }
+        }
+    }
+
+    private static void fail(Pending pending, String detail) {
+        pending.mWinner.completeExceptionally(
+                new AzurearchException(ErrorCode.LOG_UNAVAILABLE, detail));
+    }
+
+    /** Says whether an append certainly had no effect. */
+    private static boolean unavailable(@Nullable Throwable failure) {
+        return cause(failure) instanceof AzurearchException known
+                && known.code() != ErrorCode.LOG_RESULT_UNKNOWN;
+    }
+
+    private static @Nullable Throwable cause(@Nullable Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null
+                ? failure.getCause()
+                : failure;
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ConnectionPool.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ConnectionPool.java
@@ -87,10 +87,14 @@
         mLimit.release();
     }
 
-    /** Closes connections that have been idle for long. */
-    void closeIdle() {
+    /**
+     * Closes connections that have been idle for long.
+     *
+     * @param keep how many idle ones stay open all the same
+     */
+    void closeIdle(int keep) {
         long now = mTime.nanos();
-        while (!mIdle.isEmpty() && now - mIdle.peekLast().idleSinceNanos() > IDLE_NANOS) {
+        while (mIdle.size() > keep && now - mIdle.peekLast().idleSinceNanos() > IDLE_NANOS) {
             mIdle.removeLast().channel().close();
         }
     }
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CrashWatch.java
@@ -0,0 +1,159 @@
+package org.azurearch.internal.call;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.azurearch.call.CallEvent;
+import org.azurearch.call.CrashContainment;
+import org.azurearch.call.SuspectTable;
+import org.azurearch.call.SuspectTable.Strike;
+import org.azurearch.events.EventLog;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Board;
+import org.azurearch.time.TimeSource;
+
+/**
+ * Notes which requests were in flight when the backend server behind this node died, and shares
+ * that with the other nodes through the board. Thread-safe.
+ */
+final class CrashWatch implements CrashContainment {
+    private static final String STRIKE_KIND = "crash.strike";
+    private static final String CLEARED_KIND = "crash.cleared";
+    private static final String SEPARATOR = " ";
+    private static final int STRIKE_PARTS = 3;
+    private static final Duration SOLE = Duration.ofMinutes(10);
+    private static final Duration SHARED = Duration.ofMinutes(1);
+    private static final int MAX_STRIKES_PER_CRASH = 64;
+
+    private final Board mBoard;
+    private final NodeId mNode;
+    private final String mEpoch;
+    private final TimeSource mTime;
+    private final AtomicLong mCrashes = new AtomicLong();
+    private final List<RequestPrint> mLost = new ArrayList<>();
+    private volatile SuspectTable mTable = SuspectTable.EMPTY;
+
+    CrashWatch(Board board, NodeId node, String epoch, TimeSource time) {
+        mBoard = board;
+        mNode = node;
+        mEpoch = epoch;
+        mTime = time;
+        board.listen(this::rebuild);
+        rebuild();
+    }
+
+    /** Returns what is known of suspects now. */
+    SuspectTable table() {
+        return mTable;
+    }
+
+    /** Says whether a request is contained. */
+    boolean contains(RequestPrint print) {
+        SuspectTable table = mTable;
+        return !table.isEmpty() && table.contained(print.fingerprint(), mTime.wallMillis());
+    }
+
+    /**
+     * Notes a request whose connection was lost.
+     *
+     * @return whether it is the first one since the last judgement, so that one has to follow
+     */
+    synchronized boolean lost(RequestPrint print) {
+        if (mLost.size() < MAX_STRIKES_PER_CRASH) {
+            mLost.add(print);
+        }
+        return mLost.size() == 1;
+    }
+
+    /** Judges whether the requests lost since the last judgement were lost in a crash. */
+    void judge(boolean crashed) {
+        List<RequestPrint> lost;
+        synchronized (this) {
+            lost = List.copyOf(mLost);
+            mLost.clear();
+        }
+        if (!crashed || lost.isEmpty()) {
+            return;
+        }
+        String crash = mNode + "." + mEpoch + "." + mCrashes.incrementAndGet();
+        EventLog.log(CallEvent.BACKEND_SERVER_CRASHED, crash, lost.size());
+        for (RequestPrint print : lost) {
+            strike(print, crash);
+        }
+    }
+
+    /** Clears a suspect that has completed. */
+    void completed(RequestPrint print) {
+        SuspectTable table = mTable;
+        if (!table.isEmpty() && table.suspect(print.fingerprint())) {
+            clear(print.fingerprint());
+        }
+    }
+
+    @Override
+    public List<ContainedRequest> contained() {
+        return mTable.contained(mTime.wallMillis());
+    }
+
+    @Override
+    public ReleaseStatus release(String fingerprint) {
+        if (!mTable.contained(fingerprint, mTime.wallMillis())) {
+            return ReleaseStatus.UNKNOWN;
+        }
+        EventLog.log(CallEvent.REQUEST_RELEASED, fingerprint);
+        clear(fingerprint);
+        return ReleaseStatus.RELEASED;
+    }
+
+    private void strike(RequestPrint print, String crash) {
+        String value =
+                String.join(
+                        SEPARATOR,
+                        Long.toString(mTime.wallMillis()),
+                        print.target(),
+                        print.summary());
+        mBoard.put(STRIKE_KIND, print.fingerprint() + "/" + crash, value, SOLE);
+        rebuild();
+        if (contains(print)) {
+            EventLog.log(CallEvent.REQUEST_CONTAINED, print.fingerprint(), print.summary());
+        }
+    }
+
+    private void clear(String fingerprint) {
+        mBoard.put(CLEARED_KIND, fingerprint, Long.toString(mTime.wallMillis()), SOLE);
+        rebuild();
+    }
+
+    private void rebuild() {
+        List<Strike> strikes = new ArrayList<>();
+        for (Board.Entry entry : mBoard.entries(STRIKE_KIND)) {
+            String[] key = entry.key().split("/", 2);
+            String[] value = entry.value().split(SEPARATOR, STRIKE_PARTS);
+            if (key.length == 2 && value.length == STRIKE_PARTS) {
+                strikes.add(new Strike(key[0], value[1], value[2], key[1], millis(value[0])));
+            }
+        }
+        Map<String, Long> cleared = new HashMap<>();
+        for (Board.Entry entry : mBoard.entries(CLEARED_KIND)) {
+            cleared.put(entry.key(), millis(entry.value()));
+        }
+        mTable =
+                strikes.isEmpty()
+                        ? SuspectTable.EMPTY
+                        : SuspectTable.of(
+                                strikes,
+                                cleared,
+                                new SuspectTable.Lifetimes(SOLE.toMillis(), SHARED.toMillis()));
+    }
+
+    private static long millis(String text) {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/DataPath.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/DataPath.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.security.SecureRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.azurearch.config.ConfigInForce;
 import org.azurearch.config.MeshConfig;
@@ -10,9 +11,13 @@
 import org.azurearch.internal.admit.BackendGate;
 import org.azurearch.kernel.Kernel;
 import org.azurearch.lib.NodeId;
+import org.azurearch.lib.StreamId;
+import org.azurearch.log.LogClient;
 import org.azurearch.member.Announcement;
+import org.azurearch.member.Board;
 import org.azurearch.member.EndpointView;
 import org.azurearch.member.LocalBackend;
+import org.azurearch.member.MemberView;
 import org.azurearch.route.Balancer;
 import org.azurearch.route.OutlierPolicy;
 import org.azurearch.route.PowerOfTwoBalancer;
@@ -31,7 +36,14 @@
     private final ConfigInForce mConfig;
     private final EndpointView mEndpoints;
     private final LocalBackend mBackend;
+    private final MeshKeys mKeys;
+    private final TlsContexts mTls;
+    private final TimerService mTimers;
     private final TimeSource mTime;
+    private final MemberView mMembers;
+    private final CrashWatch mCrashWatch;
+    private final TicketDesk mTickets;
+    private final ClaimService mClaims;
     private final RouteTables mRoutes;
     private final BackendGate mGate;
     private final CallMetrics mCallMetrics;
@@ -45,12 +57,28 @@
     /** Takes the services that the data path needs from the kernel. */
     DataPath(Kernel kernel) {
         MetricRegistry metrics = kernel.service(MetricRegistry.class);
-        mSettings = CallSettings.from(kernel.service(SettingsSection.class));
+        SettingsSection settings = kernel.service(SettingsSection.class);
+        mSettings = CallSettings.from(settings);
+        mKeys = MeshKeys.from(settings);
+        mTls = TlsContexts.from(settings);
         mIdentity = kernel.service(NodeIdentity.class);
         mConfig = kernel.service(ConfigInForce.class);
         mEndpoints = kernel.service(EndpointView.class);
         mBackend = kernel.service(LocalBackend.class);
-        mTime = kernel.service(TimerService.class).time();
+        mTimers = kernel.service(TimerService.class);
+        mTime = mTimers.time();
+        mMembers = kernel.service(MemberView.class);
+        String epoch = Long.toHexString(new SecureRandom().nextLong());
+        mCrashWatch = new CrashWatch(kernel.service(Board.class), mIdentity.node(), epoch, mTime);
+        mTickets =
+                new TicketDesk(mIdentity.node(), epoch, mTime, mSettings.ticketLifetime(), metrics);
+        mClaims =
+                new ClaimService(
+                        kernel.service(LogClient.class),
+                        StreamId.fromString(mIdentity.mesh() + ".claims"),
+                        mTimers,
+                        ClaimSettings.from(settings),
+                        metrics);
         mRoutes = new RouteTables(mConfig);
         mGate = new BackendGate(mBackend, mTime, metrics);
         mCallMetrics = new CallMetrics(metrics);
@@ -72,6 +100,26 @@
         return mEndpoints;
     }
 
+    MemberView members() {
+        return mMembers;
+    }
+
+    CrashWatch crashWatch() {
+        return mCrashWatch;
+    }
+
+    TimerService timers() {
+        return mTimers;
+    }
+
+    TicketDesk tickets() {
+        return mTickets;
+    }
+
+    ClaimService claims() {
+        return mClaims;
+    }
+
     LocalBackend backend() {
         return mBackend;
     }
@@ -115,9 +163,17 @@
         return mHopLimit;
     }
 
-    /** Returns how connections to a node are set up. */
-    ConnectionSetup hopSetup(NodeId node) {
-        return ConnectionSetup.PLAIN;
+    /** Returns how a lane's connections to a node are set up. */
+    ConnectionSetup hopSetup(Lane lane, NodeId node) {
+        return new HopSetup(lane, node, mTimers, mTls);
+    }
+
+    TlsContexts tls() {
+        return mTls;
+    }
+
+    MeshKeys keys() {
+        return mKeys;
     }
 
     boolean draining() {
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/DestinationCall.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/DestinationCall.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import org.azurearch.call.CallFailure;
 import org.azurearch.call.CallHeaders;
 import org.azurearch.errors.ErrorCode;
@@ -29,7 +30,7 @@
                             0));
             return;
         }
-        HttpRequest head = RequestHeads.forBackend(request(), mHop);
+        HttpRequest head = RequestHeads.forBackend(request(), mHop, lane().signer());
         Exchange exchange = new BackendExchange(lane(), head, mHop, this);
         exchange(exchange);
         exchange.start();
@@ -57,7 +58,21 @@
     }
 
     @Override
-    void onAnswer() {}
+    boolean wantsBody() {
+        Exchange exchange = exchange();
+        return exchange == null || exchange.writable();
+    }
+
+    @Override
+    void onAnswer(HttpResponse head) {}
+
+    @Override
+    void onAnswerBody(HttpContent content) {}
+
+    @Override
+    boolean runsWithoutCaller() {
+        return false;
+    }
 
     @Override
     void onEnd(Verdict verdict, @Nullable ErrorCode code) {}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HomeRequest.java
@@ -0,0 +1,50 @@
+package org.azurearch.internal.call;
+
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a node tells the node that decides on a ticket, or claims keys, of a call.
+ *
+ * @param callId a number that the other node repeats in its answer
+ * @param deadlineMillis the time that is left for the call
+ * @param context the context of the call
+ * @param ticket the ticket, or null when the request's key has to be claimed
+ */
+record HomeRequest(long callId, long deadlineMillis, CallContext context, @Nullable String ticket) {
+    private static final String SEPARATOR = ";";
+    private static final int PARTS = 4;
+
+    /**
+     * Parses the header's value.
+     *
+     * @throws AzurearchException with {@link ErrorCode#BAD_REQUEST} when it is malformed
+     */
+    static HomeRequest fromString(String text) {
+        String[] parts = text.split(SEPARATOR, -1);
+        if (parts.length != PARTS) {
+            throw new AzurearchException(ErrorCode.BAD_REQUEST, "malformed home header");
+        }
+        try {
+            int next = 0;
+            return new HomeRequest(
+                    Long.parseLong(parts[next++]),
+                    Long.parseLong(parts[next++]),
+                    CallContext.fromPlain(parts[next++]),
+                    parts[next].isEmpty() ? null : parts[next]);
+        } catch (NumberFormatException e) {
+            throw new AzurearchException(ErrorCode.BAD_REQUEST, "malformed home header", e);
+        }
+    }
+
+    /** Returns the header's value. */
+    String text() {
+        return String.join(
+                SEPARATOR,
+                Long.toString(callId),
+                Long.toString(deadlineMillis),
+                context.plain(),
+                ticket == null ? "" : ticket);
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HopExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopExchange.java
@@ -7,30 +7,52 @@
 import org.azurearch.call.CallFailure;
 import org.azurearch.call.CallHeaders;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.NodeId;
 import org.azurearch.lib.Verdict;
 import org.azurearch.route.EndpointLoad;
 import org.jspecify.annotations.Nullable;
 
-/** An exchange through the node in front of the chosen backend server. */
+/** An exchange with another node. */
 final class HopExchange implements Exchange, AnswerSink {
     private final Lane mLane;
     private final AnswerSink mSink;
-    private final EndpointLoad mLoad;
+    private final @Nullable EndpointLoad mLoad;
     private final String mCallId;
     private final UpstreamExchange mUpstream;
     private @Nullable CallFailure mRefusal;
 
-    HopExchange(Lane lane, EndpointLoad load, HttpRequest head, HopRequest hop, AnswerSink sink) {
+    /** Creates an exchange through the node in front of a backend server. */
+    HopExchange(Lane lane, EndpointLoad load, HttpRequest head, long callId, AnswerSink sink) {
+        this(lane, load, load.endpoint().calls(), load.endpoint().node(), head, callId, sink);
+    }
+
+    /** Creates an exchange with the node that decides on a request. */
+    HopExchange(
+            Lane lane,
+            NetAddress address,
+            NodeId node,
+            HttpRequest head,
+            long callId,
+            AnswerSink sink) {
+        this(lane, null, address, node, head, callId, sink);
+    }
+
+    private HopExchange(
+            Lane lane,
+            @Nullable EndpointLoad load,
+            NetAddress address,
+            NodeId node,
+            HttpRequest head,
+            long callId,
+            AnswerSink sink) {
         mLane = lane;
         mSink = sink;
         mLoad = load;
-        mCallId = Long.toString(hop.callId());
+        mCallId = Long.toString(callId);
         mUpstream =
                 new UpstreamExchange(
-                        lane.hopPool(load.endpoint().calls(), load.endpoint().node()),
-                        head,
-                        this,
-                        ErrorCode.PEER_UNAVAILABLE);
+                        lane.hopPool(address, node), head, this, ErrorCode.PEER_UNAVAILABLE);
     }
 
     @Override
@@ -76,7 +98,7 @@
             return;
         }
         Integer freeSlots = head.headers().getInt(HopHeaders.FREE_SLOTS);
-        if (freeSlots != null) {
+        if (freeSlots != null && mLoad != null) {
             mLoad.report(freeSlots, mLane.nanos());
         }
         ErrorCode code = ErrorCodes.fromCode(head.headers().get(CallHeaders.CODE));
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HopRequest.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopRequest.java
@@ -20,6 +20,7 @@
  * @param queueLength the most calls that may wait
  * @param queueWaitMillis the longest that the call may wait
  * @param deadlineMillis the time that is left for the call
+ * @param context the context of the calls that the backend server makes for this one
  */
 record HopRequest(
         long callId,
@@ -31,12 +32,13 @@
         int callsPerSecond,
         int queueLength,
         long queueWaitMillis,
-        long deadlineMillis) {
+        long deadlineMillis,
+        CallContext context) {
     private static final String SEPARATOR = ";";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Creates the request of a call on a route. */
-    static HopRequest of(Route route, long callId, long deadlineMillis) {
+    static HopRequest of(Route route, long callId, long deadlineMillis, CallContext context) {
         return new HopRequest(
                 callId,
                 route.firm().name(),
@@ -47,7 +49,8 @@
                 route.limits().callsPerSecond(),
                 route.policy().queueLength(),
                 route.policy().queueWait().toMillis(),
-                deadlineMillis);
+                deadlineMillis,
+                context);
     }
 
     /**
@@ -69,7 +72,8 @@
                     Integer.parseInt(fields.get(next++)),
                     Integer.parseInt(fields.get(next++)),
                     Long.parseLong(fields.get(next++)),
-                    Long.parseLong(fields.get(next)));
+                    Long.parseLong(fields.get(next++)),
+                    CallContext.fromPlain(fields.get(next)));
         } catch (NumberFormatException | IndexOutOfBoundsException e) {
             throw new AzurearchException(ErrorCode.BAD_REQUEST, "malformed hop header", e);
         }
@@ -88,7 +92,8 @@
                 Integer.toString(callsPerSecond),
                 Integer.toString(queueLength),
                 Long.toString(queueWaitMillis),
-                Long.toString(deadlineMillis));
+                Long.toString(deadlineMillis),
+                context.plain());
     }
 
     /** Returns what admission goes by, with the deadline counted from now. */
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopSetup.java
@@ -0,0 +1,133 @@
+package org.azurearch.internal.call;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.azurearch.lib.NodeId;
+import org.azurearch.time.TimerService;
+import org.jspecify.annotations.Nullable;
+
+/** Opening side of the proof: makes sure that a connection leads to the node meant. */
+final class HopSetup implements ConnectionSetup {
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final int HELLO_PARTS = 3;
+
+    private final Lane mLane;
+    private final NodeId mNode;
+    private final TimerService mTimers;
+    private final TlsContexts mTls;
+
+    HopSetup(Lane lane, NodeId node, TimerService timers, TlsContexts tls) {
+        mLane = lane;
+        mNode = node;
+        mTimers = timers;
+        mTls = tls;
+    }
+
+    @Override
+    public void secure(Channel channel) {
+        mTls.secureClient(channel);
+    }
+
+    @Override
+    public void prepare(Channel channel, Consumer<@Nullable String> done) {
+        Handshake handshake = new Handshake(done);
+        channel.pipeline().addLast(handshake);
+        handshake.begin(channel);
+    }
+
+    /** The exchange on one connection; it removes itself when it is over. */
+    private final class Handshake extends SimpleChannelInboundHandler<HttpObject> {
+        private final Consumer<@Nullable String> mDone;
+        private final String mNonce = mLane.nonce();
+        private TimerService.@Nullable Subscription mTimeout;
+        private @Nullable HttpResponse mHead;
+        private boolean mSentProof;
+        private boolean mOver;
+
+        Handshake(Consumer<@Nullable String> done) {
+            mDone = done;
+        }
+
+        void begin(Channel channel) {
+            mTimeout =
+                    mTimers.after(
+                            TIMEOUT,
+                            () -> mLane.run(() -> end(channel, "the node does not prove itself")));
+            send(channel, HopProof.HELLO, mLane.self() + " " + mNonce);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (message instanceof HttpResponse head) {
+                mHead = head;
+            }
+            if (message instanceof LastHttpContent && mHead != null) {
+                onAnswer(context.channel(), mHead);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            end(context.channel(), "the connection was closed");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            end(context.channel(), String.valueOf(cause.getMessage()));
+        }
+
+        private void onAnswer(Channel channel, HttpResponse head) {
+            if (mSentProof) {
+                boolean accepted = head.status().equals(HttpResponseStatus.NO_CONTENT);
+                end(channel, accepted ? null : "the node did not accept the proof");
+                return;
+            }
+            String[] hello = head.headers().get(HopProof.HELLO, "").split(" ");
+            if (hello.length != HELLO_PARTS) {
+                end(channel, "the answer is not that of a node");
+                return;
+            }
+            HopProof proof = new HopProof(mLane.self(), mNonce, hello[0], hello[1]);
+            if (!proof.serverProved(mLane.signer(), mNode, hello[2])) {
+                end(channel, "the answer is not that of node " + mNode);
+                return;
+            }
+            mSentProof = true;
+            send(channel, HopProof.PROOF, proof.byClient(mLane.signer()));
+        }
+
+        private void end(Channel channel, @Nullable String failure) {
+            if (mOver) {
+                return;
+            }
+            mOver = true;
+            if (mTimeout != null) {
+                mTimeout.cancel();
+            }
+            if (channel.isActive()) {
+                channel.pipeline().remove(this);
+            }
+            mDone.accept(failure);
+        }
+    }
+
+    private static void send(Channel channel, String header, String value) {
+        HttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, HopProof.PATH);
+        request.headers().set(HttpHeaderNames.HOST, "azurearch");
+        request.headers().set(header, value);
+        channel.writeAndFlush(request);
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/InboundCall.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/InboundCall.java
@@ -23,6 +23,8 @@
     private long mBodyBytes;
     private @Nullable Exchange mExchange;
     private boolean mAnswerStarted;
+    private boolean mBodyEnded;
+    private boolean mCallerGone;
     private boolean mDone;
 
     InboundCall(CallerHandler caller, Lane lane, HttpRequest request, long deadlineMillis) {
@@ -43,11 +45,20 @@
     /** Handles a failure while no part of the answer has gone out. */
     abstract void onFailure(CallFailure failure);
 
+    /** Says whether more of the request's body should be read now. */
+    abstract boolean wantsBody();
+
     /** Passes on a part of the request's body; takes over the reference. */
     abstract void onBody(HttpContent content);
 
     /** The answer has begun; no further attempt follows. */
-    abstract void onAnswer();
+    abstract void onAnswer(HttpResponse head);
+
+    /** A part of the answer's body passes. */
+    abstract void onAnswerBody(HttpContent content);
+
+    /** Says whether the call goes on though its caller is gone. */
+    abstract boolean runsWithoutCaller();
 
     /** The call has ended, with a verdict, and a code where it failed. */
     abstract void onEnd(Verdict verdict, @Nullable ErrorCode code);
@@ -81,6 +92,11 @@
         return (mDeadlineNanos - mLane.nanos()) / NANOS_PER_MILLI;
     }
 
+    /** Says whether the whole request has arrived. */
+    final boolean bodyEnded() {
+        return mBodyEnded;
+    }
+
     final boolean done() {
         return mDone;
     }
@@ -91,6 +107,7 @@
             content.release();
             return;
         }
+        mBodyEnded |= content instanceof LastHttpContent;
         mBodyBytes += content.content().readableBytes();
         if (mBodyBytes > mLane.settings().maxBodyBytes()) {
             content.release();
@@ -98,7 +115,7 @@
             return;
         }
         onBody(content);
-        if (mExchange != null && !mExchange.writable()) {
+        if (!mDone && !mBodyEnded && !wantsBody()) {
             mCaller.pauseRequest(true);
         }
     }
@@ -121,10 +138,15 @@
     }
 
     /** The connection is gone: work that nobody waits for stops. */
-    void callerGone() {
+    final void callerGone() {
         if (mDone) {
             return;
         }
+        if (runsWithoutCaller()) {
+            mCallerGone = true;
+            pauseAnswer(false);
+            return;
+        }
         Verdict verdict = cancelExchange();
         end(verdict, ErrorCode.CANCELLED);
     }
@@ -139,8 +161,11 @@
     @Override
     public final void answerHead(HttpResponse head) {
         mAnswerStarted = true;
-        onAnswer();
         HeaderRules.removeHopByHop(head.headers());
+        onAnswer(head);
+        if (mCallerGone) {
+            return;
+        }
         head.headers().set(CallHeaders.VERDICT, Verdict.RAN.headerValue());
         decorate(head.headers());
         mCaller.writeHead(head);
@@ -151,10 +176,15 @@
 
     @Override
     public final void answerBody(HttpContent content) {
+        onAnswerBody(content);
         if (content instanceof LastHttpContent) {
             end(Verdict.RAN, null);
         }
-        mCaller.writeBody(content);
+        if (mCallerGone) {
+            content.release();
+        } else {
+            mCaller.writeBody(content);
+        }
     }
 
     @Override
@@ -184,6 +214,9 @@
             return;
         }
         end(failure.verdict(), failure.code());
+        if (mCallerGone) {
+            return;
+        }
         mCaller.pauseRequest(false);
         mCaller.writeProblem(failure, this::decorate);
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/Lane.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/Lane.java
@@ -2,10 +2,13 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
+import java.security.SecureRandom;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.azurearch.call.CallFailure;
@@ -17,6 +20,7 @@
 import org.azurearch.lib.ServiceId;
 import org.azurearch.lib.Verdict;
 import org.azurearch.member.Announcement;
+import org.azurearch.member.Member;
 import org.azurearch.route.ChoiceContext;
 import org.azurearch.route.EndpointLoad;
 import org.azurearch.route.RetryBudget;
@@ -29,6 +33,9 @@
  * knows of the load of endpoints. A call stays on one lane from end to end.
  */
 final class Lane {
+    private static final int NONCE_BYTES = 16;
+    private static final int WARM_CONNECTIONS = 2;
+
     private record ServiceKey(FirmId firm, ServiceId service) {}
 
     private record HopKey(NetAddress address, NodeId node) {}
@@ -36,6 +43,8 @@
     private final EventLoop mEventLoop;
     private final DataPath mPath;
     private final SplittableRandom mRandom;
+    private final SecureRandom mSecureRandom = new SecureRandom();
+    private final MeshKeys.Signer mSigner;
     private final Map<NetAddress, ConnectionPool> mBackendPools = new HashMap<>();
     private final Map<HopKey, ConnectionPool> mHopPools = new HashMap<>();
     private final Map<ServiceKey, ServiceLoads> mServices = new HashMap<>();
@@ -46,6 +55,7 @@
         mEventLoop = eventLoop;
         mPath = path;
         mRandom = new SplittableRandom(seed);
+        mSigner = path.keys().signer();
     }
 
     /** Runs a task on this lane, at once when this is its thread. */
@@ -57,6 +67,27 @@
         }
     }
 
+    long wallMillis() {
+        return mPath.time().wallMillis();
+    }
+
+    TicketDesk tickets() {
+        return mPath.tickets();
+    }
+
+    ClaimService claims() {
+        return mPath.claims();
+    }
+
+    Optional<Member> member(NodeId node) {
+        return mPath.members().member(node);
+    }
+
+    /** Returns the node that claims a key, or null when none is known. */
+    @Nullable Member claimHome(String key) {
+        return ClaimHomes.of(mPath.members().reachable(mPath.identity().dataCentre()), key);
+    }
+
     long nanos() {
         return mPath.time().nanos();
     }
@@ -85,12 +116,35 @@
         return mRandom.nextLong(Long.MAX_VALUE);
     }
 
-    /** Returns the call that a request begins. */
-    InboundCall newCall(CallerHandler caller, HttpRequest request) {
-        String hop = request.headers().get(HopHeaders.HOP);
-        return hop == null
-                ? new EntryCall(caller, this, request)
-                : new DestinationCall(caller, this, request, HopRequest.fromString(hop));
+    /** Returns the name of this node. */
+    String self() {
+        return mPath.identity().node().name();
+    }
+
+    MeshKeys.Signer signer() {
+        return mSigner;
+    }
+
+    /** Returns a text that nobody can foresee. */
+    String nonce() {
+        byte[] bytes = new byte[NONCE_BYTES];
+        mSecureRandom.nextBytes(bytes);
+        return HexFormat.of().formatHex(bytes);
+    }
+
+    /**
+     * Returns the call that a request begins.
+     *
+     * @param fromNode whether the connection has been proved to come from a node
+     */
+    InboundCall newCall(CallerHandler caller, HttpRequest request, boolean fromNode) {
+        String hop = fromNode ? request.headers().get(HopHeaders.HOP) : null;
+        if (hop != null) {
+            return new DestinationCall(caller, this, request, HopRequest.fromString(hop));
+        }
+        String home = fromNode ? request.headers().get(HopHeaders.HOME) : null;
+        return new EntryCall(
+                caller, this, request, home == null ? null : HomeRequest.fromString(home));
     }
 
     /** Says whether the backend server behind this node is of the service that a call is for. */
@@ -152,13 +206,31 @@
                                 address,
                                 mEventLoop,
                                 mPath.hopLimit(),
-                                mPath.hopSetup(node),
+                                mPath.hopSetup(this, node),
                                 mPath.time()));
     }
 
-    /** Takes note that the backend server failed to answer. */
-    void backendFailed() {
+    CrashWatch crashWatch() {
+        return mPath.crashWatch();
+    }
+
+    /** Takes note that the backend server failed to answer a request that it may have run. */
+    void backendFailed(RequestPrint print) {
         mPath.backend().report(false);
+        Announcement announcement = gate().announcement();
+        if (announcement != null && crashWatch().lost(print)) {
+            new CrashProbe(mEventLoop, announcement.address(), crashWatch()).start(mPath.timers());
+        }
+    }
+
+    /** Takes note that the backend server cannot be reached. */
+    void backendUnreachable() {
+        mPath.backend().report(false);
+    }
+
+    /** Counts a further attempt of a call. */
+    void retried() {
+        mPath.callMetrics().retried();
     }
 
     /** Counts a call that has ended. */
@@ -206,8 +278,18 @@
                 caller.abort();
             }
         }
-        sweep(mBackendPools);
-        sweep(mHopPools);
+        Announcement announcement = gate().announcement();
+        if (announcement != null && !draining()) {
+            backendPool(announcement).warm(WARM_CONNECTIONS);
+        }
+        mBackendPools.forEach(
+                (address, pool) -> {
+                    boolean inUse = announcement != null && address.equals(announcement.address());
+                    pool.closeIdle(inUse ? WARM_CONNECTIONS : 0);
+                });
+        mHopPools.values().forEach(pool -> pool.closeIdle(0));
+        mBackendPools.values().removeIf(pool -> pool.open() == 0);
+        mHopPools.values().removeIf(pool -> pool.open() == 0);
     }
 
     /** Closes connections that carry no call; the others close after their call. */
@@ -215,11 +297,6 @@
         List.copyOf(mCallers).forEach(CallerHandler::closeWhenIdle);
     }
 
-    private static <K> void sweep(Map<K, ConnectionPool> pools) {
-        pools.values().forEach(ConnectionPool::closeIdle);
-        pools.values().removeIf(pool -> pool.open() == 0);
-    }
-
     private ServiceLoads loads(Route route) {
         return mServices.computeIfAbsent(
                 new ServiceKey(route.firm(), route.service().id()),
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
@@ -30,12 +30,14 @@
 /** The listener for calls, on Netty. */
 final class NettyCallServer implements CallServer, AutoCloseable {
     private static final Duration TICK = Duration.ofMillis(10);
+    private static final int TICKS_PER_SECOND = 100;
     private static final Duration SWEEP = Duration.ofSeconds(1);
     private static final int BACKLOG = 1_024;
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000L;
 
     private final DataPath mPath;
     private final TimerService mTimers;
+    private final AcceptThrottle mThrottle;
     private final MultiThreadIoEventLoopGroup mAcceptor;
     private final MultiThreadIoEventLoopGroup mLoops;
     private final Map<EventLoop, Lane> mLanes = new HashMap<>();
@@ -46,6 +48,7 @@
     NettyCallServer(DataPath path, TimerService timers) {
         mPath = path;
         mTimers = timers;
+        mThrottle = new AcceptThrottle(path.settings().acceptsPerSecond() / TICKS_PER_SECOND);
         mAcceptor = group(1, "azurearch-call-accept");
         mLoops = group(path.settings().threads(), "azurearch-call");
         long seed = path.time().nanos() ^ path.identity().node().hashCode();
@@ -63,6 +66,7 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .handler(mThrottle)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(new CallerInitializer());
         NetAddress listen = mPath.settings().listen();
@@ -114,6 +118,7 @@
         }
         shutdown(mAcceptor);
         shutdown(mLoops);
+        mPath.claims().close();
     }
 
     private void closeIdle() {
@@ -129,6 +134,10 @@
 
     private void tick() {
         mPath.gate().tick();
+        Channel listener = mListener;
+        if (listener != null && !mPath.draining()) {
+            mThrottle.tick(listener);
+        }
         if (mPath.calls() > 0) {
             mLanes.values().forEach(lane -> lane.run(lane::tick));
         }
@@ -155,6 +164,7 @@
                 return;
             }
             AnswerEncoder encoder = new AnswerEncoder();
+            mPath.tls().secureServer(channel);
             channel.pipeline()
                     .addLast(new StrictRequestDecoder())
                     .addLast(encoder)
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ReplayBuffer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ReplayBuffer.java
@@ -7,24 +7,39 @@
 /** Keeps the request's body, up to a limit, until it is sure that no attempt needs it again. */
 final class ReplayBuffer {
     private static final int MAX_BYTES = 64 * 1024;
+    private static final int FILLING_BYTES = 16 * 1024;
 
     private final List<HttpContent> mParts = new ArrayList<>(2);
     private int mBytes;
     private boolean mComplete = true;
 
-    /** Keeps a reference to a part of the body; the caller keeps its own. */
-    void add(HttpContent content) {
+    /**
+     * Keeps a reference to a part of the body; the caller keeps its own.
+     *
+     * @param needed whether the part has to be kept, since it has not been sent at all
+     */
+    void add(HttpContent content, boolean needed) {
         if (!mComplete) {
             return;
         }
         mBytes += content.content().readableBytes();
-        if (mBytes > MAX_BYTES) {
+        if (mBytes > MAX_BYTES && !needed) {
             discard();
         } else {
             mParts.add(content.retainedDuplicate());
         }
     }
 
+    /** Says whether so much is kept that no more should be read before some is sent. */
+    boolean filling() {
+        return mBytes > FILLING_BYTES;
+    }
+
+    /** Says whether anything is kept. */
+    boolean filled() {
+        return !mParts.isEmpty();
+    }
+
     /** Says whether all that has arrived so far can be sent again. */
     boolean complete() {
         return mComplete;
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/RequestHeads.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RequestHeads.java
@@ -17,10 +17,18 @@
         return head;
     }
 
+    /** Returns the head for the node that decides on the request. */
+    static HttpRequest forHome(HttpRequest request, HomeRequest home) {
+        HttpRequest head = copy(request);
+        head.headers().set(HopHeaders.HOME, home.text());
+        return head;
+    }
+
     /** Returns the head for the backend server. */
-    static HttpRequest forBackend(HttpRequest request, HopRequest hop) {
+    static HttpRequest forBackend(HttpRequest request, HopRequest hop, MeshKeys.Signer signer) {
         HttpRequest head = copy(request);
         head.headers().set(CallHeaders.CALL_ID, hop.callId());
+        head.headers().set(CallHeaders.CONTEXT, hop.context().text(signer));
         head.headers().set(CallHeaders.DEADLINE_MILLIS, hop.deadlineMillis());
         return head;
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/StrictRequestDecoder.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/StrictRequestDecoder.java
@@ -1,13 +1,23 @@
 package org.azurearch.internal.call;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 
 /**
  * Decodes requests and refuses what two parsers could read in two ways: both Content-Length and
  * Transfer-Encoding, repeated Content-Length, folded header lines and bare line feeds.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
+    private final FoldScanner mScanner = new FoldScanner();
+    private boolean mInHead = true;
+    private boolean mBroken;
+
     /** Creates a decoder with the limits of {@link HttpLimits}. */
     StrictRequestDecoder() {
         super(HttpLimits.requestConfig());
@@ -17,4 +27,41 @@
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
     }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+            throws Exception {
+        if (mBroken) {
+            buffer.skipBytes(buffer.readableBytes());
+        } else if (mInHead && mScanner.folded(buffer)) {
+            refuse(buffer, out);
+        } else {
+            int before = buffer.readerIndex();
+            int decoded = out.size();
+            super.decode(context, buffer, out);
+            mScanner.consumed(buffer.readerIndex() - before);
+            follow(out.subList(decoded, out.size()));
+        }
+    }
+
+    private void refuse(ByteBuf buffer, List<Object> out) {
+        mBroken = true;
+        buffer.skipBytes(buffer.readableBytes());
+        HttpMessage message = createInvalidMessage();
+        message.setDecoderResult(
+                DecoderResult.failure(new IllegalArgumentException("folded header line")));
+        out.add(message);
+    }
+
+    private void follow(List<Object> decoded) {
+        for (Object message : decoded) {
+            if (message instanceof HttpRequest) {
+                mInHead = false;
+            }
+            if (message instanceof LastHttpContent) {
+                mInHead = true;
+                mScanner.reset();
+            }
+        }
+    }
 }
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/TlsContexts.java
@@ -0,0 +1,69 @@
+package org.azurearch.internal.call;
+
+import io.netty.channel.Channel;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import java.io.File;
+import javax.net.ssl.SSLException;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.settings.SettingsSection;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * TLS of the listener for calls and of the connections to other nodes' listeners. Nodes trust the
+ * certificates in {@code calls.tls.trust}, or just the node's own, and prove their identity by the
+ * mesh's key besides.
+ */
+final class TlsContexts {
+    private final @Nullable SslContext mServer;
+    private final @Nullable SslContext mClient;
+
+    private TlsContexts(@Nullable SslContext server, @Nullable SslContext client) {
+        mServer = server;
+        mClient = client;
+    }
+
+    /**
+     * Reads the section {@code calls.tls}; without it connections are in clear.
+     *
+     * @throws AzurearchException with {@link ErrorCode#INVALID} when a file cannot be used
+     */
+    static TlsContexts from(SettingsSection root) {
+        SettingsSection section = root.section("calls").section("tls");
+        if (!section.has("certificate")) {
+            return new TlsContexts(null, null);
+        }
+        File certificate = new File(section.string("certificate"));
+        File trust = new File(section.string("trust", certificate.getPath()));
+        try {
+            SslContext server =
+                    SslContextBuilder.forServer(certificate, new File(section.string("key")))
+                            .clientAuth(ClientAuth.NONE)
+                            .build();
+            SslContext client =
+                    SslContextBuilder.forClient()
+                            .trustManager(trust)
+                            .endpointIdentificationAlgorithm(null)
+                            .build();
+            return new TlsContexts(server, client);
+        } catch (SSLException | IllegalArgumentException e) {
+            throw new AzurearchException(ErrorCode.INVALID, "calls.tls cannot be used", e);
+        }
+    }
+
+    /** Adds what encrypts a connection that was accepted. */
+    void secureServer(Channel channel) {
+        if (mServer != null) {
+            channel.pipeline().addLast(mServer.newHandler(channel.alloc()));
+        }
+    }
+
+    /** Adds what encrypts a connection that is opened. */
+    void secureClient(Channel channel) {
+        if (mClient != null) {
+            channel.pipeline().addLast(mClient.newHandler(channel.alloc()));
+        }
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
@@ -30,6 +30,7 @@
     private final ErrorCode mFailureCode;
     private final Deque<HttpContent> mPending = new ArrayDeque<>();
     private @Nullable UpstreamConnection mConnection;
+    private boolean mStarting;
     private boolean mHeadSent;
     private boolean mRequestEnded;
     private boolean mAnswerStarted;
@@ -54,7 +55,9 @@
 
     @Override
     public void start() {
+        mStarting = true;
         mPool.acquire(this);
+        mStarting = false;
     }
 
     @Override
@@ -109,7 +112,9 @@
         for (HttpContent next = mPending.poll(); next != null; next = mPending.poll()) {
             write(channel, next);
         }
-        channel.flush();
+        if (!mStarting) {
+            channel.flush();
+        }
         if (!mDone && channel.isWritable()) {
             mSink.requestWritable();
         }
