Log what the fold decides and bind a delta to its base

A delta unpacked against another state than the one it was packed against could decompress to other bytes without an error, because raw zstd frames carry no checksum; only a later comparison of digests would have told. The frames now carry one, and a test unpacks against a state that differs in one figure. Decisions were logged nowhere: the distribution now tells a report of each state in force, which logs acceptances, refusals with their reason, malformed records and raised rule sets. A further test holds the bounds of retained versions and decisions.

--- a/org.azurearch.test/src/test/java/org/azurearch/fold/FoldTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/fold/FoldTest.java
@@ -15,6 +15,7 @@
 import org.azurearch.lib.OperatorId;
 import org.azurearch.lib.RouteId;
 import org.azurearch.lib.SiteId;
+import org.azurearch.lib.VersionId;
 import org.azurearch.log.LogRecord;
 import org.junit.jupiter.api.Test;
 
@@ -117,4 +118,34 @@
         FoldState through = state.apply(DeltaCodec.decode(state, delta).get(0));
         assertEquals(direct.digest(), through.digest());
     }
+
+    @Test
+    void deltaAgainstAnotherStateIsRefused() {
+        FoldState one = append(Folds.empty(), publish("c1", 0, base(BASE)));
+        FoldState other = append(Folds.empty(), publish("c1", 0, base(BASE.replace("20,", "21,"))));
+        LogRecord record = new LogRecord(1, 5, ChangeCodec.encode(publish("c2", 1, base(BASE))));
+        byte[] delta = DeltaCodec.encode(one, List.of(record));
+        assertEquals(
+                ErrorCode.CORRUPT,
+                assertThrows(AzurearchException.class, () -> DeltaCodec.decode(other, delta))
+                        .code());
+    }
+
+    @Test
+    void retentionIsBoundedInNumber() {
+        FoldState state = Folds.empty();
+        for (int i = 0; i < 1_010; i++) {
+            String edition = i < 60 ? BASE + "# " + i + "\n" : "kind: none\n";
+            state = append(state, publish("c" + i, Math.min(i, 60), base(edition)));
+        }
+        assertEquals(60, state.version(FIRM).number());
+        assertTrue(state.documents(new VersionId(FIRM, 11)).isPresent());
+        assertTrue(state.documents(new VersionId(FIRM, 10)).isEmpty());
+        assertEquals(1_000, state.history(FIRM).size());
+        assertTrue(state.outcome(FIRM, ChangeId.fromString("c9")).isEmpty());
+        FoldState late = append(state, publish("c9", 9, base(BASE + "# 9\n")));
+        assertEquals(
+                ChangeOutcome.Status.REFUSED_CONFLICT,
+                late.outcome(FIRM, ChangeId.fromString("c9")).orElseThrow().status());
+    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/fold/FoldEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/fold/FoldEvent.java
@@ -8,8 +8,8 @@
     CHANGE_ACCEPTED(200, Level.INFO, "change {} accepted as {}"),
     /** A change was refused. */
     CHANGE_REFUSED(201, Level.INFO, "change {} of firm {} refused: {} {}"),
-    /** A record that is not a change was passed over. */
-    RECORD_SKIPPED(202, Level.WARN, "malformed record at offset {} passed over"),
+    /** Records that are not changes were passed over. */
+    RECORDS_SKIPPED(202, Level.WARN, "{} malformed records after offset {} up to {} passed over"),
     /** The rule set was raised. */
     RULE_SET_RAISED(203, Level.INFO, "rule set raised from {} to {} at offset {}");
 
--- a/org.azurearch/src/main/java/org/azurearch/fold/FoldReport.java
+++ b/org.azurearch/src/main/java/org/azurearch/fold/FoldReport.java
@@ -1,55 +1,76 @@
 package org.azurearch.fold;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.azurearch.errors.Problem;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.FirmId;
+import org.jspecify.annotations.Nullable;
 
-/** Logs what a record did; for the duty that folds, as the fold itself has no effects. */
-public final class FoldReport {
-    private FoldReport() {}
+/**
+ * Logs what changed from one state to the next, as the fold itself has no effects. The first state
+ * that it is told of is not logged; states must be told in order, by one thread.
+ */
+public final class FoldReport implements Consumer<FoldState> {
+    private @Nullable FoldState mBefore;
 
-    /**
-     * Logs the difference that one record made.
-     *
-     * @param before the state before the record
-     * @param after the state after it
-     */
-    public static void log(FoldState before, FoldState after) {
+    @Override
+    public void accept(FoldState after) {
+        FoldState before = mBefore;
+        mBefore = after;
+        if (before == null) {
+            return;
+        }
         if (after.skipped() > before.skipped()) {
-            EventLog.log(FoldEvent.RECORD_SKIPPED, after.offset());
+            long skipped = after.skipped() - before.skipped();
+            EventLog.log(FoldEvent.RECORDS_SKIPPED, skipped, before.offset(), after.offset());
         }
         if (after.ruleSet() > before.ruleSet()) {
             EventLog.log(
                     FoldEvent.RULE_SET_RAISED, before.ruleSet(), after.ruleSet(), after.offset());
         }
-        for (FirmId firm : after.firms()) {
-            List<ChangeOutcome> history = after.history(firm);
-            if (!history.isEmpty() && history.get(0).offset() == after.offset()) {
-                log(history.get(0));
+        after.firms().forEach(firm -> log(since(before, after, firm)));
+    }
+
+    private static List<ChangeOutcome> since(FoldState before, FoldState after, FirmId firm) {
+        List<ChangeOutcome> outcomes = new ArrayList<>();
+        for (ChangeOutcome outcome : after.history(firm)) {
+            if (outcome.offset() <= before.offset()) {
+                break;
             }
+            outcomes.add(outcome);
         }
+        Collections.reverse(outcomes);
+        return outcomes;
     }
 
-    private static void log(ChangeOutcome outcome) {
-        if (outcome.status() == ChangeOutcome.Status.ACCEPTED) {
-            EventLog.log(FoldEvent.CHANGE_ACCEPTED, outcome.change(), outcome.version());
-            return;
-        }
-        String detail =
-                outcome.conflictsWith()
-                        .map(winner -> "won by " + winner)
-                        .orElseGet(
-                                () ->
-                                        outcome.problems().stream()
-                                                .map(Problem::text)
-                                                .collect(Collectors.joining("; ")));
-        EventLog.log(
-                FoldEvent.CHANGE_REFUSED,
-                outcome.change(),
-                outcome.firm(),
-                outcome.status(),
-                detail);
+    private static void log(List<ChangeOutcome> outcomes) {
+        outcomes.forEach(
+                outcome -> {
+                    if (outcome.status() == ChangeOutcome.Status.ACCEPTED) {
+                        EventLog.log(
+                                FoldEvent.CHANGE_ACCEPTED, outcome.change(), outcome.version());
+                    } else {
+                        EventLog.log(
+                                FoldEvent.CHANGE_REFUSED,
+                                outcome.change(),
+                                outcome.firm(),
+                                outcome.status(),
+                                reason(outcome));
+                    }
+                });
+    }
+
+    private static String reason(ChangeOutcome outcome) {
+        return outcome.conflictsWith()
+                .map(winner -> "won by " + winner)
+                .orElseGet(
+                        () ->
+                                outcome.problems().stream()
+                                        .map(Problem::text)
+                                        .collect(Collectors.joining("; ")));
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/Compression.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/Compression.java
@@ -27,6 +27,7 @@
         try (ZstdCompressCtx context = new ZstdCompressCtx()) {
             context.setLevel(LEVEL);
             context.setContentSize(true);
+            context.setChecksum(true);
             if (dictionary.length > 0) {
                 context.loadDict(dictionary);
             } else {
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadPlugin.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadPlugin.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.Set;
 import org.azurearch.config.ConfigInForce;
+import org.azurearch.fold.FoldReport;
 import org.azurearch.kernel.Kernel;
 import org.azurearch.kernel.Plugin;
 import org.azurearch.log.LogClient;
@@ -72,6 +73,7 @@
             SpreadRunner runner) {
         InForce inForce = new InForce(identity.site());
         runner.listen(inForce::install);
+        runner.listen(new FoldReport());
         ProgressSurvey survey =
                 new ProgressSurvey(
                         services.peers(),
