--- a/org.azurearch.test/src/test/java/org/azurearch/route/BalancerTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/route/BalancerTest.java
@@ -116,7 +116,9 @@
         assertTrue(retries <= 103 && retries >= 100, "retries " + retries);
     }
 
-    /** Many senders that all know the same old report: how many calls meet at one endpoint at most. */
+    /**
+     * Many senders that all know the same old report: how many calls meet at one endpoint at most.
+     */
     private int worstBurst(Balancer balancer) {
         Map<String, Integer> hits = new HashMap<>();
         for (int sender = 0; sender < 40; sender++) {
--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/settings/SettingsPage.java
@@ -0,0 +1,112 @@
+package org.azurearch.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Renders the settings schema as the page for operators, and collects what it leaves unsaid. */
+final class SettingsPage {
+    private static final String INTRODUCTION =
+            """
+            # Settings
+
+            A node reads one YAML file. It is checked against a schema before anything starts; every problem is named
+            with file, line, what was expected and, for an unknown key, a near name. This page is generated from the
+            schema. Durations are a whole number and a unit: `250ms`, `4s`, `5m`, `2h`, `1d`. Addresses are an IP
+            address and a port, such as `127.0.0.1:7000` or `[::1]:7000`. Names have 1 to 96 lower-case letters,
+            digits, dots, underscores and hyphens.
+            """;
+
+    private final JsonNode mSchema;
+    private final StringBuilder mText = new StringBuilder(INTRODUCTION);
+    private final List<String> mUnsaid = new ArrayList<>();
+
+    SettingsPage(JsonNode schema) {
+        mSchema = schema;
+    }
+
+    /** Returns the page. */
+    String text() {
+        for (Map.Entry<String, JsonNode> section : mSchema.path("properties").properties()) {
+            section(section.getKey(), resolved(section.getValue()));
+        }
+        return mText.toString();
+    }
+
+    /** Returns the keys without description and the numbers without bounds. */
+    List<String> unsaid() {
+        return mUnsaid;
+    }
+
+    private void section(String path, JsonNode section) {
+        mText.append("\n## ").append(path).append("\n\n");
+        mText.append(section.path("description").asText()).append('\n');
+        if (section.path("properties").isEmpty()) {
+            return;
+        }
+        mText.append("\n| key | value | meaning |\n|---|---|---|\n");
+        List<String> required = new ArrayList<>();
+        section.path("required").forEach(name -> required.add(name.asText()));
+        List<Runnable> nested = new ArrayList<>();
+        for (Map.Entry<String, JsonNode> entry : section.path("properties").properties()) {
+            String below = path + "." + entry.getKey();
+            JsonNode value = resolved(entry.getValue());
+            JsonNode items = resolved(value.path("items"));
+            row(below, entry, required.contains(entry.getKey()));
+            if (value.has("properties")) {
+                nested.add(() -> section(below, value));
+            } else if (items.has("properties")) {
+                nested.add(() -> section(below + "[]", items));
+            }
+        }
+        nested.forEach(Runnable::run);
+    }
+
+    private void row(String path, Map.Entry<String, JsonNode> entry, boolean required) {
+        JsonNode given = entry.getValue();
+        JsonNode value = resolved(given);
+        String meaning = given.path("description").asText(value.path("description").asText());
+        if (meaning.isEmpty()) {
+            mUnsaid.add(path + " has no description");
+        }
+        boolean number = value.path("type").asText().matches("integer|number");
+        if (number && !(value.has("minimum") && value.has("maximum"))) {
+            mUnsaid.add(path + " has no minimum or no maximum");
+        }
+        String extra = required ? " Required." : "";
+        if (given.has("default")) {
+            extra += " `" + given.path("default").asText() + "` by default.";
+        }
+        mText.append("| `").append(entry.getKey()).append("` | ").append(kind(given));
+        mText.append(" | ").append(meaning).append(extra).append(" |\n");
+    }
+
+    private String kind(JsonNode given) {
+        String reference = given.path("$ref").asText();
+        JsonNode value = resolved(given);
+        if (value.has("properties")) {
+            return "section";
+        }
+        if (!reference.isEmpty()) {
+            return reference.substring(reference.lastIndexOf('/') + 1);
+        }
+        if (value.has("enum")) {
+            List<String> choices = new ArrayList<>();
+            value.path("enum").forEach(choice -> choices.add("`" + choice.asText() + "`"));
+            return String.join(", ", choices);
+        }
+        return switch (value.path("type").asText()) {
+            case "integer", "number" ->
+                    value.path("minimum").asText() + " to " + value.path("maximum").asText();
+            case "boolean" -> "`true`, `false`";
+            case "array" -> "list of " + kind(value.path("items"));
+            default -> "text";
+        };
+    }
+
+    private JsonNode resolved(JsonNode node) {
+        String reference = node.path("$ref").asText();
+        return reference.isEmpty() ? node : mSchema.at(reference.substring(1));
+    }
+}
