--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/CancellationTest.java
@@ -0,0 +1,139 @@
+package org.azurearch.internal.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.azurearch.call.CallServer;
+import org.azurearch.internal.call.RawClient.Answer;
+import org.azurearch.junit.Await;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Work that nobody waits for stops, overload is answered at once, and planned stops cut nothing. */
+class CancellationTest {
+    private final FakeMesh mMesh = new FakeMesh().queueLength(1);
+    private final CountDownLatch mHeld = new CountDownLatch(1);
+    private RawServer mServer;
+    private FakeMesh.Node mEntry;
+    private FakeMesh.Node mDestination;
+
+    @BeforeEach
+    void start() throws IOException {
+        mServer = new RawServer();
+        mServer.script(
+                (request, connection) -> {
+                    if (request.path().endsWith("held")) {
+                        await(mHeld);
+                    }
+                    RawServer.ok(connection, "ok");
+                });
+        mEntry = mMesh.start("entry");
+        mDestination = mMesh.start("destination");
+        mDestination.backend(mServer.address(), 1);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        mHeld.countDown();
+        mMesh.close();
+        mServer.close();
+    }
+
+    @Test
+    void callerThatLeavesTakesItsWaitingCallAlong() throws IOException {
+        try (RawClient running = new RawClient(mEntry.address())) {
+            running.send(RawClient.get("/stock/held"));
+            Await.until("the first call runs", () -> mServer.mTotal.get() == 1);
+            try (RawClient waiting = new RawClient(mEntry.address())) {
+                waiting.send(RawClient.get("/stock"));
+                Await.until("the second call waits", () -> gauge("calls.queue.depth") == 1);
+            }
+            Await.until("nothing waits", () -> gauge("calls.queue.depth") == 0);
+        }
+        Await.until("the slot is free", () -> gauge("calls.slots.free") == 1);
+        assertEquals(1, mServer.mTotal.get());
+    }
+
+    @Test
+    void fullQueueRefusesAtOnceAndSaysWhenToComeBack() throws IOException {
+        try (RawClient running = new RawClient(mEntry.address());
+                RawClient waiting = new RawClient(mEntry.address())) {
+            running.send(RawClient.get("/stock/held"));
+            Await.until("the first call runs", () -> mServer.mTotal.get() == 1);
+            waiting.send(RawClient.get("/stock"));
+            Await.until("the second call waits", () -> gauge("calls.queue.depth") == 1);
+            Answer refused = RawClient.call(mEntry.address(), RawClient.get("/stock"));
+            assertEquals("overloaded not-run", refused.code() + " " + refused.verdict());
+            assertFalse(refused.header("retry-after").isEmpty());
+            mHeld.countDown();
+            assertEquals(200, running.read().status());
+            assertEquals(200, waiting.read().status());
+        }
+    }
+
+    @Test
+    void leavingServerGetsNothingNewThoughOthersDoNotKnow() throws IOException {
+        mDestination.leavesUnnoticed();
+        Answer answer = RawClient.call(mEntry.address(), RawClient.get("/stock"));
+        assertEquals("no-backend-server not-run", answer.code() + " " + answer.verdict());
+        assertEquals(0, mServer.mTotal.get());
+    }
+
+    @Test
+    void plannedStopEndsWhatIsUnderWay() throws Exception {
+        try (RawClient client = new RawClient(mEntry.address())) {
+            client.send(RawClient.get("/stock/held"));
+            Await.until("the call runs", () -> mServer.mTotal.get() == 1);
+            CompletableFuture<Void> destination = drain(mDestination);
+            CompletableFuture<Void> entry = drain(mEntry);
+            assertFalse(destination.isDone());
+            mHeld.countDown();
+            Answer answer = client.read();
+            assertEquals("200 close", answer.status() + " " + answer.header("connection"));
+            destination.get();
+            entry.get();
+            assertThrows(IOException.class, () -> new RawClient(mEntry.address()).close());
+        }
+    }
+
+    @Test
+    void chainIsRefusedBelowItsDeepestCall() throws IOException {
+        mDestination.backend(mServer.address(), 100);
+        mServer.script(
+                (request, connection) -> {
+                    String context = "azurearch-context: " + request.header("azurearch-context");
+                    String next = "/stock/" + mServer.mTotal.get();
+                    Answer below = RawClient.call(mEntry.address(), RawClient.get(next, context));
+                    RawServer.ok(connection, below.status() == 200 ? below.body() : below.code());
+                });
+        Answer answer = RawClient.call(mEntry.address(), RawClient.get("/stock"));
+        assertEquals("loop", answer.body());
+        assertEquals(1, mServer.mTotal.get());
+        Answer forged =
+                RawClient.call(
+                        mEntry.address(),
+                        RawClient.get("/stock", "azurearch-context: 0~false~9~~x"));
+        assertEquals("bad-request", forged.code());
+    }
+
+    private static CompletableFuture<Void> drain(FakeMesh.Node node) {
+        return node.mKernel.service(CallServer.class).drain();
+    }
+
+    private int gauge(String name) {
+        return (Integer) mDestination.mMetrics.getGauges().get(name).getValue();
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
@@ -195,6 +195,12 @@
             return mKernel.service(CallServer.class).address();
         }
 
+        /** The backend server leaves, and no other node has heard of it yet. */
+        void leavesUnnoticed() {
+            mState = BackendState.DRAINING;
+            mListeners.forEach(listener -> listener.accept(mState));
+        }
+
         NetAddress backendAddress() {
             return mAnnouncement == null ? null : mAnnouncement.address();
         }
--- a/org.azurearch/src/main/java/org/azurearch/call/SuspectTable.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/SuspectTable.java
@@ -23,6 +23,9 @@
     public static final SuspectTable EMPTY =
             new SuspectTable(List.of(), Map.of(), new Lifetimes(0, 0));
 
+    /** Comes between a fingerprint and what tells its variants apart. */
+    public static final String VARIANT = ".";
+
     private static final int CRASHES_TO_CONTAIN = 2;
 
     /**
@@ -87,6 +90,13 @@
         return mStrikes.containsKey(fingerprint);
     }
 
+    /** Returns the suspects that are the same request, its variants by header included. */
+    public List<String> related(String fingerprint) {
+        return mStrikes.keySet().stream()
+                .filter(other -> base(other).equals(base(fingerprint)))
+                .toList();
+    }
+
     /** Says whether a request is contained. */
     public boolean contained(String fingerprint, long nowMillis) {
         return expiresAtMillis(fingerprint) > nowMillis;
@@ -120,11 +130,16 @@
         long last = crashes.values().stream().mapToLong(Long::longValue).max().orElse(0);
         boolean shared =
                 mStrikes.entrySet().stream()
-                        .filter(other -> !other.getKey().equals(fingerprint))
+                        .filter(other -> !base(other.getKey()).equals(base(fingerprint)))
                         .anyMatch(other -> sharesEnough(crashes, crashes(other.getValue())));
         return last + (shared ? mLifetimes.sharedMillis() : mLifetimes.soleMillis());
     }
 
+    private static String base(String fingerprint) {
+        int variant = fingerprint.indexOf(VARIANT);
+        return variant < 0 ? fingerprint : fingerprint.substring(0, variant);
+    }
+
     private static boolean sharesEnough(Map<String, Long> crashes, Map<String, Long> others) {
         return others.keySet().containsAll(crashes.keySet());
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -299,7 +299,7 @@
 
     private void updateAutoRead(boolean paused) {
         boolean read = !paused && mBacklog.size() < MAX_BACKLOG;
-        if (mChannel.config().isAutoRead() != read) {
+        if (mChannel.isActive() && mChannel.config().isAutoRead() != read) {
             mChannel.config().setAutoRead(read);
         }
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CrashWatch.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CrashWatch.java
@@ -53,7 +53,9 @@
     /** Says whether a request is contained. */
     boolean contains(RequestPrint print) {
         SuspectTable table = mTable;
-        return !table.isEmpty() && table.contained(print.fingerprint(), mTime.wallMillis());
+        long now = mTime.wallMillis();
+        return !table.isEmpty()
+                && print.fingerprints().stream().anyMatch(each -> table.contained(each, now));
     }
 
     /**
@@ -88,8 +90,8 @@
     /** Clears a suspect that has completed. */
     void completed(RequestPrint print) {
         SuspectTable table = mTable;
-        if (!table.isEmpty() && table.suspect(print.fingerprint())) {
-            clear(print.fingerprint());
+        if (!table.isEmpty()) {
+            print.fingerprints().stream().filter(table::suspect).forEach(this::clear);
         }
     }
 
@@ -104,7 +106,7 @@
             return ReleaseStatus.UNKNOWN;
         }
         EventLog.log(CallEvent.REQUEST_RELEASED, fingerprint);
-        clear(fingerprint);
+        mTable.related(fingerprint).forEach(this::clear);
         return ReleaseStatus.RELEASED;
     }
 
@@ -115,10 +117,12 @@
                         Long.toString(mTime.wallMillis()),
                         print.target(),
                         print.summary());
-        mBoard.put(STRIKE_KIND, print.fingerprint() + "/" + crash, value, SOLE);
+        for (String fingerprint : print.fingerprints()) {
+            mBoard.put(STRIKE_KIND, fingerprint + "/" + crash, value, SOLE);
+        }
         rebuild();
         if (contains(print)) {
-            EventLog.log(CallEvent.REQUEST_CONTAINED, print.fingerprint(), print.summary());
+            EventLog.log(CallEvent.REQUEST_CONTAINED, print.fingerprints().get(0), print.summary());
         }
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/RequestPrint.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RequestPrint.java
@@ -2,26 +2,47 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.azurearch.call.CallHeaders;
+import org.azurearch.call.SuspectTable;
 import org.azurearch.lib.Digest;
 
-/** What requests that are sent again have in common: method, target and the body's beginning. */
+/** What requests that are sent again have in common. */
 final class RequestPrint {
     private static final int PREFIX_BYTES = 256;
     private static final int DIGEST_BYTES = 12;
     private static final int SUMMARY_CHARS = 120;
 
+    /** Headers that change with each sending of a request. */
+    private static final Set<String> VARYING =
+            Set.of(
+                    "date",
+                    "content-length",
+                    "transfer-encoding",
+                    "traceparent",
+                    "tracestate",
+                    "x-request-id",
+                    "x-correlation-id");
+
     private final String mMethodAndTarget;
+    private final HttpHeaders mHeaders;
     private final ByteArrayOutputStream mPrefix = new ByteArrayOutputStream(0);
     private boolean mComplete;
 
     RequestPrint(HttpRequest request) {
         mMethodAndTarget = request.method().name() + ' ' + request.uri();
+        mHeaders = request.headers();
     }
 
     /** Takes in a part of the body. */
@@ -46,12 +67,17 @@
         return digest(mMethodAndTarget.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Returns what identifies the request. */
-    String fingerprint() {
-        return digest(
-                mMethodAndTarget.getBytes(StandardCharsets.UTF_8),
-                new byte[1],
-                mPrefix.toByteArray());
+    /**
+     * Returns what identifies the request: first by method, target and body, then by its headers
+     * as well. The first finds a request whose headers change with each sending, the second one
+     * that differs from ordinary requests in a header alone.
+     */
+    List<String> fingerprints() {
+        byte[] methodAndTarget = mMethodAndTarget.getBytes(StandardCharsets.UTF_8);
+        byte[] prefix = mPrefix.toByteArray();
+        String coarse = digest(methodAndTarget, new byte[1], prefix);
+        byte[] headers = headerText().getBytes(StandardCharsets.UTF_8);
+        return List.of(coarse, coarse + SuspectTable.VARIANT + digest(headers));
     }
 
     /** Returns method and target for a person. */
@@ -59,6 +85,17 @@
         return mMethodAndTarget.substring(0, Math.min(SUMMARY_CHARS, mMethodAndTarget.length()));
     }
 
+    private String headerText() {
+        TreeSet<String> lines = new TreeSet<>();
+        for (Map.Entry<String, String> header : mHeaders) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!VARYING.contains(name) && !name.startsWith(CallHeaders.PREFIX)) {
+                lines.add(name + ':' + header.getValue());
+            }
+        }
+        return String.join("\n", lines);
+    }
+
     private static String digest(byte[]... parts) {
         return HexFormat.of().formatHex(Arrays.copyOf(Digest.of(parts).bytes(), DIGEST_BYTES));
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
@@ -87,7 +87,7 @@
 
     @Override
     public void pauseAnswer(boolean paused) {
-        if (!mDone && mConnection != null) {
+        if (!mDone && mConnection != null && mConnection.channel().isActive()) {
             mConnection.channel().config().setAutoRead(!paused);
         }
     }
@@ -188,7 +188,7 @@
             return;
         }
         connection.exchange(null);
-        if (mRequestEnded && mKeepAlive) {
+        if (mRequestEnded && mKeepAlive && connection.channel().isActive()) {
             connection.channel().config().setAutoRead(true);
             mPool.release(connection);
         } else {
