--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/CancellationTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/CancellationTest.java
@@ -14,7 +14,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Work that nobody waits for stops, overload is answered at once, and planned stops cut nothing. */
+/**
+ * Work that nobody waits for stops, overload is answered at once, and planned stops cut nothing.
+ */
 class CancellationTest {
     private final FakeMesh mMesh = new FakeMesh().queueLength(1);
     private final CountDownLatch mHeld = new CountDownLatch(1);
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/RequestPrint.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RequestPrint.java
@@ -68,9 +68,9 @@
     }
 
     /**
-     * Returns what identifies the request: first by method, target and body, then by its headers
-     * as well. The first finds a request whose headers change with each sending, the second one
-     * that differs from ordinary requests in a header alone.
+     * Returns what identifies the request: first by method, target and body, then by its headers as
+     * well. The first finds a request whose headers change with each sending, the second one that
+     * differs from ordinary requests in a header alone.
      */
     List<String> fingerprints() {
         byte[] methodAndTarget = mMethodAndTarget.getBytes(StandardCharsets.UTF_8);
