Add the command bench

The experiments could be run from tests only. Adds azurearch bench NAME with the experiment's own options, records and reports written on request, and bench compare for two records.

--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
@@ -100,6 +100,12 @@
     OPTION_SERVICE_TIME,
     /** Option: cold start of a stand-in backend server. */
     OPTION_COLD_START,
+    /** Option: the name of a record. */
+    OPTION_RECORD_NAME,
+    /** Option: an experiment and its options. */
+    OPTION_EXPERIMENT,
+    /** How to compare records. */
+    COMPARE_USAGE,
     /** Option: the folder with the examples. */
     OPTION_EXAMPLES,
     /** Option: files or folders. */
--- /dev/null
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/internal/ExperimentArguments.java
@@ -0,0 +1,41 @@
+package org.azurearch.pgm.internal;
+
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+
+/** Reads the options of an experiment, {@code --name value} or {@code --name=value}. */
+public final class ExperimentArguments {
+    private static final String PREFIX = "--";
+
+    private ExperimentArguments() {}
+
+    /**
+     * Returns the options by name.
+     *
+     * @throws AzurearchException with {@code USAGE} when a name or a value is missing
+     */
+    public static Map<String, String> parse(List<String> words) {
+        Map<String, String> options = new TreeMap<>();
+        Iterator<String> rest = words.iterator();
+        while (rest.hasNext()) {
+            String word = rest.next();
+            if (!word.startsWith(PREFIX)) {
+                throw new AzurearchException(ErrorCode.USAGE, "expected --name, not " + word);
+            }
+            String option = word.substring(PREFIX.length());
+            int equals = option.indexOf('=');
+            if (equals >= 0) {
+                options.put(option.substring(0, equals), option.substring(equals + 1));
+            } else if (rest.hasNext()) {
+                options.put(option, rest.next());
+            } else {
+                throw new AzurearchException(ErrorCode.USAGE, "no value for " + word);
+            }
+        }
+        return options;
+    }
+}
