--- a/org.azurearch.test/src/test/java/org/azurearch/settings/SettingsPage.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/settings/SettingsPage.java
@@ -11,11 +11,12 @@
             """
             # Settings
 
-            A node reads one YAML file. It is checked against a schema before anything starts; every problem is named
-            with file, line, what was expected and, for an unknown key, a near name. This page is generated from the
-            schema. Durations are a whole number and a unit: `250ms`, `4s`, `5m`, `2h`, `1d`. Addresses are an IP
-            address and a port, such as `127.0.0.1:7000` or `[::1]:7000`. Names have 1 to 96 lower-case letters,
-            digits, dots, underscores and hyphens.
+            A node reads one YAML file. It is checked against a schema before anything starts;
+            every problem is named with file, line, what was expected and, for an unknown key, a
+            near name. This page is generated from the schema. Durations are a whole number and a
+            unit: `250ms`, `4s`, `5m`, `2h`, `1d`. Addresses are an IP address and a port, such as
+            `127.0.0.1:7000` or `[::1]:7000`. Names have 1 to 96 lower-case letters, digits, dots,
+            underscores and hyphens.
             """;
 
     private final JsonNode mSchema;
