--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/LogCalls.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/LogCalls.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import org.azurearch.errors.AzurearchException;
 import org.azurearch.events.EventLog;
 import org.azurearch.fold.FoldState;
 import org.azurearch.lib.Digest;
@@ -46,9 +47,9 @@
         mCore = core;
     }
 
-    /** Reads the change stream with a long poll. */
-    void read(long offset) {
-        mLog.read(mChanges, offset, LogFollower.MAX_READ_BYTES, LogFollower.WAIT)
+    /** Reads the change stream. */
+    void read(long offset, Duration wait) {
+        mLog.read(mChanges, offset, LogFollower.MAX_READ_BYTES, wait)
                 .handle(LogCalls::changesInput)
                 .thenAccept(mCore);
     }
@@ -162,6 +163,9 @@
     }
 
     private static String reason(@Nullable Throwable failure) {
-        return String.valueOf(cause(failure));
+        Throwable cause = cause(failure);
+        return cause instanceof AzurearchException known
+                ? known.code().code() + ": " + known.getMessage()
+                : String.valueOf(cause);
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/LogFollower.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/LogFollower.java
@@ -4,7 +4,10 @@
 import org.azurearch.log.LogBatch;
 import org.azurearch.time.Backoff;
 
-/** Decides when a reader reads the change stream. One read is under way at a time. */
+/**
+ * Decides when a reader reads the change stream. One read is under way at a time: a long poll, or
+ * one without a wait after a failure, so that the end of an outage is seen at once.
+ */
 final class LogFollower {
     /** How long the log may hold a read back while there is no record. */
     static final Duration WAIT = Duration.ofSeconds(20);
@@ -28,6 +31,7 @@
     private long mReadAt;
     private long mNextAt;
     private String mFailure = "";
+    private Duration mWait = WAIT;
 
     LogFollower(CoreContext context, long now) {
         mContext = context;
@@ -76,7 +80,8 @@
         if (mActive && starts && !mReading && !resyncing && now >= mNextAt) {
             mReading = true;
             mReadAt = now;
-            mContext.emit(new SpreadEffect.ReadLog(mContext.position().offset() + 1));
+            mWait = mDown ? Duration.ZERO : WAIT;
+            mContext.emit(new SpreadEffect.ReadLog(mContext.position().offset() + 1, mWait));
         }
     }
 
@@ -89,7 +94,7 @@
             mDown = false;
             mContext.report(SpreadEvent.LOG_UP);
         }
-        boolean early = batch.records().isEmpty() && now - mReadAt < WAIT.toMillis() / 2;
+        boolean early = batch.records().isEmpty() && now - mReadAt < mWait.toMillis() / 2;
         mNextAt = early ? now + EARLY_EMPTY_PAUSE_MILLIS : now;
         mContext.foldRecords(batch.records());
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadEffect.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadEffect.java
@@ -1,5 +1,6 @@
 package org.azurearch.internal.spread;
 
+import java.time.Duration;
 import java.util.List;
 import org.azurearch.events.EventCode;
 import org.azurearch.fold.FoldState;
@@ -10,8 +11,8 @@
 
 /** What the distribution core wants done. */
 sealed interface SpreadEffect {
-    /** Read the change stream, with a long poll. */
-    record ReadLog(long offset) implements SpreadEffect {}
+    /** Read the change stream; the log may hold the answer back for a time until a record comes. */
+    record ReadLog(long offset, Duration maxWait) implements SpreadEffect {}
 
     /** Push a delta. */
     record Push(NodeId to, Delta delta, List<NodeId> subtree) implements SpreadEffect {}
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadRunner.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadRunner.java
@@ -176,7 +176,7 @@
     private void carryOut(SpreadEffect effect) {
         if (effect instanceof SpreadEffect.ReadLog read) {
             mLogReads.inc();
-            mLog.read(read.offset());
+            mLog.read(read.offset(), read.maxWait());
         } else if (effect instanceof SpreadEffect.Push push) {
             mPushes.inc();
             mPeers.push(push.to(), push.delta(), push.subtree());
