--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
@@ -56,6 +56,7 @@
     private static final RegionId REGION = RegionId.fromString("bretagne");
 
     final Map<String, Node> mNodes = new HashMap<>();
+    final Map<String, Object> mCallSettings = new HashMap<>();
     final FakeLog mLog = new FakeLog();
     private final FakeBoard mBoard = new FakeBoard();
     private final List<Consumer<MeshConfig>> mConfigListeners = new CopyOnWriteArrayList<>();
@@ -174,7 +175,7 @@
 
         Node(String name) {
             mId = NodeId.fromString(name);
-            Map<String, Object> calls = new HashMap<>();
+            Map<String, Object> calls = new HashMap<>(mCallSettings);
             calls.put("listen", "127.0.0.1:0");
             calls.put("senderTimeout", "1s");
             calls.put("drainLinger", "10ms");
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/RawClient.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/RawClient.java
@@ -35,7 +35,11 @@
     private final Socket mSocket;
 
     RawClient(NetAddress address) throws IOException {
-        mSocket = new Socket(address.host(), address.port());
+        this(new Socket(address.host(), address.port()));
+    }
+
+    RawClient(Socket socket) throws IOException {
+        mSocket = socket;
         mSocket.setSoTimeout(TIMEOUT_MILLIS);
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
@@ -19,7 +19,9 @@
     /** A request took down a second backend server and is refused from now on. */
     REQUEST_CONTAINED(506, Level.ERROR, "request {} is contained after crashes: {}"),
     /** An operator released a contained request. */
-    REQUEST_RELEASED(507, Level.INFO, "request {} is released");
+    REQUEST_RELEASED(507, Level.INFO, "request {} is released"),
+    /** A connection sent what is neither HTTP nor, where it is required, TLS. */
+    CONNECTION_MALFORMED(508, Level.DEBUG, "closing a connection: {}");
 
     private final int mNumber;
     private final Level mLevel;
--- a/org.azurearch/src/main/java/org/azurearch/call/ClaimTable.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/ClaimTable.java
@@ -52,6 +52,19 @@
         return claim == null || expired(claim) ? null : claim.ticket();
     }
 
+    /**
+     * Returns the ticket of a key like {@link #winner}, but null when the claim may have expired by
+     * now, so that a further claim has to ask the log.
+     *
+     * @param wallMillis the time, in milliseconds since the epoch
+     */
+    public @Nullable String freshWinner(String key, long wallMillis) {
+        Claim claim = mClaims.get(key);
+        return claim == null || wallMillis - claim.atMillis() >= mLifetimeMillis
+                ? null
+                : winner(key);
+    }
+
     /** Returns how many claims hold. */
     public int size() {
         return mClaims.size();
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/AnswerSink.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/AnswerSink.java
@@ -15,7 +15,7 @@
     /** Takes a part of the answer's body, and its reference. */
     void answerBody(HttpContent content);
 
-    /** Nothing more has arrived for now. */
+    /** All that has arrived has been handed over: what was written should go out. */
     void answerFlush();
 
     /** The exchange has failed; nothing more follows. */
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -33,6 +33,7 @@
     private final Deque<HttpContent> mPending = new ArrayDeque<>();
     private final RequestPrint mPrint;
     private boolean mHeldForPrint;
+    private boolean mSubmitting;
     private State mState = State.WAITING;
     private @Nullable UpstreamExchange mUpstream;
     private long mStartedNanos;
@@ -58,7 +59,9 @@
 
     private void submit() {
         mHeldForPrint = false;
+        mSubmitting = true;
         mLane.gate().submit(this, mHop.admission(mLane.nanos()));
+        mSubmitting = false;
     }
 
     /** Goes on once enough of a request is known whose like was in flight at a crash. */
@@ -240,7 +243,9 @@
         for (HttpContent next = mPending.poll(); next != null; next = mPending.poll()) {
             upstream.body(next);
         }
-        upstream.flush();
+        if (!mSubmitting) {
+            upstream.flush();
+        }
         if (upstream.writable()) {
             mSink.requestWritable();
         }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallMetrics.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallMetrics.java
@@ -1,7 +1,13 @@
 package org.azurearch.internal.call;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.ClassId;
+import org.azurearch.lib.FirmId;
 import org.azurearch.metrics.Histograms;
 import org.azurearch.route.Route;
 import org.jspecify.annotations.Nullable;
@@ -11,9 +17,12 @@
     private static final long NANOS_PER_MICRO = 1_000L;
 
     private final MetricRegistry mMetrics;
+    private final Counter mAnswered;
+    private final Map<FirmId, Map<ClassId, Histogram>> mDurations = new ConcurrentHashMap<>();
 
     CallMetrics(MetricRegistry metrics) {
         mMetrics = metrics;
+        mAnswered = metrics.counter("calls.answered");
     }
 
     /**
@@ -24,10 +33,13 @@
      * @param nanos how long the call took
      */
     void record(@Nullable Route route, @Nullable ErrorCode code, long nanos) {
-        mMetrics.counter(code == null ? "calls.answered" : "calls.failed." + code.code()).inc();
+        if (code == null) {
+            mAnswered.inc();
+        } else {
+            mMetrics.counter("calls.failed." + code.code()).inc();
+        }
         if (route != null) {
-            Histograms.calls(mMetrics, route.firm().name(), route.callClass().id().name())
-                    .update(nanos / NANOS_PER_MICRO);
+            durations(route).update(nanos / NANOS_PER_MICRO);
         }
     }
 
@@ -35,4 +47,12 @@
     void retried() {
         mMetrics.counter("calls.retried").inc();
     }
+
+    private Histogram durations(Route route) {
+        return mDurations
+                .computeIfAbsent(route.firm(), firm -> new ConcurrentHashMap<>())
+                .computeIfAbsent(
+                        route.callClass().id(),
+                        id -> Histograms.calls(mMetrics, route.firm().name(), id.name()));
+    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -100,7 +101,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof RuntimeException) {
+        if (cause instanceof DecoderException) {
+            EventLog.log(CallEvent.CONNECTION_MALFORMED, cause.toString());
+        } else if (cause instanceof RuntimeException) {
             EventLog.log(CallEvent.HANDLER_FAILED, cause, cause.toString());
         }
         mChannel.close();
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimService.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimService.java
@@ -3,8 +3,11 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.azurearch.call.CallEvent;
@@ -68,7 +71,7 @@
     private final Duty<Message> mDuty;
     private final ClaimTable mTable;
     private final List<Pending> mUnsent = new ArrayList<>();
-    private final List<Pending> mAwaited = new ArrayList<>();
+    private final Map<String, Pending> mAwaited = new HashMap<>();
     private final TimerService.Subscription mTicks;
     private long mNextOffset;
     private boolean mFollowing;
@@ -130,7 +133,7 @@
 
     private void onAsk(Pending pending) {
         follow();
-        String winner = mTable.winner(pending.mKey);
+        String winner = mTable.freshWinner(pending.mKey, mTimers.time().wallMillis());
         if (winner != null) {
             pending.mWinner.complete(winner);
             return;
@@ -143,7 +146,7 @@
         mAppending = false;
         if (unavailable(appended.failure())) {
             appended.batch().forEach(pending -> fail(pending, "the log is not available"));
-            mAwaited.removeAll(appended.batch());
+            appended.batch().forEach(pending -> mAwaited.remove(pending.mTicket));
         }
     }
 
@@ -152,7 +155,6 @@
         LogBatch batch = read.batch();
         if (batch != null) {
             batch.records().forEach(this::apply);
-            answerAwaited();
             follow();
         } else if (cause(read.failure()) instanceof OffsetRemovedException removed) {
             mNextOffset = removed.earliest();
@@ -166,7 +168,7 @@
     private void onTick() {
         long now = mTimers.time().nanos();
         expire(mUnsent, now);
-        expire(mAwaited, now);
+        expire(mAwaited.values(), now);
         append();
     }
 
@@ -178,7 +180,7 @@
         }
         List<Pending> batch = List.copyOf(mUnsent.subList(0, Math.min(MAX_BATCH, mUnsent.size())));
         mUnsent.removeAll(batch);
-        mAwaited.addAll(batch);
+        batch.forEach(pending -> mAwaited.put(pending.mTicket, pending));
         mAppending = true;
         mAppendedAtNanos = now;
         List<ClaimBatch.Claim> claims = new ArrayList<>();
@@ -208,22 +210,20 @@
         }
         for (ClaimBatch.Claim claim : batch.claims()) {
             mTable.apply(claim.key(), claim.ticket(), record.appendedAtMillis());
+            answer(claim);
         }
     }
 
-    private void answerAwaited() {
-        Iterator<Pending> awaited = mAwaited.iterator();
-        while (awaited.hasNext()) {
-            Pending pending = awaited.next();
-            String winner = mTable.winner(pending.mKey);
-            if (winner != null) {
-                awaited.remove();
-                pending.mWinner.complete(winner);
-            }
+    /** Answers a claim of this node once it is folded, since then all before it are too. */
+    private void answer(ClaimBatch.Claim claim) {
+        Pending pending = mAwaited.remove(claim.ticket());
+        String winner = mTable.winner(claim.key());
+        if (pending != null && winner != null) {
+            pending.mWinner.complete(winner);
         }
     }
 
-    private static void expire(List<Pending> pendings, long nowNanos) {
+    private static void expire(Collection<Pending> pendings, long nowNanos) {
         Iterator<Pending> all = pendings.iterator();
         while (all.hasNext()) {
             Pending pending = all.next();
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HeaderRules.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HeaderRules.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -64,12 +65,8 @@
     }
 
     private static boolean isOwn(CharSequence name) {
-        int length = CallHeaders.PREFIX.length();
-        return name.length() >= length
-                && name.subSequence(0, length)
-                        .toString()
-                        .toLowerCase(Locale.ROOT)
-                        .equals(CallHeaders.PREFIX);
+        return AsciiString.regionMatches(
+                name, true, 0, CallHeaders.PREFIX, 0, CallHeaders.PREFIX.length());
     }
 
     private static List<String> connectionNames(HttpHeaders headers) {
