Share parsed and compiled documents between states

The parsed and compiled forms are now in bounded caches that all states of a firm share, and decisions are looked up in their list. The tests pass unchanged.

--- a/org.azurearch/src/main/java/org/azurearch/internal/config/BaseLayer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/BaseLayer.java
@@ -15,6 +15,7 @@
  * judging a site costs what its overlay touches.
  */
 public final class BaseLayer {
+    private final ParsedDocument mDocument;
     private final YamlMapping mWhole;
     private final EntryCache<ClassConfig> mClasses = cache(Section.CLASSES);
     private final EntryCache<PolicyConfig> mPolicies = cache(Section.POLICIES);
@@ -23,6 +24,7 @@
 
     /** Creates the layer of a base. */
     public BaseLayer(ParsedDocument base) {
+        mDocument = base;
         YamlMapping root = base.root();
         Map<String, YamlEntry> whole = new LinkedHashMap<>();
         YamlMapping limits = Defaults.limits(root.mapping(Defaults.LIMITS));
@@ -38,6 +40,11 @@
         mWhole = new YamlMapping(whole, root.location());
     }
 
+    /** Returns the base as it was parsed. */
+    public ParsedDocument document() {
+        return mDocument;
+    }
+
     /** Returns the limits and the sections, with defaults and entries sorted by key. */
     YamlMapping whole() {
         return mWhole;
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/BoundedCache.java
@@ -0,0 +1,49 @@
+package org.azurearch.internal.fold;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Keeps the values used last, up to a number. Any thread may use it; a value may be computed twice.
+ *
+ * @param <K> the key
+ * @param <V> the value
+ */
+final class BoundedCache<K, V> {
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<K, V> mValues;
+
+    /**
+     * Creates a cache.
+     *
+     * @param capacity the most values kept
+     */
+    BoundedCache(int capacity) {
+        mValues =
+                new LinkedHashMap<>(capacity, LOAD_FACTOR, true) {
+                    private static final long serialVersionUID = 1L;
+
+                    @Override
+                    protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+                        return size() > capacity;
+                    }
+                };
+    }
+
+    /** Returns the value of a key; computes and keeps it when there is none. */
+    V get(K key, Supplier<V> compute) {
+        synchronized (mValues) {
+            V known = mValues.get(key);
+            if (known != null) {
+                return known;
+            }
+        }
+        V computed = compute.get();
+        synchronized (mValues) {
+            mValues.put(key, computed);
+        }
+        return computed;
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmCaches.java
@@ -0,0 +1,96 @@
+package org.azurearch.internal.fold;
+
+import java.util.List;
+import org.azurearch.config.SiteConfig;
+import org.azurearch.errors.Problem;
+import org.azurearch.fold.Document;
+import org.azurearch.fold.DocumentName;
+import org.azurearch.internal.config.BaseLayer;
+import org.azurearch.internal.config.ParsedDocument;
+import org.azurearch.internal.config.SiteCompiler;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.SiteId;
+import org.azurearch.lib.VersionId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Parsed documents, judgements and compiled sites of a firm. All its states share them, so that a
+ * change costs what it touches and an old state that is kept holds no more than its texts.
+ */
+final class FirmCaches {
+    private static final int BASES = 2;
+    private static final int OVERLAYS = 2 * FoldLimits.DOCUMENTS;
+    private static final int JUDGEMENTS = 4 * FoldLimits.DOCUMENTS;
+    private static final int SITES = 4;
+
+    private final FirmId mFirm;
+    private final BoundedCache<TextKey, BaseLayer> mBases = new BoundedCache<>(BASES);
+    private final BoundedCache<TextKey, ParsedDocument> mOverlays = new BoundedCache<>(OVERLAYS);
+    private final BoundedCache<SiteKey, List<Problem>> mJudged = new BoundedCache<>(JUDGEMENTS);
+    private final BoundedCache<SiteKey, SiteConfig> mSites = new BoundedCache<>(SITES);
+
+    /** Identifies a text and the file name that its locations carry. */
+    private record TextKey(DocumentName name, String file, Digest digest) {
+        static TextKey of(Document document) {
+            return new TextKey(document.name(), document.file(), document.digest());
+        }
+    }
+
+    /** Identifies what a site is judged by. */
+    private record SiteKey(TextKey base, @Nullable TextKey overlay, SiteId site, int ruleSet) {
+        static SiteKey of(Document base, @Nullable Document overlay, SiteId site, int ruleSet) {
+            TextKey over = overlay == null ? null : TextKey.of(overlay);
+            return new SiteKey(TextKey.of(base), over, site, ruleSet);
+        }
+    }
+
+    /** Creates empty caches. */
+    FirmCaches(FirmId firm) {
+        mFirm = firm;
+    }
+
+    /**
+     * Parses a document.
+     *
+     * @throws org.azurearch.errors.InvalidInputException naming every problem found
+     */
+    ParsedDocument parsed(Document document) {
+        return document.name().equals(DocumentName.BASE)
+                ? layer(document).document()
+                : overlay(document);
+    }
+
+    /** Returns the layer of a base. */
+    BaseLayer layer(Document base) {
+        return mBases.get(
+                TextKey.of(base),
+                () -> new BaseLayer(ParsedDocument.parse(base.file(), base.text())));
+    }
+
+    /** Returns why a site is invalid; the documents must be parseable. */
+    List<Problem> problems(Document base, @Nullable Document overlay, SiteId site, int ruleSet) {
+        return mJudged.get(
+                SiteKey.of(base, overlay, site, ruleSet),
+                () -> {
+                    ParsedDocument over = overlay == null ? null : overlay(overlay);
+                    return SiteCompiler.problems(mFirm, site, layer(base), over, ruleSet);
+                });
+    }
+
+    /** Returns the configuration of a valid site, as of version 0. */
+    SiteConfig compiled(Document base, @Nullable Document overlay, SiteId site, int ruleSet) {
+        return mSites.get(
+                SiteKey.of(base, overlay, site, ruleSet),
+                () -> {
+                    ParsedDocument over = overlay == null ? null : overlay(overlay);
+                    VersionId none = new VersionId(mFirm, 0);
+                    return SiteCompiler.compile(none, site, layer(base), over, ruleSet);
+                });
+    }
+
+    private ParsedDocument overlay(Document overlay) {
+        return mOverlays.get(
+                TextKey.of(overlay), () -> ParsedDocument.parse(overlay.file(), overlay.text()));
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmContent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmContent.java
@@ -8,7 +8,6 @@
 import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import org.azurearch.config.SiteConfig;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.errors.InvalidInputException;
@@ -16,10 +15,8 @@
 import org.azurearch.errors.SourceLocation;
 import org.azurearch.fold.Document;
 import org.azurearch.fold.DocumentName;
-import org.azurearch.internal.config.BaseLayer;
 import org.azurearch.internal.config.DocumentMerge;
 import org.azurearch.internal.config.ParsedDocument;
-import org.azurearch.internal.config.SiteCompiler;
 import org.azurearch.internal.yaml.SchemaCheck;
 import org.azurearch.lib.Digest;
 import org.azurearch.lib.FirmId;
@@ -28,42 +25,28 @@
 import org.azurearch.yaml.YamlMapping;
 import org.jspecify.annotations.Nullable;
 
-/**
- * The documents of a firm that belong together; immutable. Parsed documents, judgements and the
- * compiled sites asked for are kept and handed on to the content that follows, so that a change
- * costs what it touches.
- */
+/** The documents of a firm that belong together; immutable. */
 public final class FirmContent {
     private static final SiteId SITE_WITHOUT_OVERLAY = SiteId.fromString("site-without-overlay");
 
     private final FirmId mFirm;
     private final SortedMap<DocumentName, Document> mDocuments;
-    private final Map<DocumentName, ParsedDocument> mParsed = new ConcurrentHashMap<>();
-    private volatile @Nullable BaseLayer mLayer;
-    private final Map<SiteId, Integer> mJudgedBy = new ConcurrentHashMap<>();
-    private final Map<SiteId, SiteConfig> mCompiled = new ConcurrentHashMap<>();
+    private final FirmCaches mCaches;
 
-    /** Creates content that has nothing in common with earlier content. */
-    public FirmContent(FirmId firm, Map<DocumentName, Document> documents) {
+    private FirmContent(FirmId firm, Map<DocumentName, Document> documents, FirmCaches caches) {
         mFirm = firm;
         mDocuments = Collections.unmodifiableSortedMap(new TreeMap<>(documents));
+        mCaches = caches;
+    }
+
+    /** Creates content that has nothing in common with earlier content. */
+    public FirmContent(FirmId firm, Map<DocumentName, Document> documents) {
+        this(firm, documents, new FirmCaches(firm));
     }
 
     /** Returns the content with other documents, reusing what they have in common. */
     public FirmContent with(Map<DocumentName, Document> documents) {
-        FirmContent next = new FirmContent(mFirm, documents);
-        mParsed.forEach(
-                (name, parsed) -> {
-                    if (same(next, name)) {
-                        next.mParsed.put(name, parsed);
-                    }
-                });
-        if (same(next, DocumentName.BASE)) {
-            next.mLayer = mLayer;
-            copySame(next, mJudgedBy, next.mJudgedBy);
-            copySame(next, mCompiled, next.mCompiled);
-        }
-        return next;
+        return new FirmContent(mFirm, documents, mCaches);
     }
 
     /** Returns the documents, sorted by name. */
@@ -101,7 +84,7 @@
             return List.of(
                     new Problem(ErrorCode.BAD_OVERLAY, new SourceLocation(file, 0), message));
         }
-        checkSite(SITE_WITHOUT_OVERLAY, ruleSet, problems);
+        problems.addAll(mCaches.problems(base(), null, SITE_WITHOUT_OVERLAY, ruleSet));
         if (problems.isEmpty()) {
             sites().forEach(site -> checkSite(site, ruleSet, problems));
         }
@@ -114,7 +97,7 @@
      * @param version the version that the configuration is of
      */
     public SiteConfig at(SiteId site, VersionId version, int ruleSet) {
-        SiteConfig config = mCompiled.computeIfAbsent(site, key -> compile(key, ruleSet));
+        SiteConfig config = mCaches.compiled(base(), overlay(site), site, ruleSet);
         return new SiteConfig(
                 version,
                 site,
@@ -132,10 +115,9 @@
      * @param site the site, or null for one without an overlay
      */
     public YamlMapping merged(@Nullable SiteId site) {
-        Document overlay = site == null ? null : mDocuments.get(DocumentName.overlay(site));
-        List<Problem> problems = new ArrayList<>();
-        ParsedDocument over = overlay == null ? null : parsed(overlay);
-        return DocumentMerge.merge(layer(), over, problems);
+        Document overlay = site == null ? null : overlay(site);
+        ParsedDocument over = overlay == null ? null : mCaches.parsed(overlay);
+        return DocumentMerge.merge(mCaches.layer(base()), over, new ArrayList<>());
     }
 
     /** Returns the sites that have an overlay, sorted. */
@@ -146,7 +128,7 @@
     private void checkDocument(Document document, List<Problem> problems) {
         ParsedDocument parsed;
         try {
-            parsed = parsed(document);
+            parsed = mCaches.parsed(document);
         } catch (InvalidInputException e) {
             problems.addAll(e.problems());
             return;
@@ -163,35 +145,14 @@
     }
 
     private void checkSite(SiteId site, int ruleSet, List<Problem> problems) {
-        if (mJudgedBy.getOrDefault(site, 0) == ruleSet) {
-            return;
-        }
-        Document overlay = mDocuments.get(DocumentName.overlay(site));
-        ParsedDocument parsed = overlay == null ? null : parsed(overlay);
-        List<Problem> found = SiteCompiler.problems(mFirm, site, layer(), parsed, ruleSet);
-        if (found.isEmpty()) {
-            mJudgedBy.put(site, ruleSet);
-        }
-        String suffix = site.equals(SITE_WITHOUT_OVERLAY) ? "" : " (at site " + site + ")";
-        for (Problem problem : found) {
-            String message = problem.message() + suffix;
+        for (Problem problem : mCaches.problems(base(), overlay(site), site, ruleSet)) {
+            String message = problem.message() + " (at site " + site + ")";
             problems.add(new Problem(problem.code(), problem.location(), message));
         }
     }
 
-    private SiteConfig compile(SiteId site, int ruleSet) {
-        Document overlay = mDocuments.get(DocumentName.overlay(site));
-        ParsedDocument parsed = overlay == null ? null : parsed(overlay);
-        return SiteCompiler.compile(new VersionId(mFirm, 0), site, layer(), parsed, ruleSet);
-    }
-
-    private BaseLayer layer() {
-        BaseLayer layer = mLayer;
-        if (layer == null) {
-            layer = new BaseLayer(parsed(base()));
-            mLayer = layer;
-        }
-        return layer;
+    private @Nullable Document overlay(SiteId site) {
+        return mDocuments.get(DocumentName.overlay(site));
     }
 
     private Document base() {
@@ -201,22 +162,4 @@
         }
         return base;
     }
-
-    private <V> void copySame(FirmContent next, Map<SiteId, V> from, Map<SiteId, V> to) {
-        from.forEach(
-                (site, value) -> {
-                    if (same(next, DocumentName.overlay(site))) {
-                        to.put(site, value);
-                    }
-                });
-    }
-
-    private ParsedDocument parsed(Document document) {
-        return mParsed.computeIfAbsent(
-                document.name(), name -> ParsedDocument.parse(document.file(), document.text()));
-    }
-
-    private boolean same(FirmContent next, DocumentName name) {
-        return mDocuments.get(name) == next.mDocuments.get(name);
-    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmState.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/FirmState.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,6 @@
     private final List<RetainedVersion> mVersions;
     private final SortedMap<DocumentName, Touch> mTouches;
     private final List<ChangeOutcome> mOutcomes;
-    private final Map<ChangeId, ChangeOutcome> mOutcomesById;
 
     /**
      * Creates a state.
@@ -47,9 +45,6 @@
         mVersions = List.copyOf(versions);
         mTouches = Collections.unmodifiableSortedMap(new TreeMap<>(touches));
         mOutcomes = List.copyOf(outcomes);
-        Map<ChangeId, ChangeOutcome> byId = new HashMap<>();
-        outcomes.forEach(outcome -> byId.put(outcome.change(), outcome));
-        mOutcomesById = byId;
     }
 
     /** Returns the state of a firm that has published nothing. */
@@ -89,7 +84,7 @@
 
     /** Returns the retained decision on a change. */
     Optional<ChangeOutcome> outcome(ChangeId change) {
-        return Optional.ofNullable(mOutcomesById.get(change));
+        return mOutcomes.stream().filter(outcome -> outcome.change().equals(change)).findFirst();
     }
 
     /** Returns a retained version. */
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/StateFold.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/StateFold.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import org.azurearch.config.MeshConfig;
 import org.azurearch.config.SiteConfig;
 import org.azurearch.errors.AzurearchException;
@@ -35,7 +34,6 @@
     private final int mRuleSet;
     private final long mSkipped;
     private final SortedMap<FirmId, FirmState> mFirms;
-    private final Map<SiteId, MeshConfig> mSites = new ConcurrentHashMap<>();
 
     /**
      * Creates a state.
@@ -105,7 +103,14 @@
 
     @Override
     public MeshConfig at(SiteId site) {
-        return mSites.computeIfAbsent(site, this::compiled);
+        Map<FirmId, SiteConfig> configs = new TreeMap<>();
+        mFirms.forEach(
+                (firm, state) -> {
+                    if (state.version().number() > 0) {
+                        configs.put(firm, state.content().at(site, state.version(), mRuleSet));
+                    }
+                });
+        return new MeshConfig(mOffset, mDigest, site, configs);
     }
 
     @Override
@@ -153,17 +158,6 @@
         return mFirms;
     }
 
-    private MeshConfig compiled(SiteId site) {
-        Map<FirmId, SiteConfig> configs = new TreeMap<>();
-        mFirms.forEach(
-                (firm, state) -> {
-                    if (state.version().number() > 0) {
-                        configs.put(firm, state.content().at(site, state.version(), mRuleSet));
-                    }
-                });
-        return new MeshConfig(mOffset, mDigest, site, configs);
-    }
-
     private FoldState skip(LogRecord record, ChangeRecord read) {
         ChangeRecord.Sender sender = read.sender();
         FirmState firm = sender == null ? null : mFirms.get(sender.firm());
