--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeLog.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeLog.java
@@ -27,6 +27,8 @@
     boolean mDown;
     boolean mLoseNextAnswer;
     int mAppends;
+    int mReads;
+    long mServedBytes;
 
     private final TimerService mTimers;
     private final Map<StreamId, Stream> mStreams = new HashMap<>();
@@ -159,7 +161,10 @@
                 }
                 records.add(stream.mRecords.get(i));
             }
-            result.complete(new LogBatch(records, stream.mEarliest, stream.mRecords.size()));
+            if (result.complete(new LogBatch(records, stream.mEarliest, stream.mRecords.size()))) {
+                mReads++;
+                records.forEach(record -> mServedBytes += record.data().length);
+            }
         }
 
         private boolean unavailable() {
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeMesh.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeMesh.java
@@ -131,7 +131,12 @@
     }
 
     static Change change(String id, long expected, int deadlineMillis) {
-        byte[] text = BASE.formatted(deadlineMillis).getBytes(StandardCharsets.UTF_8);
+        return change(id, expected, deadlineMillis, "");
+    }
+
+    /** Returns a change of the base with a comment at its end. */
+    static Change change(String id, long expected, int deadlineMillis, String comment) {
+        byte[] text = (BASE.formatted(deadlineMillis) + comment).getBytes(StandardCharsets.UTF_8);
         return change(
                 id,
                 Change.Kind.PUBLISH,
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SnapshotFaultTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SnapshotFaultTest.java
@@ -6,8 +6,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Random;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.fold.ChangeCodec;
 import org.azurearch.lib.Digest;
 import org.azurearch.spread.ConvergencePolicy;
 import org.azurearch.spread.Position;
@@ -104,4 +106,35 @@
                         () -> SnapshotRecords.expand(Digest.EMPTY, packed));
         assertEquals(ErrorCode.CORRUPT, e.code());
     }
+
+    @Test
+    void herdFetchesLargeStateInChunksThoughPeersDieAndAreBusy() {
+        Random random = new Random(1);
+        StringBuilder noise = new StringBuilder("# ");
+        while (noise.length() < 1_500_000) {
+            noise.append(Long.toHexString(random.nextLong()));
+        }
+        mMesh.mLog.append(
+                FakeMesh.CHANGES,
+                ChangeCodec.encode(FakeMesh.change("large", 101, 9_000, noise + "\n")));
+        mMesh.converge(101, LIMIT);
+        mMesh.mLog.mDown = true;
+        for (int i = 3; i < 30; i++) {
+            mMesh.start("a", "a-" + i);
+        }
+        mMesh.run(310);
+        mMesh.kill("a-0");
+        mMesh.converge(101, LIMIT);
+        mMesh.mNodes.values().stream()
+                .filter(node -> node.mInstalled.size() == 1)
+                .forEach(node -> assertEquals(101, node.mInstalled.get(0)));
+    }
+
+    @Test
+    void limiterAnswersWithTheTimeUntilBytesAreLeft() {
+        ServeLimiter limiter = new ServeLimiter(10, 100, 0);
+        assertEquals(0, limiter.take(300, 0));
+        assertEquals(21, limiter.take(1, 0));
+        assertEquals(0, limiter.take(1, 21_000_000L));
+    }
 }
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadCostTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadCostTest.java
@@ -1,9 +1,11 @@
 package org.azurearch.internal.spread;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.azurearch.spread.BytesPolicy;
 import org.azurearch.spread.ConvergencePolicy;
+import org.azurearch.spread.PollPolicy;
 import org.azurearch.spread.SpreadPolicy;
 import org.junit.jupiter.api.Test;
 
@@ -16,7 +18,11 @@
 
     /** Figures of one run. */
     private record Cost(
-            double steadyBytesPerSecond, double bytesPerChange, long slowestMillis, int readers) {}
+            double steadyBytesPerSecond,
+            double bytesPerChange,
+            long slowestMillis,
+            int readers,
+            double logBytesPerChange) {}
 
     private static Cost measure(SpreadPolicy policy, int dataCentres, int nodes) {
         FakeMesh mesh = new FakeMesh(policy, 17);
@@ -32,6 +38,7 @@
         double count = dataCentres * nodes;
         double steady = (sent(mesh) - start) / count / STEADY_SECONDS;
         long beforeChanges = sent(mesh);
+        long logBefore = mesh.mLog.mServedBytes;
         long startMillis = mesh.mTimers.time().millis();
         long slowest = 0;
         for (int i = 1; i <= CHANGES; i++) {
@@ -41,7 +48,9 @@
         }
         double seconds = (mesh.mTimers.time().millis() - startMillis) / 1e3;
         double perChange = ((sent(mesh) - beforeChanges) / count - steady * seconds) / CHANGES;
-        Cost cost = new Cost(steady, perChange, slowest, mesh.mLog.mReadersOfChanges.size());
+        double logBytes = (double) (mesh.mLog.mServedBytes - logBefore) / CHANGES;
+        int readers = mesh.mLog.mReadersOfChanges.size();
+        Cost cost = new Cost(steady, perChange, slowest, readers, logBytes);
         System.out.printf("%s, %d x %d nodes: %s%n", policy.name(), dataCentres, nodes, cost);
         return cost;
     }
@@ -71,4 +80,14 @@
                 frugal.steadyBytesPerSecond() <= 0.5 * eager.steadyBytesPerSecond(),
                 () -> "" + eager + frugal);
     }
+
+    @Test
+    void logServesReadersAndNotNodes() {
+        Cost tree = measure(new ConvergencePolicy(), 3, 20);
+        Cost baseline = measure(new PollPolicy(), 3, 20);
+        assertEquals(60, baseline.readers());
+        assertTrue(
+                tree.logBytesPerChange() <= baseline.logBytesPerChange() / 9,
+                () -> "" + tree + baseline);
+    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/History.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/History.java
@@ -14,7 +14,7 @@
  * Bounded in records and bytes.
  */
 final class History {
-    static final int MAX_RECORDS = 128;
+    static final int MAX_RECORDS = 64;
     static final int MAX_BYTES = 4 << 20;
 
     private final FoldState mState;
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/LogFollower.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/LogFollower.java
@@ -36,7 +36,8 @@
     LogFollower(CoreContext context, long now) {
         mContext = context;
         mBackoff = new Backoff(BACKOFF_BASE, BACKOFF_MAX, context.random());
-        mStartWaitUntil = now + context.settings().startWait().toMillis();
+        long startWait = context.settings().startWait().toMillis();
+        mStartWaitUntil = now + startWait + context.random().nextLong(startWait + 1);
     }
 
     /** Returns when the next step is due, in milliseconds. */
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadSettings.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadSettings.java
@@ -17,7 +17,8 @@
  * @param retention how long the platform keeps records
  * @param snapshotEvery how many records are folded between two snapshots
  * @param peerTimeout the longest that a request to a peer may take
- * @param startWait how long a node without state looks for peers before it reads the log
+ * @param startWait how long a node without state looks for peers before it reads the log; a random
+ *     part of as much again is added
  */
 record SpreadSettings(
         SpreadPolicy policy,
