--- a/org.azurearch.node/src/main/java/org/azurearch/node/admin/AdminServer.java
+++ b/org.azurearch.node/src/main/java/org/azurearch/node/admin/AdminServer.java
@@ -5,6 +5,7 @@
 import io.micronaut.runtime.server.EmbeddedServer;
 import java.util.HashMap;
 import java.util.Map;
+import org.azurearch.call.CrashContainment;
 import org.azurearch.config.ConfigInForce;
 import org.azurearch.kernel.Kernel;
 import org.azurearch.lib.NetAddress;
@@ -48,6 +49,7 @@
                                 kernel.service(MemberView.class),
                                 kernel.service(EndpointView.class),
                                 kernel.service(LocalBackend.class),
+                                kernel.service(CrashContainment.class),
                                 kernel.service(TimerService.class),
                                 kernel.service(MetricRegistry.class))
                         .build()
--- a/org.azurearch.node/src/main/java/org/azurearch/node/admin/ProblemHandlers.java
+++ b/org.azurearch.node/src/main/java/org/azurearch/node/admin/ProblemHandlers.java
@@ -8,6 +8,8 @@
 import io.micronaut.http.MediaType;
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Error;
+import io.micronaut.http.server.exceptions.NotAcceptableException;
+import io.micronaut.http.server.exceptions.UnsupportedMediaException;
 import java.util.concurrent.CompletionException;
 import org.azurearch.admin.ProblemDetails;
 import org.azurearch.errors.AzurearchException;
@@ -52,6 +54,23 @@
                 new AzurearchException(ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage())));
     }
 
+    /** Answers a client that accepts none of the resource's media types. */
+    @Error(global = true)
+    public HttpResponse<ProblemDetails> notAcceptable(
+            HttpRequest<?> request, NotAcceptableException e) {
+        return answer(
+                new AzurearchException(ErrorCode.NOT_ACCEPTABLE, String.valueOf(e.getMessage())));
+    }
+
+    /** Answers a body of a media type that the resource does not take. */
+    @Error(global = true)
+    public HttpResponse<ProblemDetails> unsupported(
+            HttpRequest<?> request, UnsupportedMediaException e) {
+        return answer(
+                new AzurearchException(
+                        ErrorCode.UNSUPPORTED_MEDIA_TYPE, String.valueOf(e.getMessage())));
+    }
+
     /** Answers a path that does not exist. */
     @Error(status = HttpStatus.NOT_FOUND, global = true)
     public HttpResponse<ProblemDetails> notFound(HttpRequest<?> request) {
--- a/org.azurearch/src/main/java/org/azurearch/admin/AdminClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/admin/AdminClient.java
@@ -109,7 +109,9 @@
                 HttpRequest.newBuilder(URI.create(mScheme + "://" + node.name() + path))
                         .timeout(REQUEST_TIMEOUT)
                         .header("content-type", "application/json")
-                        .header("accept", "application/json, " + ProblemDetails.MEDIA_TYPE)
+                        .header(
+                                "accept",
+                                "application/json, " + ProblemDetails.MEDIA_TYPE + ", */*;q=0.5")
                         .method(method, body);
         if (!mToken.isEmpty()) {
             request.header("authorization", "Bearer " + mToken);
--- a/org.azurearch/src/main/java/org/azurearch/errors/ErrorCode.java
+++ b/org.azurearch/src/main/java/org/azurearch/errors/ErrorCode.java
@@ -47,6 +47,10 @@
     NOT_FOUND(404),
     /** The method is not allowed for this resource. */
     METHOD_NOT_ALLOWED(405),
+    /** The resource has none of the media types that the client accepts. */
+    NOT_ACCEPTABLE(406),
+    /** The resource does not take the media type of the body. */
+    UNSUPPORTED_MEDIA_TYPE(415),
     /** The platform's log cannot be reached or does not answer in time. */
     LOG_UNAVAILABLE(503),
     /** The result of an append is not known: it may have taken effect. */
