Prove the distribution with processes that die and lose their links

The promises of the distribution were proved on fakes only. Adds four tests with real nodes: a third of a data centre's nodes and all its readers killed with SIGKILL while a change is made; a data centre whose link to the log is half-open, which must get versions from its neighbours; a data centre restarted whole while the log is down; an append whose answer is lost, which must be published once. Each ends with one digest everywhere.

--- /dev/null
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MeshFailureTest.java
@@ -0,0 +1,106 @@
+package org.azurearch.pgm.demo;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.azurearch.junit.Await;
+import org.azurearch.standin.log.LogFault;
+import org.azurearch.standin.proxy.ProxyFault;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the distribution promises, with real processes that die, freeze and lose their links. */
+class MeshFailureTest {
+    @TempDir Path mFolder;
+
+    @Test
+    void changeReachesTheRestWhenAThirdAndAllReadersAreKilled() {
+        try (MeshFixture mesh = new MeshFixture(mFolder, 6, "rennes")) {
+            List<DemoVm> all = mesh.vms();
+            long first = mesh.publish(all.get(0));
+            MeshFixture.awaitInForce(all, first);
+            List<DemoVm> killed = mesh.readers("rennes");
+            assertFalse(killed.isEmpty());
+            List<DemoVm> left = without(all, killed);
+            while (killed.size() < all.size() / 3) {
+                killed.add(left.remove(left.size() - 1));
+            }
+            MeshFixture.kill(killed);
+            long second = mesh.publish(left.get(0));
+            MeshFixture.awaitInForce(left, second);
+            mesh.start(killed);
+            MeshFixture.awaitInForce(all, second);
+            assertOneDigest(all);
+        }
+    }
+
+    @Test
+    void dataCentreThatCannotReachTheLogGetsVersionsFromItsNeighbours() {
+        try (MeshFixture mesh = new MeshFixture(mFolder, 2, "rennes", "quimper")) {
+            long first = mesh.publish(mesh.vms().get(0));
+            MeshFixture.awaitInForce(mesh.vms(), first);
+            mesh.link("quimper").fault(ProxyFault.HALF_OPEN);
+            mesh.link("quimper").cutAll();
+            long second = mesh.publish(mesh.vms("rennes").get(0));
+            MeshFixture.awaitInForce(mesh.vms(), second);
+            mesh.link("quimper").fault(ProxyFault.NONE);
+            mesh.link("quimper").cutAll();
+            long third = mesh.publish(mesh.vms("quimper").get(0));
+            MeshFixture.awaitInForce(mesh.vms(), third);
+            assertOneDigest(mesh.vms());
+        }
+    }
+
+    @Test
+    void dataCentreRestartsWhileTheLogIsDown() {
+        try (MeshFixture mesh = new MeshFixture(mFolder, 2, "rennes", "quimper")) {
+            long first = mesh.publish(mesh.vms().get(0));
+            MeshFixture.awaitInForce(mesh.vms(), first);
+            mesh.log().fault(LogFault.DOWN);
+            MeshFixture.kill(mesh.vms("quimper"));
+            mesh.start(mesh.vms("quimper"));
+            MeshFixture.awaitInForce(mesh.vms("quimper"), first);
+            mesh.log().fault(LogFault.NONE);
+            long second = mesh.publish(mesh.vms("quimper").get(0));
+            MeshFixture.awaitInForce(mesh.vms(), second);
+            assertOneDigest(mesh.vms());
+        }
+    }
+
+    @Test
+    void lostAppendAnswerPublishesOnce() {
+        try (MeshFixture mesh = new MeshFixture(mFolder, 2, "rennes")) {
+            long first = mesh.publish(mesh.vms().get(0));
+            MeshFixture.awaitInForce(mesh.vms(), first);
+            mesh.log().fault(LogFault.LOSE_APPEND_ANSWERS);
+            long second = mesh.publish(mesh.vms().get(0));
+            mesh.log().fault(LogFault.NONE);
+            MeshFixture.awaitInForce(mesh.vms(), second);
+            assertOneDigest(mesh.vms());
+        }
+    }
+
+    private static List<DemoVm> without(List<DemoVm> all, List<DemoVm> some) {
+        List<DemoVm> rest = new ArrayList<>(all);
+        rest.removeAll(some);
+        return rest;
+    }
+
+    private static void assertOneDigest(List<DemoVm> vms) {
+        Await.until("one offset", MeshFixture.MOST, () -> offsets(vms).size() == 1);
+        Set<String> digests = new HashSet<>();
+        vms.forEach(vm -> digests.add(MeshFixture.digest(vm)));
+        assertEquals(1, digests.size(), digests.toString());
+    }
+
+    private static Set<Long> offsets(List<DemoVm> vms) {
+        Set<Long> offsets = new HashSet<>();
+        vms.forEach(vm -> offsets.add(MeshFixture.offset(vm)));
+        return offsets;
+    }
+}
--- /dev/null
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MeshFixture.java
@@ -0,0 +1,191 @@
+package org.azurearch.pgm.demo;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.azurearch.admin.AdminClient;
+import org.azurearch.admin.ChangeReport;
+import org.azurearch.admin.PublishCommand;
+import org.azurearch.admin.ReadinessReport;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.fold.Document;
+import org.azurearch.fold.DocumentName;
+import org.azurearch.junit.Await;
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.RegionId;
+import org.azurearch.lib.ServiceId;
+import org.azurearch.pgm.demo.FirmPlan.ServicePlan;
+import org.azurearch.pgm.demo.FirmPlan.VmPlan;
+import org.azurearch.standin.log.LogServer;
+import org.azurearch.standin.log.LogServerOptions;
+import org.azurearch.standin.proxy.FaultProxy;
+
+/** Nodes as real processes; each data centre reaches the log through a proxy of its own. */
+final class MeshFixture implements AutoCloseable {
+    /** Bound on every wait. */
+    static final Duration MOST = Duration.ofSeconds(60);
+
+    private static final FirmId FIRM = FirmId.fromString("regie");
+    private static final String TOKEN = "token";
+    private static final NetAddress ANY = new NetAddress("127.0.0.1", 0);
+    private static final String KEY = "cd".repeat(32);
+
+    private final LogServer mLog = LogServer.start(ANY, LogServerOptions.DEFAULT);
+    private final Map<DataCentreId, FaultProxy> mLinks = new HashMap<>();
+    private final List<DemoVm> mVms = new ArrayList<>();
+    private final Path mFolder;
+    private int mPublished;
+
+    /** Starts nodes, one after the other until the first has started, then all at once. */
+    MeshFixture(Path folder, int nodesPerDataCentre, String... dataCentres) {
+        mFolder = folder;
+        FirmPlan plan = plan(dataCentres);
+        for (DataCentreId dataCentre : plan.dataCentres()) {
+            FaultProxy link = FaultProxy.start(mLog.address());
+            mLinks.put(dataCentre, link);
+            for (int i = 1; i <= nodesPerDataCentre; i++) {
+                VmPlan vm = new VmPlan(dataCentre, plan.services().get(0), dataCentre + "-" + i);
+                Digest hash = Digest.of(TOKEN.getBytes(StandardCharsets.UTF_8));
+                mVms.add(
+                        new DemoVm(
+                                plan,
+                                vm,
+                                new NodeSettingsText(plan, link.address(), KEY, hash.name()),
+                                folder));
+            }
+        }
+        start(mVms.subList(0, 1));
+        start(mVms.subList(1, mVms.size()));
+    }
+
+    /** Returns the log. */
+    LogServer log() {
+        return mLog;
+    }
+
+    /** Returns the link from a data centre to the log. */
+    FaultProxy link(String dataCentre) {
+        return mLinks.get(DataCentreId.fromString(dataCentre));
+    }
+
+    /** Returns all VMs. */
+    List<DemoVm> vms() {
+        return List.copyOf(mVms);
+    }
+
+    /** Returns the VMs of a data centre. */
+    List<DemoVm> vms(String dataCentre) {
+        return mVms.stream()
+                .filter(vm -> vm.plan().dataCentre().name().equals(dataCentre))
+                .collect(Collectors.toList());
+    }
+
+    /** Returns the VMs of a data centre whose node reads the log, as their logs say. */
+    List<DemoVm> readers(String dataCentre) {
+        return vms(dataCentre).stream().filter(this::reads).collect(Collectors.toList());
+    }
+
+    /** Starts nodes and waits until they have started. */
+    void start(Collection<DemoVm> vms) {
+        DemoVm first = mVms.get(0);
+        List<NetAddress> seeds =
+                first.addresses().peer().port() == 0
+                        ? List.of()
+                        : List.of(first.addresses().peer());
+        vms.forEach(vm -> vm.startNode(seeds));
+        vms.forEach(DemoVm::awaitNode);
+    }
+
+    /** Kills nodes without warning. */
+    static void kill(Collection<DemoVm> vms) {
+        vms.forEach(vm -> vm.node().kill());
+    }
+
+    /** Publishes one more base through a node and returns its offset once it is decided. */
+    long publish(DemoVm through) {
+        String text =
+                String.join(
+                        "\n",
+                        "azurearch: 1",
+                        "kind: base",
+                        "firm: regie",
+                        "limits: {callsPerSecond: " + (++mPublished) + "}",
+                        "classes: {orders: {priority: 0}}",
+                        "services: {orders: {slots: 20, connections: 100}}",
+                        "");
+        PublishCommand command =
+                new PublishCommand(client(through), FIRM)
+                        .addDocument(
+                                Document.of(
+                                        DocumentName.BASE,
+                                        "base.yaml",
+                                        text.getBytes(StandardCharsets.UTF_8)));
+        ChangeReport report = command.call();
+        Await.until("decided: " + report, MOST, () -> status(through, report).outcome() != null);
+        return status(through, report).outcome().offset();
+    }
+
+    /** Waits until nodes hold an offset or a later one. */
+    static void awaitInForce(Collection<DemoVm> vms, long offset) {
+        for (DemoVm vm : vms) {
+            Await.until(vm.plan().name() + " holds " + offset, MOST, () -> offset(vm) >= offset);
+        }
+    }
+
+    /** Returns the offset that a node holds, -1 when it holds none or does not answer. */
+    static long offset(DemoVm vm) {
+        try {
+            return client(vm).get("/v1/readiness", ReadinessReport.class).offset();
+        } catch (AzurearchException e) {
+            return -1;
+        }
+    }
+
+    /** Returns the digest that a node holds. */
+    static String digest(DemoVm vm) {
+        return client(vm).get("/v1/readiness", ReadinessReport.class).digest();
+    }
+
+    @Override
+    public void close() {
+        mVms.forEach(DemoVm::close);
+        mLinks.values().forEach(FaultProxy::close);
+        mLog.close();
+    }
+
+    private boolean reads(DemoVm vm) {
+        try {
+            String text = Files.readString(mFolder.resolve(vm.plan().name() + ".node.log"));
+            return text.lastIndexOf("READER_STARTED") > text.lastIndexOf("READER_STOPPED");
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static ChangeReport status(DemoVm vm, ChangeReport report) {
+        return client(vm).get("/v1/firms/regie/changes/" + report.change(), ChangeReport.class);
+    }
+
+    private static AdminClient client(DemoVm vm) {
+        return new AdminClient(List.of(vm.addresses().admin()), TOKEN, null);
+    }
+
+    private static FirmPlan plan(String... dataCentres) {
+        return new FirmPlan(
+                FIRM,
+                RegionId.fromString("bretagne"),
+                List.of(dataCentres).stream().map(DataCentreId::fromString).toList(),
+                List.of(new ServicePlan(ServiceId.fromString("orders"), 0, 20, 100, 0)),
+                List.of());
+    }
+}
