Prove membership by golden sessions, properties and bounds

Membership had been tried on three nodes only. Cores are now joined by a small queue on a manual clock that loses, duplicates, delays and cuts by seed: golden sessions of join, leave, refutation, death, quick restart, partition and crossed updates; properties that views never move back and agree once faults end; bounds at 300 nodes. Nodes that find no seed had no way to the mesh: join records in the log, which only relays and nodes alone touch.

--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/member/MemberNetwork.java
@@ -0,0 +1,330 @@
+package org.azurearch.internal.member;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import java.util.function.BooleanSupplier;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.NodeId;
+import org.azurearch.lib.RegionId;
+import org.azurearch.member.Member;
+import org.azurearch.member.MemberState;
+import org.azurearch.settings.SettingsSection;
+import org.azurearch.thrift.PeerReply;
+import org.azurearch.thrift.PeerRequest;
+import org.azurearch.thrift.WireIndirectPing;
+import org.azurearch.thrift.WirePong;
+
+/** Cores joined by a queue of messages on a manual clock, which loses, delays and cuts by seed. */
+final class MemberNetwork {
+    static final long START_WALL_MILLIS = 1_000_000_000_000L;
+    private static final long TICK_MILLIS = 100;
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final int FIRST_PORT = 1_000;
+
+    /** Frame length, envelope, seal header and tag of one message. */
+    private static final int OVERHEAD_BYTES = 66;
+
+    private record Event(long at, long order, Runnable task) {}
+
+    final Map<String, MemberCore> mCores = new LinkedHashMap<>();
+    final List<String> mTrace = new ArrayList<>();
+    final SplittableRandom mRandom;
+    final MemberPolicy mPolicy = MemberPolicy.from(SettingsSection.empty());
+    private final Map<NetAddress, String> mByAddress = new LinkedHashMap<>();
+    private final Map<String, Integer> mPorts = new LinkedHashMap<>();
+    private final Map<String, Map<String, String>> mSeen = new LinkedHashMap<>();
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
+    double mLoss;
+    double mDuplication;
+    BiPredicate<String, String> mCut = (from, to) -> false;
+    boolean mTracing;
+    boolean mCounting;
+    long mBytes;
+    private long mNow;
+    private long mOrder;
+
+    MemberNetwork(long seed) {
+        mRandom = new SplittableRandom(seed);
+    }
+
+    Moment now() {
+        return new Moment(mNow, START_WALL_MILLIS + mNow);
+    }
+
+    /** Starts a process; the first node of the mesh is the seed of the others. */
+    MemberCore start(String node, String dataCentre) {
+        int port = mPorts.computeIfAbsent(node, key -> FIRST_PORT + mPorts.size());
+        NetAddress peer = new NetAddress("10.0.0.1", port);
+        List<NetAddress> seeds = mByAddress.keySet().stream().limit(3).toList();
+        mByAddress.put(peer, node);
+        Member self =
+                new Member(
+                        NodeId.fromString(node),
+                        DataCentreId.fromString(dataCentre),
+                        RegionId.fromString("region"),
+                        now().wallMillis(),
+                        0,
+                        MemberState.ALIVE,
+                        peer,
+                        peer,
+                        peer,
+                        List.of());
+        MemberCore core = new MemberCore(self, seeds, mPolicy, mRandom.split(), now());
+        mCores.put(node, core);
+        mSeen.remove(node);
+        at(mRandom.nextLong(TICK_MILLIS), () -> tick(node, core));
+        return core;
+    }
+
+    void kill(String node) {
+        mCores.remove(node);
+    }
+
+    MemberCore core(String node) {
+        return mCores.get(node);
+    }
+
+    Member view(String node, String of) {
+        return core(node).mesh().table().member(NodeId.fromString(of));
+    }
+
+    /** Says whether all that run hold the same records of reachable nodes. */
+    boolean converged() {
+        return mCores.values().stream().map(core -> core.mesh().table().hash()).distinct().count()
+                == 1;
+    }
+
+    void run(long millis) {
+        long end = mNow + millis;
+        while (!mEvents.isEmpty() && mEvents.peek().at() <= end) {
+            Event event = mEvents.poll();
+            mNow = Math.max(mNow, event.at());
+            event.task().run();
+        }
+        mNow = end;
+    }
+
+    /** Runs until a condition holds and returns how long that took; -1 when it does not hold. */
+    long runUntil(long limitMillis, BooleanSupplier condition) {
+        long start = mNow;
+        while (!condition.getAsBoolean()) {
+            if (mNow - start >= limitMillis) {
+                return -1;
+            }
+            run(10);
+        }
+        return mNow - start;
+    }
+
+    /** Adds a line to the trace. */
+    void trace(String text) {
+        mTrace.add(String.format("%6d %s", mNow, text));
+    }
+
+    /** Carries out effects of a node. */
+    void perform(String from, List<MemberEffect> effects) {
+        effects.forEach(effect -> perform(from, effect));
+        note(from);
+    }
+
+    private void tick(String node, MemberCore core) {
+        if (mCores.get(node) == core) {
+            perform(node, core.tick(now()));
+            at(TICK_MILLIS, () -> tick(node, core));
+        }
+    }
+
+    private void perform(String from, MemberEffect effect) {
+        if (effect instanceof MemberEffect.Probe probe) {
+            probe(from, probe);
+        } else if (effect instanceof MemberEffect.IndirectProbe probe) {
+            probeIndirectly(from, probe);
+        } else if (effect instanceof MemberEffect.Spread spread) {
+            spread(from, spread);
+        } else if (effect instanceof MemberEffect.Synchronise sync) {
+            synchronise(from, sync);
+        }
+    }
+
+    private void probe(String from, MemberEffect.Probe probe) {
+        String to = probe.target().node().name();
+        MemberCore sender = core(from);
+        if (!mCores.containsKey(to)) {
+            deliver(from, from, () -> answer(from, sender, probe.probe(), false, Gossip.NONE));
+            return;
+        }
+        PeerRequest request = EffectRunner.ping(to, probe.gossip());
+        exchange(
+                from,
+                to,
+                request,
+                receiver -> {
+                    Gossip back = receiver.pinged(probe.gossip(), now());
+                    perform(to, receiver.done(now()));
+                    PeerReply reply =
+                            PeerReply.pong(new WirePong(true).setGossip(MemberWire.write(back)));
+                    return new Reply(reply, () -> answer(from, sender, probe.probe(), true, back));
+                });
+    }
+
+    private void answer(String node, MemberCore core, long probe, boolean alive, Gossip gossip) {
+        if (mCores.get(node) == core) {
+            perform(node, core.probeAnswered(probe, alive, gossip, now()));
+        }
+    }
+
+    private void probeIndirectly(String from, MemberEffect.IndirectProbe probe) {
+        String via = probe.via().node().name();
+        String to = probe.target().node().name();
+        MemberCore sender = core(from);
+        PeerRequest request =
+                PeerRequest.indirectPing(
+                        new WireIndirectPing(to, MemberWire.write(probe.target().peer())));
+        exchange(
+                from,
+                via,
+                request,
+                relay -> {
+                    boolean alive =
+                            mCores.containsKey(to)
+                                    && !mCut.test(via, to)
+                                    && mRandom.nextDouble() >= mLoss;
+                    return new Reply(
+                            PeerReply.pong(new WirePong(alive)),
+                            () -> answer(from, sender, probe.probe(), alive, Gossip.NONE));
+                });
+    }
+
+    private void spread(String from, MemberEffect.Spread spread) {
+        String to = spread.target().node().name();
+        PeerRequest request = EffectRunner.ping(to, spread.gossip());
+        exchange(
+                from,
+                to,
+                request,
+                receiver -> {
+                    receiver.pinged(spread.gossip(), now());
+                    perform(to, receiver.done(now()));
+                    return new Reply(PeerReply.pong(new WirePong(true)), () -> {});
+                });
+    }
+
+    private void synchronise(String from, MemberEffect.Synchronise sync) {
+        String to = mByAddress.get(sync.target());
+        MemberCore sender = core(from);
+        boolean[] answered = {false};
+        PeerRequest request = PeerRequest.sync(MemberWire.write(sync.request()));
+        exchange(
+                from,
+                to,
+                request,
+                receiver -> {
+                    SyncReply reply = receiver.synchronise(sync.request(), now());
+                    perform(to, receiver.done(now()));
+                    return new Reply(
+                            PeerReply.sync(MemberWire.write(reply)),
+                            () -> {
+                                answered[0] = true;
+                                if (mCores.get(from) == sender) {
+                                    perform(from, sender.synchronised(sync.target(), reply, now()));
+                                }
+                            });
+                });
+        at(
+                TIMEOUT_MILLIS,
+                () -> {
+                    if (!answered[0] && mCores.get(from) == sender) {
+                        perform(from, sender.notSynchronised(sync.target(), now()));
+                    }
+                });
+    }
+
+    private record Reply(PeerReply wire, Runnable effect) {}
+
+    private interface Receiver {
+        Reply handle(MemberCore core);
+    }
+
+    private void exchange(String from, String to, PeerRequest request, Receiver receiver) {
+        count(request);
+        deliver(
+                from,
+                to,
+                () -> {
+                    MemberCore core = core(to);
+                    if (core != null) {
+                        Reply reply = receiver.handle(core);
+                        count(reply.wire());
+                        deliver(to, from, reply.effect());
+                    }
+                });
+    }
+
+    private void deliver(String from, String to, Runnable task) {
+        if (mCut.test(from, to) || mRandom.nextDouble() < mLoss) {
+            return;
+        }
+        at(1 + mRandom.nextLong(5), task);
+        if (mRandom.nextDouble() < mDuplication) {
+            at(1 + mRandom.nextLong(500), task);
+        }
+    }
+
+    private void at(long delay, Runnable task) {
+        mEvents.add(new Event(mNow + delay, mOrder++, task));
+    }
+
+    private void count(TBase<?, ?> message) {
+        if (!mCounting) {
+            return;
+        }
+        try {
+            mBytes +=
+                    new TSerializer(new TCompactProtocol.Factory()).serialize(message).length
+                            + OVERHEAD_BYTES;
+        } catch (TException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Writes down how the view of a node changed. */
+    private void note(String node) {
+        MemberCore core = core(node);
+        if (!mTracing || core == null) {
+            return;
+        }
+        Map<String, String> seen = mSeen.computeIfAbsent(node, key -> new LinkedHashMap<>());
+        for (Member member : core.mesh().table().all()) {
+            long incarnation = member.incarnation() - START_WALL_MILLIS;
+            String text =
+                    member.state()
+                            + " "
+                            + incarnation
+                            + "."
+                            + member.sequence()
+                            + endpoints(member);
+            String before = seen.put(member.node().name(), text);
+            if (!text.equals(before)) {
+                trace(node + " sees " + member.node() + " " + text);
+            }
+        }
+    }
+
+    private static String endpoints(Member member) {
+        return member.endpoints().isEmpty()
+                ? ""
+                : " " + member.endpoints().stream().map(e -> e.state().name()).toList();
+    }
+}
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/JoinRecord.java
@@ -0,0 +1,59 @@
+package org.azurearch.internal.member;
+
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.DataCentreId;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Member;
+import org.azurearch.thrift.WireMember;
+
+/**
+ * A record in the log that says where a node takes exchanges. It is a hint only: whoever is found
+ * there has to prove that it knows the shared key.
+ *
+ * @param node the node
+ * @param dataCentre its data centre
+ * @param peer where it takes exchanges
+ */
+record JoinRecord(NodeId node, DataCentreId dataCentre, NetAddress peer) {
+    private static final int MAX_BYTES = 4_096;
+
+    static JoinRecord of(Member member) {
+        return new JoinRecord(member.node(), member.dataCentre(), member.peer());
+    }
+
+    /** Encodes the record of a node, without its endpoints. */
+    static byte[] encode(Member member) {
+        WireMember wire = MemberWire.write(member);
+        wire.unsetEndpoints();
+        try {
+            return new TSerializer(new TCompactProtocol.Factory()).serialize(wire);
+        } catch (TException e) {
+            throw new AzurearchException(ErrorCode.CORRUPT, "cannot encode a join record", e);
+        }
+    }
+
+    /**
+     * Decodes a record.
+     *
+     * @throws AzurearchException with {@code CORRUPT} or {@code BAD_NAME} when it is malformed
+     */
+    static JoinRecord decode(byte[] data) {
+        if (data.length > MAX_BYTES) {
+            throw new AzurearchException(ErrorCode.CORRUPT, "join record too large");
+        }
+        WireMember wire = new WireMember();
+        try {
+            new TDeserializer(new TCompactProtocol.Factory(MAX_BYTES, MAX_BYTES))
+                    .deserialize(wire, data);
+        } catch (TException e) {
+            throw new AzurearchException(ErrorCode.CORRUPT, "malformed join record", e);
+        }
+        return of(MemberWire.read(wire));
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MemberPlugin.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberPlugin.java
@@ -1,6 +1,7 @@
 package org.azurearch.internal.member;
 
 import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -9,6 +10,8 @@
 import org.azurearch.kernel.Kernel;
 import org.azurearch.kernel.Plugin;
 import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.StreamId;
+import org.azurearch.log.LogClient;
 import org.azurearch.member.Board;
 import org.azurearch.member.EndpointView;
 import org.azurearch.member.LocalBackend;
@@ -28,10 +31,12 @@
  * {@link Board}.
  */
 public final class MemberPlugin implements Plugin {
+    private static final Duration JOIN_RECORD_RENEWAL = Duration.ofHours(6);
     private static final NetAddress UNKNOWN = new NetAddress("0.0.0.0", 0);
 
     private @Nullable MemberService mMembers;
     private @Nullable BackendService mBackend;
+    private @Nullable JoinRecordService mJoinRecords;
 
     /** Creates the plug-in; the service loader needs this. */
     public MemberPlugin() {}
@@ -81,10 +86,43 @@
         kernel.register(LocalNode.class, members);
         kernel.register(Board.class, members);
         kernel.register(LocalBackend.class, backend);
+        JoinRecordService joinRecords = joinRecordsOf(kernel, members);
+        mJoinRecords = joinRecords;
+        joinRecords.start();
+    }
+
+    private static JoinRecordService joinRecordsOf(Kernel kernel, MemberService members) {
+        SettingsSection settings = kernel.service(SettingsSection.class);
+        MemberView view = members.memberView();
+        Duration renewal =
+                settings.section("members").duration("joinRecordRenewal", JOIN_RECORD_RENEWAL);
+        return new JoinRecordService(
+                new JoinRecordCore(JoinRecord.of(view.self()), renewal, new SplittableRandom()),
+                StreamId.fromString(kernel.service(NodeIdentity.class).mesh() + ".nodes"),
+                () -> kernel.optional(LogClient.class),
+                () -> standingOf(view, MemberPolicy.from(settings)),
+                view::self,
+                members::addSeeds,
+                kernel.service(TimerService.class));
+    }
+
+    private static JoinRecordCore.Standing standingOf(MemberView view, MemberPolicy policy) {
+        Member self = view.self();
+        List<Member> near = view.reachable(self.dataCentre());
+        if (near.size() <= 1 && view.dataCentres().size() <= 1) {
+            return JoinRecordCore.Standing.ALONE;
+        }
+        boolean relay =
+                Relays.choose(self.dataCentre(), near, policy.relaysPerDataCentre()).stream()
+                        .anyMatch(member -> member.node().equals(self.node()));
+        return relay ? JoinRecordCore.Standing.RELAY : JoinRecordCore.Standing.ORDINARY;
     }
 
     @Override
     public void stop() {
+        if (mJoinRecords != null) {
+            mJoinRecords.close();
+        }
         if (mBackend != null) {
             mBackend.close();
         }
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MemberTable.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberTable.java
@@ -62,6 +62,11 @@
         return row == null ? null : row.member();
     }
 
+    /** Returns a row, or null. */
+    @Nullable Row row(NodeId node) {
+        return mRows.get(node);
+    }
+
     /** Returns all records, sorted by node. */
     List<Member> all() {
         List<Member> members = new ArrayList<>(mRows.size());
@@ -75,6 +80,12 @@
         return members == null ? List.of() : new ArrayList<>(members.values());
     }
 
+    /** Returns how many reachable members a data centre has. */
+    int count(DataCentreId dataCentre) {
+        Map<NodeId, Member> members = mReachable.get(dataCentre);
+        return members == null ? 0 : members.size();
+    }
+
     /** Returns the data centres that have reachable members, sorted. */
     List<DataCentreId> dataCentres() {
         return new ArrayList<>(mReachable.keySet());
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MeshState.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MeshState.java
@@ -101,7 +101,8 @@
 
     /** Takes what another node sent. */
     void apply(Gossip gossip, boolean passOn, Moment now) {
-        for (Member member : gossip.members()) {
+        for (Member told : gossip.members()) {
+            Member member = softened(told, now);
             if (member.node().equals(mSelf.node())) {
                 refute(member, now);
             } else if (mTable.merge(member, now.millis())) {
@@ -165,6 +166,21 @@
         return drawn;
     }
 
+    /**
+     * Turns the claim that a node is dead into suspicion unless this node has suspected it for a
+     * while: after a partition each side claims the other dead, and those get time to refute.
+     */
+    private Member softened(Member claim, Moment now) {
+        MemberTable.Row held = mTable.row(claim.node());
+        if (claim.state() != MemberState.DEAD || held == null || !held.member().reachable()) {
+            return claim;
+        }
+        boolean suspectedLong =
+                held.member().state() == MemberState.SUSPECT
+                        && now.millis() - held.sinceMillis() >= mPolicy.suspicionMillis() / 2;
+        return suspectedLong ? claim : Members.withState(claim, MemberState.SUSPECT);
+    }
+
     private void pass(Member member) {
         mPiggyback.add(member);
         mEager.add(member);
@@ -181,7 +197,7 @@
     }
 
     private int transmissions() {
-        int nodes = mTable.reachable(mSelf.dataCentre()).size();
+        int nodes = mTable.count(mSelf.dataCentre());
         return Math.max(MIN_TRANSMISSIONS, Integer.SIZE - Integer.numberOfLeadingZeros(nodes));
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/Prober.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/Prober.java
@@ -124,7 +124,7 @@
     }
 
     private long suspicionMillis() {
-        int nodes = mMesh.table().reachable(mMesh.self().dataCentre()).size();
+        int nodes = mMesh.table().count(mMesh.self().dataCentre());
         double scale = Math.log(Math.max(2, nodes)) / Math.log(2) / SUSPICION_SCALE;
         return (long) (mMesh.policy().suspicionMillis() * Math.max(1.0, scale));
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/Relays.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/Relays.java
@@ -153,9 +153,14 @@
     }
 
     private List<Member> relaysOf(DataCentreId dataCentre) {
-        return Rendezvous.top(
-                KEY_PREFIX + dataCentre.name(),
+        return choose(
+                dataCentre,
                 mMesh.table().reachable(dataCentre),
                 mMesh.policy().relaysPerDataCentre());
     }
+
+    /** Chooses the relays of a data centre from its reachable nodes. */
+    static List<Member> choose(DataCentreId dataCentre, List<Member> reachable, int count) {
+        return Rendezvous.top(KEY_PREFIX + dataCentre.name(), reachable, count);
+    }
 }
