Give a refuted suspicion its way back to the accuser

A node now answers an outdated claim about itself with its current record, and whoever raised a suspicion tells the suspect at each ping timeout until it is decided.

--- a/org.azurearch.test/src/test/java/org/azurearch/internal/member/MemberNetwork.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/member/MemberNetwork.java
@@ -185,6 +185,12 @@
         }
     }
 
+    private void told(String node, MemberCore core, Gossip gossip) {
+        if (mCores.get(node) == core) {
+            perform(node, core.told(gossip, now()));
+        }
+    }
+
     private void probeIndirectly(String from, MemberEffect.IndirectProbe probe) {
         String via = probe.via().node().name();
         String to = probe.target().node().name();
@@ -209,15 +215,18 @@
 
     private void spread(String from, MemberEffect.Spread spread) {
         String to = spread.target().node().name();
+        MemberCore sender = core(from);
         PeerRequest request = EffectRunner.ping(to, spread.gossip());
         exchange(
                 from,
                 to,
                 request,
                 receiver -> {
-                    receiver.pinged(spread.gossip(), now());
+                    Gossip back = receiver.pinged(spread.gossip(), now());
                     perform(to, receiver.done(now()));
-                    return new Reply(PeerReply.pong(new WirePong(true)), () -> {});
+                    PeerReply reply =
+                            PeerReply.pong(new WirePong(true).setGossip(MemberWire.write(back)));
+                    return new Reply(reply, () -> told(from, sender, back));
                 });
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MeshState.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MeshState.java
@@ -201,11 +201,19 @@
         return Math.max(MIN_TRANSMISSIONS, Integer.SIZE - Integer.numberOfLeadingZeros(nodes));
     }
 
+    /** A sender that holds an outdated record of this node learns the current one. */
+    private void remind(Member claim) {
+        if (claim.state() != MemberState.ALIVE) {
+            mPiggyback.add(mSelf);
+        }
+    }
+
     /** Overrides what others believe of this node when it is not what this node says of itself. */
     private void refute(Member claim, Moment now) {
         MemberVersion own = MemberVersion.of(mSelf);
         boolean overridden = MemberVersion.of(claim).supersedes(own);
         if (!overridden || mSelf.state() == MemberState.LEFT) {
+            remind(claim);
             return;
         }
         boolean laterIncarnation = claim.incarnation() > mSelf.incarnation();
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/Prober.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/Prober.java
@@ -38,6 +38,10 @@
     private final MeshState mMesh;
     private final Deque<NodeId> mRound = new ArrayDeque<>();
     private final Map<Long, Probe> mOpen = new HashMap<>();
+
+    /** Nodes that this node suspected first, and when it told them last. */
+    private final Map<NodeId, Long> mAccused = new HashMap<>();
+
     private long mNextProbe;
     private long mNextDeadProbe;
     private long mLastTick;
@@ -55,6 +59,7 @@
     void tick(Moment now) {
         noticePause(now);
         checkOpen(now);
+        tellAccused(now);
         checkSuspects(now);
         if (now.millis() >= mNextProbe) {
             mNextProbe = now.millis() + mMesh.policy().probePeriodMillis();
@@ -109,6 +114,22 @@
                 && held.state() == MemberState.ALIVE
                 && MemberVersion.of(held).equals(MemberVersion.of(target))) {
             mMesh.decide(Members.withState(held, MemberState.SUSPECT), now);
+            mAccused.put(target.node(), now.millis());
+        }
+    }
+
+    /** Tells those that this node suspected again and again, so that they can refute. */
+    private void tellAccused(Moment now) {
+        Iterator<Map.Entry<NodeId, Long>> accused = mAccused.entrySet().iterator();
+        while (accused.hasNext()) {
+            Map.Entry<NodeId, Long> entry = accused.next();
+            Member held = mMesh.table().member(entry.getKey());
+            if (held == null || held.state() != MemberState.SUSPECT) {
+                accused.remove();
+            } else if (now.millis() - entry.getValue() >= mMesh.policy().pingTimeoutMillis()) {
+                entry.setValue(now.millis());
+                mMesh.effect(new MemberEffect.Spread(held, Gossip.of(held)));
+            }
         }
     }
 
