Replace a connection to a peer that has ended before a send

A request sent between the end of a connection and the news of it failed without a new connection, and the test of the half-open peer then waited for one without end, which held up a whole run of the bundle.

--- a/org.azurearch/src/main/java/org/azurearch/internal/transport/NettyPeerClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/NettyPeerClient.java
@@ -70,7 +70,7 @@
         if (mClosed) {
             return failed(ErrorCode.PEER_UNAVAILABLE, "the client is closed");
         }
-        Link link = mLinks.computeIfAbsent(to, this::connect);
+        Link link = linkTo(to);
         PeerConnection connection = link.connection();
         if (!connection.tryReserve(mLimits.inFlightPerPeer())) {
             return failed(ErrorCode.BUSY, "too many requests under way to " + to);
@@ -93,6 +93,20 @@
         mLinks.values().forEach(link -> link.connected().channel().close());
     }
 
+    /** Returns a link that is up or coming up; one that has ended is replaced. */
+    private synchronized Link linkTo(NetAddress to) {
+        Link link = mLinks.get(to);
+        if (link == null || ended(link)) {
+            link = connect(to);
+            mLinks.put(to, link);
+        }
+        return link;
+    }
+
+    private static boolean ended(Link link) {
+        return link.connected().isDone() && !link.connected().channel().isActive();
+    }
+
     private Link connect(NetAddress to) {
         PeerConnection connection = new PeerConnection(to, mCodec, mSealer, mBytes, this::forget);
         ChannelFuture connected =
