Keep the change ids of two firms apart

Two firms may choose the same change id, which the fold allows, but the change desk looked an id up without its firm: a change was taken for folded when another firm had used its id, so that it was never appended although its publisher was told an offset. The lookup without a firm is gone from the fold's state; the desk and the administration API name the firm, so that the API no longer needs to hide another firm's decision.

--- a/org.azurearch.node/src/main/java/org/azurearch/node/admin/ChangesController.java
+++ b/org.azurearch.node/src/main/java/org/azurearch/node/admin/ChangesController.java
@@ -16,8 +16,6 @@
 import org.azurearch.admin.PublishRequest;
 import org.azurearch.admin.UndoRequest;
 import org.azurearch.admin.VersionsReport;
-import org.azurearch.errors.AzurearchException;
-import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.fold.Change;
 import org.azurearch.fold.Document;
@@ -97,14 +95,7 @@
         FirmId firmId = FirmId.fromString(firm);
         TokenFilter.tokenOf(request).require(Role.READER, firmId);
         ChangeId id = ChangeId.fromString(change);
-        mDesk.state()
-                .outcome(id)
-                .filter(outcome -> !outcome.firm().equals(firmId))
-                .ifPresent(
-                        outcome -> {
-                            throw new AzurearchException(ErrorCode.NOT_FOUND, "no change " + id);
-                        });
-        return mDesk.progress(id).thenApply(ChangeReport::of);
+        return mDesk.progress(firmId, id).thenApply(ChangeReport::of);
     }
 
     /** Lists the retained decisions. */
--- a/org.azurearch.standin.test/src/test/java/org/azurearch/standin/spread/SpreadOverSocketsTest.java
+++ b/org.azurearch.standin.test/src/test/java/org/azurearch/standin/spread/SpreadOverSocketsTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 
 class SpreadOverSocketsTest {
+    private static final FirmId FIRM = FirmId.fromString("regie");
     private static final String BASE =
             """
             azurearch: 1
@@ -54,7 +55,7 @@
         return new Change(
                 ChangeId.fromString(id),
                 Change.Kind.PUBLISH,
-                FirmId.fromString("regie"),
+                FIRM,
                 OperatorId.fromString("ana"),
                 1,
                 expected,
@@ -66,7 +67,7 @@
     }
 
     private boolean inForce(SpreadMesh.Node node, String change) {
-        ChangeProgress progress = node.desk().progress(ChangeId.fromString(change)).join();
+        ChangeProgress progress = node.desk().progress(FIRM, ChangeId.fromString(change)).join();
         return progress.status() == ChangeProgress.Status.IN_FORCE;
     }
 
@@ -93,7 +94,12 @@
         Await.until("log is read again", () -> first.desk().submit(change("c1", 1, 2)).join() > 0);
         Await.until("c1 everywhere", () -> mMesh.allAt(1));
         ChangeOutcome outcome =
-                mMesh.mNodes.get(4).desk().state().outcome(ChangeId.fromString("c1")).orElseThrow();
+                mMesh.mNodes
+                        .get(4)
+                        .desk()
+                        .state()
+                        .outcome(FIRM, ChangeId.fromString("c1"))
+                        .orElseThrow();
         assertEquals(ChangeOutcome.Status.ACCEPTED, outcome.status());
     }
 }
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
@@ -12,6 +12,7 @@
 import org.azurearch.fold.ChangeOutcome;
 import org.azurearch.fold.Folds;
 import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
 import org.azurearch.lib.NodeId;
 import org.azurearch.spread.BytesPolicy;
 import org.azurearch.spread.ChangeProgress;
@@ -43,7 +44,7 @@
 
     private ChangeProgress progress(String node, String change) {
         CompletableFuture<ChangeProgress> answer =
-                mMesh.mNodes.get(node).desk().progress(ChangeId.fromString(change));
+                mMesh.mNodes.get(node).desk().progress(FakeMesh.FIRM, ChangeId.fromString(change));
         mMesh.runUntil("progress", 5 * SECOND, answer::isDone);
         return answer.join();
     }
@@ -74,7 +75,10 @@
         String loser = winner.equals("x") ? "y" : "x";
         for (FakeNode node : mMesh.mNodes.values()) {
             ChangeOutcome lost =
-                    node.desk().state().outcome(ChangeId.fromString(loser)).orElseThrow();
+                    node.desk()
+                            .state()
+                            .outcome(FakeMesh.FIRM, ChangeId.fromString(loser))
+                            .orElseThrow();
             assertEquals(ChangeOutcome.Status.REFUSED_CONFLICT, lost.status());
             assertEquals(ChangeId.fromString(winner), lost.conflictsWith().orElseThrow());
         }
@@ -94,12 +98,37 @@
                         .get("c-1")
                         .desk()
                         .state()
-                        .outcome(ChangeId.fromString("lost"))
+                        .outcome(FakeMesh.FIRM, ChangeId.fromString("lost"))
                         .orElseThrow()
                         .offset());
         assertEquals(2, mMesh.mNodes.get("c-1").desk().state().version(FakeMesh.FIRM).number());
     }
 
+    @Test
+    void changeIdOfAnotherFirmIsNotTakenForOnesOwn() {
+        startThree();
+        FirmId other = FirmId.fromString("korero");
+        Change own = change("c0", 0, 500);
+        Change foreign =
+                new Change(
+                        own.id(),
+                        own.kind(),
+                        other,
+                        own.operator(),
+                        own.ruleSet(),
+                        0,
+                        own.documents(),
+                        List.of(),
+                        0,
+                        "",
+                        0);
+        CompletableFuture<Long> offset = mMesh.mNodes.get("a-1").desk().submit(foreign);
+        mMesh.runUntil("answer", 10 * SECOND, offset::isDone);
+        mMesh.run(TARGET);
+        assertEquals(1, offset.join());
+        assertEquals(1, mMesh.mNodes.get("c-1").desk().state().history(other).size());
+    }
+
     @Test
     void changeThatTheLogRefusesIsCertainlyNotAppended() {
         startThree();
--- a/org.azurearch/src/main/java/org/azurearch/api/DocumentSet.java
+++ b/org.azurearch/src/main/java/org/azurearch/api/DocumentSet.java
@@ -19,6 +19,7 @@
 final class DocumentSet {
     private final List<Problem> mProblems = new ArrayList<>();
     private final Map<FirmId, Map<DocumentName, Document>> mFirms = new TreeMap<>();
+    private final Map<FirmId, FirmContent> mContents = new TreeMap<>();
 
     /** Adds a file, or all YAML files below a folder. */
     void add(Path path) {
@@ -31,6 +32,7 @@
 
     /** Adds a document. */
     void add(FirmDocument added) {
+        mContents.clear();
         Document document = added.document();
         Map<DocumentName, Document> documents =
                 mFirms.computeIfAbsent(added.firm(), firm -> new TreeMap<>());
@@ -50,7 +52,8 @@
 
     /** Returns the content of a firm. */
     FirmContent content(FirmId firm) {
-        return new FirmContent(firm, mFirms.getOrDefault(firm, Map.of()));
+        return mContents.computeIfAbsent(
+                firm, key -> new FirmContent(key, mFirms.getOrDefault(key, Map.of())));
     }
 
     /** Returns the problems of all firms at all sites, sorted. */
--- a/org.azurearch/src/main/java/org/azurearch/api/FirmDocument.java
+++ b/org.azurearch/src/main/java/org/azurearch/api/FirmDocument.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.azurearch.errors.ErrorCode;
@@ -67,30 +66,6 @@
         }
     }
 
-    /**
-     * Reads the documents behind paths.
-     *
-     * @param paths files or folders
-     * @throws InvalidInputException naming every problem of every file
-     */
-    public static List<FirmDocument> readAll(List<Path> paths) {
-        List<FirmDocument> documents = new ArrayList<>();
-        List<Problem> problems = new ArrayList<>();
-        for (Path path : paths) {
-            for (Path file : files(path)) {
-                try {
-                    documents.add(read(file));
-                } catch (InvalidInputException e) {
-                    problems.addAll(e.problems());
-                }
-            }
-        }
-        if (!problems.isEmpty()) {
-            throw new InvalidInputException(problems);
-        }
-        return List.copyOf(documents);
-    }
-
     private static InvalidInputException unreadable(Path path, IOException e) {
         String message = "cannot read the file: " + e.getMessage();
         SourceLocation location = new SourceLocation(path.toString(), 0);
--- a/org.azurearch/src/main/java/org/azurearch/fold/FoldState.java
+++ b/org.azurearch/src/main/java/org/azurearch/fold/FoldState.java
@@ -37,9 +37,6 @@
     /** Returns what one site holds. */
     MeshConfig at(SiteId site);
 
-    /** Returns the decision on a change of the first firm that knows it, if still retained. */
-    Optional<ChangeOutcome> outcome(ChangeId change);
-
     /** Returns the decision on a change of a firm, if it is still retained. */
     Optional<ChangeOutcome> outcome(FirmId firm, ChangeId change);
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/StateFold.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/StateFold.java
@@ -113,11 +113,6 @@
         return new MeshConfig(mOffset, mDigest, site, configs);
     }
 
-    @Override
-    public Optional<ChangeOutcome> outcome(ChangeId change) {
-        return mFirms.values().stream().flatMap(firm -> firm.outcome(change).stream()).findFirst();
-    }
-
     @Override
     public Optional<ChangeOutcome> outcome(FirmId firm, ChangeId change) {
         return Optional.ofNullable(mFirms.get(firm)).flatMap(state -> state.outcome(change));
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/LogChangeDesk.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/LogChangeDesk.java
@@ -10,6 +10,7 @@
 import org.azurearch.fold.ChangeOutcome;
 import org.azurearch.fold.FoldState;
 import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
 import org.azurearch.lib.StreamId;
 import org.azurearch.log.LogClient;
 import org.azurearch.spread.ChangeDesk;
@@ -25,17 +26,20 @@
     private final TimerService mTimers;
     private final SpreadRunner mRunner;
     private final ProgressSurvey mSurvey;
-    private final Map<ChangeId, Long> mAppended =
+    private final Map<FirmChange, Long> mAppended =
             Collections.synchronizedMap(
                     new LinkedHashMap<>() {
                         private static final long serialVersionUID = 1L;
 
                         @Override
-                        protected boolean removeEldestEntry(Map.Entry<ChangeId, Long> eldest) {
+                        protected boolean removeEldestEntry(Map.Entry<FirmChange, Long> eldest) {
                             return size() > MAX_REMEMBERED;
                         }
                     });
 
+    /** Identifies a change; two firms may choose the same id. */
+    private record FirmChange(FirmId firm, ChangeId change) {}
+
     LogChangeDesk(
             LogClient log,
             String mesh,
@@ -55,7 +59,7 @@
                 .run()
                 .thenApply(
                         offset -> {
-                            mAppended.put(change.id(), offset);
+                            mAppended.put(new FirmChange(change.firm(), change.id()), offset);
                             return offset;
                         });
     }
@@ -66,11 +70,11 @@
     }
 
     @Override
-    public CompletableFuture<ChangeProgress> progress(ChangeId change) {
-        Optional<ChangeOutcome> outcome = state().outcome(change);
+    public CompletableFuture<ChangeProgress> progress(FirmId firm, ChangeId change) {
+        Optional<ChangeOutcome> outcome = state().outcome(firm, change);
         if (outcome.isEmpty()) {
             ChangeProgress.Status status =
-                    mAppended.containsKey(change)
+                    mAppended.containsKey(new FirmChange(firm, change))
                             ? ChangeProgress.Status.APPENDED
                             : ChangeProgress.Status.UNKNOWN;
             return CompletableFuture.completedFuture(
@@ -87,6 +91,6 @@
     }
 
     private Optional<Long> folded(Change change) {
-        return state().outcome(change.id()).map(ChangeOutcome::offset);
+        return state().outcome(change.firm(), change.id()).map(ChangeOutcome::offset);
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/spread/ChangeDesk.java
+++ b/org.azurearch/src/main/java/org/azurearch/spread/ChangeDesk.java
@@ -4,6 +4,7 @@
 import org.azurearch.fold.Change;
 import org.azurearch.fold.FoldState;
 import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
 
 /** Where operators' changes are handed in and asked after. */
 public interface ChangeDesk {
@@ -22,8 +23,9 @@
     /**
      * Asks every data centre how far a change has come.
      *
+     * @param firm the firm of the change; an id may occur in several firms
      * @param change the change
      * @return what is known now; a data centre that does not answer is reported as silent
      */
-    CompletableFuture<ChangeProgress> progress(ChangeId change);
+    CompletableFuture<ChangeProgress> progress(FirmId firm, ChangeId change);
 }
