Name three tests as the linter asks

The linter was red: three test methods of the command line bundle held the article A before a capital, which it takes for an abbreviation of two letters.

--- a/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/CommandLineTest.java
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/CommandLineTest.java
@@ -61,13 +61,13 @@
     }
 
     @Test
-    void unknownCommandNamesANearOne() {
+    void unknownCommandNamesNearOne() {
         assertEquals(ExitCode.USAGE, run("pubish"));
         assertTrue(err().contains("publish"), err());
     }
 
     @Test
-    void missingOptionIsAUsageError() {
+    void missingOptionIsUsageError() {
         assertEquals(ExitCode.USAGE, run("status", "--node", "127.0.0.1:1", "--firm", "regie"));
         assertTrue(err().contains("--id"), err());
     }
--- a/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MeshFailureTest.java
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MeshFailureTest.java
@@ -19,7 +19,7 @@
     @TempDir Path mFolder;
 
     @Test
-    void changeReachesTheRestWhenAThirdAndAllReadersAreKilled() {
+    void changeReachesTheRestWhenOneThirdAndAllReadersAreKilled() {
         try (MeshFixture mesh = new MeshFixture(mFolder, 6, "rennes")) {
             List<DemoVm> all = mesh.vms();
             long first = mesh.publish(all.get(0));
