--- /dev/null
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/member/BackendServiceTest.java
@@ -0,0 +1,145 @@
+package org.azurearch.internal.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.azurearch.config.ConfigInForce;
+import org.azurearch.config.FirmLimits;
+import org.azurearch.config.MeshConfig;
+import org.azurearch.config.ServiceConfig;
+import org.azurearch.config.SiteConfig;
+import org.azurearch.junit.Await;
+import org.azurearch.junit.ManualTimerService;
+import org.azurearch.lib.Digest;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.ServiceId;
+import org.azurearch.lib.SiteId;
+import org.azurearch.lib.VersionId;
+import org.azurearch.member.Announcement;
+import org.azurearch.member.BackendState;
+import org.azurearch.member.Endpoint;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The backend server behind a node, with a health endpoint on a real socket. */
+class BackendServiceTest {
+    private static final FirmId FIRM = FirmId.fromString("firm");
+    private static final ServiceId SERVICE = ServiceId.fromString("service");
+    private static final SiteId SITE = SiteId.fromString("a");
+
+    private final ManualTimerService mTimers = new ManualTimerService();
+    private final List<List<Endpoint>> mPublished = new ArrayList<>();
+    private final AtomicInteger mProbes = new AtomicInteger();
+    private volatile int mHealthStatus = 200;
+    private HttpServer mServer;
+    private BackendService mBackend;
+
+    @BeforeEach
+    void start() throws IOException {
+        mServer = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        mServer.createContext(
+                "/health",
+                exchange -> {
+                    exchange.sendResponseHeaders(mHealthStatus, -1);
+                    exchange.close();
+                    mProbes.incrementAndGet();
+                });
+        mServer.start();
+        MemberNetwork network = new MemberNetwork(1);
+        MemberCore core = network.start("n", "a");
+        mBackend =
+                new BackendService(
+                        mTimers,
+                        () -> Optional.of(new FixedConfig()),
+                        core.mesh()::self,
+                        mPublished::add);
+    }
+
+    @AfterEach
+    void stop() {
+        mBackend.close();
+        mServer.stop(0);
+    }
+
+    @Test
+    void changesArePublishedOnceAndTheLapseOfTheLeaseEndsTheEndpoint() {
+        announce();
+        announce();
+        assertEquals(1, mPublished.size());
+        assertEquals(BackendState.READY, mPublished.get(0).get(0).state());
+        mTimers.advance(Duration.ofSeconds(31));
+        assertEquals(BackendState.ABSENT, mBackend.state());
+        assertEquals(List.of(), mPublished.get(1));
+    }
+
+    @Test
+    void failingHealthEndpointTakesTheServerOutAndItsRecoveryBringsItBack() {
+        announce();
+        mHealthStatus = 503;
+        Await.until("absent", () -> passProbePeriod() == BackendState.ABSENT);
+        mHealthStatus = 200;
+        Await.until("ready again", () -> passProbePeriod() == BackendState.READY);
+    }
+
+    @Test
+    void probesKeepTheirPeriod() {
+        announce();
+        for (int i = 0; i < 50; i++) {
+            mTimers.advance(Duration.ofMillis(100));
+        }
+        Await.until("a probe ended", () -> mProbes.get() >= 1);
+        assertEquals(true, mProbes.get() <= 5, "probes in 5 s: " + mProbes.get());
+    }
+
+    private BackendState passProbePeriod() {
+        mTimers.advance(Duration.ofSeconds(1));
+        announce();
+        return mBackend.state();
+    }
+
+    private void announce() {
+        mBackend.announce(
+                new Announcement(
+                        FIRM,
+                        SERVICE,
+                        new NetAddress("127.0.0.1", mServer.getAddress().getPort()),
+                        BackendState.READY,
+                        20,
+                        Duration.ofSeconds(30)));
+    }
+
+    private static final class FixedConfig implements ConfigInForce {
+        @Override
+        public MeshConfig current() {
+            ServiceConfig service =
+                    new ServiceConfig(
+                            SERVICE, 20, 100, Duration.ZERO, "/health", Duration.ofSeconds(1));
+            SiteConfig site =
+                    new SiteConfig(
+                            new VersionId(FIRM, 1),
+                            SITE,
+                            Digest.EMPTY,
+                            Map.of(SERVICE, service),
+                            Map.of(),
+                            Map.of(),
+                            Map.of(),
+                            new FirmLimits(1, 1));
+            return new MeshConfig(1, Digest.EMPTY, SITE, Map.of(FIRM, site));
+        }
+
+        @Override
+        public void listen(Consumer<MeshConfig> listener) {}
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/JoinRecordCore.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/JoinRecordCore.java
@@ -79,7 +79,11 @@
         boolean eligible = standing == Standing.RELAY || mChecksAlone > 1;
         Long appended = mAppendedMillis;
         boolean lately = appended != null && now.millis() - appended < MIN_APPEND_PERIOD_MILLIS;
-        return eligible && !lately && freshRecords(now) < RECORDS_PER_DATA_CENTRE;
+        Map<NodeId, Dated> fresh = freshRecords(now);
+        return eligible
+                && !lately
+                && !fresh.containsKey(mOwn.node())
+                && fresh.size() < RECORDS_PER_DATA_CENTRE;
     }
 
     /** Notes that this node wrote its record, or may have. */
@@ -97,7 +101,7 @@
         return Duration.ofMillis(period / 2 + mRandom.nextLong(period));
     }
 
-    private long freshRecords(Moment now) {
+    private Map<NodeId, Dated> freshRecords(Moment now) {
         Map<NodeId, Dated> fresh = new HashMap<>(mRecords);
         fresh.values()
                 .removeIf(
@@ -108,7 +112,7 @@
         if (own != null && !own.record().peer().equals(mOwn.peer())) {
             fresh.remove(mOwn.node());
         }
-        return fresh.size();
+        return fresh;
     }
 
     private boolean outdated(Dated dated, Moment now) {
