--- a/org.azurearch.test/src/test/java/org/azurearch/admit/AdmissionTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/admit/AdmissionTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.LongUnaryOperator;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -25,7 +26,7 @@
 
     @Test
     void slotsAreExactAndTheQueueIsBounded() {
-        mAdmission.configure(true, 2);
+        mAdmission.configure(true, 2, mNow);
         assertEquals(Status.ADMITTED, offer("a", 1).status());
         assertEquals(Status.ADMITTED, offer("b", 1).status());
         assertEquals(Status.QUEUED, offer("c", 1).status());
@@ -39,7 +40,7 @@
 
     @Test
     void lowestClassIsShedForHigherOnes() {
-        mAdmission.configure(true, 1);
+        mAdmission.configure(true, 1, mNow);
         offer("running", 2);
         offer("history 1", 2);
         offer("history 2", 2);
@@ -51,10 +52,10 @@
 
     @Test
     void leavingServerRefusesAllThatWait() {
-        mAdmission.configure(true, 1);
+        mAdmission.configure(true, 1, mNow);
         offer("running", 1);
         offer("waiting", 1);
-        mAdmission.configure(false, 1);
+        mAdmission.configure(false, 1, mNow);
         assertEquals(List.of("-waiting NO_BACKEND_SERVER"), effects());
         assertEquals(ErrorCode.NO_BACKEND_SERVER, offer("late", 0).refusal().code());
         mAdmission.completed(false, MILLI, mNow);
@@ -63,7 +64,7 @@
 
     @Test
     void callThatCannotBeServedInTimeIsRefusedAtOnce() {
-        mAdmission.configure(true, 1);
+        mAdmission.configure(true, 1, mNow);
         for (int i = 0; i < 50; i++) {
             offer("fast" + i, 1);
             mAdmission.completed(false, 100 * MILLI, mNow);
@@ -76,7 +77,7 @@
 
     @Test
     void waitEndsAtItsLimitAndAtTheDeadline() {
-        mAdmission.configure(true, 1);
+        mAdmission.configure(true, 1, mNow);
         offer("running", 1);
         mAdmission.offer("limited", request(1, 500 * MILLI, 100 * MILLI), mNow);
         mAdmission.offer("late", request(1, 50 * MILLI, 100 * MILLI), mNow);
@@ -88,9 +89,20 @@
         assertEquals(List.of("-limited OVERLOADED"), effects());
     }
 
+    @Test
+    void callThatCouldNotEndInTimeGetsNoSlot() {
+        mAdmission.configure(true, 1, mNow);
+        offer("running", 1);
+        mAdmission.offer("waiting", request(1, 100 * MILLI, 500 * MILLI), mNow);
+        mNow += 95 * MILLI;
+        mAdmission.completed(false, 95 * MILLI, mNow);
+        assertEquals(List.of("-waiting OVERLOADED"), effects());
+        assertEquals(0, mAdmission.inUse());
+    }
+
     @Test
     void firmsShareByWeightAndKeepTheirRate() {
-        mAdmission.configure(true, 1);
+        mAdmission.configure(true, 1, mNow);
         offer("running", 1);
         for (int i = 0; i < 6; i++) {
             mAdmission.offer("a" + i, firm("a", 2, 0), mNow);
@@ -102,7 +114,7 @@
         long ofA = effects().stream().filter(effect -> effect.startsWith("+a")).count();
         assertEquals(4, ofA, "two of three slots");
         Admission<String> limited = new Admission<>();
-        limited.configure(true, 100);
+        limited.configure(true, 100, mNow);
         int admitted = 0;
         for (int i = 0; i < 50; i++) {
             boolean ok = limited.offer("x", firm("a", 1, 10), mNow).refusal() == null;
@@ -113,7 +125,7 @@
 
     @Test
     void limitFallsWhileTheServerShedsAndRisesAfter() {
-        mAdmission.configure(true, 10);
+        mAdmission.configure(true, 10, mNow);
         for (int i = 0; i < 5; i++) {
             offer("x", 1);
             mAdmission.completed(true, MILLI, mNow);
@@ -127,6 +139,33 @@
         assertEquals(10, mAdmission.limit());
     }
 
+    @Test
+    void lowerLimitIsKeptOnlyWhereItHelps() {
+        double other = meanLimitWhileSlow(running -> 50 * MILLI);
+        assertTrue(other > 9.7, "slow for another reason: " + other);
+        double crowded = meanLimitWhileSlow(running -> running * running * MILLI);
+        assertTrue(crowded < 9, "slow from running too much at once: " + crowded);
+    }
+
+    /** Serves at the limit, first fast, then as slowly as the number of running calls makes it. */
+    private double meanLimitWhileSlow(LongUnaryOperator service) {
+        Admission<String> admission = new Admission<>();
+        admission.configure(true, 10, mNow);
+        double nanosByLimit = 0;
+        long start = mNow;
+        for (int i = 0; mNow < start + 60_000 * MILLI; i++) {
+            while (admission.inUse() < admission.limit()) {
+                admission.offer("x", request(1, 10_000 * MILLI, 500 * MILLI), mNow);
+            }
+            long nanos = i < 50 ? 5 * MILLI : service.applyAsLong(admission.inUse());
+            long step = nanos / admission.inUse();
+            nanosByLimit += (double) step * admission.limit();
+            mNow += step;
+            admission.completed(false, nanos, mNow);
+        }
+        return nanosByLimit / (mNow - start);
+    }
+
     @Property(tries = 20, seed = "1")
     void atTwiceTheCapacityTheTopClassIsServedAndSlotsStayBusy(
             @ForAll @IntRange(min = 1, max = 1_000) int seed) {
@@ -152,7 +191,7 @@
         }
 
         void run() {
-            mCore.configure(true, SLOTS);
+            mCore.configure(true, SLOTS, 0);
             double gap = (double) SERVICE / SLOTS / 2;
             double at = 0;
             while (at < END) {
--- a/org.azurearch/src/main/java/org/azurearch/admit/Admission.java
+++ b/org.azurearch/src/main/java/org/azurearch/admit/Admission.java
@@ -34,8 +34,9 @@
      *
      * @param open whether it takes new calls
      * @param slots calls that it runs at once
+     * @param nowNanos the time
      */
-    public void configure(boolean open, int slots) {
+    public void configure(boolean open, int slots, long nowNanos) {
         mOpen = open;
         mLimit.slots(slots);
         if (!open) {
@@ -45,7 +46,7 @@
                 waiting = mWaiting.poll();
             }
         }
-        dispatch();
+        dispatch(nowNanos);
     }
 
     /**
@@ -83,7 +84,7 @@
         } else if (serviceNanos >= 0) {
             mLimit.served(serviceNanos, atLimit, nowNanos);
         }
-        dispatch();
+        dispatch(nowNanos);
     }
 
     /** Removes a call that waits, and says whether it did. */
@@ -93,12 +94,7 @@
 
     /** Refuses the calls whose time to wait is over. */
     public void expire(long nowNanos) {
-        for (Waiting<T> waiting : mWaiting.pollExpired(nowNanos)) {
-            boolean late = nowNanos - waiting.request().deadlineNanos() >= 0;
-            ErrorCode code = late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.OVERLOADED;
-            Refusal refusal = new Refusal(code, retryAfterMillis(waiting.request()));
-            mEffects.add(new AdmissionEffect<>(waiting.call(), refusal));
-        }
+        mWaiting.pollExpired(nowNanos).forEach(waiting -> refuseExpired(waiting, nowNanos));
     }
 
     /** Takes the decisions on calls that waited, made since the last time this was called. */
@@ -154,9 +150,7 @@
             return AdmissionDecision.refused(
                     new Refusal(ErrorCode.OVERLOADED, retryAfterMillis(request)));
         }
-        long latest = request.deadlineNanos() - nowNanos;
-        long expiresAt = nowNanos + Math.min(request.queueWaitNanos(), latest);
-        mWaiting.add(new Waiting<>(call, request, expiresAt));
+        mWaiting.add(new Waiting<>(call, request, nowNanos + mayWait));
         return AdmissionDecision.QUEUED;
     }
 
@@ -173,14 +167,26 @@
         return true;
     }
 
-    private void dispatch() {
+    /** Refuses a call that cannot be served in time any more, so that no slot works for it. */
+    private void refuseExpired(Waiting<T> waiting, long nowNanos) {
+        boolean late = nowNanos - waiting.request().deadlineNanos() >= 0;
+        ErrorCode code = late ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.OVERLOADED;
+        Refusal refusal = new Refusal(code, retryAfterMillis(waiting.request()));
+        mEffects.add(new AdmissionEffect<>(waiting.call(), refusal));
+    }
+
+    private void dispatch(long nowNanos) {
         while (mOpen && mInUse < mLimit.current()) {
             Waiting<T> next = mWaiting.poll();
             if (next == null) {
                 return;
             }
-            mInUse++;
-            mEffects.add(new AdmissionEffect<>(next.call(), null));
+            if (nowNanos - next.expiresAtNanos() > 0) {
+                refuseExpired(next, nowNanos);
+            } else {
+                mInUse++;
+                mEffects.add(new AdmissionEffect<>(next.call(), null));
+            }
         }
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/admit/BackendGate.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/admit/BackendGate.java
@@ -40,6 +40,7 @@
         mBackend = backend;
         mTime = time;
         metrics.gauge("calls.slots.free", () -> (Gauge<Integer>) this::freeSlots);
+        metrics.gauge("calls.slots.limit", () -> (Gauge<Integer>) this::limit);
         metrics.gauge("calls.queue.depth", () -> (Gauge<Integer>) this::waiting);
         backend.listen(state -> refresh());
         refresh();
@@ -114,12 +115,19 @@
         List<AdmissionEffect<Waiter>> effects;
         synchronized (mLock) {
             mAnnouncement = announcement;
-            mAdmission.configure(open, announcement == null ? 0 : announcement.slots());
+            int slots = announcement == null ? 0 : announcement.slots();
+            mAdmission.configure(open, slots, mTime.nanos());
             effects = settle();
         }
         carryOut(effects);
     }
 
+    private int limit() {
+        synchronized (mLock) {
+            return mAdmission.limit();
+        }
+    }
+
     private int waiting() {
         synchronized (mLock) {
             return mAdmission.waiting();
