Read the fold over as a newcomer

The judge asked in two places, in two forms, whether a document was changed by a version that the publisher had not seen; one method now answers it and names the winner. Some qualified names and a bare number get an import and a name.

--- a/org.azurearch/src/main/java/org/azurearch/internal/config/ParsedDocument.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/ParsedDocument.java
@@ -10,6 +10,7 @@
 import org.azurearch.internal.yaml.SchemaCheck;
 import org.azurearch.lib.FirmId;
 import org.azurearch.lib.SiteId;
+import org.azurearch.yaml.YamlEntry;
 import org.azurearch.yaml.YamlMapping;
 import org.azurearch.yaml.YamlReader;
 import org.jspecify.annotations.Nullable;
@@ -71,7 +72,7 @@
     }
 
     private static SourceLocation keyLocation(YamlMapping root, String key) {
-        var entry = root.entries().get(key);
+        YamlEntry entry = root.entries().get(key);
         return entry == null ? root.location() : entry.location();
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/ChangeJudge.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/ChangeJudge.java
@@ -18,6 +18,7 @@
 import org.azurearch.fold.Document;
 import org.azurearch.fold.DocumentName;
 import org.azurearch.internal.config.RuleSets;
+import org.azurearch.lib.ChangeId;
 import org.azurearch.lib.SiteId;
 import org.jspecify.annotations.Nullable;
 
@@ -105,9 +106,10 @@
         for (SiteId site : mChange.removedOverlays()) {
             DocumentName name = DocumentName.overlay(site);
             touchOnce(name, touched, problems);
-            if (target.remove(name) == null && !isConflict(name)) {
-                problems.add(
-                        problem(ErrorCode.BAD_OVERLAY, "removes " + name + ", which is absent"));
+            boolean absent = target.remove(name) == null;
+            if (absent && winner(name).isEmpty()) {
+                String message = "removes " + name + ", which is absent";
+                problems.add(problem(ErrorCode.BAD_OVERLAY, message));
             }
         }
         for (Document document : mChange.documents()) {
@@ -128,9 +130,9 @@
 
     private Decision decide(Map<DocumentName, Document> target, Set<DocumentName> touched) {
         for (DocumentName name : new TreeSet<>(touched)) {
-            Touch touch = mFirm.touches().get(name);
-            if (touch != null && touch.version() > mChange.expectedVersion()) {
-                return Decision.conflict(touch.change());
+            Optional<ChangeId> winner = winner(name);
+            if (winner.isPresent()) {
+                return Decision.conflict(winner.get());
             }
         }
         List<Problem> problems = new ArrayList<>(sizeProblems(target.values(), touched));
@@ -143,9 +145,11 @@
                 : Decision.invalid(problems);
     }
 
-    private boolean isConflict(DocumentName name) {
-        Touch touch = mFirm.touches().get(name);
-        return touch != null && touch.version() > mChange.expectedVersion();
+    /** Returns the change of a document that the publisher of this one had not seen. */
+    private Optional<ChangeId> winner(DocumentName name) {
+        return Optional.ofNullable(mFirm.touches().get(name))
+                .filter(touch -> touch.version() > mChange.expectedVersion())
+                .map(Touch::change);
     }
 
     private List<Problem> sizeProblems(Collection<Document> target, Set<DocumentName> touched) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/fold/ChangeRecord.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/fold/ChangeRecord.java
@@ -1,5 +1,6 @@
 package org.azurearch.internal.fold;
 
+import java.util.Arrays;
 import java.util.Optional;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
@@ -95,7 +96,7 @@
         if (data.length == 0) {
             throw new AzurearchException(ErrorCode.CORRUPT, "empty record");
         }
-        byte[] body = java.util.Arrays.copyOfRange(data, 1, data.length);
+        byte[] body = Arrays.copyOfRange(data, 1, data.length);
         if (data[0] == COMPRESSED) {
             return Compression.decompress(body, Compression.NO_DICTIONARY, FoldLimits.CHANGE_BYTES);
         }
--- a/org.azurearch/src/main/java/org/azurearch/internal/yaml/NearName.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/NearName.java
@@ -2,11 +2,13 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Locale;
 import java.util.Optional;
 
 /** Finds the known name that a misspelt one was probably meant to be. */
 public final class NearName {
     private static final int MAX_NAME_CHARS = 100;
+    private static final int CHARS_PER_ERROR = 3;
 
     private NearName() {}
 
@@ -28,13 +30,13 @@
     }
 
     private static int tolerated(String candidate) {
-        return Math.max(1, candidate.length() / 3);
+        return Math.max(1, candidate.length() / CHARS_PER_ERROR);
     }
 
     /** Returns the Levenshtein distance, ignoring case. */
     static int distance(String left, String right) {
-        String a = left.toLowerCase(java.util.Locale.ROOT);
-        String b = right.toLowerCase(java.util.Locale.ROOT);
+        String a = left.toLowerCase(Locale.ROOT);
+        String b = right.toLowerCase(Locale.ROOT);
         int[] row = new int[b.length() + 1];
         for (int j = 0; j <= b.length(); j++) {
             row[j] = j;
