--- a/org.azurearch/src/main/java/org/azurearch/internal/member/EffectRunner.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/EffectRunner.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.events.EventLog;
 import org.azurearch.thrift.PeerReply;
 import org.azurearch.thrift.PeerRequest;
 import org.azurearch.thrift.WireIndirectPing;
@@ -86,12 +88,19 @@
         PeerRequest request = PeerRequest.sync(MemberWire.write(effect.request()));
         mClient.send(effect.target(), request, SYNC_TIMEOUT)
                 .whenComplete(
-                        (reply, failure) ->
-                                mAnswers.synchronised(
-                                        effect,
-                                        reply != null && reply.isSetSync()
-                                                ? MemberWire.read(reply.getSync())
-                                                : null));
+                        (reply, failure) -> mAnswers.synchronised(effect, syncReplyOf(reply)));
+    }
+
+    private static @Nullable SyncReply syncReplyOf(@Nullable PeerReply reply) {
+        if (reply == null || !reply.isSetSync()) {
+            return null;
+        }
+        try {
+            return MemberWire.read(reply.getSync());
+        } catch (AzurearchException e) {
+            EventLog.log(MemberEvent.REPLY_MALFORMED, String.valueOf(e.getMessage()));
+            return null;
+        }
     }
 
     /** A node that says that it is busy is alive. */
@@ -100,7 +109,7 @@
             mAnswers.probeAnswered(probe, false, Gossip.NONE);
         } else if (reply.isSetPong()) {
             WirePong pong = reply.getPong();
-            mAnswers.probeAnswered(probe, pong.isAlive(), MemberWire.read(pong.getGossip()));
+            mAnswers.probeAnswered(probe, pong.isAlive(), gossipOf(pong));
         } else {
             mAnswers.probeAnswered(probe, true, Gossip.NONE);
         }
@@ -108,7 +117,17 @@
 
     private void tell(PeerReply reply) {
         if (reply.isSetPong() && reply.getPong().isSetGossip()) {
-            mAnswers.told(MemberWire.read(reply.getPong().getGossip()));
+            mAnswers.told(gossipOf(reply.getPong()));
+        }
+    }
+
+    /** A node that answers is alive, whatever rides on its answer. */
+    private static Gossip gossipOf(WirePong pong) {
+        try {
+            return MemberWire.read(pong.getGossip());
+        } catch (AzurearchException e) {
+            EventLog.log(MemberEvent.REPLY_MALFORMED, String.valueOf(e.getMessage()));
+            return Gossip.NONE;
         }
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MemberEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberEvent.java
@@ -19,7 +19,9 @@
     /** The join records could not be read. */
     JOIN_RECORDS_UNREAD(456, Level.WARN, "join records not read: {}"),
     /** A join record is malformed and is skipped. */
-    JOIN_RECORD_MALFORMED(457, Level.WARN, "join record at offset {} skipped: {}");
+    JOIN_RECORD_MALFORMED(457, Level.WARN, "join record at offset {} skipped: {}"),
+    /** An authenticated reply holds values outside their range and is ignored. */
+    REPLY_MALFORMED(458, Level.WARN, "reply ignored: {}");
 
     private final int mNumber;
     private final Level mLevel;
--- a/org.azurearch/src/main/java/org/azurearch/member/Member.java
+++ b/org.azurearch/src/main/java/org/azurearch/member/Member.java
@@ -13,8 +13,9 @@
  * @param node the node
  * @param dataCentre its data centre
  * @param region its region
- * @param incarnation grows with each start of the process and each refuted suspicion
- * @param sequence grows with each change that the node makes to its own record
+ * @param incarnation grows with each start of the process and stays while it runs
+ * @param sequence grows with each change that the node makes to its own record and with each
+ *     suspicion or claim of death that it refutes
  * @param state the state
  * @param peer where it takes exchanges from other nodes
  * @param calls where it takes calls
