--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/BackendHandler.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/BackendHandler.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.azurearch.call.CallHeaders;
 import org.azurearch.member.BackendState;
 import org.azurearch.standin.http.HttpCall;
 import org.azurearch.standin.http.HttpHandler;
@@ -103,7 +104,7 @@
     private void run(HttpCall call) {
         int timesRun =
                 mRunCounter.count(
-                        call.header(ORDER_KEY).or(() -> call.header("idempotency-key")).orElse(""),
+                        call.header(ORDER_KEY).or(() -> call.header(CallHeaders.IDEMPOTENCY_KEY)).orElse(""),
                         call.header("run-key").orElse(""));
         mRuns.increment();
         if (call.header("x-crash").isPresent()) {
@@ -152,7 +153,11 @@
                         nonce,
                         "x-times-run",
                         Integer.toString(timesRun));
-        call.reply(new HttpReply(OK, headers, body));
+        HttpReply reply = new HttpReply(OK, headers, body);
+        call.reply(
+                call.header(CallHeaders.CALL_ID)
+                        .map(id -> reply.with(CallHeaders.CALL_ID, id))
+                        .orElse(reply));
     }
 
     private HttpReply health() {
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallFaults.java
@@ -0,0 +1,163 @@
+package org.azurearch.standin.bench.experiments;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.azurearch.member.LocalNode;
+import org.azurearch.standin.backend.BackendOptions;
+import org.azurearch.standin.bench.ExperimentOptions;
+import org.azurearch.standin.bench.ExperimentResults;
+import org.azurearch.standin.load.LoadGenerator;
+import org.azurearch.standin.load.LoadOutcome;
+import org.azurearch.standin.load.LoadPlan;
+import org.azurearch.standin.load.LoadReport;
+import org.azurearch.standin.load.LoadTarget;
+import org.azurearch.standin.load.RequestKind;
+import org.azurearch.standin.proxy.FaultPlan;
+import org.azurearch.standin.proxy.FaultProxy;
+import org.azurearch.standin.proxy.ProxyFault;
+
+/**
+ * Requests through connections that break: between caller and node, between the nodes, and between
+ * node and backend server. Callers send keyed orders and reads again whose outcome they do not
+ * know; every run is counted at the backend servers.
+ */
+final class CallFaults implements CallsExperiment.Part {
+    private static final int BACKENDS = 3;
+    private static final int SLOTS = 100;
+    private static final int BACKEND_CONNECTIONS = 1_000;
+    private static final int DEFAULT_REQUESTS = 100_000;
+    private static final int DEFAULT_PER_SECOND = 2_000;
+    private static final int CONNECTIONS = 128;
+    private static final int RESENDS = 3;
+    private static final int MOST_BYTES = 20_000;
+    private static final int READ_WEIGHT = 7;
+    private static final int ORDER_WEIGHT = 2;
+    private static final int ANSWER_BYTES = 700;
+    private static final int BODY_BYTES = 300;
+    private static final long ARMED_CONNECTIONS = 4;
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final String TARGET = "azurearch";
+    private static final List<RequestKind> MIX =
+            List.of(
+                    RequestKind.read("reads", "/service0/read", READ_WEIGHT, ANSWER_BYTES),
+                    RequestKind.order("keyed-orders", "/service0/order", 1, BODY_BYTES),
+                    RequestKind.once("orders", "/service0/order", ORDER_WEIGHT, BODY_BYTES));
+
+    @Override
+    public void run(ExperimentOptions options, ExperimentResults results) {
+        int requests = options.integer("requests", DEFAULT_REQUESTS);
+        int perSecond = options.integer("faultsPerSecond", DEFAULT_PER_SECOND);
+        Duration length = Duration.ofMillis(1_000L * requests / perSecond);
+        BackendOptions backend =
+                BackendOptions.DEFAULT
+                        .withSlots(SLOTS)
+                        .withConnections(BACKEND_CONNECTIONS, Duration.ZERO);
+        List<BackendOptions> backends = Collections.nCopies(BACKENDS, backend);
+        try (CallsFixture fixture = new CallsFixture(backends, SLOTS, Map.of());
+                Proxies proxies = new Proxies(fixture)) {
+            fixture.awaitReady();
+            proxies.arm(options.seed());
+            LoadPlan plan =
+                    LoadPlan.of(MIX, perSecond, length, options.seed())
+                            .withConnections(CONNECTIONS)
+                            .withResends(RESENDS)
+                            .withTimeout(TIMEOUT);
+            RunAudit audit = new RunAudit(fixture.runs());
+            LoadTarget target = LoadTarget.of(TARGET, proxies.callers().address());
+            try (LoadGenerator generator = new LoadGenerator(plan, List.of(target), audit)) {
+                add(generator.run(), audit, proxies, results);
+            }
+        }
+    }
+
+    private static void add(
+            LoadReport report, RunAudit audit, Proxies proxies, ExperimentResults results) {
+        results.figure("faults.sendings", report.total(TARGET, ""), "");
+        results.figure("faults.connections", proxies.accepted(), "");
+        results.figure("faults.double-runs", audit.doubleRuns(), "");
+        results.figure("faults.false-not-run", audit.falseNotRun(), "");
+        results.figure(
+                "faults.mixed-answers",
+                report.count(TARGET, "", LoadOutcome.WRONG_ANSWER),
+                "");
+        for (RequestKind kind : MIX) {
+            for (LoadOutcome outcome : LoadOutcome.values()) {
+                results.figure(
+                        "faults." + kind.name() + "." + outcome.name().toLowerCase(Locale.ROOT),
+                        report.count(TARGET, kind.name(), outcome),
+                        "");
+            }
+        }
+    }
+
+    /** The proxies on the way of a call. */
+    private static final class Proxies implements AutoCloseable {
+        private final List<FaultProxy> mAll = new ArrayList<>();
+        private final FaultProxy mCallers;
+
+        Proxies(CallsFixture fixture) {
+            mCallers = add(FaultProxy.start(fixture.entry().callsAddress()));
+            for (int index = 0; index < BACKENDS; index++) {
+                FaultProxy node = add(FaultProxy.start(fixture.node(index).callsAddress()));
+                fixture.node(index)
+                        .kernel()
+                        .service(LocalNode.class)
+                        .callsAddress(node.address());
+                FaultProxy backend = add(FaultProxy.start(fixture.backend(index).address()));
+                fixture.announce(index, backend.address());
+            }
+        }
+
+        FaultProxy callers() {
+            return mCallers;
+        }
+
+        void arm(long seed) {
+            for (int index = 0; index < mAll.size(); index++) {
+                mAll.get(index).plan(new RandomFaults(seed + index));
+            }
+        }
+
+        int accepted() {
+            return mAll.stream().mapToInt(FaultProxy::accepted).sum();
+        }
+
+        @Override
+        public void close() {
+            mAll.forEach(FaultProxy::close);
+        }
+
+        private FaultProxy add(FaultProxy proxy) {
+            mAll.add(proxy);
+            return proxy;
+        }
+    }
+
+    /** Three connections in four break, each at a place of its own. */
+    private record RandomFaults(long seed) implements FaultPlan {
+        @Override
+        public ProxyFault faultOf(int connection) {
+            RandomGenerator random =
+                    RandomGeneratorFactory.of("L64X128MixRandom")
+                            .create(seed * Integer.MAX_VALUE + connection);
+            if (connection % ARMED_CONNECTIONS == 0) {
+                return ProxyFault.NONE;
+            }
+            long bytes = random.nextInt(MOST_BYTES);
+            List<ProxyFault> faults =
+                    List.of(
+                            ProxyFault.cutRequestAfter(bytes),
+                            ProxyFault.cutAnswerAfter(bytes),
+                            ProxyFault.cutAnswerAfter(bytes),
+                            ProxyFault.SWALLOW_ANSWER,
+                            ProxyFault.delay(Duration.ofMillis(random.nextInt(20))));
+            return faults.get(random.nextInt(faults.size()));
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallLatency.java
@@ -0,0 +1,104 @@
+package org.azurearch.standin.bench.experiments;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.azurearch.standin.backend.BackendOptions;
+import org.azurearch.standin.bench.ExperimentOptions;
+import org.azurearch.standin.bench.ExperimentResults;
+import org.azurearch.standin.load.BareRelay;
+import org.azurearch.standin.load.LoadGenerator;
+import org.azurearch.standin.load.LoadObserver;
+import org.azurearch.standin.load.LoadOutcome;
+import org.azurearch.standin.load.LoadPlan;
+import org.azurearch.standin.load.LoadReport;
+import org.azurearch.standin.load.LoadTarget;
+import org.azurearch.standin.load.RequestKind;
+
+/**
+ * Latency of calls sent directly, through one and two bare relays, and through two nodes. The
+ * targets take turns within one run.
+ */
+final class CallLatency implements CallsExperiment.Part {
+    private static final int DEFAULT_PER_SECOND = 3_600;
+    private static final int DEFAULT_CONNECTIONS = 8;
+    private static final int DEFAULT_ANSWER_BYTES = 1_024;
+    private static final int BACKEND_CONNECTIONS = 1_000;
+    private static final int SLOTS = 200;
+    private static final double MICROS_PER_MILLI = 1e3;
+    private static final double MEDIAN = 50.0;
+    private static final double P99 = 99.0;
+    private static final String DIRECT = "direct";
+    private static final String ONE_RELAY = "bare-relay-one-hop";
+    private static final String TWO_RELAYS = "bare-relay-two-hops";
+    private static final String NODES = "azurearch-two-nodes";
+
+    @Override
+    public void run(ExperimentOptions options, ExperimentResults results) {
+        BackendOptions backend =
+                BackendOptions.DEFAULT
+                        .withSlots(SLOTS)
+                        .withConnections(BACKEND_CONNECTIONS, Duration.ZERO);
+        try (CallsFixture fixture = new CallsFixture(List.of(backend), SLOTS, Map.of())) {
+            fixture.announce().awaitReady();
+            try (BareRelay last = BareRelay.start(fixture.backend(0).address());
+                    BareRelay first = BareRelay.start(last.address())) {
+                List<LoadTarget> targets =
+                        List.of(
+                                LoadTarget.of(DIRECT, fixture.backend(0).address()),
+                                LoadTarget.of(ONE_RELAY, last.address()),
+                                LoadTarget.of(TWO_RELAYS, first.address()),
+                                LoadTarget.of(NODES, fixture.entry().callsAddress()));
+                load(plan(options, "warmUp", Duration.ofSeconds(15)), targets);
+                LoadReport report =
+                        load(plan(options, "measure", Duration.ofSeconds(30)), targets);
+                targets.forEach(target -> addTarget(target.name(), report, results));
+                addAdded(report, results);
+            }
+        }
+    }
+
+    private static LoadPlan plan(ExperimentOptions options, String length, Duration fallback) {
+        int bytes = options.integer("answerBytes", DEFAULT_ANSWER_BYTES);
+        RequestKind read = RequestKind.read("interactive", "/service0/read", 1, bytes);
+        return LoadPlan.of(
+                        List.of(read),
+                        options.integer("perSecond", DEFAULT_PER_SECOND),
+                        options.duration(length, fallback),
+                        options.seed())
+                .withConnections(options.integer("connections", DEFAULT_CONNECTIONS));
+    }
+
+    private static LoadReport load(LoadPlan plan, List<LoadTarget> targets) {
+        try (LoadGenerator generator = new LoadGenerator(plan, targets, LoadObserver.NONE)) {
+            return generator.run();
+        }
+    }
+
+    private static void addTarget(String name, LoadReport report, ExperimentResults results) {
+        results.percentiles(
+                "latency of a call",
+                "latency." + name,
+                report.micros(name),
+                MICROS_PER_MILLI,
+                "ms");
+        long failed = report.total(name, "") - report.count(name, "", LoadOutcome.OK);
+        results.figure("latency." + name + ".failed", failed, "");
+    }
+
+    private static void addAdded(LoadReport report, ExperimentResults results) {
+        Histogram direct = report.micros(DIRECT);
+        for (String name : List.of(ONE_RELAY, TWO_RELAYS, NODES)) {
+            for (double percentile : new double[] {MEDIAN, P99}) {
+                long micros =
+                        report.micros(name).getValueAtPercentile(percentile)
+                                - direct.getValueAtPercentile(percentile);
+                results.figure(
+                        "added." + name + ".p" + (int) percentile,
+                        micros / MICROS_PER_MILLI,
+                        "ms");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallsExperiment.java
@@ -0,0 +1,58 @@
+package org.azurearch.standin.bench.experiments;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.ProgressMonitor;
+import org.azurearch.standin.bench.Experiment;
+import org.azurearch.standin.bench.ExperimentOptions;
+import org.azurearch.standin.bench.ExperimentResults;
+
+/** What a call through two nodes costs, and what happens to calls under overload and faults. */
+public final class CallsExperiment implements Experiment {
+    private static final Map<String, Part> PARTS = parts();
+
+    /** A part of the experiment. */
+    interface Part {
+        void run(ExperimentOptions options, ExperimentResults results);
+    }
+
+    @Override
+    public String name() {
+        return "calls";
+    }
+
+    @Override
+    public String summary() {
+        return "latency added to a call, goodput under overload, and the count of double runs,"
+                + " false refusals and mixed answers under faults";
+    }
+
+    @Override
+    public void run(
+            ExperimentOptions options, ExperimentResults results, ProgressMonitor monitor) {
+        List<String> wanted =
+                List.of(options.string("parts", String.join(",", PARTS.keySet())).split(","));
+        monitor.begin("calls", wanted.size());
+        for (String name : wanted) {
+            Part part = PARTS.get(name);
+            if (part == null) {
+                throw new AzurearchException(
+                        ErrorCode.USAGE, "no part " + name + "; there are " + PARTS.keySet());
+            }
+            part.run(options, results);
+            monitor.update(1);
+        }
+        monitor.end();
+    }
+
+    private static Map<String, Part> parts() {
+        Map<String, Part> parts = new LinkedHashMap<>();
+        parts.put("latency", new CallLatency());
+        parts.put("overload", new CallOverload());
+        parts.put("faults", new CallFaults());
+        return parts;
+    }
+}
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadGenerator.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadGenerator.java
@@ -94,7 +94,8 @@
                 request.orderKey(mPlan.seed()),
                 request.attemptKey(mPlan.seed()),
                 outcome);
-        if (outcome.unknown() && request.attempt() < mPlan.resends()) {
+        boolean again = outcome.unknown() && request.kind().mayResend();
+        if (again && request.attempt() < mPlan.resends()) {
             send(request.resend());
         } else {
             mUnderWay.decrementAndGet();
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadRequest.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadRequest.java
@@ -61,8 +61,10 @@
         if (kind.answerBytes() > 0) {
             message.headers().setInt(EchoAnswer.ANSWER_BYTES_HEADER, kind.answerBytes());
         }
-        if (kind.keyed()) {
+        if (!kind.idempotent()) {
             message.headers().set("x-order-key", orderKey(seed));
+        }
+        if (kind.keyed()) {
             message.headers().set("idempotency-key", orderKey(seed));
         }
         kind.headers().forEach((name, value) -> message.headers().set(name, value));
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/load/RequestKind.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/RequestKind.java
@@ -37,4 +37,19 @@
     public static RequestKind order(String name, String path, int weight, int bodyBytes) {
         return new RequestKind(name, "POST", path, Map.of(), weight, bodyBytes, 0, true);
     }
+
+    /** Returns a non-idempotent request without a key; its caller never sends it again. */
+    public static RequestKind once(String name, String path, int weight, int bodyBytes) {
+        return new RequestKind(name, "POST", path, Map.of(), weight, bodyBytes, 0, false);
+    }
+
+    /** Says whether the request is idempotent by its method. */
+    public boolean idempotent() {
+        return method.equals("GET");
+    }
+
+    /** Says whether a caller may send the request again when its outcome is not known. */
+    public boolean mayResend() {
+        return keyed || idempotent();
+    }
 }
