Add the calls, herd, partition and state experiments

Nothing showed what calls cost, how overload and broken connections are met, how a herd returns, what an outage of the log does, or what a node needs at the size to design for. Each is now one command. Calls go directly, through bare relays and through two nodes in turns of one run; every run of a request is counted at the backend servers and held against the verdicts that callers got. For the size of a node, one stand-in answers the probes of any number of members.

--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/BackendHandler.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/backend/BackendHandler.java
@@ -104,7 +104,9 @@
     private void run(HttpCall call) {
         int timesRun =
                 mRunCounter.count(
-                        call.header(ORDER_KEY).or(() -> call.header(CallHeaders.IDEMPOTENCY_KEY)).orElse(""),
+                        call.header(ORDER_KEY)
+                                .or(() -> call.header(CallHeaders.IDEMPOTENCY_KEY))
+                                .orElse(""),
                         call.header("run-key").orElse(""));
         mRuns.increment();
         if (call.header("x-crash").isPresent()) {
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallFaults.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallFaults.java
@@ -40,7 +40,7 @@
     private static final int ORDER_WEIGHT = 2;
     private static final int ANSWER_BYTES = 700;
     private static final int BODY_BYTES = 300;
-    private static final long ARMED_CONNECTIONS = 4;
+    private static final int CONNECTIONS_PER_FAULT = 4;
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
     private static final String TARGET = "azurearch";
     private static final List<RequestKind> MIX =
@@ -72,6 +72,7 @@
             LoadTarget target = LoadTarget.of(TARGET, proxies.callers().address());
             try (LoadGenerator generator = new LoadGenerator(plan, List.of(target), audit)) {
                 add(generator.run(), audit, proxies, results);
+                results.figure("faults.ready-at-the-end", fixture.readyBackends(), "");
             }
         }
     }
@@ -81,12 +82,11 @@
         results.figure("faults.sendings", report.total(TARGET, ""), "");
         results.figure("faults.connections", proxies.accepted(), "");
         results.figure("faults.double-runs", audit.doubleRuns(), "");
-        results.figure("faults.false-not-run", audit.falseNotRun(), "");
         results.figure(
-                "faults.mixed-answers",
-                report.count(TARGET, "", LoadOutcome.WRONG_ANSWER),
-                "");
+                "faults.mixed-answers", report.count(TARGET, "", LoadOutcome.WRONG_ANSWER), "");
+        report.codes().forEach((code, n) -> results.figure("faults.code." + code, n, ""));
         for (RequestKind kind : MIX) {
+            results.figure("faults." + kind.name() + ".false-not-run", audit.falseNotRun(kind), "");
             for (LoadOutcome outcome : LoadOutcome.values()) {
                 results.figure(
                         "faults." + kind.name() + "." + outcome.name().toLowerCase(Locale.ROOT),
@@ -105,10 +105,7 @@
             mCallers = add(FaultProxy.start(fixture.entry().callsAddress()));
             for (int index = 0; index < BACKENDS; index++) {
                 FaultProxy node = add(FaultProxy.start(fixture.node(index).callsAddress()));
-                fixture.node(index)
-                        .kernel()
-                        .service(LocalNode.class)
-                        .callsAddress(node.address());
+                fixture.node(index).kernel().service(LocalNode.class).callsAddress(node.address());
                 FaultProxy backend = add(FaultProxy.start(fixture.backend(index).address()));
                 fixture.announce(index, backend.address());
             }
@@ -139,14 +136,14 @@
         }
     }
 
-    /** Three connections in four break, each at a place of its own. */
+    /** One connection in four breaks or is slow, each at a place of its own. */
     private record RandomFaults(long seed) implements FaultPlan {
         @Override
         public ProxyFault faultOf(int connection) {
             RandomGenerator random =
                     RandomGeneratorFactory.of("L64X128MixRandom")
                             .create(seed * Integer.MAX_VALUE + connection);
-            if (connection % ARMED_CONNECTIONS == 0) {
+            if (connection % CONNECTIONS_PER_FAULT != 0) {
                 return ProxyFault.NONE;
             }
             long bytes = random.nextInt(MOST_BYTES);
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallLatency.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallLatency.java
@@ -27,6 +27,7 @@
     private static final int BACKEND_CONNECTIONS = 1_000;
     private static final int SLOTS = 200;
     private static final double MICROS_PER_MILLI = 1e3;
+    private static final double NANOS_PER_MICRO = 1e3;
     private static final double MEDIAN = 50.0;
     private static final double P99 = 99.0;
     private static final String DIRECT = "direct";
@@ -51,14 +52,34 @@
                                 LoadTarget.of(TWO_RELAYS, first.address()),
                                 LoadTarget.of(NODES, fixture.entry().callsAddress()));
                 load(plan(options, "warmUp", Duration.ofSeconds(15)), targets);
-                LoadReport report =
-                        load(plan(options, "measure", Duration.ofSeconds(30)), targets);
+                LoadReport report = load(plan(options, "measure", Duration.ofSeconds(30)), targets);
                 targets.forEach(target -> addTarget(target.name(), report, results));
                 addAdded(report, results);
+                addProcessorTime(options, targets, results);
             }
         }
     }
 
+    /** The processor time of a call beyond a direct one: that of two nodes, or of two relays. */
+    private static void addProcessorTime(
+            ExperimentOptions options, List<LoadTarget> targets, ExperimentResults results) {
+        LoadPlan plan = plan(options, "processor", Duration.ofSeconds(8));
+        double direct = 0;
+        for (LoadTarget target : targets) {
+            long before = MeshCost.processorNanos();
+            LoadReport report = load(plan, List.of(target));
+            double nanos = MeshCost.processorNanos() - before;
+            double micros = nanos / NANOS_PER_MICRO / report.total(target.name(), "");
+            if (target.name().equals(DIRECT)) {
+                direct = micros;
+            }
+            results.figure(
+                    "processor." + target.name() + ".beyond-direct",
+                    micros - direct,
+                    "us per call");
+        }
+    }
+
     private static LoadPlan plan(ExperimentOptions options, String length, Duration fallback) {
         int bytes = options.integer("answerBytes", DEFAULT_ANSWER_BYTES);
         RequestKind read = RequestKind.read("interactive", "/service0/read", 1, bytes);
@@ -95,9 +116,7 @@
                         report.micros(name).getValueAtPercentile(percentile)
                                 - direct.getValueAtPercentile(percentile);
                 results.figure(
-                        "added." + name + ".p" + (int) percentile,
-                        micros / MICROS_PER_MILLI,
-                        "ms");
+                        "added." + name + ".p" + (int) percentile, micros / MICROS_PER_MILLI, "ms");
             }
         }
     }
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallOverload.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallOverload.java
@@ -18,14 +18,15 @@
 import org.azurearch.standin.load.RequestKind;
 
 /**
- * Twice the load that the backend servers can take. The capacity is measured first: the slots are
- * kept busy directly, without nodes.
+ * Twice the load that the backend servers can take. The capacity is measured first, once the
+ * programs are warm: the slots are kept busy directly, without nodes.
  */
 final class CallOverload implements CallsExperiment.Part {
     private static final int BACKENDS = 3;
     private static final int SLOTS = 6;
     private static final int BACKEND_CONNECTIONS = 100;
     private static final int OVERLOAD = 2;
+    private static final int CONNECTIONS_PER_SLOT = 4;
     private static final int CONNECTIONS = 256;
     private static final int FULL_PER_SECOND = 4_000;
     private static final int TOP_WEIGHT = 2;
@@ -46,6 +47,7 @@
     @Override
     public void run(ExperimentOptions options, ExperimentResults results) {
         try (CallsFixture fixture = new CallsFixture(backends(options), SLOTS, Map.of())) {
+            capacity(fixture, options);
             double capacity = capacity(fixture, options);
             results.figure("overload.capacity", capacity, "calls/s");
             fixture.announce().awaitReady();
@@ -71,11 +73,11 @@
         return backends;
     }
 
-    /** Keeps every slot busy with one connection for each; returns the answers a second. */
+    /** Keeps every slot busy with more connections than slots; returns the answers a second. */
     private static double capacity(CallsFixture fixture, ExperimentOptions options) {
         LoadPlan plan =
                 LoadPlan.of(MIX, FULL_PER_SECOND, FULL, options.seed())
-                        .withConnections(SLOTS)
+                        .withConnections(SLOTS * CONNECTIONS_PER_SLOT)
                         .withTimeout(Duration.ofSeconds(30));
         LoadTarget target = new LoadTarget("direct", fixture.backendAddresses());
         long start = System.nanoTime();
@@ -101,8 +103,7 @@
     private static void add(
             LoadReport report, double capacity, Duration length, ExperimentResults results) {
         double goodput =
-                report.count(TARGET, "", LoadOutcome.OK)
-                        / (length.toNanos() / NANOS_PER_SECOND);
+                report.count(TARGET, "", LoadOutcome.OK) / (length.toNanos() / NANOS_PER_SECOND);
         results.figure("overload.goodput", goodput, "calls/s");
         results.figure("overload.goodput-of-capacity", goodput / capacity * PERCENT, "%");
         for (RequestKind kind : MIX) {
@@ -116,6 +117,7 @@
                     MICROS_PER_MILLI,
                     "ms");
         }
+        report.codes().forEach((code, n) -> results.figure("overload.code." + code, n, ""));
         for (LoadOutcome outcome : LoadOutcome.values()) {
             results.figure(
                     "overload.outcome." + outcome.name().toLowerCase(Locale.ROOT),
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallsExperiment.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallsExperiment.java
@@ -31,8 +31,7 @@
     }
 
     @Override
-    public void run(
-            ExperimentOptions options, ExperimentResults results, ProgressMonitor monitor) {
+    public void run(ExperimentOptions options, ExperimentResults results, ProgressMonitor monitor) {
         List<String> wanted =
                 List.of(options.string("parts", String.join(",", PARTS.keySet())).split(","));
         monitor.begin("calls", wanted.size());
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallsFixture.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/CallsFixture.java
@@ -76,11 +76,15 @@
 
     /** Waits until the entry node knows every backend server as ready. */
     void awaitReady() {
-        EndpointView view = entry().kernel().service(EndpointView.class);
         BenchMesh.await(
                 "every backend server is ready",
                 READY_TIMEOUT,
-                () -> ready(view) == mBackends.size());
+                () -> readyBackends() == mBackends.size());
+    }
+
+    /** Returns how many backend servers the entry node knows as ready. */
+    long readyBackends() {
+        return ready(entry().kernel().service(EndpointView.class));
     }
 
     MeshNode entry() {
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/ConvergenceExperiment.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/ConvergenceExperiment.java
@@ -115,6 +115,12 @@
                             / nodes
                             / options.changes(),
                     "B per node and change");
+            results.figure(
+                    prefix + "change.log-bytes",
+                    busy.logBytes() / options.changes(),
+                    "B per change");
+            results.figure(
+                    prefix + "change.log-reads", busy.logReads() / options.changes(), "per change");
             addTimes(publisher, prefix, results);
             return new Outcome(idle.controlBytesPerNodeSecond(), idle.logReadsPerSecond());
         }
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/HerdExperiment.java
@@ -0,0 +1,117 @@
+package org.azurearch.standin.bench.experiments;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.ProgressMonitor;
+import org.azurearch.lib.SiteId;
+import org.azurearch.standin.bench.Experiment;
+import org.azurearch.standin.bench.ExperimentOptions;
+import org.azurearch.standin.bench.ExperimentResults;
+import org.azurearch.standin.bench.mesh.BenchMesh;
+import org.azurearch.standin.bench.mesh.MeshNode;
+import org.azurearch.standin.bench.mesh.MeshPlan;
+import org.azurearch.standin.bench.mesh.SampleDocuments;
+import org.azurearch.standin.log.LogServerOptions;
+import org.azurearch.standin.log.LogStatistics;
+
+/**
+ * All nodes of a data centre, or of the whole mesh, go and come back at once. Says when each holds
+ * a whole configuration again and what the log had to serve.
+ */
+public final class HerdExperiment implements Experiment {
+    private static final int DEFAULT_NODES = 40;
+    private static final int DEFAULT_DATA_CENTRES = 2;
+    private static final int DEFAULT_SERVICES = 380;
+    private static final int DEFAULT_CHANGES = 5;
+    private static final int SLOTS = 20;
+    private static final long MAX_MICROS = 120_000_000L;
+    private static final long NANOS_PER_MICRO = 1_000L;
+    private static final int DIGITS = 3;
+    private static final double MICROS_PER_MILLI = 1e3;
+    private static final Duration MOST_WAIT = Duration.ofSeconds(60);
+
+    @Override
+    public String name() {
+        return "herd";
+    }
+
+    @Override
+    public String summary() {
+        return "time until nodes that return all at once are ready, and the load on the log";
+    }
+
+    @Override
+    public void run(ExperimentOptions options, ExperimentResults results, ProgressMonitor monitor) {
+        int nodes = options.integer("nodes", DEFAULT_NODES);
+        int dataCentres = options.integer("dataCentres", DEFAULT_DATA_CENTRES);
+        int services = options.integer("services", DEFAULT_SERVICES);
+        String policy = options.string("policy", "convergence");
+        monitor.begin("herd", 2);
+        MeshPlan plan =
+                new MeshPlan(nodes, dataCentres, 1, policy, LogServerOptions.DEFAULT, Map.of());
+        try (BenchMesh mesh = new BenchMesh(plan)) {
+            publish(mesh, dataCentres, services, options);
+            List<Integer> one = new ArrayList<>();
+            List<Integer> all = new ArrayList<>();
+            for (int node = 0; node < nodes; node++) {
+                all.add(node);
+                if (node % dataCentres == dataCentres - 1) {
+                    one.add(node);
+                }
+            }
+            restart(mesh, one, "one-data-centre", results);
+            monitor.update(1);
+            restart(mesh, all, "whole-mesh", results);
+            monitor.update(1);
+        }
+        monitor.end();
+    }
+
+    private static void publish(
+            BenchMesh mesh, int dataCentres, int services, ExperimentOptions options) {
+        List<SiteId> sites = new ArrayList<>();
+        for (int number = 0; number < dataCentres; number++) {
+            sites.add(SiteId.fromString("dc" + number));
+        }
+        Publisher publisher =
+                new Publisher(
+                        mesh,
+                        new SampleDocuments(FirmId.fromString("bench"), services, SLOTS, sites));
+        publisher.first();
+        mesh.awaitJoined();
+        publisher.changes(options.integer("changes", DEFAULT_CHANGES), 1, Duration.ofMillis(1));
+    }
+
+    private static void restart(
+            BenchMesh mesh, List<Integer> numbers, String name, ExperimentResults results) {
+        long offset = mesh.nodes().get(0).offset();
+        mesh.stop(numbers);
+        LogStatistics before = mesh.log().statistics();
+        long start = System.nanoTime();
+        mesh.restart(numbers);
+        mesh.awaitInForce(offset, MOST_WAIT);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        LogStatistics after = mesh.log().statistics();
+        Histogram ready = new Histogram(MAX_MICROS, DIGITS);
+        for (int number : numbers) {
+            MeshNode node = mesh.nodes().get(number);
+            long micros = (node.inForceNanos(offset) - start) / NANOS_PER_MICRO;
+            ready.recordValue(Math.min(MAX_MICROS, Math.max(0, micros)));
+        }
+        String prefix = "herd." + name + ".";
+        results.figure(prefix + "nodes", numbers.size(), "");
+        results.figure(prefix + "all-ready", seconds, "s");
+        results.percentiles("time until ready", prefix + "ready", ready, MICROS_PER_MILLI, "ms");
+        results.figure(prefix + "log-reads", after.reads() - before.reads(), "");
+        results.figure(prefix + "log-read-bytes", after.readBytes() - before.readBytes(), "B");
+        results.figure(prefix + "log-appends", after.appends() - before.appends(), "");
+        results.figure(
+                prefix + "log-appends-limited",
+                after.appendsLimited() - before.appendsLimited(),
+                "");
+    }
+}
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/MeshCost.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/MeshCost.java
@@ -97,7 +97,8 @@
                 "% of a core per node, log included");
     }
 
-    private static long processorNanos() {
+    /** Returns the processor time that this process has used. */
+    static long processorNanos() {
         if (ManagementFactory.getOperatingSystemMXBean()
                 instanceof com.sun.management.OperatingSystemMXBean system) {
             return system.getProcessCpuTime();
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/OutageExperiment.java
@@ -0,0 +1,131 @@
+package org.azurearch.standin.bench.experiments;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.ProgressMonitor;
+import org.azurearch.lib.SiteId;
+import org.azurearch.standin.bench.Experiment;
+import org.azurearch.standin.bench.ExperimentOptions;
+import org.azurearch.standin.bench.ExperimentResults;
+import org.azurearch.standin.bench.mesh.BenchMesh;
+import org.azurearch.standin.bench.mesh.MeshNode;
+import org.azurearch.standin.bench.mesh.MeshPlan;
+import org.azurearch.standin.bench.mesh.SampleDocuments;
+import org.azurearch.standin.log.LogFault;
+import org.azurearch.standin.log.LogServerOptions;
+import org.azurearch.standin.proxy.FaultProxy;
+import org.azurearch.standin.proxy.ProxyFault;
+
+/**
+ * One data centre is cut off from the platform's log, then the log is cut off from everybody and
+ * heals. Says how long a change takes through the neighbours, and after the heal.
+ */
+public final class OutageExperiment implements Experiment {
+    private static final int DEFAULT_NODES = 33;
+    private static final int DEFAULT_DATA_CENTRES = 3;
+    private static final int DEFAULT_SERVICES = 380;
+    private static final int SLOTS = 20;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final Duration MOST_WAIT = Duration.ofSeconds(90);
+
+    @Override
+    public String name() {
+        return "partition";
+    }
+
+    @Override
+    public String summary() {
+        return "time until a change is in force with a data centre cut off from the log, and"
+                + " after an outage of the log";
+    }
+
+    @Override
+    public void run(ExperimentOptions options, ExperimentResults results, ProgressMonitor monitor) {
+        int nodes = options.integer("nodes", DEFAULT_NODES);
+        int dataCentres = options.integer("dataCentres", DEFAULT_DATA_CENTRES);
+        int services = options.integer("services", DEFAULT_SERVICES);
+        Duration outage = options.duration("outage", Duration.ofSeconds(10));
+        monitor.begin("partition", 3);
+        MeshPlan plan =
+                new MeshPlan(
+                        nodes,
+                        dataCentres,
+                        1,
+                        options.string("policy", "convergence"),
+                        LogServerOptions.DEFAULT,
+                        Map.of());
+        try (BenchMesh mesh = new BenchMesh(plan, OutageExperiment::proxyOfLastDataCentre)) {
+            Changes changes = new Changes(mesh, documents(dataCentres, services));
+            mesh.awaitJoined();
+            results.figure("partition.whole.in-force", changes.timed(), "s");
+            monitor.update(1);
+            FaultProxy proxy = mesh.proxy();
+            proxy.fault(ProxyFault.HALF_OPEN);
+            results.figure("partition.cut-from-log.in-force", changes.timed(), "s");
+            results.figure("partition.cut-from-log.in-force-again", changes.timed(), "s");
+            monitor.update(1);
+            proxy.fault(ProxyFault.NONE);
+            proxy.cutAll();
+            logOutage(mesh, changes, outage, results);
+            monitor.update(1);
+        }
+        monitor.end();
+    }
+
+    private static void logOutage(
+            BenchMesh mesh, Changes changes, Duration outage, ExperimentResults results) {
+        mesh.log().fault(LogFault.DOWN);
+        MeshCost cost = MeshCost.over(mesh, outage);
+        cost.addTo(results, "partition.log-down.");
+        long ready = mesh.nodes().stream().filter(node -> node.offset() >= 0).count();
+        results.figure("partition.log-down.nodes-serving", ready, "");
+        mesh.log().fault(LogFault.NONE);
+        results.figure("partition.log-healed.in-force", changes.timed(), "s");
+    }
+
+    private static SampleDocuments documents(int dataCentres, int services) {
+        List<SiteId> sites = new ArrayList<>();
+        for (int number = 0; number < dataCentres; number++) {
+            sites.add(SiteId.fromString("dc" + number));
+        }
+        return new SampleDocuments(FirmId.fromString("bench"), services, SLOTS, sites);
+    }
+
+    private static NetAddress proxyOfLastDataCentre(
+            MeshPlan plan, int node, NetAddress log, FaultProxy proxy) {
+        boolean last = node % plan.dataCentres() == plan.dataCentres() - 1;
+        return last ? proxy.address() : log;
+    }
+
+    /** Publishes one change after the other through a node that reaches the log. */
+    private static final class Changes {
+        private final BenchMesh mMesh;
+        private final SampleDocuments mDocuments;
+        private int mVariant;
+
+        Changes(BenchMesh mesh, SampleDocuments documents) {
+            mMesh = mesh;
+            mDocuments = documents;
+            new Publisher(mesh, documents).first();
+        }
+
+        double timed() {
+            mVariant++;
+            MeshNode desk = mMesh.nodes().get(0);
+            long version = desk.desk().state().version(mDocuments.firm()).number();
+            long start = System.nanoTime();
+            long offset =
+                    desk.desk()
+                            .submit(
+                                    mDocuments.next(
+                                            mVariant, 1, version, System.currentTimeMillis()))
+                            .join();
+            mMesh.awaitInForce(offset, MOST_WAIT);
+            return (System.nanoTime() - start) / NANOS_PER_SECOND;
+        }
+    }
+}
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/RunAudit.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/RunAudit.java
@@ -11,8 +11,9 @@
 /** Holds the verdicts that callers got against the runs that backend servers counted. */
 final class RunAudit implements LoadObserver {
     private final RunCounter mRuns;
-    private final Queue<String> mRefusedAttempts = new ConcurrentLinkedQueue<>();
-    private final Queue<String> mRefusedOrders = new ConcurrentLinkedQueue<>();
+    private final Queue<Refusal> mRefusals = new ConcurrentLinkedQueue<>();
+
+    private record Refusal(RequestKind kind, String orderKey, String attemptKey) {}
 
     RunAudit(RunCounter runs) {
         mRuns = runs;
@@ -25,13 +26,8 @@
             String orderKey,
             String attemptKey,
             LoadOutcome outcome) {
-        if (outcome != LoadOutcome.NOT_RUN) {
-            return;
-        }
-        if (kind.keyed()) {
-            mRefusedOrders.add(orderKey);
-        } else {
-            mRefusedAttempts.add(attemptKey);
+        if (outcome == LoadOutcome.NOT_RUN) {
+            mRefusals.add(new Refusal(kind, orderKey, attemptKey));
         }
     }
 
@@ -41,12 +37,19 @@
     }
 
     /**
-     * Returns how many requests ran although a caller was told that they did not. For a keyed order
-     * every sending counts: a caller told so would order anew.
+     * Returns how many requests of a kind ran although a caller was told that they did not. For a
+     * keyed order every sending counts: a caller told so would order anew.
      */
-    long falseNotRun() {
-        long attempts = mRefusedAttempts.stream().filter(k -> mRuns.runsOfAttempt(k) > 0).count();
-        long orders = mRefusedOrders.stream().filter(k -> mRuns.runsOfOrder(k) > 0).count();
-        return attempts + orders;
+    long falseNotRun(RequestKind kind) {
+        return mRefusals.stream()
+                .filter(refusal -> refusal.kind().equals(kind))
+                .filter(this::ran)
+                .count();
+    }
+
+    private boolean ran(Refusal refusal) {
+        return refusal.kind().keyed()
+                ? mRuns.runsOfOrder(refusal.orderKey()) > 0
+                : mRuns.runsOfAttempt(refusal.attemptKey()) > 0;
     }
 }
--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/StateExperiment.java
@@ -0,0 +1,152 @@
+package org.azurearch.standin.bench.experiments;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.fold.StateCodec;
+import org.azurearch.lib.FirmId;
+import org.azurearch.lib.ProgressMonitor;
+import org.azurearch.lib.SiteId;
+import org.azurearch.member.EndpointView;
+import org.azurearch.standin.bench.Experiment;
+import org.azurearch.standin.bench.ExperimentOptions;
+import org.azurearch.standin.bench.ExperimentResults;
+import org.azurearch.standin.bench.mesh.BenchMesh;
+import org.azurearch.standin.bench.mesh.MeshNode;
+import org.azurearch.standin.bench.mesh.MeshPlan;
+import org.azurearch.standin.bench.mesh.SampleDocuments;
+
+/**
+ * One node at the size to design for: the versions it retains and the members it knows. The other
+ * members answer probes through one stand-in, so that the node does its whole work of membership.
+ */
+public final class StateExperiment implements Experiment {
+    private static final int DEFAULT_MEMBERS = 3_300;
+    private static final int DEFAULT_DATA_CENTRES = 11;
+    private static final int DEFAULT_SERVICES = 380;
+    private static final int DEFAULT_VERSIONS = 50;
+    private static final int SLOTS = 20;
+    private static final double BYTES_PER_MEBIBYTE = 1_048_576.0;
+    private static final double KIBIBYTES_PER_MEBIBYTE = 1_024.0;
+    private static final double PERCENT = 100.0;
+    private static final Duration MOST_WAIT = Duration.ofSeconds(60);
+    private static final String POLICY = "convergence";
+
+    @Override
+    public String name() {
+        return "state";
+    }
+
+    @Override
+    public String summary() {
+        return "memory, processor time and control bytes of one node at the size to design for";
+    }
+
+    @Override
+    public void run(ExperimentOptions options, ExperimentResults results, ProgressMonitor monitor) {
+        int members = options.integer("members", DEFAULT_MEMBERS);
+        int dataCentres = options.integer("dataCentres", DEFAULT_DATA_CENTRES);
+        int services = options.integer("services", DEFAULT_SERVICES);
+        int versions = options.integer("versions", DEFAULT_VERSIONS);
+        Duration steady = options.duration("steady", Duration.ofSeconds(20));
+        monitor.begin("state", 3);
+        try (BenchMesh mesh = new BenchMesh(MeshPlan.of(1, 1, POLICY));
+                MemberStandin others = new MemberStandin()) {
+            MeshNode node = mesh.nodes().get(0);
+            double empty = heapMebibytes();
+            results.figure("state.heap.empty", empty, "MiB, stand-ins included");
+            publish(mesh, dataCentres, services, versions);
+            double withVersions = heapMebibytes();
+            results.figure("state.heap.versions", withVersions - empty, "MiB, log included");
+            results.figure(
+                    "state.snapshot.bytes", StateCodec.encode(node.desk().state()).length, "B");
+            monitor.update(1);
+            others.introduce(node.peerAddress(), members - 1, dataCentres, services);
+            EndpointView view = node.kernel().service(EndpointView.class);
+            BenchMesh.await("members are known", MOST_WAIT, () -> view.all().size() >= members - 1);
+            results.figure(
+                    "state.heap.members",
+                    heapMebibytes() - withVersions,
+                    "MiB, stand-ins included");
+            monitor.update(1);
+            measureSteady(mesh, node, steady, results);
+            results.figure(
+                    "state.members.reachable",
+                    node.members().all().stream().filter(m -> m.reachable()).count(),
+                    "");
+            results.figure("state.heap.total", heapMebibytes(), "MiB, stand-ins included");
+            results.figure("state.rss", rssMebibytes(), "MiB, stand-ins included");
+            monitor.update(1);
+        }
+        monitor.end();
+    }
+
+    private static void measureSteady(
+            BenchMesh mesh, MeshNode node, Duration steady, ExperimentResults results) {
+        long sent = node.counters("control.sent.bytes.");
+        long received = node.counters("control.received.bytes.");
+        Map<String, Long> before = node.counterValues("control.");
+        MeshCost cost = MeshCost.over(mesh, steady);
+        node.counterValues("control.")
+                .forEach(
+                        (name, value) ->
+                                results.figure(
+                                        "state.steady." + name,
+                                        (value - before.getOrDefault(name, 0L)) / cost.seconds(),
+                                        "B/s"));
+        results.figure(
+                "state.steady.sent",
+                (node.counters("control.sent.bytes.") - sent) / cost.seconds(),
+                "B/s");
+        results.figure(
+                "state.steady.received",
+                (node.counters("control.received.bytes.") - received) / cost.seconds(),
+                "B/s");
+        results.figure(
+                "state.steady.processor",
+                cost.processorSeconds() / cost.seconds() * PERCENT,
+                "% of a core, stand-ins included");
+    }
+
+    private static void publish(BenchMesh mesh, int dataCentres, int services, int versions) {
+        List<SiteId> sites = new ArrayList<>();
+        for (int number = 0; number < dataCentres; number++) {
+            sites.add(SiteId.fromString("dc" + number));
+        }
+        Publisher publisher =
+                new Publisher(
+                        mesh,
+                        new SampleDocuments(FirmId.fromString("bench"), services, SLOTS, sites));
+        publisher.first();
+        publisher.changes(versions - 1, 1, Duration.ZERO);
+    }
+
+    private static double heapMebibytes() {
+        Runtime runtime = Runtime.getRuntime();
+        System.gc();
+        return (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_MEBIBYTE;
+    }
+
+    /** Returns the resident memory of this process, 0 where the system does not tell. */
+    private static double rssMebibytes() {
+        Path status = Path.of("/proc/self/status");
+        if (!Files.exists(status)) {
+            return 0;
+        }
+        try {
+            for (String line : Files.readAllLines(status)) {
+                if (line.startsWith("VmRSS:")) {
+                    return Long.parseLong(line.replaceAll("[^0-9]", "")) / KIBIBYTES_PER_MEBIBYTE;
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return 0;
+    }
+}
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/mesh/BenchMesh.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/mesh/BenchMesh.java
@@ -16,6 +16,7 @@
 import org.azurearch.lib.NetAddress;
 import org.azurearch.settings.SettingsSection;
 import org.azurearch.standin.log.LogServer;
+import org.azurearch.standin.proxy.FaultProxy;
 
 /** A log and nodes in this process, joined over loopback. */
 public final class BenchMesh implements AutoCloseable {
@@ -28,12 +29,35 @@
 
     private final MeshPlan mPlan;
     private final LogServer mLog;
+    private final FaultProxy mProxy;
+    private final LogAddressing mAddressing;
     private final List<MeshNode> mNodes = new ArrayList<>();
 
-    /** Starts a log and one node in each data centre, then the others side by side. */
+    /** Chooses where a node finds the log. */
+    @FunctionalInterface
+    public interface LogAddressing {
+        /**
+         * Returns the address that a node is given.
+         *
+         * @param plan the plan of the mesh
+         * @param node the number of the node
+         * @param log the log's own address
+         * @param proxy a proxy in front of the log
+         */
+        NetAddress of(MeshPlan plan, int node, NetAddress log, FaultProxy proxy);
+    }
+
+    /** Starts a mesh whose nodes all reach the log directly. */
     public BenchMesh(MeshPlan plan) {
+        this(plan, (same, node, log, proxy) -> log);
+    }
+
+    /** Starts a log and one node in each data centre, then the others side by side. */
+    public BenchMesh(MeshPlan plan, LogAddressing addressing) {
         mPlan = plan;
+        mAddressing = addressing;
         mLog = LogServer.start(EPHEMERAL, plan.log());
+        mProxy = FaultProxy.start(mLog.address());
         int first = Math.min(plan.nodes(), plan.dataCentres());
         for (int node = 0; node < first; node++) {
             mNodes.add(new MeshNode(settings(node)));
@@ -41,11 +65,24 @@
         startSideBySide(first, plan.nodes());
     }
 
+    /** Returns settings with which a process exchanges messages with the nodes of a mesh. */
+    public static SettingsSection peerSettings() {
+        Map<String, Object> peers = Map.of("listen", EPHEMERAL.name(), "key", KEY);
+        Map<String, Object> node =
+                Map.of("mesh", "bench", "id", "standin", "dataCentre", "dc0", "region", "region0");
+        return new SettingsSection("", Map.of("node", node, "peers", peers));
+    }
+
     /** Returns the log. */
     public LogServer log() {
         return mLog;
     }
 
+    /** Returns the proxy in front of the log. */
+    public FaultProxy proxy() {
+        return mProxy;
+    }
+
     /** Returns the nodes, in the order of their numbers. */
     public List<MeshNode> nodes() {
         return List.copyOf(mNodes);
@@ -64,12 +101,19 @@
         await(
                 "offset " + offset + " is in force",
                 most,
-                () -> mNodes.stream().allMatch(node -> node.offset() >= offset));
+                () -> mNodes.stream().allMatch(node -> node.reached(offset)));
     }
 
-    /** Closes a node as a crash does: without telling the others where that can be helped. */
-    public void stop(int node) {
-        mNodes.get(node).close();
+    /** Stops nodes by plan, side by side. */
+    public void stop(List<Integer> numbers) {
+        ExecutorService stoppers = Executors.newFixedThreadPool(START_THREADS);
+        try {
+            List<Future<?>> stopped = new ArrayList<>();
+            numbers.forEach(node -> stopped.add(stoppers.submit(mNodes.get(node)::close)));
+            stopped.forEach(BenchMesh::result);
+        } finally {
+            stoppers.shutdownNow();
+        }
     }
 
     /** Starts nodes again that were stopped; all at once. */
@@ -105,13 +149,14 @@
 
     @Override
     public void close() {
-        ExecutorService stoppers = Executors.newFixedThreadPool(START_THREADS);
         try {
-            List<Future<?>> stopped = new ArrayList<>();
-            mNodes.forEach(node -> stopped.add(stoppers.submit(node::close)));
-            stopped.forEach(BenchMesh::result);
+            List<Integer> all = new ArrayList<>();
+            for (int node = 0; node < mNodes.size(); node++) {
+                all.add(node);
+            }
+            stop(all);
         } finally {
-            stoppers.shutdownNow();
+            mProxy.close();
             mLog.close();
         }
     }
@@ -143,7 +188,8 @@
                         mPlan.dataCentreOf(node),
                         "region",
                         mPlan.regionOf(node)));
-        sections.put("log", Map.of("address", mLog.address().name()));
+        NetAddress logAddress = mAddressing.of(mPlan, node, mLog.address(), mProxy);
+        sections.put("log", Map.of("address", logAddress.name()));
         sections.put("peers", Map.of("listen", EPHEMERAL.name(), "key", KEY, "seeds", seeds(node)));
         sections.put("calls", Map.of("listen", EPHEMERAL.name(), "threads", 1));
         sections.put("spread", Map.of("policy", mPlan.policy()));
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/mesh/MeshNode.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/mesh/MeshNode.java
@@ -1,8 +1,8 @@
 package org.azurearch.standin.bench.mesh;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.azurearch.call.CallServer;
 import org.azurearch.config.ConfigInForce;
@@ -95,15 +95,23 @@
                 .orElse(Long.MAX_VALUE);
     }
 
+    /** Says whether a record, or a later one, has come into force here. */
+    public boolean reached(long offset) {
+        return inForceNanos(offset) != Long.MAX_VALUE;
+    }
+
     /** Returns the sum of the counters whose names begin so. */
     public long counters(String prefix) {
-        return mKernel
-                .service(MetricRegistry.class)
+        return counterValues(prefix).values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /** Returns the counters whose names begin so, by name. */
+    public Map<String, Long> counterValues(String prefix) {
+        Map<String, Long> values = new TreeMap<>();
+        mKernel.service(MetricRegistry.class)
                 .getCounters((name, metric) -> name.startsWith(prefix))
-                .values()
-                .stream()
-                .mapToLong(Counter::getCount)
-                .sum();
+                .forEach((name, counter) -> values.put(name, counter.getCount()));
+        return values;
     }
 
     @Override
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpServer.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/http/HttpServer.java
@@ -13,6 +13,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -175,7 +176,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            boolean callerLeft =
+                    cause instanceof IOException
+                            || cause instanceof PrematureChannelClosureException;
+            if (!callerLeft) {
                 EventLog.log(StandinEvent.CONNECTION_FAILED, cause, cause.toString());
             }
             context.close();
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadConnection.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadConnection.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.azurearch.call.CallHeaders;
 import org.jspecify.annotations.Nullable;
 
 /** A connection that carries one request at a time. Used on its event loop only. */
@@ -82,7 +83,8 @@
                     ? LoadOutcome.OK
                     : LoadOutcome.WRONG_ANSWER;
         }
-        String verdict = response.headers().get("azurearch-verdict", "");
+        mPool.refused(response.headers().get(CallHeaders.CODE, "none"));
+        String verdict = response.headers().get(CallHeaders.VERDICT, "");
         return switch (verdict) {
             case "not-run" -> LoadOutcome.NOT_RUN;
             case "may-have-run" -> LoadOutcome.MAY_HAVE_RUN;
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadGenerator.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadGenerator.java
@@ -102,6 +102,10 @@
         }
     }
 
+    void refused(String code) {
+        mReport.addCode(code);
+    }
+
     private Map<NetAddress, LoadPool> pools(EventLoop loop) {
         int connections = Math.max(1, mPlan.connections() / THREADS);
         Map<NetAddress, LoadPool> pools = new HashMap<>();
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadPool.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadPool.java
@@ -85,6 +85,10 @@
         mGenerator.ended(request, outcome);
     }
 
+    void refused(String code) {
+        mGenerator.refused(code);
+    }
+
     private void open(LoadRequest request) {
         mOpen++;
         LoadConnection connection = new LoadConnection(this);
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadReport.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/load/LoadReport.java
@@ -14,6 +14,7 @@
     private static final long NANOS_PER_MICRO = 1_000L;
 
     private final Map<String, Cell> mCells = new TreeMap<>();
+    private final Map<String, Long> mCodes = new TreeMap<>();
 
     private static final class Cell {
         private final String mTarget;
@@ -40,6 +41,15 @@
         }
     }
 
+    synchronized void addCode(String code) {
+        mCodes.merge(code, 1L, Long::sum);
+    }
+
+    /** Returns how many error answers carried each code, over all targets. */
+    public synchronized Map<String, Long> codes() {
+        return new TreeMap<>(mCodes);
+    }
+
     /** Returns the latencies of whole answers of a target, in microseconds from the due time. */
     public synchronized Histogram micros(String target) {
         Histogram sum = new Histogram(MAX_MICROS, DIGITS);
