Add the capacity page, generated from the committed records

Nothing said whether a node keeps within its share at the size to design for. CapacityModel works out the need of each role and event from named figures of records under docs/measurements, with the limit, the margin and the mechanism; what no run has measured is said to be not measured, and a short margin is set in bold. No record is committed yet, so the page holds no measured need. The state experiment now says what it measures: a node to which every member is new.

--- /dev/null
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/capacity/CapacityPage.java
@@ -0,0 +1,68 @@
+package org.azurearch.standin.bench.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+
+/** Writes the page of capacity from the committed records. */
+public final class CapacityPage {
+    private static final String HEAD =
+            "| role | need | at this size | limit | margin | worked out from | carried by |\n"
+                    + "|---|---|---:|---:|---:|---|---|\n";
+
+    private CapacityPage() {}
+
+    /** Writes the page anew; the arguments are the records' directory and the page. */
+    public static void main(String[] arguments) throws IOException {
+        Files.writeString(Path.of(arguments[1]), of(new Measurements(Path.of(arguments[0]))));
+    }
+
+    /** Returns the page. */
+    public static String of(Measurements measured) {
+        DesignSize size = DesignSize.TARGET;
+        CapacityModel model = new CapacityModel(size, measured);
+        return "# Capacity\n\n"
+                + "This page is generated from the records under `docs/measurements`; a test holds"
+                + " it to them.\nTo write it anew after a run:\n"
+                + "`java -cp org.azurearch.pgm/target/azurearch.jar"
+                + " org.azurearch.standin.bench.capacity.CapacityPage docs/measurements"
+                + " docs/CAPACITY.md`.\n\n"
+                + sizeText(size)
+                + "\nValues are extrapolated from one machine with stand-ins; each row names the"
+                + " record and figure it comes\nfrom. A need without a run is said to be not"
+                + " measured. A negative margin is set in bold.\n\n"
+                + "## Roles\n\n"
+                + HEAD
+                + table(model.roles())
+                + "\n## Events\n\n"
+                + HEAD
+                + table(model.events());
+    }
+
+    private static String sizeText(DesignSize size) {
+        return String.format(
+                Locale.ROOT,
+                "The size: %,d nodes, %,d services, %,d data centres, %,d calls a second, %,d"
+                        + " changes and %,d restarts\na day. That is %.0f nodes in a data centre,"
+                        + " %.1f calls a second to each backend server, %.4f changes\nand %.4f"
+                        + " restarts a second.\n",
+                size.nodes(),
+                size.services(),
+                size.dataCentres(),
+                size.callsPerSecond(),
+                size.changesPerDay(),
+                size.restartsPerDay(),
+                size.nodesPerDataCentre(),
+                size.callsPerNode(),
+                size.changesPerSecond(),
+                size.restartsPerSecond());
+    }
+
+    private static String table(List<CapacityRow> rows) {
+        StringBuilder table = new StringBuilder();
+        rows.forEach(row -> table.append(row.markdown()).append('\n'));
+        return table.toString();
+    }
+}
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/MemberStandin.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/MemberStandin.java
@@ -37,9 +37,15 @@
 
     private final TimerService mTimers = new SystemTimerService();
     private final Kernel mKernel = new Kernel();
+    private final List<WireMember> mMembers = new ArrayList<>();
     private final NetAddress mAddress;
 
-    MemberStandin() {
+    /**
+     * Starts to stand in for members in all data centres, each with one ready backend server.
+     *
+     * @param members how many
+     */
+    MemberStandin(int members, int dataCentres, int services) {
         SettingsSection settings = BenchMesh.peerSettings();
         mKernel.register(SettingsSection.class, settings);
         mKernel.register(NodeIdentity.class, NodeIdentity.from(settings));
@@ -53,20 +59,20 @@
         server.handle(PeerRequest._Fields.SYNC, request -> PeerReply.sync(new WireSyncReply(true)));
         server.handle(PeerRequest._Fields.PULL, request -> nothingNewer(request.getPull()));
         mAddress = server.address();
+        for (int number = 1; number <= members; number++) {
+            mMembers.add(member(number, dataCentres, services));
+        }
     }
 
-    /** Tells a node of members in all data centres, each with one ready backend server. */
-    void introduce(NetAddress node, int members, int dataCentres, int services) {
+    /** Tells a node of every member, as many messages of news do. */
+    void introduceTo(NetAddress node) {
         PeerClient client = mKernel.service(PeerClient.class);
-        List<WireMember> batch = new ArrayList<>();
-        for (int number = 1; number <= members; number++) {
-            batch.add(member(number, dataCentres, services));
-            if (batch.size() == MEMBERS_PER_MESSAGE || number == members) {
-                WireGossip gossip = new WireGossip().setMembers(new ArrayList<>(batch));
-                WirePing ping = new WirePing("node0").setGossip(gossip);
-                client.send(node, PeerRequest.ping(ping), TIMEOUT).join();
-                batch.clear();
-            }
+        for (int from = 0; from < mMembers.size(); from += MEMBERS_PER_MESSAGE) {
+            int to = Math.min(mMembers.size(), from + MEMBERS_PER_MESSAGE);
+            WireGossip gossip =
+                    new WireGossip().setMembers(new ArrayList<>(mMembers.subList(from, to)));
+            WirePing ping = new WirePing("node0").setGossip(gossip);
+            client.send(node, PeerRequest.ping(ping), TIMEOUT).join();
         }
     }
 
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/StateExperiment.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/StateExperiment.java
@@ -24,6 +24,8 @@
 /**
  * One node at the size to design for: the versions it retains and the members it knows. The other
  * members answer probes through one stand-in, so that the node does its whole work of membership.
+ * They are all new to the node, which passes the news on while it is measured: traffic and
+ * processor time are those of a mesh that has just come back whole, not of a quiet one.
  */
 public final class StateExperiment implements Experiment {
     private static final int DEFAULT_MEMBERS = 3_300;
@@ -55,26 +57,22 @@
         int versions = options.integer("versions", DEFAULT_VERSIONS);
         Duration steady = options.duration("steady", Duration.ofSeconds(20));
         monitor.begin("state", 3);
-        try (BenchMesh mesh = new BenchMesh(MeshPlan.of(1, 1, POLICY));
-                MemberStandin others = new MemberStandin()) {
+        try (MemberStandin others = new MemberStandin(members - 1, dataCentres, services);
+                BenchMesh mesh = new BenchMesh(MeshPlan.of(1, 1, POLICY))) {
             MeshNode node = mesh.nodes().get(0);
             double empty = heapMebibytes();
-            results.figure("state.heap.empty", empty, "MiB, stand-ins included");
             publish(mesh, dataCentres, services, versions);
             double withVersions = heapMebibytes();
             results.figure("state.heap.versions", withVersions - empty, "MiB, log included");
             results.figure(
                     "state.snapshot.bytes", StateCodec.encode(node.desk().state()).length, "B");
             monitor.update(1);
-            others.introduce(node.peerAddress(), members - 1, dataCentres, services);
+            others.introduceTo(node.peerAddress());
             EndpointView view = node.kernel().service(EndpointView.class);
             BenchMesh.await("members are known", MOST_WAIT, () -> view.all().size() >= members - 1);
-            results.figure(
-                    "state.heap.members",
-                    heapMebibytes() - withVersions,
-                    "MiB, stand-ins included");
+            results.figure("state.heap.members", heapMebibytes() - withVersions, "MiB");
             monitor.update(1);
-            measureSteady(mesh, node, steady, results);
+            measureNews(mesh, node, steady, results);
             results.figure(
                     "state.members.reachable",
                     node.members().all().stream().filter(m -> m.reachable()).count(),
@@ -86,7 +84,7 @@
         monitor.end();
     }
 
-    private static void measureSteady(
+    private static void measureNews(
             BenchMesh mesh, MeshNode node, Duration steady, ExperimentResults results) {
         long sent = node.counters("control.sent.bytes.");
         long received = node.counters("control.received.bytes.");
@@ -96,19 +94,19 @@
                 .forEach(
                         (name, value) ->
                                 results.figure(
-                                        "state.steady." + name,
+                                        "state.news." + name,
                                         (value - before.getOrDefault(name, 0L)) / cost.seconds(),
                                         "B/s"));
         results.figure(
-                "state.steady.sent",
+                "state.news.sent",
                 (node.counters("control.sent.bytes.") - sent) / cost.seconds(),
                 "B/s");
         results.figure(
-                "state.steady.received",
+                "state.news.received",
                 (node.counters("control.received.bytes.") - received) / cost.seconds(),
                 "B/s");
         results.figure(
-                "state.steady.processor",
+                "state.news.processor",
                 cost.processorSeconds() / cost.seconds() * PERCENT,
                 "% of a core, stand-ins included");
     }
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/report/MarkdownReport.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/report/MarkdownReport.java
@@ -29,7 +29,7 @@
         page.append(record.machine().java()).append(".\n\n");
         page.append("Run with: `./azurearch bench ").append(record.experiment());
         for (Map.Entry<String, String> setting : record.settings().entrySet()) {
-            page.append(" --set ").append(setting.getKey()).append('=').append(setting.getValue());
+            page.append(" --").append(setting.getKey()).append(' ').append(setting.getValue());
         }
         page.append("`\n\n| figure | value | unit |\n|---|---:|---|\n");
         for (Figure figure : record.figures()) {
