--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeNode.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/FakeNode.java
@@ -15,7 +15,6 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
-import org.azurearch.fold.FoldState;
 import org.azurearch.lib.DataCentreId;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.lib.NodeId;
@@ -43,6 +42,7 @@
     final MetricRegistry mMetrics;
     long mSentBytes;
     boolean mSilent;
+    boolean mShownBeforeInForce;
 
     private final FakeMesh mMesh;
     private final Map<PeerRequest._Fields, PeerHandler> mHandlers =
@@ -107,9 +107,11 @@
         mListeners.forEach(Runnable::run);
     }
 
-    private void installed(FoldState state) {
-        mMesh.trace(mName + " installs " + state.offset() + " from " + view().source());
-        mInstalled.add(state.offset());
+    private void installed(SpreadEffect.Installed installed) {
+        long offset = installed.state().offset();
+        mShownBeforeInForce |= offset() >= offset;
+        mMesh.trace(mName + " installs " + offset + " from " + installed.source());
+        mInstalled.add(offset);
     }
 
     private InputRing ring(Consumer<SpreadInput> handler) {
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/spread/SpreadFaultTest.java
@@ -61,6 +61,7 @@
         long took = mMesh.converge(1, TARGET);
         mMesh.run(MINUTE);
         assertTrue(took <= 100, took + " ms");
+        assertTrue(mMesh.mNodes.values().stream().noneMatch(node -> node.mShownBeforeInForce));
         assertEquals(
                 4, mMesh.mLog.mReadersOfChanges.size(), mMesh.mLog.mReadersOfChanges::toString);
     }
@@ -201,6 +202,23 @@
                                 .allMatch(node -> node.mSilent || node.offset() == 1));
     }
 
+    @Test
+    void pushesLostByEveryNodeAreHealedWithinTheTargetUnderThePolicyForBytes() {
+        FakeMesh mesh = new FakeMesh(new BytesPolicy(), SEED);
+        mesh.startNodes("a", 12);
+        mesh.publish("c0");
+        mesh.converge(0, 10 * SECOND);
+        for (int i = 1; i <= 10; i++) {
+            mesh.publish("c" + i);
+            mesh.run(5);
+            mesh.mLoss = 1;
+            mesh.run(600);
+            mesh.mLoss = 0;
+            mesh.converge(i, TARGET);
+            mesh.run(10 * SECOND);
+        }
+    }
+
     @Test
     void dataCentreCutOffFromTheLogGetsChangesThroughNeighbours() {
         startThree();
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/Puller.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/Puller.java
@@ -32,6 +32,7 @@
     private int mFruitless;
     private int mRefused;
     private boolean mReports;
+    private long mKnownOffset = -1;
     private int mMaxBytes = MAX_PULL_BYTES;
 
     Puller(CoreContext context, long now) {
@@ -62,6 +63,13 @@
         return mRefused >= STUCK_AFTER_REFUSED;
     }
 
+    /**
+     * Notes that another node has an offset; this node pulls soon and often until it has it too.
+     */
+    void knows(long offset) {
+        mKnownOffset = Math.max(mKnownOffset, offset);
+    }
+
     /** Brings the next pull forward. */
     void within(long delayMillis, long now) {
         if (mNextAt != NOT_DUE) {
@@ -111,6 +119,7 @@
     @Nullable Position answered(
             NodeId by, Position theirs, boolean gave, boolean folded, long now) {
         settle(by);
+        knows(theirs.offset());
         mFailures = 0;
         if (mContext.empty()) {
             mFruitless++;
@@ -154,9 +163,14 @@
     }
 
     private long periodMillis() {
-        return mContext.empty()
-                ? mContext.jittered(START_PERIOD_MILLIS)
-                : mContext.jittered(mContext.settings().policy().antiEntropyPeriod().toMillis());
+        if (mContext.empty()) {
+            return mContext.jittered(START_PERIOD_MILLIS);
+        }
+        if (mKnownOffset > mContext.position().offset() && !mContext.blocked()) {
+            return mContext.jittered(RETRY_PERIOD_MILLIS);
+        }
+        long mean = mContext.settings().policy().antiEntropyPeriod().toMillis();
+        return mean / 2 + mContext.jittered(mean / 2);
     }
 
     private List<NodeId> candidates() {
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadCore.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadCore.java
@@ -176,6 +176,7 @@
         boolean ahead = pushed.delta().target().after(mContext.position());
         boolean current = mContext.foldDelta(pushed.delta(), Source.PUSH);
         mPusher.pushedByOther(pushed.delta().target());
+        mPuller.knows(pushed.delta().target().offset());
         if (!current && !mContext.blocked()) {
             mPuller.within(BEHIND_PULL_MILLIS, now);
         } else if (ahead) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadPlugin.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadPlugin.java
@@ -72,8 +72,9 @@
             SpreadRunner.Services services,
             SpreadRunner runner) {
         InForce inForce = new InForce(identity.site());
-        runner.listen(inForce::install);
-        runner.listen(new FoldReport());
+        runner.listen(installed -> inForce.install(installed.state()));
+        FoldReport report = new FoldReport();
+        runner.listen(installed -> report.accept(installed.state()));
         ProgressSurvey survey =
                 new ProgressSurvey(
                         services.peers(),
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadRunner.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadRunner.java
@@ -12,10 +12,9 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.azurearch.events.EventLog;
-import org.azurearch.fold.FoldState;
 import org.azurearch.log.LogClient;
 import org.azurearch.member.MemberView;
-import org.azurearch.spread.Source;
+import org.azurearch.spread.Position;
 import org.azurearch.time.TimerService;
 import org.azurearch.transport.PeerClient;
 import org.azurearch.transport.PeerServer;
@@ -37,7 +36,7 @@
     private final PeerService mService;
     private final InputRing mRing;
     private final AtomicBoolean mMembersChanged = new AtomicBoolean();
-    private final List<Consumer<FoldState>> mListeners = new CopyOnWriteArrayList<>();
+    private final List<Consumer<SpreadEffect.Installed>> mListeners = new CopyOnWriteArrayList<>();
     private final Counter mLogReads;
     private final Counter mPushes;
     private final Counter mPulls;
@@ -128,8 +127,11 @@
         return mProgress;
     }
 
-    /** Adds a listener for states that came into force; called on the duty's thread. */
-    void listen(Consumer<FoldState> listener) {
+    /**
+     * Adds a listener that puts states in force. It is called on the duty's thread, before the
+     * position is shown to anyone, so that no node counts as having a version that it does not use.
+     */
+    void listen(Consumer<SpreadEffect.Installed> listener) {
         mListeners.add(listener);
     }
 
@@ -160,6 +162,11 @@
     private void step(SpreadInput input) {
         List<SpreadEffect> effects =
                 mCore.handle(input, mTimers.time().millis(), mTimers.time().wallMillis());
+        for (SpreadEffect effect : effects) {
+            if (effect instanceof SpreadEffect.Installed installed) {
+                putInForce(installed);
+            }
+        }
         mView = SpreadView.of(mCore);
         effects.forEach(this::carryOut);
     }
@@ -183,8 +190,6 @@
         } else if (effect instanceof SpreadEffect.Pull pull) {
             mPulls.inc();
             mPeers.pull(pull.to(), pull.position(), pull.maxBytes());
-        } else if (effect instanceof SpreadEffect.Installed installed) {
-            installed(installed.state(), installed.source());
         } else if (effect instanceof SpreadEffect.Report report) {
             EventLog.log(report.event(), report.arguments().toArray());
         } else {
@@ -206,9 +211,10 @@
         }
     }
 
-    private void installed(FoldState state, Source source) {
-        mMetrics.counter("spread.installed." + source.name().toLowerCase(Locale.ROOT)).inc();
-        EventLog.log(SpreadEvent.INSTALLED, mView.position(), source);
-        mListeners.forEach(listener -> listener.accept(state));
+    private void putInForce(SpreadEffect.Installed installed) {
+        String source = installed.source().name().toLowerCase(Locale.ROOT);
+        mMetrics.counter("spread.installed." + source).inc();
+        mListeners.forEach(listener -> listener.accept(installed));
+        EventLog.log(SpreadEvent.INSTALLED, Position.of(installed.state()), source);
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/spread/BytesPolicy.java
+++ b/org.azurearch/src/main/java/org/azurearch/spread/BytesPolicy.java
@@ -8,7 +8,7 @@
     public static final String NAME = "bytes";
 
     private static final Duration BATCH_WINDOW = Duration.ofMillis(500);
-    private static final Duration ANTI_ENTROPY_PERIOD = Duration.ofSeconds(8);
+    private static final Duration ANTI_ENTROPY_PERIOD = Duration.ofMillis(3_100);
     private static final Duration REPORT_DELAY = Duration.ofSeconds(2);
     private static final int FAN_OUT = 4;
     private static final int COMPRESSION_LEVEL = 9;
