--- a/org.azurearch.node.test/src/test/java/org/azurearch/node/admin/AdminApiTest.java
+++ b/org.azurearch.node.test/src/test/java/org/azurearch/node/admin/AdminApiTest.java
@@ -15,6 +15,7 @@
 import org.azurearch.admin.DocumentBody;
 import org.azurearch.admin.PublishCommand;
 import org.azurearch.admin.PublishRequest;
+import org.azurearch.admin.RaiseCommand;
 import org.azurearch.admin.ReadinessReport;
 import org.azurearch.admin.RenderReport;
 import org.azurearch.admin.StatusCommand;
@@ -24,6 +25,7 @@
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.fold.Document;
 import org.azurearch.fold.DocumentName;
+import org.azurearch.fold.Folds;
 import org.azurearch.junit.Await;
 import org.azurearch.lib.ChangeId;
 import org.azurearch.lib.FirmId;
@@ -179,6 +181,21 @@
                                         .post("/v1/firms/regie/changes", "text", String.class)));
     }
 
+    @Test
+    @Order(12)
+    void ruleSetIsRaisedByOperatorsToOneThatTheNodeKnows() {
+        assertEquals(ErrorCode.FORBIDDEN, refusal(() -> raise(RENNES_PUBLISHER, 2)));
+        assertEquals(
+                ErrorCode.UNKNOWN_RULE_SET,
+                refusal(() -> raise(REGIE_OPERATOR, Folds.NEWEST_RULE_SET + 1)));
+        assertEquals("accepted", raise(REGIE_OPERATOR, 2).outcome().decision());
+        assertEquals("in-force", publish(REGIE_OPERATOR, BASE + "# raised\n").status());
+    }
+
+    private static ChangeReport raise(String token, int ruleSet) {
+        return new RaiseCommand(client(token), REGIE, ruleSet).setWait(MOST).call();
+    }
+
     private static ChangeReport publish(String token, String base) {
         return publish(token, base, ChangeId.fromString("c" + base.hashCode() + "-" + token));
     }
--- a/org.azurearch.node/src/main/java/org/azurearch/node/admin/ChangesController.java
+++ b/org.azurearch.node/src/main/java/org/azurearch/node/admin/ChangesController.java
@@ -14,12 +14,16 @@
 import org.azurearch.admin.ChangeReport;
 import org.azurearch.admin.DocumentBody;
 import org.azurearch.admin.PublishRequest;
+import org.azurearch.admin.RaiseRequest;
 import org.azurearch.admin.UndoRequest;
 import org.azurearch.admin.VersionsReport;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.fold.Change;
 import org.azurearch.fold.Document;
 import org.azurearch.fold.FoldState;
+import org.azurearch.fold.Folds;
 import org.azurearch.lib.ChangeId;
 import org.azurearch.lib.FirmId;
 import org.azurearch.lib.SiteId;
@@ -88,6 +92,37 @@
                         mTimers.time().wallMillis()));
     }
 
+    /**
+     * Raises the rule set. One that this program does not know is refused here, because it would
+     * hold up every node.
+     */
+    @Post("/rule-set")
+    public CompletableFuture<HttpResponse<ChangeAppended>> raise(
+            HttpRequest<?> request, String firm, @Body RaiseRequest body) {
+        FirmId firmId = FirmId.fromString(firm);
+        AccessToken token = TokenFilter.tokenOf(request);
+        token.require(Role.OPERATOR, firmId);
+        token.requireAllSites();
+        if (body.ruleSet() > Folds.NEWEST_RULE_SET) {
+            throw new AzurearchException(
+                    ErrorCode.UNKNOWN_RULE_SET,
+                    "this node knows rule sets up to " + Folds.NEWEST_RULE_SET);
+        }
+        return submit(
+                new Change(
+                        ChangeId.fromString(body.id()),
+                        Change.Kind.RAISE_RULE_SET,
+                        firmId,
+                        token.operator(),
+                        body.ruleSet(),
+                        0,
+                        List.of(),
+                        List.of(),
+                        0,
+                        body.note(),
+                        mTimers.time().wallMillis()));
+    }
+
     /** Says where a change stands. */
     @Get("/changes/{change}")
     public CompletableFuture<ChangeReport> status(
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
@@ -24,6 +24,10 @@
     SUMMARY_NODE,
     /** Summary of {@code publish}. */
     SUMMARY_PUBLISH,
+    /** Summary of {@code raise}. */
+    SUMMARY_RAISE,
+    /** Option: the rule set. */
+    OPTION_RULE_SET,
     /** Summary of {@code render}. */
     SUMMARY_RENDER,
     /** Summary of {@code status}. */
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/admin/RaiseCommand.java
@@ -0,0 +1,34 @@
+package org.azurearch.admin;
+
+import org.azurearch.lib.ChangeId;
+import org.azurearch.lib.FirmId;
+
+/** Raises the rule set by which the mesh judges changes, once every node knows it. */
+public final class RaiseCommand extends ChangeCommand<RaiseCommand> {
+    private final int mRuleSet;
+
+    /**
+     * Creates a command.
+     *
+     * @param client the client
+     * @param firm the firm in whose name the mesh is raised
+     * @param ruleSet the rule set, one above the one in force
+     */
+    public RaiseCommand(AdminClient client, FirmId firm, int ruleSet) {
+        super(client, firm);
+        mRuleSet = ruleSet;
+    }
+
+    @Override
+    void submit(AdminClient client, FirmId firm, ChangeId id, String note) {
+        client.post(
+                "/v1/firms/" + firm.name() + "/rule-set",
+                new RaiseRequest(id.name(), mRuleSet, note),
+                ChangeAppended.class);
+    }
+
+    @Override
+    RaiseCommand self() {
+        return this;
+    }
+}
