Count a call that was handed to another node once

A call handed to the node that decides on its ticket was counted and timed at both nodes, so that histograms by firm and class held it twice. Only the node that took it from the caller counts it now.

--- a/org.azurearch/src/main/java/org/azurearch/internal/call/EntryCall.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/EntryCall.java
@@ -230,7 +230,9 @@
             OutcomeRecorder recorder = code == null ? mRecorder : null;
             mGuard.ended(verdict, recorder == null ? null : recorder.outcome());
         }
-        lane().measure(mRoute, code, lane().nanos() - startedNanos());
+        if (mHome == null) {
+            lane().measure(mRoute, code, lane().nanos() - startedNanos());
+        }
     }
 
     private boolean identified() {
