Weigh each candidate once when relays and readers are chosen

A trial at 3,300 nodes showed 342 microseconds for one choice of two relays among 300: the weights were hashed anew in each comparison of the sort. The time after the change has not been measured.

--- a/org.azurearch/src/main/java/org/azurearch/member/Rendezvous.java
+++ b/org.azurearch/src/main/java/org/azurearch/member/Rendezvous.java
@@ -14,6 +14,13 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
+    private static final Comparator<Weighted> HEAVIEST_FIRST =
+            Comparator.comparingLong(Weighted::weight)
+                    .reversed()
+                    .thenComparing(weighted -> weighted.member().node());
+
+    private record Weighted(long weight, Member member) {}
+
     private Rendezvous() {}
 
     /**
@@ -24,12 +31,12 @@
      * @param count the most members returned
      */
     public static List<Member> top(String key, Collection<Member> members, int count) {
-        List<Member> ranked = new ArrayList<>(members);
-        ranked.sort(
-                Comparator.comparingLong((Member member) -> weight(key, member.node()))
-                        .reversed()
-                        .thenComparing(Member::node));
-        return List.copyOf(ranked.subList(0, Math.min(count, ranked.size())));
+        List<Weighted> ranked = new ArrayList<>(members.size());
+        for (Member member : members) {
+            ranked.add(new Weighted(weight(key, member.node()), member));
+        }
+        ranked.sort(HEAVIEST_FIRST);
+        return ranked.stream().limit(count).map(Weighted::member).toList();
     }
 
     /** Returns the weight of a node for a key. */
