Keep what is fixed about events in one record, and one near-name search

Each of eight enums of events repeated three fields and their accessors, and the command line had an edit distance of its own beside the one of the YAML reader. Events now hold an EventInfo; the near-name search serves both and proposes only names that are near. Behaviour else unchanged.

--- a/org.azurearch.node/src/main/java/org/azurearch/node/NodeEvent.java
+++ b/org.azurearch.node/src/main/java/org/azurearch/node/NodeEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.node;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of the node daemon and its administration API, numbers 600 to 699. */
 public enum NodeEvent implements EventCode {
@@ -19,28 +20,14 @@
     /** An operator released a contained request. */
     CONTAINMENT_RELEASED(613, Level.INFO, "contained request {} released by {}");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     NodeEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/Main.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/Main.java
@@ -48,14 +48,19 @@
         }
         Optional<Subcommand> command = catalog.find(arguments[0]);
         if (command.isEmpty()) {
-            mErr.println(
-                    PgmText.UNKNOWN_COMMAND.format(arguments[0], catalog.nearest(arguments[0])));
+            mErr.println(unknownCommand(catalog, arguments[0]));
             return ExitCode.USAGE;
         }
         String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
         return execute(command.get(), rest);
     }
 
+    private static String unknownCommand(CommandCatalog catalog, String name) {
+        return catalog.nearest(name)
+                .map(near -> PgmText.UNKNOWN_COMMAND_NEAR.format(name, near))
+                .orElseGet(() -> PgmText.UNKNOWN_COMMAND.format(name));
+    }
+
     private ExitCode execute(Subcommand command, String[] arguments) {
         try {
             return command.execute(arguments, new Output(mOut));
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/PgmText.java
@@ -40,8 +40,10 @@
     USAGE,
     /** Usage line of a command: name and summary. */
     USAGE_OF_COMMAND,
-    /** An unknown command, with a near name. */
+    /** An unknown command. */
     UNKNOWN_COMMAND,
+    /** An unknown command, with a near name. */
+    UNKNOWN_COMMAND_NEAR,
     /** A required option is missing. */
     MISSING_OPTION,
     /** An unexpected failure. */
--- a/org.azurearch.pgm/src/main/java/org/azurearch/pgm/internal/CommandCatalog.java
+++ b/org.azurearch.pgm/src/main/java/org/azurearch/pgm/internal/CommandCatalog.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.ServiceLoader;
 import org.azurearch.pgm.Subcommand;
+import org.azurearch.yaml.NearName;
 
 /** The commands that registered themselves. */
 public final class CommandCatalog {
@@ -27,11 +28,9 @@
         return mCommands.stream().filter(c -> c.declaration().name().equals(name)).findFirst();
     }
 
-    /** Returns the name of the command that is nearest to a name. */
-    public String nearest(String name) {
-        return mCommands.stream()
-                .map(command -> command.declaration().name())
-                .min(Comparator.comparingInt(other -> NearName.distance(name, other)))
-                .orElse("");
+    /** Returns the name of the command that was probably meant, if there is a near one. */
+    public Optional<String> nearest(String name) {
+        return NearName.of(
+                name, mCommands.stream().map(command -> command.declaration().name()).toList());
     }
 }
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/StandinEvent.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/StandinEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.standin;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of the stand-ins and the experiment tool, numbers 700 to 799. */
 public enum StandinEvent implements EventCode {
@@ -15,28 +16,14 @@
     /** A backend server crashes on command. */
     BACKEND_CRASHED(704, Level.INFO, "backend server {} crashes on command");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     StandinEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.call;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of the data path, numbers 500 to 599. */
 public enum CallEvent implements EventCode {
@@ -27,28 +28,14 @@
      */
     WARM_UP_FAILED(509, Level.INFO, "the warm-up ended early: {}");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     CallEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/events/EventCode.java
+++ b/org.azurearch/src/main/java/org/azurearch/events/EventCode.java
@@ -14,14 +14,23 @@
         ERROR
     }
 
+    /** Returns what is fixed about the event. */
+    EventInfo info();
+
     /** Returns the number, unique in the product. */
-    int number();
+    default int number() {
+        return info().number();
+    }
 
     /** Returns the severity. */
-    Level level();
+    default Level level() {
+        return info().level();
+    }
 
     /** Returns the message, with {@code {}} for each argument. */
-    String message();
+    default String message() {
+        return info().message();
+    }
 
     /** Returns the constant's name. */
     String name();
--- a/org.azurearch/src/main/java/org/azurearch/fold/FoldEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/fold/FoldEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.fold;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of the fold. */
 public enum FoldEvent implements EventCode {
@@ -13,28 +14,14 @@
     /** The rule set was raised. */
     RULE_SET_RAISED(203, Level.INFO, "rule set raised from {} to {} at offset {}");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     FoldEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/config/RouteRules.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/config/RouteRules.java
@@ -11,9 +11,9 @@
 import org.azurearch.config.SiteConfig;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.errors.SourceLocation;
-import org.azurearch.internal.yaml.NearName;
 import org.azurearch.lib.NamedId;
 import org.azurearch.lib.RouteId;
+import org.azurearch.yaml.NearName;
 
 /** The rules that hold between a route and the rest of the same version. */
 final class RouteRules {
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MemberEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.internal.member;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of membership and of the backend server behind the node, numbers 450 to 499. */
 public enum MemberEvent implements EventCode {
@@ -23,28 +24,14 @@
     /** An authenticated reply holds values outside their range and is ignored. */
     REPLY_MALFORMED(458, Level.WARN, "reply ignored: {}");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     MemberEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SpreadEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.internal.spread;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of the log client and of the distribution, numbers 300 to 399. */
 public enum SpreadEvent implements EventCode {
@@ -43,28 +44,14 @@
     /** A change is appended again because the answer was lost or refused. */
     APPEND_RETRIED(340, Level.WARN, "change {} is appended again: {}");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     SpreadEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/transport/TransportEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/TransportEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.internal.transport;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of the exchange between nodes, numbers 400 to 449. */
 public enum TransportEvent implements EventCode {
@@ -15,28 +16,14 @@
     /** A handler failed in a way that it does not declare. */
     PEER_HANDLER_FAILED(404, Level.ERROR, "handling a request of kind {} failed: {}");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     TransportEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/yaml/SchemaCheck.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/yaml/SchemaCheck.java
@@ -19,6 +19,7 @@
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.errors.Problem;
 import org.azurearch.errors.SourceLocation;
+import org.azurearch.yaml.NearName;
 import org.azurearch.yaml.YamlEntry;
 import org.azurearch.yaml.YamlList;
 import org.azurearch.yaml.YamlMapping;
--- a/org.azurearch/src/main/java/org/azurearch/kernel/KernelEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/kernel/KernelEvent.java
@@ -1,6 +1,7 @@
 package org.azurearch.kernel;
 
 import org.azurearch.events.EventCode;
+import org.azurearch.events.EventInfo;
 
 /** Events of the kernel and its timers, numbers 100 to 149. */
 public enum KernelEvent implements EventCode {
@@ -15,28 +16,14 @@
     /** A ring was full and a message was rejected; logged at most once a second for each ring. */
     RING_FULL(104, Level.WARN, "ring {} is full, rejected so far: {}");
 
-    private final int mNumber;
-    private final Level mLevel;
-    private final String mMessage;
+    private final EventInfo mInfo;
 
     KernelEvent(int number, Level level, String message) {
-        mNumber = number;
-        mLevel = level;
-        mMessage = message;
+        mInfo = new EventInfo(number, level, message);
     }
 
     @Override
-    public int number() {
-        return mNumber;
-    }
-
-    @Override
-    public Level level() {
-        return mLevel;
-    }
-
-    @Override
-    public String message() {
-        return mMessage;
+    public EventInfo info() {
+        return mInfo;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/yaml/NearName.java
+++ b/org.azurearch/src/main/java/org/azurearch/yaml/NearName.java
@@ -1,4 +1,4 @@
-package org.azurearch.internal.yaml;
+package org.azurearch.yaml;
 
 import java.util.Collection;
 import java.util.Comparator;
