--- a/org.azurearch.test/src/test/java/org/azurearch/spread/RendezvousTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/member/RendezvousTest.java
@@ -1,4 +1,4 @@
-package org.azurearch.spread;
+package org.azurearch.member;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimHomes.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimHomes.java
@@ -1,12 +1,8 @@
 package org.azurearch.internal.call;
 
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import org.azurearch.lib.Digest;
-import org.azurearch.lib.NodeId;
 import org.azurearch.member.Member;
+import org.azurearch.member.Rendezvous;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,20 +11,13 @@
  */
 final class ClaimHomes {
     private static final int HOMES = 2;
+    private static final String RENDEZVOUS_KEY = "claims";
 
     private ClaimHomes() {}
 
     /** Returns the node that claims a key, or null when no node is reachable. */
     static @Nullable Member of(List<Member> reachable, String key) {
-        List<Member> ranked = new ArrayList<>(reachable);
-        ranked.sort(
-                Comparator.comparingInt((Member member) -> rank(member.node()))
-                        .thenComparing(Member::node));
-        int homes = Math.min(HOMES, ranked.size());
-        return homes == 0 ? null : ranked.get(Math.floorMod(key.hashCode(), homes));
-    }
-
-    private static int rank(NodeId node) {
-        return Digest.of((node.name() + "/claims").getBytes(StandardCharsets.UTF_8)).hashCode();
+        List<Member> homes = Rendezvous.top(RENDEZVOUS_KEY, reachable, HOMES);
+        return homes.isEmpty() ? null : homes.get(Math.floorMod(key.hashCode(), homes.size()));
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/Hashes.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/Hashes.java
@@ -4,14 +4,15 @@
 import org.azurearch.member.Board;
 import org.azurearch.member.Member;
 
-/** Order-independent 64-bit hashes of what a node holds; they are added up. */
-final class Hashes {
+/** 64-bit hashes; those of what a node holds are added up, so that their order is free. */
+public final class Hashes {
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
     private Hashes() {}
 
-    static long of(String text) {
+    /** Returns the hash of a text. */
+    public static long of(String text) {
         long hash = FNV_OFFSET;
         for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ b) * FNV_PRIME;
@@ -19,12 +20,14 @@
         return mix(hash);
     }
 
+    /** Returns the hash of the node, incarnation and sequence of a member. */
     static long of(Member member) {
         return mix(
                 mix(of(member.node().name()) + member.incarnation()) * FNV_PRIME
                         + member.sequence());
     }
 
+    /** Returns the hash of an entry of the board. */
     static long of(Board.Entry entry) {
         return mix(of(entry.kind() + '\n' + entry.key() + '\n' + entry.value()))
                 + mix(entry.expiresAtMillis());
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/SnapshotSchedule.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/SnapshotSchedule.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import org.azurearch.lib.NodeId;
+import org.azurearch.member.Rendezvous;
 import org.azurearch.spread.Position;
-import org.azurearch.spread.Rendezvous;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/Topology.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/Topology.java
@@ -9,7 +9,7 @@
 import org.azurearch.lib.NodeId;
 import org.azurearch.member.Member;
 import org.azurearch.member.MemberView;
-import org.azurearch.spread.Rendezvous;
+import org.azurearch.member.Rendezvous;
 
 /**
  * The reachable nodes and the readers of each data centre, as this node sees them.
--- a/org.azurearch/src/main/java/org/azurearch/member/Rendezvous.java
+++ b/org.azurearch/src/main/java/org/azurearch/member/Rendezvous.java
@@ -1,61 +1,58 @@
 package org.azurearch.member;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Function;
+import org.azurearch.internal.member.Hashes;
 import org.azurearch.lib.NodeId;
 
 /**
  * Rendezvous hashing: every node that holds the same members chooses the same ones for a key, and a
- * change of one member moves only the choices that involve it.
+ * change of one member moves only the choices that involve it. Nothing may depend on views being
+ * the same.
  */
 public final class Rendezvous {
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
-
-    private static final Comparator<Weighted> HEAVIEST_FIRST =
-            Comparator.comparingLong(Weighted::weight)
-                    .reversed()
-                    .thenComparing(weighted -> weighted.member().node());
-
-    private record Weighted(long weight, Member member) {}
-
     private Rendezvous() {}
 
     /**
      * Returns the members with the highest weights for a key, the highest first.
      *
      * @param key what the members are chosen for
-     * @param members the candidates
+     * @param members the candidates, in any order
      * @param count the most members returned
      */
     public static List<Member> top(String key, Collection<Member> members, int count) {
-        List<Weighted> ranked = new ArrayList<>(members.size());
-        for (Member member : members) {
-            ranked.add(new Weighted(weight(key, member.node()), member));
-        }
-        ranked.sort(HEAVIEST_FIRST);
-        return ranked.stream().limit(count).map(Weighted::member).toList();
+        return ranked(key, members, Member::node).stream().limit(count).toList();
     }
 
-    /** Returns the weight of a node for a key. */
-    public static long weight(String key, NodeId node) {
-        return mix(hash(hash(FNV_OFFSET, key) * FNV_PRIME, node.name()));
+    /**
+     * Ranks nodes for a key, the one with the highest weight first.
+     *
+     * @param key what the choice is for
+     * @param nodes the candidates, in any order
+     */
+    public static List<NodeId> rank(String key, Collection<NodeId> nodes) {
+        return ranked(key, nodes, Function.identity());
     }
 
-    private static long hash(long seed, String text) {
-        long hash = seed;
-        for (int i = 0; i < text.length(); i++) {
-            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-        }
-        return hash;
+    private static <T> List<T> ranked(
+            String key, Collection<T> candidates, Function<T, NodeId> node) {
+        Comparator<Weighted<T>> heaviestFirst =
+                Comparator.comparingLong((Weighted<T> weighted) -> weighted.weight())
+                        .reversed()
+                        .thenComparing(Weighted::node);
+        return candidates.stream()
+                .map(each -> weighted(key, each, node.apply(each)))
+                .sorted(heaviestFirst)
+                .map(Weighted::candidate)
+                .toList();
     }
 
-    /** Spreads the bits, so that names that differ little get weights that differ much. */
-    private static long mix(long value) {
-        long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
-        mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
-        return mixed ^ (mixed >>> 31);
+    private static <T> Weighted<T> weighted(String key, T candidate, NodeId node) {
+        return new Weighted<>(Hashes.of(key + "/" + node.name()), node, candidate);
     }
+
+    /** A candidate with its weight, which is computed once for each choice. */
+    private record Weighted<T>(long weight, NodeId node, T candidate) {}
 }
