Let the mesh settle before its steady traffic is measured

The slope of the steady bytes came out at 42 B/s per node for each further node, against 0.02 in the membership's own measurement. The steady window of 5 s began as soon as all nodes had joined, while the news of the start was still passed on: with policy poll, which spreads nothing, 66 nodes sent 6102 B/s each. Ruled out: the spreading policies, since all three show it.

The experiment now waits 30 s first (--settle).

--- a/org.azurearch.standin.test/src/test/java/org/azurearch/standin/bench/BenchTest.java
+++ b/org.azurearch.standin.test/src/test/java/org/azurearch/standin/bench/BenchTest.java
@@ -64,6 +64,7 @@
                         "services", "3",
                         "changes", "2",
                         "interval", "1ms",
+                        "settle", "0ms",
                         "steady", "100ms");
         ExperimentRecord record =
                 new Bench().run("convergence", new ExperimentOptions(small), ProgressMonitor.NONE);
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/ConvergenceExperiment.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/ConvergenceExperiment.java
@@ -29,6 +29,7 @@
     private static final int DEFAULT_CHANGES = 10;
     private static final int SLOTS = 20;
     private static final Duration DEFAULT_STEADY = Duration.ofSeconds(5);
+    private static final Duration DEFAULT_SETTLE = Duration.ofSeconds(30);
     private static final double MICROS_PER_MILLI = 1e3;
 
     private record Options(
@@ -39,6 +40,7 @@
             int changes,
             int changeSize,
             Duration interval,
+            Duration settle,
             Duration steady) {
         static Options from(ExperimentOptions options) {
             return new Options(
@@ -49,6 +51,7 @@
                     options.integer("changes", DEFAULT_CHANGES),
                     options.integer("changeSize", 1),
                     options.duration("interval", Duration.ofMillis(500)),
+                    options.duration("settle", DEFAULT_SETTLE),
                     options.duration("steady", DEFAULT_STEADY));
         }
 
@@ -103,6 +106,7 @@
             Publisher publisher = new Publisher(mesh, documents(options));
             publisher.first();
             mesh.awaitJoined();
+            MeshCost.settle(options.settle());
             MeshCost idle = MeshCost.over(mesh, options.steady());
             idle.addTo(results, prefix + "steady.");
             MeshCost.Sample before = MeshCost.sample(mesh);
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/MeshCost.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/bench/experiments/MeshCost.java
@@ -67,6 +67,11 @@
                 (after.processorNanos() - before.processorNanos()) / NANOS_PER_SECOND);
     }
 
+    /** Waits until the news of the start has been passed on and costs nothing more. */
+    static void settle(Duration time) {
+        LockSupport.parkNanos(time.toNanos());
+    }
+
     /** Measures what a mesh spends while nothing is published. */
     static MeshCost over(BenchMesh mesh, Duration time) {
         Sample before = sample(mesh);
