--- a/org.azurearch.node.test/src/test/java/org/azurearch/node/admin/OpenApiTest.java
+++ b/org.azurearch.node.test/src/test/java/org/azurearch/node/admin/OpenApiTest.java
@@ -7,16 +7,14 @@
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Post;
 import io.micronaut.http.annotation.Put;
-import java.io.IOException;
 import java.lang.annotation.Annotation;
 import java.lang.reflect.Method;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.azurearch.junit.RepositoryFiles;
 import org.junit.jupiter.api.Test;
 import org.yaml.snakeyaml.LoaderOptions;
 import org.yaml.snakeyaml.Yaml;
@@ -34,7 +32,7 @@
                     StateController.class);
 
     @Test
-    void pageAndControllersNameTheSameOperations() throws IOException {
+    void pageAndControllersNameTheSameOperations() {
         assertEquals(served(), documented());
     }
 
@@ -68,13 +66,11 @@
         }
     }
 
-    private static Set<String> documented() throws IOException {
-        Path folder = Path.of("").toAbsolutePath();
-        while (!Files.exists(folder.resolve("azurearch"))) {
-            folder = folder.getParent();
-        }
+    private static Set<String> documented() {
         Yaml yaml = new Yaml(new SafeConstructor(new LoaderOptions()));
-        Map<?, ?> page = yaml.load(Files.readString(folder.resolve("docs/openapi.yaml")));
+        Map<?, ?> page =
+                yaml.load(
+                        RepositoryFiles.read(RepositoryFiles.root().resolve("docs/openapi.yaml")));
         Set<String> operations = new TreeSet<>();
         Map<?, ?> paths = (Map<?, ?>) page.get("paths");
         paths.forEach(
--- a/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/CommandLineTest.java
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/CommandLineTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.stream.Stream;
 import org.approvaltests.Approvals;
+import org.azurearch.junit.RepositoryFiles;
 import org.azurearch.pgm.internal.CommandCatalog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
--- a/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/EventCatalogueTest.java
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/EventCatalogueTest.java
@@ -14,6 +14,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.azurearch.events.EventCode;
+import org.azurearch.junit.RepositoryFiles;
 import org.junit.jupiter.api.Test;
 
 /** Holds docs/EVENTS.md and docs/operators.md to the events in the code. */
--- a/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/WholePathTest.java
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/WholePathTest.java
@@ -2,10 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import org.azurearch.junit.RepositoryFiles;
 import org.azurearch.lib.ProgressMonitor;
 import org.azurearch.pgm.demo.FirmPlan.ServicePlan;
 import org.junit.jupiter.api.Test;
@@ -16,6 +16,8 @@
     private static final DemoTargets BOUNDED_WAITS =
             new DemoTargets(Duration.ofSeconds(30), Duration.ofSeconds(10));
 
+    private static final Path EXAMPLES = RepositoryFiles.root().resolve("examples/regie");
+
     @TempDir Path mFolder;
 
     @Test
@@ -28,8 +30,7 @@
                         whole.dataCentres(),
                         whole.services().stream().map(WholePathTest::two).toList(),
                         whole.calls());
-        try (Demo demo =
-                new Demo(small, examples(), mFolder, BOUNDED_WAITS, ProgressMonitor.NONE)) {
+        try (Demo demo = new Demo(small, EXAMPLES, mFolder, BOUNDED_WAITS, ProgressMonitor.NONE)) {
             DemoReport report = demo.run();
             List<StepResult> broken =
                     report.steps().stream()
@@ -43,12 +44,4 @@
         return new ServicePlan(
                 service.id(), 2, service.slots(), service.connections(), service.probeMillis());
     }
-
-    private static Path examples() {
-        Path folder = Path.of("").toAbsolutePath();
-        while (!Files.exists(folder.resolve("azurearch"))) {
-            folder = folder.getParent();
-        }
-        return folder.resolve("examples/regie");
-    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/spread/ConvergencePolicy.java
+++ b/org.azurearch/src/main/java/org/azurearch/spread/ConvergencePolicy.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /** Favours convergence time: pushes at once, wide, and repairs soon. */
-public final class ConvergencePolicy implements SpreadPolicy {
+public final class ConvergencePolicy extends TreePolicy {
     /** The name in the settings. */
     public static final String NAME = "convergence";
 
@@ -13,38 +13,8 @@
     private static final int FAN_OUT = 8;
     private static final int COMPRESSION_LEVEL = 1;
 
-    @Override
-    public String name() {
-        return NAME;
-    }
-
-    @Override
-    public boolean everyNodeReads() {
-        return false;
-    }
-
-    @Override
-    public Duration batchWindow() {
-        return BATCH_WINDOW;
-    }
-
-    @Override
-    public int fanOut() {
-        return FAN_OUT;
-    }
-
-    @Override
-    public Duration antiEntropyPeriod() {
-        return ANTI_ENTROPY_PERIOD;
-    }
-
-    @Override
-    public Duration reportDelay() {
-        return REPORT_DELAY;
-    }
-
-    @Override
-    public int compressionLevel() {
-        return COMPRESSION_LEVEL;
+    /** Creates the policy. */
+    public ConvergencePolicy() {
+        super(NAME, BATCH_WINDOW, ANTI_ENTROPY_PERIOD, REPORT_DELAY, FAN_OUT, COMPRESSION_LEVEL);
     }
 }
