--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -0,0 +1,197 @@
+package org.azurearch.sidecar.admit;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which requests the backend server behind this node works on, which wait and which are
+ * refused. This node is the only way to its backend server, so that the slots in use are known.
+ *
+ * <p>It answers a load beyond the slots. Requests that another backend server waits for go first,
+ * since they hold a slot there; then the more urgent ranks; within a rank those that can still meet
+ * their target, the earliest target first; then the rest. A request is refused at its arrival when
+ * the work before it leaves no time for it, and while it waits as soon as that turns out.
+ *
+ * <p>Confined to one thread.
+ *
+ * @param <T> what the caller attaches to a request
+ */
+public final class BackendQueue<T> {
+    /** What becomes of a request that arrives. */
+    public enum Decision {
+        /** It starts now. */
+        START,
+        /** It waits for a slot. */
+        WAIT,
+        /** It cannot be served in time. */
+        REFUSE
+    }
+
+    /**
+     * Part of the expected work that must still fit before a request's end: work times spread, and
+     * 0.6 of the mean is what one in ten requests needs.
+     */
+    private static final double LEAST_WORK_PART = 0.6;
+
+    /** A waiting request that may miss its target is taken up to this part of its time left. */
+    private static final double LATE_WAIT_PART = 0.5;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private record Waiting<T>(T item, QueuedRequest request) {}
+
+    private final List<Waiting<T>> mWaiting = new ArrayList<>();
+    private double mRunningMillis;
+    private int mSlots = 1;
+    private int mRunning;
+
+    /** Sets the number of requests that the backend server works on at a time. */
+    public void slots(int slots) {
+        mSlots = Math.max(1, slots);
+    }
+
+    /** Returns the slots. */
+    public int slots() {
+        return mSlots;
+    }
+
+    /** Returns the number of requests that the backend server works on. */
+    public int running() {
+        return mRunning;
+    }
+
+    /** Returns the number of requests that wait. */
+    public int waiting() {
+        return mWaiting.size();
+    }
+
+    /** Takes a request that arrives. */
+    public Decision offer(T item, QueuedRequest request, long nowNanos) {
+        if (leftMillis(request, nowNanos) < request.workMillis() * LEAST_WORK_PART) {
+            return Decision.REFUSE;
+        }
+        if (mRunning < mSlots && mWaiting.isEmpty()) {
+            started(request);
+            return Decision.START;
+        }
+        double wait = waitMillis(request, nowNanos);
+        double targetLeft = (request.targetNanos() - nowNanos) / NANOS_PER_MILLI;
+        boolean inTime = wait + request.workMillis() <= targetLeft;
+        if (!inTime && !worthLate(request, nowNanos)) {
+            return Decision.REFUSE;
+        }
+        mWaiting.add(new Waiting<>(item, request));
+        return Decision.WAIT;
+    }
+
+    /** Starts the next waiting request if a slot is free; null when there is nothing to start. */
+    public @Nullable T next(long nowNanos) {
+        if (mRunning >= mSlots || mWaiting.isEmpty()) {
+            return null;
+        }
+        Waiting<T> best = mWaiting.get(0);
+        for (Waiting<T> waiting : mWaiting) {
+            if (before(waiting.request(), best.request(), nowNanos)) {
+                best = waiting;
+            }
+        }
+        mWaiting.remove(best);
+        started(best.request());
+        return best.item();
+    }
+
+    /** Removes and returns waiting requests for which no time is left. */
+    public List<T> expired(long nowNanos) {
+        List<T> expired = new ArrayList<>();
+        Iterator<Waiting<T>> all = mWaiting.iterator();
+        while (all.hasNext()) {
+            Waiting<T> waiting = all.next();
+            double needed = waiting.request().workMillis() * LEAST_WORK_PART;
+            if (leftMillis(waiting.request(), nowNanos) < needed) {
+                expired.add(waiting.item());
+                all.remove();
+            }
+        }
+        return expired;
+    }
+
+    /** Removes a waiting request that nobody waits for any more; says whether it was there. */
+    public boolean cancel(T item) {
+        return mWaiting.removeIf(waiting -> waiting.item() == item);
+    }
+
+    /** Removes and returns all waiting requests. */
+    public List<T> clear() {
+        List<T> items = new ArrayList<>();
+        mWaiting.forEach(waiting -> items.add(waiting.item()));
+        mWaiting.clear();
+        return items;
+    }
+
+    /** The backend server has finished a request, or its connection is gone. */
+    public void ended(QueuedRequest request) {
+        mRunning = Math.max(0, mRunning - 1);
+        mRunningMillis = mRunning == 0 ? 0 : mRunningMillis - request.workMillis();
+    }
+
+    /** Returns how long a request would wait, behind those that go before it, in milliseconds. */
+    public double waitMillis(QueuedRequest request, long nowNanos) {
+        if (mRunning < mSlots && mWaiting.isEmpty()) {
+            return 0;
+        }
+        double before = mRunningMillis / 2;
+        int ahead = 0;
+        for (Waiting<T> waiting : mWaiting) {
+            if (before(waiting.request(), request, nowNanos)) {
+                before += waiting.request().workMillis();
+                ahead++;
+            }
+        }
+        double mean = mRunning == 0 ? 0 : mRunningMillis / mRunning;
+        return ahead == 0 ? mean / (mSlots + 1) : before / mSlots;
+    }
+
+    /** Returns how long all that is here takes, in milliseconds. */
+    public double backlogMillis() {
+        double total = mRunningMillis / 2;
+        for (Waiting<T> waiting : mWaiting) {
+            total += waiting.request().workMillis();
+        }
+        return total / mSlots;
+    }
+
+    /** Says whether a request that misses its target is still likely to be answered in its time. */
+    private boolean worthLate(QueuedRequest request, long nowNanos) {
+        double left = leftMillis(request, nowNanos);
+        return backlogMillis() + request.workMillis() <= left * LATE_WAIT_PART;
+    }
+
+    private void started(QueuedRequest request) {
+        mRunning++;
+        mRunningMillis += request.workMillis();
+    }
+
+    private static double leftMillis(QueuedRequest request, long nowNanos) {
+        return (request.endNanos() - nowNanos) / NANOS_PER_MILLI;
+    }
+
+    private static boolean before(QueuedRequest one, QueuedRequest other, long nowNanos) {
+        if (one.fromBackend() != other.fromBackend()) {
+            return one.fromBackend();
+        }
+        if (one.rank() != other.rank()) {
+            return one.rank() < other.rank();
+        }
+        boolean oneInTime = inTime(one, nowNanos);
+        if (oneInTime != inTime(other, nowNanos)) {
+            return oneInTime;
+        }
+        return one.targetNanos() - other.targetNanos() < 0;
+    }
+
+    private static boolean inTime(QueuedRequest request, long nowNanos) {
+        return (request.targetNanos() - nowNanos) / NANOS_PER_MILLI >= request.workMillis();
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/RouteSet.java
@@ -0,0 +1,94 @@
+package org.azurearch.sidecar.config;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** One whole version of the configuration; immutable. */
+public final class RouteSet {
+    private final long mVersion;
+    private final RequestLimits mLimits;
+    private final Map<String, ServiceRule> mServices;
+    private final Map<String, List<RouteRule>> mByHost = new HashMap<>();
+
+    /**
+     * Creates a version.
+     *
+     * @param version the version; a higher one replaces a lower one
+     * @param limits the bounds on requests
+     * @param services the services by name
+     * @param rules the routes
+     * @throws IllegalArgumentException when a route names a service that is not there
+     */
+    public RouteSet(
+            long version,
+            RequestLimits limits,
+            Map<String, ServiceRule> services,
+            List<RouteRule> rules) {
+        mVersion = version;
+        mLimits = limits;
+        mServices = Map.copyOf(services);
+        for (RouteRule rule : rules) {
+            for (RouteRule.Part part : rule.parts()) {
+                if (!mServices.containsKey(part.service())) {
+                    throw new IllegalArgumentException(
+                            "route " + rule.name() + " names no service: " + part.service());
+                }
+            }
+            mByHost.computeIfAbsent(rule.host(), host -> new ArrayList<>()).add(rule);
+        }
+        Comparator<RouteRule> longestFirst =
+                Comparator.comparingInt((RouteRule rule) -> -rule.prefix().length());
+        mByHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    /** Returns the version. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the bounds on requests. */
+    public RequestLimits limits() {
+        return mLimits;
+    }
+
+    /** Returns the services by name. */
+    public Map<String, ServiceRule> services() {
+        return mServices;
+    }
+
+    /** Returns the number of routes. */
+    public int size() {
+        return mByHost.values().stream().mapToInt(List::size).sum();
+    }
+
+    /**
+     * Returns the route with the longest prefix that begins the path, or null.
+     *
+     * @param host the value of the Host header
+     * @param target the request target; a query is ignored
+     */
+    public @Nullable RouteRule find(String host, String target) {
+        int colon = host.indexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        List<RouteRule> rules = mByHost.get(name);
+        if (rules == null) {
+            rules = mByHost.get(name.toLowerCase(Locale.ROOT));
+        }
+        if (rules == null) {
+            return null;
+        }
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        for (RouteRule rule : rules) {
+            if (path.startsWith(rule.prefix())) {
+                return rule;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendWatch.java
@@ -0,0 +1,129 @@
+package org.azurearch.sidecar.internal;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.BackendReportCodec;
+import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.SidecarSettings;
+import org.azurearch.sidecar.config.RouteSet;
+import org.azurearch.sidecar.internal.backend.BackendDesk;
+import org.azurearch.sidecar.internal.mesh.ConfigKeeper;
+import org.azurearch.sidecar.internal.mesh.NodeDirectory;
+import org.azurearch.sidecar.member.BackendReport;
+import org.azurearch.sidecar.member.BackendTracker;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes the heartbeats of the backend server behind this node and tells the desk and the other
+ * nodes what changes. Confined to one event loop.
+ */
+public final class BackendWatch implements BackendDesk.Watcher {
+    private final SidecarSettings mSettings;
+    private final BackendReportCodec mCodec;
+    private final ConfigKeeper mConfigs;
+    private final BackendTracker mTracker = new BackendTracker();
+    private @Nullable BackendDesk mDesk;
+    private @Nullable NodeDirectory mDirectory;
+    private boolean mDeparted;
+
+    /**
+     * Creates a watch that has heard nothing.
+     *
+     * @param settings the settings of this node
+     * @param codec reads heartbeats
+     * @param configs names the services that there are
+     */
+    public BackendWatch(SidecarSettings settings, BackendReportCodec codec, ConfigKeeper configs) {
+        mSettings = settings;
+        mCodec = codec;
+        mConfigs = configs;
+    }
+
+    /** Sets who is told. */
+    public void bind(BackendDesk desk, NodeDirectory directory) {
+        mDesk = desk;
+        mDirectory = directory;
+    }
+
+    /** Says whether the last backend server has left and none has come since. */
+    public boolean departed() {
+        return mDeparted && mTracker.current() == null;
+    }
+
+    /** Answers a heartbeat; the success is the acknowledgement. */
+    public PlainHttpServer.Reply handle(PlainHttpServer.Request request) {
+        BackendReportCodec.Message message;
+        try {
+            message = mCodec.read(request.method(), request.path(), request.body());
+        } catch (RuntimeException e) {
+            EventLog.log(SidecarEvent.BACKEND_REPORT_IGNORED, request.path(), "-", e.toString());
+            return PlainHttpServer.Reply.of(HttpResponseStatus.BAD_REQUEST.code());
+        }
+        if (message == null) {
+            return PlainHttpServer.Reply.of(HttpResponseStatus.NOT_FOUND.code());
+        }
+        BackendReport report = message.report();
+        if (report == null) {
+            mDeparted = true;
+            changed(mTracker.departed(message.instance(), message.bornMillis()), "departed");
+        } else if (!plausible(report)) {
+            return PlainHttpServer.Reply.of(HttpResponseStatus.BAD_REQUEST.code());
+        } else {
+            BackendTracker.Change change = mTracker.report(report);
+            if (change == BackendTracker.Change.STALE) {
+                EventLog.log(
+                        SidecarEvent.BACKEND_REPORT_IGNORED,
+                        report.instance(),
+                        report.sequence(),
+                        "outdated");
+            }
+            changed(change, report.leaving() ? "leaving" : "heartbeat");
+        }
+        return PlainHttpServer.Reply.of(HttpResponseStatus.OK.code());
+    }
+
+    @Override
+    public void unreachable() {
+        changed(mTracker.unreachable(), "unreachable");
+    }
+
+    @Override
+    public void replaced() {
+        changed(mTracker.unreachable(), "replaced");
+    }
+
+    /** Heartbeats may come from another writer: they name no backend server to use. */
+    private boolean plausible(BackendReport report) {
+        RouteSet config = mConfigs.current();
+        boolean known =
+                report.service().equals(mSettings.service())
+                        || (config != null && config.services().containsKey(report.service()));
+        boolean here = report.address().equals(mSettings.backend());
+        if (!known || !here) {
+            EventLog.log(
+                    SidecarEvent.BACKEND_REPORT_IGNORED,
+                    report.instance(),
+                    report.sequence(),
+                    "service " + report.service() + " at " + report.address());
+        }
+        return known && here;
+    }
+
+    private void changed(BackendTracker.Change change, String cause) {
+        BackendDesk desk = mDesk;
+        NodeDirectory directory = mDirectory;
+        if (change != BackendTracker.Change.CHANGED || desk == null || directory == null) {
+            return;
+        }
+        BackendReport current = mTracker.current();
+        EventLog.log(
+                SidecarEvent.BACKEND_CHANGED,
+                current == null ? "none" : current.instance(),
+                current == null ? "-" : current.service(),
+                mTracker.ready(),
+                current == null ? 0 : current.slots(),
+                cause);
+        desk.backend(mTracker.ready() ? current : null);
+        directory.publishBackend(mTracker.record());
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/HeaderList.java
@@ -0,0 +1,83 @@
+package org.azurearch.sidecar.internal;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Header lists of names and values in turn. */
+public final class HeaderList {
+    /** Headers that hold for one connection or one framing only. */
+    private static final Set<String> ONE_CONNECTION =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "te",
+                    "trailer",
+                    "upgrade",
+                    "expect",
+                    "transfer-encoding",
+                    "content-length");
+
+    private HeaderList() {}
+
+    /**
+     * Returns the headers that go on to another connection.
+     *
+     * @param headers the headers of a message
+     * @param dropped further names in lower case that do not go on
+     */
+    public static List<String> onward(HttpHeaders headers, Set<String> dropped) {
+        String connection = headers.get("connection");
+        String named = connection == null ? "" : connection.toLowerCase(Locale.ROOT);
+        List<String> list = new ArrayList<>(2 * headers.size());
+        Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
+        while (entries.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> entry = entries.next();
+            String name = entry.getKey().toString();
+            String lower = name.toLowerCase(Locale.ROOT);
+            boolean stays = ONE_CONNECTION.contains(lower) || dropped.contains(lower);
+            if (!stays && !(named.length() > 0 && names(named, lower))) {
+                list.add(name);
+                list.add(entry.getValue().toString());
+            }
+        }
+        return list;
+    }
+
+    /** Adds a list to the headers of a message. */
+    public static void add(HttpHeaders headers, List<String> list) {
+        for (int i = 0; i + 1 < list.size(); i += 2) {
+            headers.add(list.get(i), list.get(i + 1));
+        }
+    }
+
+    /**
+     * Returns the first value of a name, or null.
+     *
+     * @param list the list
+     * @param name the name; case does not matter
+     */
+    public static @Nullable String value(List<String> list, String name) {
+        for (int i = 0; i + 1 < list.size(); i += 2) {
+            if (list.get(i).equalsIgnoreCase(name)) {
+                return list.get(i + 1);
+            }
+        }
+        return null;
+    }
+
+    private static boolean names(String connection, String name) {
+        for (String part : connection.split(",")) {
+            if (part.trim().equals(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
@@ -0,0 +1,146 @@
+package org.azurearch.sidecar.internal;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.azurearch.events.EventLog;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.SidecarEvent;
+
+/** Serves the node's own few routes: readiness, heartbeats of the backend server and metrics. */
+public final class PlainHttpServer implements AutoCloseable {
+    private static final int MAX_BODY_BYTES = 64 * 1024;
+    private static final int BACKLOG = 64;
+
+    /**
+     * A request.
+     *
+     * @param method the method
+     * @param path the target
+     * @param body the body
+     */
+    public record Request(String method, String path, byte[] body) {}
+
+    /**
+     * A reply.
+     *
+     * @param status the HTTP status
+     * @param mediaType the media type of the body
+     * @param body the body
+     */
+    public record Reply(int status, String mediaType, byte[] body) {
+        /** A reply with an empty JSON object. */
+        public static Reply of(int status) {
+            return new Reply(status, "application/json", new byte[] {'{', '}'});
+        }
+    }
+
+    /** Answers requests. */
+    public interface Handler {
+        /** Answers a request. */
+        Reply handle(Request request);
+    }
+
+    private final Channel mServer;
+
+    /**
+     * Creates a server and listens.
+     *
+     * @param loop the event loop that serves it
+     * @param address where it listens
+     * @param handler answers requests
+     */
+    public PlainHttpServer(EventLoop loop, NetAddress address, Handler handler) {
+        mServer =
+                new ServerBootstrap()
+                        .group(loop, loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        channel.pipeline()
+                                                .addLast(new HttpServerCodec())
+                                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                                .addLast(new Exchange(handler));
+                                    }
+                                })
+                        .bind(address.socketAddress())
+                        .syncUninterruptibly()
+                        .channel();
+    }
+
+    /** Returns the port that the server listens on. */
+    public int port() {
+        return ((java.net.InetSocketAddress) mServer.localAddress()).getPort();
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+
+    /** Serves one connection. */
+    private static final class Exchange extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Handler mHandler;
+
+        Exchange(Handler handler) {
+            mHandler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            Reply reply =
+                    request.decoderResult().isFailure()
+                            ? Reply.of(HttpResponseStatus.BAD_REQUEST.code())
+                            : mHandler.handle(
+                                    new Request(
+                                            request.method().name(),
+                                            request.uri(),
+                                            ByteBufUtil.getBytes(request.content())));
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.valueOf(reply.status()),
+                            Unpooled.wrappedBuffer(reply.body()));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.mediaType());
+            HttpUtil.setContentLength(response, reply.body().length);
+            if (HttpUtil.isKeepAlive(request)) {
+                context.writeAndFlush(response, context.voidPromise());
+            } else {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (cause instanceof RuntimeException) {
+                EventLog.log(SidecarEvent.HANDLER_FAILED, cause, "own routes", cause.toString());
+            }
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -0,0 +1,147 @@
+package org.azurearch.sidecar.internal.backend;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import org.azurearch.sidecar.Dialect;
+import org.jspecify.annotations.Nullable;
+
+/** A connection to the backend server; it carries one request at a time. */
+final class BackendConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /** Takes what comes back on a request. */
+    interface Exchange {
+        /** The whole answer is there; the message is valid during the call only. */
+        void answered(FullHttpResponse answer);
+
+        /** The connection broke before a whole answer was there. */
+        void broken(String reason);
+    }
+
+    private static final String KEEP_ALIVE = "keep-alive";
+    private static final String TIMEOUT = "timeout=";
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    private final Channel mChannel;
+    private final BackendPool mPool;
+    private final Dialect mDialect;
+    private @Nullable Exchange mExchange;
+    private String mRequestId = "";
+    private boolean mReusable = true;
+    private boolean mReleasePending;
+    private long mIdleSinceNanos;
+    private long mServerIdleNanos = Long.MAX_VALUE;
+
+    BackendConnection(Channel channel, BackendPool pool, Dialect dialect) {
+        mChannel = channel;
+        mPool = pool;
+        mDialect = dialect;
+    }
+
+    /** Sends a request. */
+    void send(FullHttpRequest request, Exchange exchange) {
+        mExchange = exchange;
+        String id = request.headers().get(mDialect.requestId());
+        mRequestId = id == null ? "" : id;
+        mChannel.writeAndFlush(request, mChannel.voidPromise());
+    }
+
+    /** Ends the exchange; the backend server sees the connection close. */
+    void abandon() {
+        mExchange = null;
+        mChannel.close();
+    }
+
+    boolean active() {
+        return mChannel.isActive();
+    }
+
+    long idleNanos(long nowNanos) {
+        return nowNanos - mIdleSinceNanos;
+    }
+
+    /** Returns after which idle time the backend server says it closes the connection. */
+    long serverIdleNanos() {
+        return mServerIdleNanos;
+    }
+
+    void close() {
+        mChannel.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse answer) {
+        Exchange exchange = mExchange;
+        if (exchange == null || mReleasePending) {
+            mReusable = false;
+            context.close();
+            return;
+        }
+        if (answer.decoderResult().isFailure()) {
+            fail("malformed answer");
+            return;
+        }
+        String id = answer.headers().get(mDialect.requestId());
+        if (id != null && !id.equals(mRequestId)) {
+            mReusable = false;
+            return;
+        }
+        noteKeepAlive(answer);
+        mExchange = null;
+        mReleasePending = true;
+        exchange.answered(answer);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (mReleasePending) {
+            mReleasePending = false;
+            if (mReusable && mChannel.isActive()) {
+                mIdleSinceNanos = System.nanoTime();
+                mPool.released(this);
+            } else {
+                mChannel.close();
+            }
+        }
+        context.fireChannelReadComplete();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(cause.toString());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mPool.closed(this);
+        fail("connection closed");
+    }
+
+    private void fail(String reason) {
+        Exchange exchange = mExchange;
+        mExchange = null;
+        mReusable = false;
+        mChannel.close();
+        if (exchange != null) {
+            exchange.broken(reason);
+        }
+    }
+
+    private void noteKeepAlive(FullHttpResponse answer) {
+        boolean unframed =
+                !HttpUtil.isContentLengthSet(answer) && !HttpUtil.isTransferEncodingChunked(answer);
+        if (!HttpUtil.isKeepAlive(answer) || unframed) {
+            mReusable = false;
+        }
+        String value = answer.headers().get(KEEP_ALIVE);
+        int at = value == null ? -1 : value.indexOf(TIMEOUT);
+        if (value != null && at >= 0) {
+            String digits = value.substring(at + TIMEOUT.length()).replaceAll("[^0-9].*", "");
+            if (!digits.isEmpty()) {
+                mServerIdleNanos = Long.parseLong(digits) * NANOS_PER_SECOND;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -0,0 +1,212 @@
+package org.azurearch.sidecar.internal.backend;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.sidecar.Dialect;
+import org.azurearch.sidecar.admit.BackendQueue;
+import org.azurearch.sidecar.admit.QueuedRequest;
+import org.azurearch.sidecar.admit.WorkEstimate;
+import org.azurearch.sidecar.call.Attempt;
+import org.azurearch.sidecar.call.AttemptFailure;
+import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.member.BackendReport;
+import org.azurearch.sidecar.route.EndpointLoad;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The only way to the backend server behind this node: takes calls from this node and from others,
+ * lets them wait for a slot and passes them on. Confined to one event loop.
+ */
+public final class BackendDesk {
+    /** Waiting requests are looked through this often for those that have no time left. */
+    private static final long SWEEP_MILLIS = 25;
+
+    private static final double PERCENT = 100.0;
+
+    /** Weight of a new outcome: about the last twenty count. */
+    private static final double NEW_WEIGHT = 0.05;
+
+    /** Takes note that the backend server cannot be reached. */
+    public interface Watcher {
+        /** No connection to the backend server could be opened. */
+        void unreachable();
+
+        /** A backend server of another service or run has its address. */
+        void replaced();
+    }
+
+    private final EventLoop mLoop;
+    private final Dialect mDialect;
+    private final BackendPool mPool;
+    private final Watcher mWatcher;
+    private final BackendQueue<BackendAttempt> mQueue = new BackendQueue<>();
+    private final WorkEstimate mWork = new WorkEstimate();
+    private @Nullable BackendReport mBackend;
+    private boolean mSweeping;
+    private double mFailures;
+
+    /**
+     * Creates a desk without a backend server.
+     *
+     * @param loop the event loop of the node
+     * @param dialect the names of headers
+     * @param watcher takes what turns out about the backend server
+     */
+    public BackendDesk(EventLoop loop, Dialect dialect, Watcher watcher) {
+        mLoop = loop;
+        mDialect = dialect;
+        mPool = new BackendPool(loop, dialect);
+        mWatcher = watcher;
+    }
+
+    /** Sets the backend server that takes requests, or null when there is none. */
+    public void backend(@Nullable BackendReport backend) {
+        BackendReport before = mBackend;
+        mBackend = backend;
+        if (backend == null) {
+            for (BackendAttempt waiting : mQueue.clear()) {
+                waiting.refused(
+                        AttemptFailure.notSent(
+                                ErrorCode.NO_BACKEND_SERVER, "the backend server leaves"));
+            }
+            return;
+        }
+        mQueue.slots(backend.slots());
+        if (before == null || !before.instance().equals(backend.instance())) {
+            mPool.target(backend.address());
+            mFailures = 0;
+        }
+        pump();
+    }
+
+    /** Takes a call. */
+    public Attempt accept(HopCall call, Attempt.Sink sink) {
+        BackendAttempt attempt = new BackendAttempt(this, call, sink, queued(call));
+        BackendReport backend = mBackend;
+        if (backend == null || !backend.service().equals(call.service())) {
+            attempt.refused(
+                    AttemptFailure.notSent(
+                            ErrorCode.NO_BACKEND_SERVER, "no backend server of the service here"));
+            return attempt;
+        }
+        long now = System.nanoTime();
+        switch (mQueue.offer(attempt, attempt.queued(), now)) {
+            case START -> attempt.start(backend);
+            case WAIT -> sweepLater();
+            default ->
+                    attempt.refused(
+                            AttemptFailure.refused(
+                                    (long) mQueue.backlogMillis(),
+                                    "waiting="
+                                            + mQueue.waiting()
+                                            + " running="
+                                            + mQueue.running()));
+        }
+        return attempt;
+    }
+
+    /** Returns how busy the backend server is. */
+    public EndpointLoad load() {
+        return new EndpointLoad(
+                mQueue.slots(),
+                mQueue.running(),
+                mQueue.waiting(),
+                mWork.mean(),
+                (int) (mFailures * PERCENT));
+    }
+
+    /** Returns the number of calls that run or wait. */
+    public int calls() {
+        return mQueue.running() + mQueue.waiting();
+    }
+
+    BackendPool pool() {
+        return mPool;
+    }
+
+    Dialect dialect() {
+        return mDialect;
+    }
+
+    EventLoop loop() {
+        return mLoop;
+    }
+
+    void cancelWaiting(BackendAttempt attempt) {
+        mQueue.cancel(attempt);
+    }
+
+    /** A started attempt has ended. */
+    void ended(BackendAttempt attempt, boolean failed, double workMillis) {
+        mQueue.ended(attempt.queued());
+        mFailures += NEW_WEIGHT * ((failed ? 1 : 0) - mFailures);
+        if (workMillis > 0) {
+            mWork.observed(attempt.call().route(), workMillis);
+        }
+        pump();
+    }
+
+    void unreachable(BackendReport backend) {
+        if (backend == mBackend) {
+            mWatcher.unreachable();
+        }
+    }
+
+    void replaced(BackendReport backend) {
+        if (backend == mBackend) {
+            mWatcher.replaced();
+        }
+    }
+
+    private void pump() {
+        BackendReport backend = mBackend;
+        while (backend != null) {
+            long now = System.nanoTime();
+            expire(now);
+            BackendAttempt next = mQueue.next(now);
+            if (next == null) {
+                return;
+            }
+            next.start(backend);
+            backend = mBackend;
+        }
+    }
+
+    private void expire(long nowNanos) {
+        List<BackendAttempt> expired = mQueue.expired(nowNanos);
+        for (BackendAttempt attempt : expired) {
+            attempt.refused(
+                    AttemptFailure.refused(
+                            (long) mQueue.backlogMillis(), "no time left after waiting"));
+        }
+    }
+
+    private void sweepLater() {
+        if (!mSweeping) {
+            mSweeping = true;
+            mLoop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void sweep() {
+        mSweeping = false;
+        expire(System.nanoTime());
+        if (mQueue.waiting() > 0) {
+            sweepLater();
+        }
+    }
+
+    private QueuedRequest queued(HopCall call) {
+        long targetMillis =
+                Math.max(1, TimeUnit.NANOSECONDS.toMillis(call.targetNanos() - System.nanoTime()));
+        return new QueuedRequest(
+                call.route(),
+                call.rank(),
+                call.fromBackend(),
+                call.targetNanos(),
+                call.endNanos(),
+                mWork.of(call.route(), targetMillis));
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallLog.java
@@ -0,0 +1,54 @@
+package org.azurearch.sidecar.internal.call;
+
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.SidecarEvent;
+
+/**
+ * Writes lines about calls at a bounded rate: all that went wrong, one in a hundred of the rest.
+ * What is left out is counted and said. Confined to one event loop.
+ */
+final class CallLog {
+    /** Lines a second; a line costs about 10 microseconds of the processor. */
+    private static final double LINES_PER_SECOND = 40;
+
+    private static final double BURST = 80;
+    private static final int ANSWERED_SAMPLE = 100;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long REPORT_NANOS = 1_000_000_000L;
+
+    private double mTokens = BURST;
+    private long mLastNanos = System.nanoTime();
+    private long mReportedNanos = mLastNanos;
+    private int mAnswered;
+    private long mDropped;
+
+    /** Writes a line about something that went wrong. */
+    void failure(SidecarEvent event, Object... arguments) {
+        if (take()) {
+            EventLog.log(event, arguments);
+        }
+    }
+
+    /** Says whether the next answer is one that is logged. */
+    boolean sampled() {
+        return mAnswered++ % ANSWERED_SAMPLE == 0 && take();
+    }
+
+    private boolean take() {
+        long now = System.nanoTime();
+        mTokens =
+                Math.min(BURST, mTokens + (now - mLastNanos) / NANOS_PER_SECOND * LINES_PER_SECOND);
+        mLastNanos = now;
+        if (mTokens < 1) {
+            mDropped++;
+            return false;
+        }
+        mTokens--;
+        if (mDropped > 0 && now - mReportedNanos > REPORT_NANOS) {
+            EventLog.log(SidecarEvent.CALL_LINES_DROPPED, mDropped);
+            mDropped = 0;
+            mReportedNanos = now;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -0,0 +1,123 @@
+package org.azurearch.sidecar.internal.call;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.internal.call.StrictRequestDecoder;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.config.RequestLimits;
+import org.azurearch.sidecar.config.RouteSet;
+import org.jspecify.annotations.Nullable;
+
+/** Takes the connections of callers on this VM. Confined to one event loop. */
+public final class CallServer implements AutoCloseable {
+    /** Requests are held whole, so that they can be sent again; larger ones are refused. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+    /** Connections are looked through this often for those that stand idle. */
+    private static final long SWEEP_MILLIS = 1_000;
+
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoop mLoop;
+    private final CallRouter mRouter;
+    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private @Nullable Channel mServer;
+    private boolean mDraining;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param loop the event loop of the node
+     * @param router what all calls share
+     */
+    public CallServer(EventLoop loop, CallRouter router) {
+        mLoop = loop;
+        mRouter = router;
+    }
+
+    /**
+     * Takes connections.
+     *
+     * @param address the address to listen on; port 0 asks for a free one
+     * @return the port
+     */
+    public int listen(NetAddress address) {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(mLoop, mLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<SocketChannel>() {
+                                    @Override
+                                    protected void initChannel(SocketChannel channel) {
+                                        install(channel);
+                                    }
+                                });
+        Channel server = bootstrap.bind(address.socketAddress()).syncUninterruptibly().channel();
+        mServer = server;
+        mLoop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Ends each connection with its next answer. */
+    public void drain() {
+        mDraining = true;
+    }
+
+    /** Closes the connections that carry no call, and takes no new ones. */
+    @Override
+    public void close() {
+        if (mServer != null) {
+            mServer.close();
+        }
+        List.copyOf(mConnections).forEach(CallerConnection::close);
+    }
+
+    boolean draining() {
+        return mDraining;
+    }
+
+    void opened(CallerConnection connection) {
+        mConnections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        mConnections.remove(connection);
+    }
+
+    private void install(SocketChannel channel) {
+        channel.pipeline()
+                .addLast(new StrictRequestDecoder())
+                .addLast(new HttpResponseEncoder())
+                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                .addLast(new CallerConnection(mRouter, this, channel));
+    }
+
+    private void sweep() {
+        RouteSet config = mRouter.config();
+        RequestLimits limits = config == null ? RequestLimits.DEFAULT : config.limits();
+        long allowed = TimeUnit.MILLISECONDS.toNanos(limits.idleMillis());
+        long now = System.nanoTime();
+        for (CallerConnection connection : List.copyOf(mConnections)) {
+            if (connection.idle() && connection.idleNanos(now) > allowed) {
+                connection.close();
+            }
+        }
+        mLoop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -0,0 +1,417 @@
+package org.azurearch.sidecar.internal.call;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Verdict;
+import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.call.Attempt;
+import org.azurearch.sidecar.call.AttemptFailure;
+import org.azurearch.sidecar.call.BackendAnswer;
+import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.config.RouteRule;
+import org.azurearch.sidecar.config.RouteSet;
+import org.azurearch.sidecar.internal.HeaderList;
+import org.azurearch.sidecar.route.EndpointState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request of a caller on this VM: finds its route, chooses backend servers and gives exactly one
+ * answer. Confined to one event loop.
+ */
+final class EntryCall {
+    /** Nodes asked for room before the caller is refused; a refusal costs a round trip only. */
+    private static final int MAX_PLACEMENTS = 4;
+
+    /** A caller that finds no backend server at all comes back when a heartbeat may have come. */
+    private static final long NO_BACKEND_RETRY_MILLIS = 400;
+
+    /** The shortest time after which a refused caller is asked back. */
+    private static final long MIN_RETRY_MILLIS = 50;
+
+    private static final int TOO_LARGE = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code();
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Gives the outcome to the caller. */
+    interface Answerer {
+        /** Passes on a backend server's answer. */
+        void answer(BackendAnswer answer);
+
+        /** Answers with a status of the node's own. */
+        void refuse(int status, ErrorCode code, long retryAfterMillis);
+    }
+
+    private final CallRouter mRouter;
+    private final FullHttpRequest mRequest;
+    private final Answerer mAnswerer;
+    private final String mId;
+    private final long mStartedNanos = System.nanoTime();
+    private final Set<String> mTried = new HashSet<>();
+    private @Nullable RouteRule mRoute;
+    private long mVersion = -1;
+    private String mService = "";
+    private long mEndNanos;
+    private byte[] mBody = new byte[0];
+    private List<String> mHeaders = List.of();
+    private @Nullable Sending mSending;
+    private @Nullable ScheduledFuture<?> mTimeout;
+    private @Nullable BackendAnswer mFailedAnswer;
+    private int mPlacements;
+    private int mArrivals;
+    private boolean mMayHaveRun;
+    private boolean mDone;
+
+    EntryCall(CallRouter router, FullHttpRequest request, Answerer answerer) {
+        mRouter = router;
+        mRequest = request;
+        mAnswerer = answerer;
+        String id = request.headers().get(router.dialect().requestId());
+        mId = id == null ? "-" : id;
+        router.begun();
+    }
+
+    /** Begins the call; the request's body is not used after this returns. */
+    void start() {
+        RouteSet config = mRouter.config();
+        if (config == null) {
+            refuse(ErrorCode.NOT_READY, NO_BACKEND_RETRY_MILLIS, "no configuration yet");
+            return;
+        }
+        mVersion = config.version();
+        String host = mRequest.headers().get(HttpHeaderNames.HOST);
+        RouteRule route = config.find(host == null ? "" : host, mRequest.uri());
+        if (route == null) {
+            refuse(ErrorCode.NO_ROUTE, 0, "no route for " + host + mRequest.uri());
+            return;
+        }
+        mRoute = route;
+        if (mRequest.content().readableBytes() > config.limits().bodyBytes()) {
+            finish(TOO_LARGE, ErrorCode.TOO_LARGE, 0, "the body is larger than the limit");
+            return;
+        }
+        long millis = Math.min(deadlineMillis(route), route.timeoutMillis());
+        if (millis <= 0) {
+            refuse(ErrorCode.DEADLINE_EXCEEDED, 0, "no time left at arrival");
+            return;
+        }
+        mEndNanos = mStartedNanos + millis * NANOS_PER_MILLI;
+        mBody = ByteBufUtil.getBytes(mRequest.content());
+        mHeaders = onward();
+        mService = mRouter.pick(route);
+        mRouter.requested(mService);
+        mTimeout = mRouter.loop().schedule(this::timedOut, millis, TimeUnit.MILLISECONDS);
+        place(null);
+    }
+
+    /** The caller has left: all work for it stops. */
+    void cancel() {
+        if (mDone) {
+            return;
+        }
+        end();
+        mRouter.metrics().cancelled();
+        RouteRule route = mRoute;
+        mRouter.log()
+                .failure(
+                        SidecarEvent.CALL_CANCELLED,
+                        mId,
+                        route == null ? "-" : route.name(),
+                        mPlacements,
+                        elapsedMillis());
+    }
+
+    /** Sends the request to the best endpoint that has not been tried. */
+    private void place(@Nullable AttemptFailure last) {
+        RouteRule route = mRoute;
+        if (route == null || mDone) {
+            return;
+        }
+        EndpointState endpoint =
+                mPlacements >= MAX_PLACEMENTS ? null : mRouter.choose(route, mService, mTried);
+        if (endpoint == null) {
+            giveUp(last);
+            return;
+        }
+        mPlacements++;
+        mTried.add(endpoint.node());
+        Sending sending = new Sending(endpoint);
+        mSending = sending;
+        sending.send(call(route));
+    }
+
+    private void giveUp(@Nullable AttemptFailure last) {
+        BackendAnswer failed = mFailedAnswer;
+        if (failed != null) {
+            deliver(failed);
+        } else if (mMayHaveRun) {
+            finish(
+                    HttpResponseStatus.BAD_GATEWAY.code(),
+                    last == null ? ErrorCode.BACKEND_SERVER_FAILED : last.code(),
+                    0,
+                    last == null ? "" : last.detail());
+        } else if (last == null) {
+            refuse(ErrorCode.NO_BACKEND_SERVER, NO_BACKEND_RETRY_MILLIS, "none of " + mService);
+        } else {
+            refuse(last.code(), Math.max(MIN_RETRY_MILLIS, last.retryAfterMillis()), last.detail());
+        }
+    }
+
+    private void answered(Sending sending, BackendAnswer answer) {
+        RouteRule route = mRoute;
+        boolean repeat =
+                answer.failed()
+                        && route != null
+                        && route.idempotent()
+                        && mayRepeat(route)
+                        && leftMillis() > route.targetMillis() / 2;
+        if (!repeat) {
+            deliver(answer);
+            return;
+        }
+        mFailedAnswer = answer;
+        mMayHaveRun = true;
+        logAttempt(sending, "BACKEND_SERVER_FAILED", Verdict.RAN, "status " + answer.status());
+        mRouter.metrics().retried();
+        place(null);
+    }
+
+    private void failed(Sending sending, AttemptFailure failure) {
+        RouteRule route = mRoute;
+        if (route == null) {
+            return;
+        }
+        mMayHaveRun |= failure.verdict() != Verdict.NOT_RUN;
+        boolean allowed = failure.verdict().mayRetry(route.idempotent()) && leftMillis() > 0;
+        boolean again = allowed && (!failure.reachedBackend() || mayRepeat(route));
+        logAttempt(
+                sending,
+                failure.code().name(),
+                failure.verdict(),
+                failure.detail() + (again ? "" : " (last)"));
+        if (!again) {
+            giveUp(failure);
+            return;
+        }
+        if (failure.reachedBackend()) {
+            mRouter.metrics().retried();
+        }
+        place(failure);
+    }
+
+    private boolean mayRepeat(RouteRule route) {
+        return mArrivals < route.attempts() && mRouter.mayRepeat(mService);
+    }
+
+    private void timedOut() {
+        if (mDone) {
+            return;
+        }
+        Sending sending = mSending;
+        boolean sent = sending != null && sending.open();
+        if (mMayHaveRun || sent) {
+            finish(
+                    HttpResponseStatus.GATEWAY_TIMEOUT.code(),
+                    ErrorCode.DEADLINE_EXCEEDED,
+                    0,
+                    "no answer in time");
+        } else {
+            refuse(ErrorCode.OVERLOADED, MIN_RETRY_MILLIS, "no answer in time");
+        }
+    }
+
+    private void deliver(BackendAnswer answer) {
+        RouteRule route = mRoute;
+        Sending sending = mSending;
+        end();
+        mAnswerer.answer(answer);
+        if (route != null) {
+            mRouter.answered(route, answer.body().length);
+            mRouter.metrics()
+                    .ended(route.name(), answer.status(), System.nanoTime() - mStartedNanos);
+        }
+        if (mRouter.log().sampled()) {
+            org.azurearch.events.EventLog.log(
+                    SidecarEvent.CALL_ANSWERED,
+                    mId,
+                    route == null ? "-" : route.name(),
+                    answer.status(),
+                    sending == null ? "-" : sending.mEndpoint.node(),
+                    mPlacements,
+                    elapsedMillis());
+        }
+    }
+
+    /** Ends the call where it has not run and never will. */
+    private void refuse(ErrorCode code, long retryAfterMillis, String detail) {
+        int status =
+                code == ErrorCode.NO_ROUTE
+                        ? code.httpStatus()
+                        : HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+        finish(status, code, retryAfterMillis, detail);
+    }
+
+    private void finish(int status, ErrorCode code, long retryAfterMillis, String detail) {
+        long spread = (long) (retryAfterMillis * (1 + mRouter.random()));
+        end();
+        mAnswerer.refuse(status, code, spread);
+        RouteRule route = mRoute;
+        String name = route == null ? "-" : route.name();
+        mRouter.metrics().ended(name, status, System.nanoTime() - mStartedNanos);
+        mRouter.log()
+                .failure(
+                        SidecarEvent.CALL_FAILED,
+                        mId,
+                        name,
+                        mService,
+                        mVersion,
+                        status,
+                        code.code(),
+                        mMayHaveRun ? "may-have-run" : "not-run",
+                        mPlacements,
+                        elapsedMillis(),
+                        spread,
+                        detail);
+    }
+
+    private void end() {
+        mDone = true;
+        mRouter.ended();
+        if (mTimeout != null) {
+            mTimeout.cancel(false);
+        }
+        if (mSending != null) {
+            mSending.stop();
+        }
+    }
+
+    private void logAttempt(Sending sending, String code, Verdict verdict, String detail) {
+        mRouter.log()
+                .failure(
+                        SidecarEvent.ATTEMPT_FAILED,
+                        mId,
+                        sending.mEndpoint.node(),
+                        mPlacements,
+                        code,
+                        verdict.headerValue(),
+                        mTried.size(),
+                        detail);
+    }
+
+    private HopCall call(RouteRule route) {
+        return new HopCall(
+                mRouter.nextId(),
+                mRequest.method().name(),
+                mRequest.uri(),
+                mHeaders,
+                mBody,
+                mEndNanos,
+                mStartedNanos + route.targetMillis() * NANOS_PER_MILLI,
+                route.rank(),
+                mService,
+                route.name(),
+                route.idempotent(),
+                false);
+    }
+
+    private List<String> onward() {
+        String caller = mRouter.dialect().callerService();
+        Set<String> dropped =
+                Set.of(
+                        caller,
+                        mRouter.dialect().deadlineMillis(),
+                        mRouter.dialect().expectedInstance());
+        List<String> headers = new ArrayList<>(HeaderList.onward(mRequest.headers(), dropped));
+        headers.add(caller);
+        headers.add(mRouter.service());
+        return headers;
+    }
+
+    private long deadlineMillis(RouteRule route) {
+        String text = mRequest.headers().get(mRouter.dialect().deadlineMillis());
+        if (text == null) {
+            return route.timeoutMillis();
+        }
+        try {
+            return Long.parseLong(text.trim());
+        } catch (NumberFormatException e) {
+            mRouter.log()
+                    .failure(SidecarEvent.CALLER_MALFORMED, mId, "deadline is no number: " + text);
+            return route.timeoutMillis();
+        }
+    }
+
+    private long leftMillis() {
+        return (mEndNanos - System.nanoTime()) / NANOS_PER_MILLI;
+    }
+
+    private long elapsedMillis() {
+        return (System.nanoTime() - mStartedNanos) / NANOS_PER_MILLI;
+    }
+
+    /** One sending to one endpoint. */
+    private final class Sending implements Attempt.Sink {
+        private final EndpointState mEndpoint;
+        private @Nullable Attempt mAttempt;
+        private boolean mOpen = true;
+
+        Sending(EndpointState endpoint) {
+            mEndpoint = endpoint;
+        }
+
+        void send(HopCall call) {
+            mArrivals++;
+            mEndpoint.started();
+            Attempt attempt = mRouter.send(mEndpoint, call, this);
+            mAttempt = attempt;
+        }
+
+        boolean open() {
+            return mOpen;
+        }
+
+        void stop() {
+            if (mOpen) {
+                mOpen = false;
+                mEndpoint.ended();
+                if (mAttempt != null) {
+                    mAttempt.cancel();
+                }
+            }
+        }
+
+        @Override
+        public void answered(BackendAnswer answer) {
+            if (close(answer.failed())) {
+                EntryCall.this.answered(this, answer);
+            }
+        }
+
+        @Override
+        public void failed(AttemptFailure failure) {
+            if (!failure.reachedBackend()) {
+                mArrivals--;
+            }
+            if (close(failure.reachedBackend())) {
+                EntryCall.this.failed(this, failure);
+            }
+        }
+
+        private boolean close(boolean failure) {
+            if (!mOpen) {
+                return false;
+            }
+            mOpen = false;
+            mEndpoint.ended();
+            mEndpoint.outcome(failure, System.nanoTime());
+            return !mDone;
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -0,0 +1,111 @@
+package org.azurearch.sidecar.internal.hop;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.thrift.HopFrame;
+import org.azurearch.thrift.WireHopPing;
+
+/** One connection between two nodes, in either direction. Confined to one event loop. */
+public final class HopConnection extends SimpleChannelInboundHandler<ByteBuf> {
+    /** The largest frame: a configuration of 100,000 routes, or a body and its head. */
+    private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
+
+    private static final int LENGTH_BYTES = 4;
+
+    /** Takes what happens on a connection. */
+    public interface Listener {
+        /** The connection is open. */
+        void opened(HopConnection connection);
+
+        /** A frame has arrived. */
+        void received(HopConnection connection, HopFrame frame);
+
+        /** The connection is gone. */
+        void closed(HopConnection connection);
+    }
+
+    private final Channel mChannel;
+    private final FrameCodec mCodec;
+    private final Listener mListener;
+    private boolean mFlushScheduled;
+    private long mLastReadNanos = System.nanoTime();
+
+    private HopConnection(Channel channel, FrameCodec codec, Listener listener) {
+        mChannel = channel;
+        mCodec = codec;
+        mListener = listener;
+    }
+
+    /** Sets up the pipeline of a channel. */
+    static void install(Channel channel, FrameCodec codec, Listener listener) {
+        channel.pipeline()
+                .addLast(
+                        new LengthFieldBasedFrameDecoder(
+                                MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                .addLast(new HopConnection(channel, codec, listener));
+    }
+
+    /** Sends a frame; frames sent in one turn of the event loop leave together. */
+    public void send(HopFrame frame) {
+        if (!mChannel.isActive()) {
+            return;
+        }
+        mChannel.write(mCodec.encode(frame), mChannel.voidPromise());
+        if (!mFlushScheduled) {
+            mFlushScheduled = true;
+            mChannel.eventLoop().execute(this::flush);
+        }
+    }
+
+    /** Returns when something last arrived, on the steady clock. */
+    public long lastReadNanos() {
+        return mLastReadNanos;
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        mChannel.close();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mListener.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mListener.closed(this);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
+        mLastReadNanos = System.nanoTime();
+        HopFrame frame = mCodec.decode(message);
+        if (frame.isSetPing()) {
+            if (!frame.getPing().isReply()) {
+                send(HopFrame.ping(new WireHopPing(true)));
+            }
+            return;
+        }
+        mListener.received(this, frame);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        EventLog.log(
+                SidecarEvent.HOP_CONNECTION_FAILED, mChannel.remoteAddress(), cause.toString());
+        context.close();
+    }
+
+    private void flush() {
+        mFlushScheduled = false;
+        mChannel.flush();
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -0,0 +1,158 @@
+package org.azurearch.sidecar.internal.hop;
+
+import java.nio.ByteBuffer;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.Verdict;
+import org.azurearch.sidecar.call.AttemptFailure;
+import org.azurearch.sidecar.call.BackendAnswer;
+import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.member.BackendRecord;
+import org.azurearch.sidecar.member.NodeRecord;
+import org.azurearch.sidecar.route.EndpointLoad;
+import org.azurearch.thrift.WireBackend;
+import org.azurearch.thrift.WireHopAnswer;
+import org.azurearch.thrift.WireHopCall;
+import org.azurearch.thrift.WireHopFailure;
+import org.azurearch.thrift.WireLoad;
+import org.azurearch.thrift.WireNodeRecord;
+
+/** Translates between the types of the node and those of the frames. */
+public final class HopWire {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double MICROS_PER_MILLI = 1_000.0;
+
+    private HopWire() {}
+
+    /** Returns the frame's form of a node record. */
+    public static WireNodeRecord toWire(NodeRecord record) {
+        WireNodeRecord wire =
+                new WireNodeRecord(
+                        record.node(),
+                        record.dataCentre(),
+                        record.address().host(),
+                        record.address().port(),
+                        record.incarnation(),
+                        record.sequence(),
+                        record.leaving(),
+                        record.storeReachable());
+        BackendRecord backend = record.backend();
+        if (backend != null) {
+            wire.setBackend(
+                    new WireBackend(
+                            backend.service(),
+                            backend.instance(),
+                            backend.slots(),
+                            backend.ready(),
+                            backend.warmingMillis()));
+        }
+        return wire;
+    }
+
+    /** Returns the node record of a frame. */
+    public static NodeRecord fromWire(WireNodeRecord wire) {
+        WireBackend backend = wire.getBackend();
+        return new NodeRecord(
+                wire.getNode(),
+                wire.getDataCentre(),
+                new NetAddress(wire.getHost(), wire.getPort()),
+                wire.getIncarnation(),
+                wire.getSequence(),
+                wire.isLeaving(),
+                wire.isStoreReachable(),
+                backend == null
+                        ? null
+                        : new BackendRecord(
+                                backend.getServiceName(),
+                                backend.getInstance(),
+                                backend.getSlots(),
+                                backend.isReady(),
+                                backend.getWarmingMillis()));
+    }
+
+    static WireHopCall toWire(HopCall call, long nowNanos) {
+        return new WireHopCall(
+                call.id(),
+                call.method(),
+                call.target(),
+                call.headers(),
+                ByteBuffer.wrap(call.body()),
+                (int) ((call.endNanos() - nowNanos) / NANOS_PER_MILLI),
+                (int) ((call.targetNanos() - nowNanos) / NANOS_PER_MILLI),
+                call.rank(),
+                call.service(),
+                call.route(),
+                call.idempotent(),
+                call.fromBackend());
+    }
+
+    /** Returns the call of a frame that arrives now. */
+    public static HopCall fromWire(WireHopCall wire, long nowNanos) {
+        return new HopCall(
+                wire.getId(),
+                wire.getMethod(),
+                wire.getTarget(),
+                wire.getHeaders(),
+                wire.getBody(),
+                nowNanos + wire.getLeftMillis() * NANOS_PER_MILLI,
+                nowNanos + wire.getTargetLeftMillis() * NANOS_PER_MILLI,
+                wire.getRank(),
+                wire.getServiceName(),
+                wire.getRoute(),
+                wire.isIdempotent(),
+                wire.isFromBackend());
+    }
+
+    /** Returns the frame's form of an answer. */
+    public static WireHopAnswer toWire(long id, BackendAnswer answer, EndpointLoad load) {
+        return new WireHopAnswer(
+                id,
+                answer.status(),
+                answer.headers(),
+                ByteBuffer.wrap(answer.body()),
+                toWire(load));
+    }
+
+    /** Returns the frame's form of a failure. */
+    public static WireHopFailure toWire(long id, AttemptFailure failure, EndpointLoad load) {
+        return new WireHopFailure(
+                id,
+                failure.verdict().ordinal(),
+                failure.code().name(),
+                failure.reachedBackend(),
+                (int) failure.retryAfterMillis(),
+                failure.detail(),
+                toWire(load));
+    }
+
+    static BackendAnswer fromWire(WireHopAnswer wire) {
+        return new BackendAnswer(wire.getStatus(), wire.getHeaders(), wire.getBody());
+    }
+
+    static AttemptFailure fromWire(WireHopFailure wire) {
+        return new AttemptFailure(
+                Verdict.values()[wire.getVerdict()],
+                ErrorCode.valueOf(wire.getCode()),
+                wire.isReachedBackend(),
+                wire.getRetryAfterMillis(),
+                wire.getDetail());
+    }
+
+    static EndpointLoad fromWire(WireLoad wire) {
+        return new EndpointLoad(
+                wire.getSlots(),
+                wire.getRunning(),
+                wire.getWaiting(),
+                wire.getWorkMicros() / MICROS_PER_MILLI,
+                wire.getFailurePercent());
+    }
+
+    private static WireLoad toWire(EndpointLoad load) {
+        return new WireLoad(
+                load.slots(),
+                load.running(),
+                load.waiting(),
+                (int) (load.workMillis() * MICROS_PER_MILLI),
+                load.failurePercent());
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigKeeper.java
@@ -0,0 +1,73 @@
+package org.azurearch.sidecar.internal.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.config.ConfigCodec;
+import org.azurearch.sidecar.config.RouteSet;
+import org.jspecify.annotations.Nullable;
+
+/** The configuration in force; a higher version replaces a lower one, never the reverse. */
+public final class ConfigKeeper {
+    private final ConfigCodec mCodec;
+    private final List<Consumer<RouteSet>> mSubscribers = new ArrayList<>();
+    private @Nullable RouteSet mCurrent;
+    private byte[] mContent = new byte[0];
+
+    /**
+     * Creates a keeper without a configuration.
+     *
+     * @param codec reads configurations
+     */
+    public ConfigKeeper(ConfigCodec codec) {
+        mCodec = codec;
+    }
+
+    /** Returns the configuration in force, or null. */
+    public @Nullable RouteSet current() {
+        return mCurrent;
+    }
+
+    /** Returns the version in force, or -1. */
+    public long version() {
+        return mCurrent == null ? -1 : mCurrent.version();
+    }
+
+    /** Returns the configuration in force as the platform keeps it. */
+    public byte[] content() {
+        return mContent;
+    }
+
+    /** Tells a subscriber of each configuration that comes into force. */
+    public void subscribe(Consumer<RouteSet> subscriber) {
+        mSubscribers.add(subscriber);
+    }
+
+    /**
+     * Puts a configuration in force unless it is not newer or cannot be read.
+     *
+     * @param content the configuration as the platform keeps it
+     * @param source where it comes from
+     * @return whether it came into force
+     */
+    public boolean install(byte[] content, String source) {
+        RouteSet routes;
+        try {
+            routes = mCodec.decode(content);
+        } catch (RuntimeException e) {
+            EventLog.log(SidecarEvent.CONFIG_UNREADABLE, source, e.toString());
+            return false;
+        }
+        long before = version();
+        if (routes.version() <= before) {
+            return false;
+        }
+        mCurrent = routes;
+        mContent = content;
+        EventLog.log(SidecarEvent.CONFIG_IN_FORCE, routes.version(), before, routes.size(), source);
+        mSubscribers.forEach(subscriber -> subscriber.accept(routes));
+        return true;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -0,0 +1,240 @@
+package org.azurearch.sidecar.internal.mesh;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.events.EventLog;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.SidecarSettings;
+import org.azurearch.sidecar.config.RouteSet;
+import org.azurearch.sidecar.internal.hop.HopConnection;
+import org.azurearch.sidecar.internal.hop.HopLink;
+import org.azurearch.sidecar.internal.hop.HopNetwork;
+import org.azurearch.sidecar.member.NodeRecord;
+import org.azurearch.sidecar.store.KeyedLog;
+import org.azurearch.thrift.HopFrame;
+import org.azurearch.thrift.WireConfigContent;
+import org.azurearch.thrift.WireConfigWanted;
+import org.azurearch.thrift.WirePulse;
+
+/**
+ * Keeps this node up to date about configuration and members: reads the store in turn for the data
+ * centre, passes on what is new and compares with others now and then. Confined to one event loop.
+ */
+public final class MeshService implements NodeDirectory.FrameHandler {
+    /** Links are looked after this often. */
+    private static final long TICK_MILLIS = 200;
+
+    /** Nodes of a data centre that read the store; two, so that one may be cut off unnoticed. */
+    private static final int READERS = 2;
+
+    /** Each node compares its state with one other this often. */
+    private static final long PULSE_MILLIS = 1_000;
+
+    /**
+     * A version that others hold is asked for only after this part of its bound: within it, the
+     * readers of this data centre have usually brought it, which costs no bytes between them.
+     */
+    private static final double PATIENCE_PART = 0.3;
+
+    private final EventLoop mLoop;
+    private final SidecarSettings mSettings;
+    private final ConfigKeeper mConfigs;
+    private final NodeDirectory mDirectory;
+    private final NodeRegistration mRegistration;
+    private final StoreReader mReader;
+    private final SplittableRandom mRandom = new SplittableRandom();
+    private int mRank = -1;
+    private int mGreeted;
+    private long mWantedVersion = -1;
+    private boolean mClosed;
+
+    /**
+     * Creates the service and begins to read the store.
+     *
+     * @param loop the event loop of the node
+     * @param settings the settings of this node
+     * @param network opens connections to other nodes
+     * @param peers where other nodes reach this one
+     * @param log the platform's log
+     * @param configKey the key of the configuration in its stream
+     * @param configs the configuration in force
+     */
+    public MeshService(
+            EventLoop loop,
+            SidecarSettings settings,
+            HopNetwork network,
+            NetAddress peers,
+            KeyedLog log,
+            String configKey,
+            ConfigKeeper configs) {
+        mLoop = loop;
+        mSettings = settings;
+        mConfigs = configs;
+        mDirectory =
+                new NodeDirectory(loop, network, settings, peers, System.currentTimeMillis(), this);
+        mRegistration = new NodeRegistration(log, loop, mDirectory.self(), mDirectory::merge);
+        mRegistration.start(false);
+        mReader = new StoreReader(log, loop, configKey, new FromStore());
+        settings.seeds().forEach(mDirectory::seed);
+        loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::pulse, PULSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the nodes that this one knows. */
+    public NodeDirectory directory() {
+        return mDirectory;
+    }
+
+    /** Says whether the other nodes have been read from the store or told by one of them. */
+    public boolean membersKnown() {
+        return mRegistration.complete() || !mDirectory.linksUp().isEmpty();
+    }
+
+    /** Drops this node from the store, as its VM is going away. */
+    public CompletableFuture<Void> unregister() {
+        return mRegistration.remove();
+    }
+
+    /** Ends all exchange with other nodes. */
+    public void close() {
+        mClosed = true;
+        mReader.active(false);
+        mDirectory.close();
+    }
+
+    @Override
+    public void linkUp(HopLink link) {
+        if (mGreeted < READERS + 1) {
+            mGreeted++;
+            link.send(pulseFrame(false));
+        }
+    }
+
+    @Override
+    public void received(HopConnection connection, HopFrame frame) {
+        switch (frame.getSetField()) {
+            case HELLO -> mDirectory.hello(connection, frame.getHello());
+            case RECORDS -> mDirectory.merge(frame.getRecords(), connection);
+            case PULSE -> compare(connection, frame.getPulse());
+            case CONFIG -> received(frame.getConfig());
+            case CONFIG_WANTED -> {
+                if (mConfigs.version() > frame.getConfigWanted().getAbove()) {
+                    connection.send(configFrame());
+                }
+            }
+            default ->
+                    EventLog.log(
+                            SidecarEvent.HOP_CONNECTION_FAILED,
+                            "peer",
+                            "frame " + frame.getSetField());
+        }
+    }
+
+    private void compare(HopConnection connection, WirePulse pulse) {
+        if (pulse.getMemberDigest() != mDirectory.table().digest()) {
+            mDirectory.sendAll(connection);
+        }
+        if (pulse.getConfigVersion() > mConfigs.version()) {
+            want(connection, pulse.getConfigVersion());
+        }
+        boolean differs =
+                pulse.getMemberDigest() != mDirectory.table().digest()
+                        || pulse.getConfigVersion() < mConfigs.version();
+        if (!pulse.isReply() && differs) {
+            connection.send(pulseFrame(true));
+        }
+    }
+
+    /** Asks for a version that another node holds, once it should have come by itself. */
+    private void want(HopConnection connection, long version) {
+        if (version <= mWantedVersion) {
+            return;
+        }
+        mWantedVersion = version;
+        long patience =
+                mConfigs.current() == null ? 0 : (long) (mSettings.configMillis() * PATIENCE_PART);
+        mLoop.schedule(
+                () -> {
+                    mWantedVersion = -1;
+                    if (mConfigs.version() < version) {
+                        connection.send(
+                                HopFrame.configWanted(new WireConfigWanted(mConfigs.version())));
+                    }
+                },
+                patience,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void received(WireConfigContent config) {
+        if (config.getVersion() > mConfigs.version()
+                && mConfigs.install(config.getContent(), "node")
+                && mRank < READERS) {
+            pushLocally();
+        }
+    }
+
+    private void pushLocally() {
+        HopFrame frame = configFrame();
+        mDirectory.localLinks().forEach(link -> link.send(frame));
+    }
+
+    private void tick() {
+        if (mClosed) {
+            return;
+        }
+        mDirectory.tick(System.nanoTime());
+        NodeRecord self = mDirectory.self();
+        int rank = self.storeReachable() ? mDirectory.rank(self, true) : Integer.MAX_VALUE;
+        boolean reads = rank < READERS;
+        if (reads != (mRank >= 0 && mRank < READERS)) {
+            EventLog.log(SidecarEvent.READER, reads, rank);
+        }
+        mRank = rank;
+        mReader.active(reads);
+        mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void pulse() {
+        if (mClosed) {
+            return;
+        }
+        List<HopLink> up = mDirectory.linksUp();
+        if (!up.isEmpty()) {
+            up.get(mRandom.nextInt(up.size())).send(pulseFrame(false));
+        }
+        long jittered = PULSE_MILLIS / 2 + mRandom.nextLong(PULSE_MILLIS);
+        mLoop.schedule(this::pulse, jittered, TimeUnit.MILLISECONDS);
+    }
+
+    private HopFrame pulseFrame(boolean reply) {
+        return HopFrame.pulse(
+                new WirePulse(mConfigs.version(), mDirectory.table().digest(), reply));
+    }
+
+    private HopFrame configFrame() {
+        RouteSet current = mConfigs.current();
+        long version = current == null ? -1 : current.version();
+        return HopFrame.config(
+                new WireConfigContent(version, java.nio.ByteBuffer.wrap(mConfigs.content())));
+    }
+
+    /** What the reader of the store finds. */
+    private final class FromStore implements StoreReader.Owner {
+        @Override
+        public void found(byte[] content) {
+            if (mConfigs.install(content, "store")) {
+                pushLocally();
+                mDirectory.remoteRelays().forEach(link -> link.send(pulseFrame(true)));
+            }
+        }
+
+        @Override
+        public void reachable(boolean reachable) {
+            mDirectory.publishStore(reachable);
+        }
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -0,0 +1,147 @@
+package org.azurearch.sidecar.internal.mesh;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.internal.hop.HopWire;
+import org.azurearch.sidecar.member.NodeRecord;
+import org.azurearch.sidecar.store.KeyedLog;
+import org.azurearch.sidecar.store.KeyedRecord;
+import org.azurearch.sidecar.store.KeyedRecords;
+import org.azurearch.thrift.WireNodeRecord;
+import org.azurearch.time.Backoff;
+
+/**
+ * Writes where this node can be reached into the platform's store, and reads where the others can.
+ *
+ * <p>The record is written before the others are read, so that of two nodes that start together at
+ * least one finds the other. A node that comes back to the same address writes nothing. Confined to
+ * one event loop.
+ */
+final class NodeRegistration {
+    private static final Duration RETRY_BASE = Duration.ofMillis(150);
+
+    /** Each refused call is paid for; others find this node through its links all the same. */
+    private static final Duration RETRY_MAX = Duration.ofMillis(2_000);
+
+    private final KeyedLog mLog;
+    private final EventLoop mLoop;
+    private final NodeRecord mSelf;
+    private final Consumer<NodeRecord> mFound;
+    private final Backoff mBackoff = new Backoff(RETRY_BASE, RETRY_MAX, new SplittableRandom());
+    private boolean mWritten;
+    private boolean mComplete;
+
+    NodeRegistration(KeyedLog log, EventLoop loop, NodeRecord self, Consumer<NodeRecord> found) {
+        mLog = log;
+        mLoop = loop;
+        mSelf = self;
+        mFound = found;
+    }
+
+    /** Registers this node and reads the others, again and again until both have succeeded. */
+    void start(boolean mayBeRegistered) {
+        if (mayBeRegistered) {
+            read();
+        } else {
+            write();
+        }
+    }
+
+    /** Says whether the other nodes have been read. */
+    boolean complete() {
+        return mComplete;
+    }
+
+    /** Drops the record, as this VM is going away. */
+    CompletableFuture<Void> remove() {
+        return mLog.append(KeyedLog.Stream.NODES, mSelf.node(), new byte[0]);
+    }
+
+    private void write() {
+        mLog.append(KeyedLog.Stream.NODES, mSelf.node(), encode(mSelf))
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure != null) {
+                                retry("register", failure, this::write);
+                            } else {
+                                mWritten = true;
+                                read();
+                            }
+                        });
+    }
+
+    private void read() {
+        mLog.newest(KeyedLog.Stream.NODES)
+                .whenComplete(
+                        (records, failure) -> {
+                            if (failure != null) {
+                                retry("members", failure, this::read);
+                            } else {
+                                take(records);
+                            }
+                        });
+    }
+
+    private void take(KeyedRecords records) {
+        boolean registered = mWritten;
+        for (KeyedRecord record : records.records()) {
+            if (record.value().length == 0) {
+                continue;
+            }
+            try {
+                NodeRecord node = decode(record.value());
+                registered |=
+                        node.node().equals(mSelf.node()) && node.address().equals(mSelf.address());
+                mFound.accept(node);
+            } catch (RuntimeException e) {
+                EventLog.log(
+                        SidecarEvent.STORE_RECORD_UNREADABLE,
+                        KeyedLog.Stream.NODES,
+                        record.key(),
+                        record.offset(),
+                        e.toString());
+            }
+        }
+        mComplete = true;
+        if (!registered) {
+            write();
+        }
+    }
+
+    private void retry(String what, Throwable failure, Runnable again) {
+        long millis = mBackoff.next().toMillis();
+        EventLog.log(SidecarEvent.STORE_DOWN, what, failure.toString());
+        mLoop.schedule(again, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private static byte[] encode(NodeRecord record) {
+        try {
+            return new TSerializer(new TCompactProtocol.Factory())
+                    .serialize(HopWire.toWire(record));
+        } catch (TException e) {
+            throw new AzurearchException(ErrorCode.INTERNAL, "record cannot be encoded", e);
+        }
+    }
+
+    private static NodeRecord decode(byte[] value) {
+        WireNodeRecord wire = new WireNodeRecord();
+        try {
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(wire, value);
+        } catch (TException e) {
+            throw new AzurearchException(ErrorCode.CORRUPT, "malformed record", e);
+        }
+        return HopWire.fromWire(wire);
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
@@ -0,0 +1,76 @@
+package org.azurearch.sidecar.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** The newest record of every node. Confined to one thread. */
+public final class NodeTable {
+    private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L; // golden ratio, spreads bits
+
+    private final String mSelf;
+    private final Map<String, NodeRecord> mRecords = new TreeMap<>();
+    private long mDigest;
+
+    /**
+     * Creates a table.
+     *
+     * @param self the name of this node, whose records only it makes
+     */
+    public NodeTable(String self) {
+        mSelf = self;
+    }
+
+    /** Takes a record and says whether it is news. */
+    public boolean merge(NodeRecord record) {
+        NodeRecord known = mRecords.get(record.node());
+        if (known != null && !record.newerThan(known)) {
+            return false;
+        }
+        if (known != null) {
+            mDigest -= hash(known);
+        }
+        mDigest += hash(record);
+        mRecords.put(record.node(), record);
+        return true;
+    }
+
+    /** Removes a node that is gone for good. */
+    public void remove(String node) {
+        NodeRecord known = node.equals(mSelf) ? null : mRecords.remove(node);
+        if (known != null) {
+            mDigest -= hash(known);
+        }
+    }
+
+    /** Returns the record of a node, or null. */
+    public @Nullable NodeRecord record(String node) {
+        return mRecords.get(node);
+    }
+
+    /** Returns all records. */
+    public Collection<NodeRecord> records() {
+        return mRecords.values();
+    }
+
+    /** Returns all records but the one of this node. */
+    public List<NodeRecord> others() {
+        List<NodeRecord> others = new ArrayList<>(mRecords.values());
+        others.removeIf(record -> record.node().equals(mSelf));
+        return others;
+    }
+
+    /** Returns a number that is equal for equal tables. */
+    public long digest() {
+        return mDigest;
+    }
+
+    private static long hash(NodeRecord record) {
+        long hash = record.node().hashCode();
+        hash = hash * HASH_FACTOR + record.incarnation();
+        return (hash * HASH_FACTOR + record.sequence()) * HASH_FACTOR;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -0,0 +1,131 @@
+package org.azurearch.sidecar.route;
+
+import org.azurearch.sidecar.member.BackendRecord;
+import org.azurearch.sidecar.member.NodeRecord;
+
+/** What this node knows of one backend server and the node before it. Confined to one thread. */
+public final class EndpointState {
+    /** Weight of a new outcome: about the last ten count. */
+    private static final double NEW_WEIGHT = 0.1;
+
+    /** A report of the load is trusted less with age; after this time it says nothing. */
+    private static final double REPORT_LIFETIME_NANOS = 2e9;
+
+    private final String mNode;
+    private final boolean mLocal;
+    private NodeRecord mRecord;
+    private boolean mConnected;
+    private int mMine;
+    private int mMineAtReport;
+    private EndpointLoad mLoad = EndpointLoad.UNKNOWN;
+    private long mReportedNanos;
+    private double mFailures;
+    private long mLastFailureNanos;
+
+    /**
+     * Creates the state of an endpoint.
+     *
+     * @param record the node in front of it
+     * @param local whether it is in this node's data centre
+     */
+    public EndpointState(NodeRecord record, boolean local) {
+        mNode = record.node();
+        mRecord = record;
+        mLocal = local;
+    }
+
+    /** Returns the name of the node. */
+    public String node() {
+        return mNode;
+    }
+
+    /** Returns the node's record. */
+    public NodeRecord record() {
+        return mRecord;
+    }
+
+    /** Says whether the endpoint is in this node's data centre. */
+    public boolean local() {
+        return mLocal;
+    }
+
+    /** Takes a newer record; another run of the backend server begins without history. */
+    public void record(NodeRecord record) {
+        BackendRecord before = mRecord.backend();
+        BackendRecord now = record.backend();
+        mRecord = record;
+        if (now != null && (before == null || !before.instance().equals(now.instance()))) {
+            mFailures = 0;
+            mLoad = EndpointLoad.UNKNOWN;
+        }
+    }
+
+    /** Says whether the node can be reached. */
+    public void connected(boolean connected) {
+        mConnected = connected;
+    }
+
+    /** Says whether requests for a service may go there. */
+    public boolean takes(String service) {
+        BackendRecord backend = mRecord.backend();
+        return mConnected
+                && !mRecord.leaving()
+                && backend != null
+                && backend.ready()
+                && backend.service().equals(service);
+    }
+
+    /** Counts a request that is sent there. */
+    public void started() {
+        mMine++;
+    }
+
+    /** Counts a request that ended there. */
+    public void ended() {
+        mMine--;
+    }
+
+    /** Takes a report of the load. */
+    public void load(EndpointLoad load, long nowNanos) {
+        mLoad = load;
+        mReportedNanos = nowNanos;
+        mMineAtReport = mMine;
+    }
+
+    /** Takes the outcome of a request: whether the endpoint failed. */
+    public void outcome(boolean failed, long nowNanos) {
+        mFailures += NEW_WEIGHT * ((failed ? 1 : 0) - mFailures);
+        if (failed) {
+            mLastFailureNanos = nowNanos;
+        }
+    }
+
+    /** Returns the part of requests that fail there, fading while none is seen. */
+    public double failures(long nowNanos) {
+        double own = mFailures * fresh(nowNanos, mLastFailureNanos);
+        return Math.max(own, mLoad.failurePercent() / 100.0 * fresh(nowNanos, mReportedNanos));
+    }
+
+    /**
+     * Returns how long a further request is expected to take there, in milliseconds.
+     *
+     * @param guessMillis the work of a request while nothing is known of the endpoint
+     */
+    public double expectedMillis(double guessMillis, long nowNanos) {
+        BackendRecord backend = mRecord.backend();
+        int slots = Math.max(1, backend == null ? 1 : backend.slots());
+        double work = mLoad.workMillis() > 0 ? mLoad.workMillis() : guessMillis;
+        double reported = (mLoad.running() + mLoad.waiting()) * fresh(nowNanos, mReportedNanos);
+        double busy = Math.max(mMine, reported + mMine - mMineAtReport);
+        double over = Math.max(0, busy + 1 - slots);
+        double crowding = Math.min(1, busy / slots);
+        return work * (1 + over / slots + CROWDING_WEIGHT * crowding);
+    }
+
+    /** Backend servers slow down when nearly full; an even load is a little better. */
+    private static final double CROWDING_WEIGHT = 0.15;
+
+    private static double fresh(long nowNanos, long thenNanos) {
+        return Math.max(0, 1 - (nowNanos - thenNanos) / REPORT_LIFETIME_NANOS);
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
@@ -0,0 +1,78 @@
+package org.azurearch.sidecar.route;
+
+import java.util.Collection;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which backend server a request goes to: the one from which the answer is expected first,
+ * where distance and failures count as time.
+ *
+ * <p>It answers uneven load and backend servers of uneven speed. A request leaves the data centre
+ * only when the wait saved is worth more than the bytes that cross: a caller notices the first, the
+ * operator pays for the second.
+ */
+public final class Placement {
+    /**
+     * Time that a request may lose in its own data centre before it leaves it, as part of its
+     * target: a late answer is worth a third of one in time, and a kilobyte between data centres
+     * costs about a tenth of it.
+     */
+    private static final double DISTANCE_PART_PER_KB = 0.1;
+
+    /** The most of the target that distance counts as. */
+    private static final double MAX_DISTANCE_PART = 0.6;
+
+    /** How much longer an endpoint that fails everything seems: retries take that long. */
+    private static final double FAILURE_WEIGHT = 10.0;
+
+    /** Part by which estimates are varied, so that nodes do not all choose the same endpoint. */
+    private static final double JITTER = 0.1;
+
+    private final RandomGenerator mRandom;
+
+    /**
+     * Creates a placement.
+     *
+     * @param random the source of variation
+     */
+    public Placement(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    /**
+     * A request to be placed.
+     *
+     * @param service the service it is for
+     * @param targetMillis the target of its route
+     * @param answerBytes how large its answer is expected to be
+     * @param tried nodes that are not asked again
+     */
+    public record Request(
+            String service, long targetMillis, double answerBytes, Set<String> tried) {}
+
+    /** Returns the endpoint for a request, or null when none takes it. */
+    public @Nullable EndpointState choose(
+            Collection<EndpointState> endpoints, Request request, long nowNanos) {
+        EndpointState best = null;
+        double bestCost = Double.MAX_VALUE;
+        double guess = request.targetMillis() * 0.3;
+        double part =
+                Math.min(MAX_DISTANCE_PART, request.answerBytes() / 1024 * DISTANCE_PART_PER_KB);
+        for (EndpointState endpoint : endpoints) {
+            if (!endpoint.takes(request.service()) || request.tried().contains(endpoint.node())) {
+                continue;
+            }
+            double cost = endpoint.expectedMillis(guess, nowNanos);
+            cost *= 1 + FAILURE_WEIGHT * endpoint.failures(nowNanos);
+            cost *= 1 + JITTER * mRandom.nextDouble();
+            cost += endpoint.local() ? 0 : part * request.targetMillis();
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = endpoint;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/RetryAllowance.java
@@ -0,0 +1,50 @@
+package org.azurearch.sidecar.route;
+
+/**
+ * Bounds how often this node sends requests for a service to a second backend server. All nodes
+ * share one bound: a part of the requests, and a reserve in each window. This node uses its own
+ * requests and its share of the reserve. Confined to one thread.
+ */
+public final class RetryAllowance {
+    /**
+     * Part of the shared bound that is used. The rest is left for calls that repeated requests make
+     * in turn, which count as repeats too and which no node can tell from others.
+     */
+    private static final double USED_PART = 0.5;
+
+    private final double mPerRequest;
+    private final double mReserve;
+    private double mTokens;
+
+    /**
+     * Creates an allowance with a full reserve.
+     *
+     * @param ratio repeats allowed for each request, summed over all nodes
+     * @param reserve repeats allowed besides in each window, summed over all nodes
+     */
+    public RetryAllowance(double ratio, double reserve) {
+        mPerRequest = ratio * USED_PART;
+        mReserve = reserve * USED_PART;
+        mTokens = 1;
+    }
+
+    /**
+     * Counts a request.
+     *
+     * @param nodes the number of nodes that share the reserve
+     * @param windows the part of a window that has passed since the last request
+     */
+    public void requested(int nodes, double windows) {
+        double share = mReserve / Math.max(1, nodes);
+        mTokens = Math.min(Math.max(1, share), mTokens + mPerRequest + share * windows);
+    }
+
+    /** Takes the right to one repeat, if there is one. */
+    public boolean take() {
+        if (mTokens < 1) {
+            return false;
+        }
+        mTokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/store/KeyedLog.java
@@ -0,0 +1,47 @@
+package org.azurearch.sidecar.store;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The platform's keyed log. Futures complete on the node's event loop and fail with {@link
+ * org.azurearch.errors.AzurearchException}: {@code LOG_UNAVAILABLE}, {@code LOG_RESULT_UNKNOWN} or
+ * {@code OFFSET_REMOVED}.
+ */
+public interface KeyedLog extends AutoCloseable {
+    /** A stream of keyed records. */
+    enum Stream {
+        /** Configurations, written by operators. */
+        CONFIG,
+        /** Addresses of nodes, written by nodes. */
+        NODES
+    }
+
+    /**
+     * Returns the newest record of each key.
+     *
+     * @param stream the stream
+     */
+    CompletableFuture<KeyedRecords> newest(Stream stream);
+
+    /**
+     * Reads records from an offset on, waiting for the first one.
+     *
+     * @param stream the stream
+     * @param offset the first offset wanted
+     * @param wait how long to wait when there is none
+     */
+    CompletableFuture<KeyedRecords> read(Stream stream, long offset, Duration wait);
+
+    /**
+     * Appends a record.
+     *
+     * @param stream the stream
+     * @param key the key
+     * @param value the value; an empty one drops the key
+     */
+    CompletableFuture<Void> append(Stream stream, String key, byte[] value);
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/store/package-info.java
@@ -0,0 +1,5 @@
+/** What a node needs of the platform's keyed log. */
+@NullMarked
+package org.azurearch.sidecar.store;
+
+import org.jspecify.annotations.NullMarked;
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/RequestCheck.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RequestCheck.java
@@ -11,13 +11,13 @@
 import org.jspecify.annotations.Nullable;
 
 /** Checks the head of a request beyond what the decoder does. */
-final class RequestCheck {
+public final class RequestCheck {
     private static final String ENCODED_DOT = "%2e";
 
     private RequestCheck() {}
 
     /** Returns why a request is refused, or null when it is well-formed. */
-    static @Nullable String problem(HttpRequest request) {
+    public static @Nullable String problem(HttpRequest request) {
         if (request.decoderResult().isFailure()) {
             return "malformed request: " + request.decoderResult().cause().getMessage();
         }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/StrictRequestDecoder.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/StrictRequestDecoder.java
@@ -13,13 +13,13 @@
  * Decodes requests and refuses what two parsers could read in two ways: both Content-Length and
  * Transfer-Encoding, repeated Content-Length, folded header lines and bare line feeds.
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
+public final class StrictRequestDecoder extends HttpRequestDecoder {
     private final FoldScanner mScanner = new FoldScanner();
     private boolean mInHead = true;
     private boolean mBroken;
 
     /** Creates a decoder with the limits of {@link HttpLimits}. */
-    StrictRequestDecoder() {
+    public StrictRequestDecoder() {
         super(HttpLimits.requestConfig());
     }
 
