Finish planned stops in time, place by distance, refuse overload early

A new test showed that a backend server of which nothing was known got no request beside a fast one.

Change: from 2.5 s after the signal on, new requests are refused with a time to come back; distance counts as 0.3 to 0.5 of the target; the queue measures the load of each rank and refuses what would be passed over; newcomers count as fast as the others. Stand-ins of store and backend server, tests of the wire, of stops, of store faults and of each decision.

--- /dev/null
+++ b/org.azurearch.platform.test/src/test/java/org/azurearch/platform/CodecTest.java
@@ -0,0 +1,99 @@
+package org.azurearch.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.sidecar.BackendReportCodec;
+import org.azurearch.sidecar.config.RouteRule;
+import org.azurearch.sidecar.config.RouteSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the platform writes, and what each part of it becomes. */
+class CodecTest {
+    private static final String CONFIG =
+            "{\"version\":\"0000000c\",\"unknown\":1,\"limits\":{\"maxHeaderBytes\":16384,"
+                    + "\"maxBodyBytes\":100,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"2.5s\"},"
+                    + "\"listeners\":[{\"host\":\"A.example\",\"rules\":[{\"name\":\"r\","
+                    + "\"routeType\":\"safe\",\"targetLatency\":\"300ms\",\"priority\":2,"
+                    + "\"match\":{\"pathPrefix\":\"/p/\"},\"action\":{\"trafficSplit\":["
+                    + "{\"service\":\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10}],"
+                    + "\"timeout\":\"1200ms\",\"maxAttempts\":2}}]}],\"clusters\":["
+                    + "{\"name\":\"s\",\"healthPath\":\"/h\",\"maxConnections\":110},"
+                    + "{\"name\":\"t\",\"healthPath\":\"/h\",\"maxConnections\":110}]}";
+
+    @Test
+    void readsAConfiguration() {
+        RouteSet routes = decode(CONFIG);
+        assertEquals(12, routes.version());
+        assertEquals(2_500, routes.limits().idleMillis());
+        RouteRule rule = routes.find("a.EXAMPLE:80", "/p/x?y=/q/");
+        assertNotNull(rule);
+        assertTrue(rule.idempotent());
+        assertEquals(300, rule.targetMillis());
+        assertEquals(10, rule.parts().get(1).weight());
+        assertNull(routes.find("a.example", "/p"));
+        assertNull(routes.find("b.example", "/p/x"));
+    }
+
+    @Test
+    void refusesConfigurationsThatAreNotWhole() {
+        assertThrows(RuntimeException.class, () -> decode(CONFIG.substring(0, 200)));
+        assertThrows(
+                RuntimeException.class,
+                () -> decode(CONFIG.replace("\"service\":\"t\"", "\"service\":\"u\"")));
+        assertThrows(RuntimeException.class, () -> decode(CONFIG.replace("1200ms", "-5ms")));
+    }
+
+    @Test
+    void readsHeartbeatsAndDepartures() {
+        BackendReportCodec.Message message =
+                read(
+                        "PUT",
+                        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":6,"
+                                + "\"state\":\"draining\",\"coldLeft\":\"1.5s\",\"sequence\":4,"
+                                + "\"born\":77}");
+        assertTrue(message.report().leaving());
+        assertEquals(1_500, message.report().warmingMillis());
+        assertEquals(77, message.bornMillis());
+        assertNull(read("DELETE", "").report());
+        assertNull(new InstanceReportCodec().read("GET", "/other", new byte[0]));
+        assertThrows(RuntimeException.class, () -> read("PUT", "{\"state\":\"happy\"}"));
+    }
+
+    @Test
+    void namesFileAndLineOfAnUnreadableSetting(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("local.conf");
+        Files.writeString(file, "nodeId=n\nlisten.outbound=nowhere\n");
+        AzurearchException problem =
+                assertThrows(AzurearchException.class, () -> SettingsReader.read(file));
+        assertTrue(problem.getMessage().contains("local.conf:2: expected"), problem.getMessage());
+    }
+
+    @Test
+    void readsTimesWithFractions() {
+        assertEquals(2_500, PlatformTime.millis("2.5s"));
+        assertEquals(1_500, PlatformTime.millis("1500ms"));
+        assertThrows(IllegalArgumentException.class, () -> PlatformTime.millis("3"));
+    }
+
+    private static BackendReportCodec.Message read(String method, String body) {
+        BackendReportCodec.Message message =
+                new InstanceReportCodec()
+                        .read(method, "/instances/i-1", body.getBytes(StandardCharsets.UTF_8));
+        assertFalse(message == null);
+        return message;
+    }
+
+    private static RouteSet decode(String text) {
+        return new OperatorConfigCodec().decode(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/org.azurearch.platform.test/src/test/java/org/azurearch/platform/MeshFixture.java
@@ -0,0 +1,169 @@
+package org.azurearch.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.junit.Await;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.Sidecar;
+import org.azurearch.sidecar.SidecarSettings;
+
+/** A mesh in one process: a store, nodes and the backend servers behind them. */
+final class MeshFixture implements AutoCloseable {
+    /** The service that calls of tests are for. */
+    static final String SERVICE = "stock";
+
+    private static final NetAddress ANY = new NetAddress("127.0.0.1", 0);
+
+    /** A node and the backend server behind it. */
+    record Vm(Sidecar node, StandInBackend backend, String service) {}
+
+    private final StandInStore mStore = new StandInStore();
+    private final Map<String, Vm> mVms = new LinkedHashMap<>();
+    private final HttpClient mHttp = HttpClient.newHttpClient();
+    private int mSequence = 1;
+
+    MeshFixture() throws IOException {
+        config(
+                1,
+                route("read", "/read/", "safe", 2) + "," + route("order", "/order/", "unsafe", 2));
+    }
+
+    StandInStore store() {
+        return mStore;
+    }
+
+    Vm vm(String name) {
+        return mVms.get(name);
+    }
+
+    /** Publishes a configuration. */
+    void config(long version, String rules) {
+        mStore.write(
+                "keyed.op",
+                "config",
+                String.format(
+                        "{\"version\":\"%08x\",\"limits\":{\"maxHeaderBytes\":16384,"
+                                + "\"maxBodyBytes\":1000000,\"headerTimeout\":\"3000ms\","
+                                + "\"idleTimeout\":\"15000ms\"},\"listeners\":[{\"host\":"
+                                + "\"shop.example\",\"rules\":[%s]}],\"clusters\":["
+                                + "{\"name\":\"stock\",\"healthPath\":\"/h\",\"maxConnections\":50},"
+                                + "{\"name\":\"web\",\"healthPath\":\"/h\",\"maxConnections\":50}]}",
+                        version, rules));
+    }
+
+    static String route(String name, String prefix, String type, int attempts) {
+        return route(name, prefix, type, attempts, "4s");
+    }
+
+    static String route(String name, String prefix, String type, int attempts, String timeout) {
+        return String.format(
+                "{\"name\":\"%s\",\"routeType\":\"%s\",\"targetLatency\":\"1s\",\"priority\":1,"
+                        + "\"match\":{\"pathPrefix\":\"%s\"},\"action\":{\"service\":\"stock\","
+                        + "\"timeout\":\"%s\",\"maxAttempts\":%d}}",
+                name, type, prefix, timeout, attempts);
+    }
+
+    /** Starts a node with a backend server; it takes calls when this returns. */
+    Vm start(String name, String dataCentre, String service) throws Exception {
+        StandInBackend backend = new StandInBackend("i-" + name);
+        Vm vm = new Vm(node(name, dataCentre, service, backend), backend, service);
+        mVms.put(name, vm);
+        heartbeat(vm, "ready");
+        Await.until(name + " takes calls", () -> ready(vm));
+        return vm;
+    }
+
+    /** Waits until each node of the mesh reaches all others and has their backend servers. */
+    void settle() {
+        Await.until("nodes know each other", () -> mVms.values().stream().allMatch(this::sees));
+    }
+
+    Sidecar node(String name, String dataCentre, String service, StandInBackend backend) {
+        SidecarSettings settings =
+                new SidecarSettings(
+                        name,
+                        dataCentre,
+                        service,
+                        backend.address(),
+                        ANY,
+                        ANY,
+                        ANY,
+                        ANY,
+                        ANY,
+                        List.of(),
+                        1_000,
+                        6_000,
+                        2_000,
+                        new SidecarSettings.RetryBound(0.2, 500, 10_000));
+        return Sidecar.start(settings, new UsersPlatform(mStore.address()));
+    }
+
+    /** Sends a heartbeat and returns the status. */
+    int heartbeat(Vm vm, String state) throws Exception {
+        return report(vm, "PUT", body(vm, state, 1, mSequence++));
+    }
+
+    static String body(Vm vm, String state, long born, int sequence) {
+        return String.format(
+                "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\","
+                        + "\"slots\":4,\"state\":\"%s\",\"coldLeft\":\"0ms\",\"sequence\":%d,"
+                        + "\"born\":%d}",
+                vm.service(), vm.backend().address(), state, sequence, born);
+    }
+
+    int report(Vm vm, String method, String body) throws Exception {
+        String path = "/instances/" + vm.backend().instance();
+        HttpRequest request =
+                HttpRequest.newBuilder(uri(vm.node().ports().reports(), path))
+                        .method(method, HttpRequest.BodyPublishers.ofString(body))
+                        .build();
+        return mHttp.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+    }
+
+    boolean ready(Vm vm) {
+        try {
+            HttpRequest request =
+                    HttpRequest.newBuilder(uri(vm.node().ports().ready(), "/readyz")).build();
+            return mHttp.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    TestCaller caller(String vm) throws IOException {
+        return new TestCaller(mVms.get(vm).node().ports().calls());
+    }
+
+    @Override
+    public void close() throws Exception {
+        List<Thread> stops = new ArrayList<>();
+        for (Vm vm : mVms.values()) {
+            vm.backend().close();
+            Thread stop = new Thread(vm.node()::close);
+            stop.start();
+            stops.add(stop);
+        }
+        for (Thread stop : stops) {
+            stop.join();
+        }
+        mStore.close();
+    }
+
+    private boolean sees(Vm vm) {
+        return vm.node().reachableBackends() == mVms.size();
+    }
+
+    private static URI uri(int port, String path) {
+        return URI.create("http://127.0.0.1:" + port + path);
+    }
+}
--- /dev/null
+++ b/org.azurearch.platform.test/src/test/java/org/azurearch/platform/StandInBackend.java
@@ -0,0 +1,180 @@
+package org.azurearch.platform;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.azurearch.lib.NetAddress;
+
+/** Stand-in of a backend server of the platform: runs requests and answers as it is told to. */
+final class StandInBackend implements AutoCloseable {
+    /** A request as it arrived. */
+    record Seen(String method, String target, Map<String, String> headers, byte[] body) {
+        String id() {
+            return headers.get("x-request-id");
+        }
+    }
+
+    /** Writes an answer, or breaks off. */
+    interface Behaviour {
+        /** Answers a request; false closes the connection afterwards. */
+        boolean answer(Seen seen, OutputStream out) throws IOException;
+    }
+
+    private final ServerSocket mServer;
+    private final String mInstance;
+    private final List<Seen> mSeen = new CopyOnWriteArrayList<>();
+    private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
+    private volatile Behaviour mBehaviour = StandInBackend::success;
+    private volatile int mCancelled;
+
+    StandInBackend(String instance) throws IOException {
+        mInstance = instance;
+        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        start(this::accept);
+    }
+
+    NetAddress address() {
+        return new NetAddress("127.0.0.1", mServer.getLocalPort());
+    }
+
+    String instance() {
+        return mInstance;
+    }
+
+    void behaviour(Behaviour behaviour) {
+        mBehaviour = behaviour;
+    }
+
+    List<Seen> seen() {
+        return mSeen;
+    }
+
+    /** Connections that were closed while a request was being worked on. */
+    int cancelled() {
+        return mCancelled;
+    }
+
+    /** Answers with success, proof and the target as body. */
+    static boolean success(Seen seen, OutputStream out) throws IOException {
+        answer(
+                out,
+                "200 OK",
+                "X-Request-Id: " + seen.id() + "\r\nX-Response-Signature: s\r\n",
+                seen.target());
+        return true;
+    }
+
+    /** Writes an answer with a length. */
+    static void answer(OutputStream out, String status, String headers, String body)
+            throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        String head = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + bytes.length;
+        out.write((head + "\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+        out.write(bytes);
+        out.flush();
+    }
+
+    /** Works until the connection is closed by the other side, and counts that. */
+    boolean hang(Seen seen, OutputStream out) {
+        try {
+            for (Socket socket : mSockets) {
+                if (socket.getOutputStream() == out) {
+                    socket.getInputStream().read();
+                }
+            }
+        } catch (IOException e) {
+            mCancelled++;
+            return false;
+        }
+        mCancelled++;
+        return false;
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+        for (Socket socket : mSockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        while (!mServer.isClosed()) {
+            try {
+                Socket socket = mServer.accept();
+                mSockets.add(socket);
+                start(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            for (Seen seen = read(in); seen != null; seen = read(in)) {
+                mSeen.add(seen);
+                String expected = seen.headers().get("x-expected-instance");
+                if (expected != null && !expected.equals(mInstance)) {
+                    answer(
+                            socket.getOutputStream(),
+                            "421 Misdirected Request",
+                            "X-Upstream-Instance: " + mInstance + "\r\n",
+                            "");
+                } else if (!mBehaviour.answer(seen, socket.getOutputStream())) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // The node closed the connection, which is one of the things tests look for.
+            mSockets.remove(socket);
+        }
+    }
+
+    static Seen read(InputStream in) throws IOException {
+        String first = line(in);
+        if (first == null || first.isEmpty()) {
+            return null;
+        }
+        String[] parts = first.split(" ");
+        Map<String, String> headers = new HashMap<>();
+        for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        return new Seen(parts[0], parts[1], headers, in.readNBytes(length));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                return line.length() == 0 ? null : line.toString();
+            }
+            if (c != '\r') {
+                line.append((char) c);
+            }
+        }
+        return line.toString();
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "stand-in-backend");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- /dev/null
+++ b/org.azurearch.platform.test/src/test/java/org/azurearch/platform/StandInStore.java
@@ -0,0 +1,201 @@
+package org.azurearch.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.azurearch.lib.NetAddress;
+
+/** Stand-in of the platform's store: keyed topics of one partition, with faults on demand. */
+final class StandInStore implements AutoCloseable {
+    /** What the store does with calls. */
+    enum Mode {
+        /** Answers. */
+        SERVES,
+        /** Refuses with 503; nothing is done. */
+        REFUSES,
+        /** Does what it is asked and closes the connection without an answer. */
+        LOSES_ANSWERS
+    }
+
+    private record Topic(List<byte[]> records, Map<String, Integer> newest, int[] first) {}
+
+    private final HttpServer mServer;
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
+    private final Map<String, Topic> mTopics = new HashMap<>();
+    private volatile Mode mMode = Mode.SERVES;
+    private int mCalls;
+
+    StandInStore() throws IOException {
+        mServer = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        mServer.createContext("/", this::handle);
+        mServer.setExecutor(mThreads);
+        mServer.start();
+    }
+
+    NetAddress address() {
+        return new NetAddress("127.0.0.1", mServer.getAddress().getPort());
+    }
+
+    void mode(Mode mode) {
+        mMode = mode;
+    }
+
+    synchronized int calls() {
+        return mCalls;
+    }
+
+    /** Writes a record as the operator does. */
+    synchronized void write(String topicName, String key, String value) {
+        byte[] name = key.getBytes(StandardCharsets.UTF_8);
+        byte[] content = value.getBytes(StandardCharsets.UTF_8);
+        ByteBuffer record = ByteBuffer.allocate(1 + name.length + content.length);
+        append(topic(topicName), record.put((byte) name.length).put(name).put(content).array());
+        notifyAll();
+    }
+
+    /** Forgets the records so far; the newest of each key stays. */
+    synchronized void forgetHistory(String topicName) {
+        Topic topic = topic(topicName);
+        topic.first()[0] = topic.records().size();
+        notifyAll();
+    }
+
+    synchronized List<String> keys(String topicName) {
+        return new ArrayList<>(topic(topicName).newest().keySet());
+    }
+
+    @Override
+    public void close() {
+        mServer.stop(0);
+        mThreads.shutdownNow();
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        Map<String, String> query = query(exchange);
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        synchronized (this) {
+            mCalls++;
+        }
+        if (mMode == Mode.REFUSES) {
+            answer(exchange, 503, new byte[0]);
+            return;
+        }
+        byte[] reply = reply(exchange.getRequestURI().getPath(), query, body);
+        if (mMode == Mode.LOSES_ANSWERS) {
+            exchange.close();
+        } else if (reply == null) {
+            answer(exchange, 410, "{\"firstOffset\":0}".getBytes(StandardCharsets.UTF_8));
+        } else {
+            answer(exchange, 200, reply);
+        }
+    }
+
+    private synchronized byte[] reply(String path, Map<String, String> query, byte[] body) {
+        Topic topic = topic(query.get("topic"));
+        return switch (path) {
+            case "/log-append" -> {
+                ByteBuffer buffer = ByteBuffer.wrap(body);
+                int offset = topic.records().size();
+                while (buffer.hasRemaining()) {
+                    byte[] record = new byte[buffer.getInt()];
+                    buffer.get(record);
+                    append(topic, record);
+                }
+                notifyAll();
+                yield ("{\"offset\":" + offset + ",\"endOffset\":" + topic.records().size() + "}")
+                        .getBytes(StandardCharsets.UTF_8);
+            }
+            case "/log-newest" -> newest(topic);
+            default -> read(topic, query);
+        };
+    }
+
+    private byte[] newest(Topic topic) {
+        List<String> items = new ArrayList<>();
+        topic.newest()
+                .forEach(
+                        (key, offset) -> {
+                            byte[] record = topic.records().get(offset);
+                            byte[] value = Arrays.copyOfRange(record, 1 + record[0], record.length);
+                            items.add(
+                                    String.format(
+                                            "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%d}",
+                                            key,
+                                            Base64.getEncoder().encodeToString(value),
+                                            offset));
+                        });
+        return String.format(
+                        "{\"items\":[%s],\"hasMore\":false,\"endOffset\":%d}",
+                        String.join(",", items), topic.records().size())
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private byte[] read(Topic topic, Map<String, String> query) {
+        int from = Integer.parseInt(query.get("from"));
+        long until = System.nanoTime() + Long.parseLong(query.get("waitMs")) * 1_000_000L;
+        while (topic.records().size() <= from && from >= topic.first()[0]) {
+            long left = (until - System.nanoTime()) / 1_000_000L;
+            if (left <= 0) {
+                break;
+            }
+            try {
+                wait(left);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                break;
+            }
+        }
+        if (from < topic.first()[0]) {
+            return null;
+        }
+        int size = topic.records().stream().skip(from).mapToInt(r -> 4 + r.length).sum();
+        ByteBuffer reply = ByteBuffer.allocate(16 + size);
+        reply.putLong(topic.records().size()).putLong(topic.first()[0]);
+        topic.records().stream().skip(from).forEach(r -> reply.putInt(r.length).put(r));
+        return reply.array();
+    }
+
+    private static void append(Topic topic, byte[] record) {
+        String key = new String(record, 1, record[0], StandardCharsets.UTF_8);
+        topic.records().add(record);
+        if (record.length == 1 + record[0]) {
+            topic.newest().remove(key);
+        } else {
+            topic.newest().put(key, topic.records().size() - 1);
+        }
+    }
+
+    private Topic topic(String name) {
+        return mTopics.computeIfAbsent(
+                name, n -> new Topic(new ArrayList<>(), new LinkedHashMap<>(), new int[1]));
+    }
+
+    private static void answer(HttpExchange exchange, int status, byte[] body) throws IOException {
+        exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+
+    private static Map<String, String> query(HttpExchange exchange) {
+        Map<String, String> query = new HashMap<>();
+        String text = exchange.getRequestURI().getQuery();
+        for (String part : text == null ? new String[0] : text.split("&")) {
+            int equals = part.indexOf('=');
+            query.put(part.substring(0, equals), part.substring(equals + 1));
+        }
+        return query;
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
@@ -0,0 +1,110 @@
+package org.azurearch.sidecar.admit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Plays loads beyond the slots and checks what callers get. */
+class BackendQueueTest {
+    private static final long MILLI = 1_000_000L;
+
+    private final BackendQueue<String> mQueue = new BackendQueue<>();
+
+    @Test
+    void startsWhileSlotsAreFree() {
+        mQueue.slots(2);
+        assertEquals(BackendQueue.Decision.START, offer("a", 1, 300, 1_000, 100));
+        assertEquals(BackendQueue.Decision.START, offer("b", 1, 300, 1_000, 100));
+        assertEquals(BackendQueue.Decision.WAIT, offer("c", 1, 300, 1_000, 100));
+        assertEquals(2, mQueue.running());
+        assertEquals(1, mQueue.waiting());
+    }
+
+    @Test
+    void refusesAtOnceWhatCannotBeServedInItsTime() {
+        mQueue.slots(1);
+        assertEquals(BackendQueue.Decision.REFUSE, offer("late", 1, 300, 50, 100));
+        assertEquals(BackendQueue.Decision.START, offer("a", 1, 300, 1_000, 100));
+        for (int i = 0; i < 4; i++) {
+            offer("w" + i, 1, 300, 1_000, 100);
+        }
+        assertEquals(BackendQueue.Decision.REFUSE, offer("x", 1, 300, 400, 100));
+    }
+
+    @Test
+    void startsTheUrgentRankFirstWhateverCameFirst() {
+        mQueue.slots(1);
+        QueuedRequest running = request(2, 300, 1_000, 100);
+        mQueue.offer("running", running, 0);
+        offer("patient", 2, 300, 1_000, 100);
+        offer("urgent", 1, 400, 1_000, 100);
+        mQueue.ended(running);
+        assertEquals("urgent", mQueue.next(0));
+        assertNull(mQueue.next(0));
+    }
+
+    @Test
+    void startsWhatAnotherBackendServerWaitsForBeforeAllElse() {
+        mQueue.slots(1);
+        QueuedRequest running = request(1, 300, 1_000, 50);
+        mQueue.offer("running", running, 0);
+        offer("urgent", 0, 300, 1_000, 50);
+        QueuedRequest inner = new QueuedRequest("r", 9, true, 100 * MILLI, 250 * MILLI, 20);
+        mQueue.offer("inner", inner, 0);
+        mQueue.ended(running);
+        assertEquals("inner", mQueue.next(0));
+    }
+
+    @Test
+    void prefersWithinARankWhatStillMeetsItsTarget() {
+        mQueue.slots(1);
+        QueuedRequest running = request(1, 300, 1_000, 50);
+        mQueue.offer("running", running, 0);
+        offer("missed", 1, 110, 2_000, 100);
+        offer("fresh", 1, 300, 2_000, 100);
+        mQueue.ended(running);
+        assertEquals("fresh", mQueue.next(60 * MILLI));
+    }
+
+    @Test
+    void returnsWaitingRequestsOnceTheirTimeIsUp() {
+        mQueue.slots(1);
+        mQueue.offer("running", request(1, 300, 1_000, 50), 0);
+        offer("a", 1, 300, 400, 100);
+        assertTrue(mQueue.expired(300 * MILLI).isEmpty());
+        assertEquals(List.of("a"), mQueue.expired(345 * MILLI));
+        assertEquals(0, mQueue.waiting());
+    }
+
+    @Test
+    void forgetsCancelledRequests() {
+        mQueue.slots(1);
+        mQueue.offer("running", request(1, 300, 1_000, 50), 0);
+        String waiting = "waiting";
+        offer(waiting, 1, 300, 1_000, 50);
+        assertTrue(mQueue.cancel(waiting));
+        assertEquals(0, mQueue.waiting());
+    }
+
+    @Test
+    void underTwiceItsCapacityUrgentCallersAreStillServedInTime() {
+        mQueue.slots(4);
+        LoadPlay play = new LoadPlay(mQueue, 100);
+        play.run(10_000, 12, 2);
+        assertTrue(play.inTime("urgent") >= 0.95, "urgent in time: " + play.inTime("urgent"));
+        assertTrue(play.refusedEarly() >= 0.9, "refused early: " + play.refusedEarly());
+    }
+
+    private BackendQueue.Decision offer(
+            String item, int rank, long targetMillis, long endMillis, double work) {
+        return mQueue.offer(item, request(rank, targetMillis, endMillis, work), 0);
+    }
+
+    private static QueuedRequest request(int rank, long targetMillis, long endMillis, double work) {
+        return new QueuedRequest(
+                "r" + rank, rank, false, targetMillis * MILLI, endMillis * MILLI, work);
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
@@ -0,0 +1,86 @@
+package org.azurearch.sidecar.member;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.member.BackendTracker.Change;
+import org.junit.jupiter.api.Test;
+
+/** Heartbeats late, crossed, of other runs and of other writers. */
+class BackendTrackerTest {
+    private static final NetAddress ADDRESS = new NetAddress("127.0.0.1", 8080);
+
+    private final BackendTracker mTracker = new BackendTracker();
+
+    @Test
+    void theFirstHeartbeatMakesItReady() {
+        assertEquals(Change.CHANGED, mTracker.report(report("a", 10, 1, false)));
+        assertEquals(Change.NONE, mTracker.report(report("a", 10, 2, false)));
+        assertTrue(mTracker.ready());
+    }
+
+    @Test
+    void aLateHeartbeatOfTheSameRunDoesNotRevokeLeaving() {
+        mTracker.report(report("a", 10, 1, false));
+        assertEquals(Change.CHANGED, mTracker.report(report("a", 10, 5, true)));
+        assertEquals(Change.STALE, mTracker.report(report("a", 10, 4, false)));
+        assertFalse(mTracker.ready());
+    }
+
+    @Test
+    void aRunThatLeavesStaysSo() {
+        mTracker.report(report("a", 10, 5, true));
+        mTracker.report(report("a", 10, 6, false));
+        assertFalse(mTracker.ready());
+    }
+
+    @Test
+    void aDepartedRunNeverComesBack() {
+        mTracker.report(report("a", 10, 1, false));
+        assertEquals(Change.CHANGED, mTracker.departed("a", 10));
+        assertEquals(Change.STALE, mTracker.report(report("a", 10, 9, false)));
+        assertNull(mTracker.current());
+    }
+
+    @Test
+    void theSameNameMayStartAgain() {
+        mTracker.report(report("a", 10, 7, false));
+        mTracker.departed("a", 10);
+        assertEquals(Change.CHANGED, mTracker.report(report("a", 20, 1, false)));
+        assertTrue(mTracker.ready());
+    }
+
+    @Test
+    void aDelayedHeartbeatOfAnEarlierRunAtTheAddressIsPassedOver() {
+        mTracker.report(report("old", 10, 7, false));
+        mTracker.report(report("new", 20, 1, false));
+        assertEquals(Change.STALE, mTracker.report(report("old", 10, 8, false)));
+        assertEquals("new", mTracker.record().instance());
+    }
+
+    @Test
+    void anUnreachableBackendServerIsBackWithItsNextHeartbeat() {
+        mTracker.report(report("a", 10, 1, false));
+        assertEquals(Change.CHANGED, mTracker.unreachable());
+        assertEquals(Change.NONE, mTracker.unreachable());
+        assertFalse(mTracker.ready());
+        assertEquals(Change.CHANGED, mTracker.report(report("a", 10, 2, false)));
+        assertTrue(mTracker.ready());
+    }
+
+    @Test
+    void aDepartureOfAnotherRunLeavesTheCurrentOne() {
+        mTracker.report(report("a", 20, 1, false));
+        assertEquals(Change.NONE, mTracker.departed("b", 10));
+        assertEquals(Change.NONE, mTracker.departed("a", 10));
+        assertTrue(mTracker.ready());
+    }
+
+    private static BackendReport report(
+            String instance, long born, long sequence, boolean leaving) {
+        return new BackendReport(instance, born, sequence, "stock", ADDRESS, 4, leaving, 0);
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
@@ -0,0 +1,100 @@
+package org.azurearch.sidecar.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.member.BackendRecord;
+import org.azurearch.sidecar.member.NodeRecord;
+import org.junit.jupiter.api.Test;
+
+/** Where requests go under uneven load, distance and failures. */
+class PlacementTest {
+    private final Placement mPlacement = new Placement(new SplittableRandom(1));
+    private final EndpointState mNear = endpoint("near", true);
+    private final EndpointState mFar = endpoint("far", false);
+
+    @Test
+    void staysInTheDataCentreWhileThereIsRoom() {
+        for (int i = 0; i < 100; i++) {
+            assertEquals(mNear, choose(Set.of()));
+        }
+    }
+
+    @Test
+    void leavesTheDataCentreWhenWaitingThereCostsTheTarget() {
+        mNear.load(new EndpointLoad(4, 4, 20, 100, 0), 0);
+        assertEquals(mFar, choose(Set.of()));
+    }
+
+    @Test
+    void avoidsWhatFailsHalfOfItsRequests() {
+        for (int i = 0; i < 20; i++) {
+            mNear.outcome(i % 2 == 0, 1);
+        }
+        assertEquals(mFar, choose(Set.of()));
+    }
+
+    @Test
+    void asksNobodyTwiceAndNobodyThatLeaves() {
+        assertEquals(mFar, choose(Set.of("near")));
+        assertNull(choose(Set.of("near", "far")));
+        mNear.connected(false);
+        mFar.record(record("far", "quimper", 2, false));
+        assertNull(choose(Set.of()));
+    }
+
+    @Test
+    void sendsItsShareToANewcomerOfWhichNothingIsKnown() {
+        EndpointState newcomer = endpoint("newcomer", true);
+        mNear.load(new EndpointLoad(4, 0, 0, 2, 0), 1);
+        int toNewcomer = 0;
+        for (int i = 0; i < 100; i++) {
+            EndpointState chosen =
+                    mPlacement.choose(
+                            List.of(mNear, newcomer),
+                            new Placement.Request("stock", 1_000, 500, Set.of()),
+                            1);
+            toNewcomer += chosen == newcomer ? 1 : 0;
+        }
+        assertTrue(toNewcomer > 25, "to the newcomer " + toNewcomer);
+    }
+
+    @Test
+    void evensOutTwoOfOneDataCentre() {
+        EndpointState twin = endpoint("twin", true);
+        int toTwin = 0;
+        for (int i = 0; i < 400; i++) {
+            EndpointState chosen =
+                    mPlacement.choose(
+                            List.of(mNear, twin),
+                            new Placement.Request("stock", 300, 5_000, Set.of()),
+                            1);
+            assertTrue(chosen != null);
+            toTwin += chosen == twin ? 1 : 0;
+        }
+        assertTrue(toTwin > 120 && toTwin < 280, "to the twin " + toTwin);
+    }
+
+    private EndpointState choose(Set<String> tried) {
+        return mPlacement.choose(
+                List.of(mNear, mFar), new Placement.Request("stock", 300, 5_000, tried), 1);
+    }
+
+    private static EndpointState endpoint(String node, boolean local) {
+        EndpointState state =
+                new EndpointState(record(node, local ? "rennes" : "quimper", 1, true), local);
+        state.connected(true);
+        return state;
+    }
+
+    private static NodeRecord record(String node, String dc, long sequence, boolean ready) {
+        BackendRecord backend = new BackendRecord("stock", "i-" + node, 4, ready, 0);
+        NetAddress address = new NetAddress("127.0.0.1", 7000);
+        return new NodeRecord(node, dc, address, 1, sequence, false, true, backend);
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/SplitPickerTest.java
@@ -0,0 +1,46 @@
+package org.azurearch.sidecar.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.azurearch.sidecar.config.RouteRule;
+import org.junit.jupiter.api.Test;
+
+/** The shares of a split hold in every run of requests, not only on average. */
+class SplitPickerTest {
+    @Test
+    void everyRunOfTwentyHoldsTheWeights() {
+        SplitPicker picker = new SplitPicker();
+        RouteRule route = route(90, 10);
+        String picks = "";
+        for (int i = 0; i < 200; i++) {
+            picks += picker.next(route, 0.3);
+        }
+        for (int from = 0; from + 20 <= picks.length(); from++) {
+            long second = picks.substring(from, from + 20).chars().filter(c -> c == 'b').count();
+            assertTrue(second >= 1 && second <= 3, "from " + from + ": " + second);
+        }
+    }
+
+    @Test
+    void aWeightOfZeroGetsNothing() {
+        SplitPicker picker = new SplitPicker();
+        for (int i = 0; i < 50; i++) {
+            assertEquals("a", picker.next(route(100, 0), 0.9));
+        }
+    }
+
+    private static RouteRule route(int first, int second) {
+        return new RouteRule(
+                "r",
+                "host",
+                "/p/",
+                true,
+                1_000,
+                300,
+                2,
+                1,
+                List.of(new RouteRule.Part("a", first), new RouteRule.Part("b", second)));
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.events.EventLog;
+import org.azurearch.lib.NetAddress;
 import org.azurearch.metrics.MetricsReport;
 import org.azurearch.metrics.PrometheusText;
 import org.azurearch.sidecar.internal.BackendWatch;
@@ -22,6 +23,7 @@
 import org.azurearch.sidecar.internal.hop.HopServer;
 import org.azurearch.sidecar.internal.mesh.ConfigKeeper;
 import org.azurearch.sidecar.internal.mesh.MeshService;
+import org.azurearch.sidecar.route.EndpointState;
 import org.azurearch.sidecar.store.KeyedLog;
 import org.jspecify.annotations.Nullable;
 
@@ -33,7 +35,10 @@
     /** The key under which operators keep the configuration. */
     private static final String CONFIG_KEY = "config";
 
-    /** Callers notice within two seconds that the node takes no more calls, and a little more. */
+    /**
+     * Callers notice within two seconds that the node takes no more calls, and a little more. Some
+     * are not sent elsewhere; from then on they are refused, so that what runs can end.
+     */
     private static final long MIN_DRAIN_MILLIS = 2_500;
 
     /** What is left of the grace period when calls are cut at the latest. */
@@ -57,29 +62,35 @@
     private final CallRouter mRouter;
     private final CallServer mCalls;
     private final BackendWatch mBackend;
+    private final HopServer mHops;
     private final long mStartedNanos = System.nanoTime();
     private @Nullable PlainHttpServer mMetricsServer;
+    private Ports mPorts = new Ports(0, 0, 0);
     private boolean mStopping;
     private boolean mWasReady;
 
-    private Sidecar(SidecarSettings settings, Platform platform, EventLoopGroup group) {
+    private Sidecar(
+            SidecarSettings settings,
+            Platform platform,
+            EventLoopGroup group,
+            HopNetwork network,
+            NetAddress peers) {
         mSettings = settings;
         mGroup = group;
         mLoop = group.next();
         mDialect = platform.dialect();
-        mNetwork = new HopNetwork(mLoop);
+        mNetwork = network;
         mLog = platform.openLog(mLoop);
         mConfigs = new ConfigKeeper(platform.configs());
         mBackend = new BackendWatch(settings, platform.reports(), mConfigs);
         mDesk = new BackendDesk(mLoop, mDialect, mBackend);
-        mMesh =
-                new MeshService(
-                        mLoop, settings, mNetwork, settings.peers(), mLog, CONFIG_KEY, mConfigs);
+        mMesh = new MeshService(mLoop, settings, mNetwork, peers, mLog, CONFIG_KEY, mConfigs);
         mBackend.bind(mDesk, mMesh.directory());
         mRouter =
                 new CallRouter(
                         mLoop, settings, mDialect, mConfigs, mMesh.directory(), mDesk, mMetrics);
         mCalls = new CallServer(mLoop, mRouter);
+        mHops = new HopServer(mDesk, mMesh);
     }
 
     /**
@@ -91,11 +102,15 @@
     public static Sidecar start(SidecarSettings settings, Platform platform) {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         CompletableFuture<Sidecar> started = new CompletableFuture<>();
+        HopNetwork network = new HopNetwork(group.next());
+        int port = network.listen(settings.peers(), () -> started.join().mHops);
+        NetAddress peers = new NetAddress(settings.peers().host(), port);
         group.next()
                 .execute(
                         () -> {
                             try {
-                                started.complete(new Sidecar(settings, platform, group));
+                                started.complete(
+                                        new Sidecar(settings, platform, group, network, peers));
                             } catch (RuntimeException e) {
                                 started.completeExceptionally(e);
                             }
@@ -105,6 +120,32 @@
         return sidecar;
     }
 
+    /**
+     * The ports that a node listens on.
+     *
+     * @param calls where it takes calls of this VM
+     * @param ready where it says whether it takes calls
+     * @param reports where it takes heartbeats
+     */
+    public record Ports(int calls, int ready, int reports) {}
+
+    /** Returns the ports, which matter where the settings ask for free ones. */
+    public Ports ports() {
+        return mPorts;
+    }
+
+    /** Returns the number of backend servers that calls of this node may go to now. */
+    public int reachableBackends() {
+        return CompletableFuture.supplyAsync(
+                        () ->
+                                (int)
+                                        mMesh.directory().endpoints().stream()
+                                                .filter(EndpointState::usable)
+                                                .count(),
+                        mLoop)
+                .join();
+    }
+
     /** Goes over to settings that were read again; addresses stay as they are. */
     public void reload(SidecarSettings settings) {
         mLoop.execute(
@@ -129,15 +170,14 @@
     }
 
     private void listen() {
-        mNetwork.listen(mSettings.peers(), new HopServer(mDesk, mMesh));
-        new PlainHttpServer(mLoop, mSettings.reports(), this::report);
-        new PlainHttpServer(mLoop, mSettings.ready(), this::readiness);
+        int reports = new PlainHttpServer(mLoop, mSettings.reports(), this::report).port();
+        int ready = new PlainHttpServer(mLoop, mSettings.ready(), this::readiness).port();
         try {
             mMetricsServer = new PlainHttpServer(mLoop, mSettings.metrics(), this::metrics);
         } catch (RuntimeException e) {
             EventLog.log(SidecarEvent.HANDLER_FAILED, "metrics listener", e.toString());
         }
-        mCalls.listen(mSettings.calls());
+        mPorts = new Ports(mCalls.listen(mSettings.calls()), ready, reports);
         mMetrics.gauge("calls.in-flight", () -> (Gauge<Integer>) mRouter::calls);
         mMetrics.gauge("backend.running", () -> (Gauge<Integer>) () -> mDesk.load().running());
         mMetrics.gauge("backend.waiting", () -> (Gauge<Integer>) () -> mDesk.load().waiting());
@@ -148,7 +188,7 @@
                 mSettings.node(),
                 mMesh.directory().self().incarnation(),
                 mSettings.calls().name(),
-                mSettings.peers().name(),
+                mMesh.directory().self().address().name(),
                 sinceStartMillis());
     }
 
@@ -209,6 +249,10 @@
 
     private void awaitDrained(long sinceNanos, CompletableFuture<Void> stopped) {
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+        if (millis >= MIN_DRAIN_MILLIS) {
+            mRouter.stopTaking();
+            mDesk.stopTaking();
+        }
         boolean drained = pending() == 0 && millis >= MIN_DRAIN_MILLIS;
         if (drained || millis >= mSettings.graceMillis() - STOP_MARGIN_MILLIS) {
             EventLog.log(SidecarEvent.STOPPED, pending(), millis);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -38,11 +38,21 @@
     /** A waiting request that may miss its target is taken up to this part of its time left. */
     private static final double LATE_WAIT_PART = 0.5;
 
+    /**
+     * Beyond this load of its own and more urgent ranks, a request that would be late is passed
+     * over again and again, and is refused instead.
+     */
+    private static final double MAX_LOAD_FOR_LATE = 0.9;
+
+    /** The rank under which requests that other backend servers wait for are counted. */
+    private static final int BACKEND_RANK = -1;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private record Waiting<T>(T item, QueuedRequest request) {}
 
     private final List<Waiting<T>> mWaiting = new ArrayList<>();
+    private final RankLoad mLoad = new RankLoad();
     private double mRunningMillis;
     private int mSlots = 1;
     private int mRunning;
@@ -72,13 +82,16 @@
         if (leftMillis(request, nowNanos) < request.workMillis() * LEAST_WORK_PART) {
             return Decision.REFUSE;
         }
+        int rank = request.fromBackend() ? BACKEND_RANK : request.rank();
+        mLoad.arrived(rank, request.workMillis(), nowNanos);
         if (mRunning < mSlots && mWaiting.isEmpty()) {
             started(request);
             return Decision.START;
         }
         double wait = waitMillis(request, nowNanos);
         double targetLeft = (request.targetNanos() - nowNanos) / NANOS_PER_MILLI;
-        boolean inTime = wait + request.workMillis() <= targetLeft;
+        double crowded = mLoad.upTo(rank - 1, mSlots, nowNanos);
+        boolean inTime = wait / Math.max(0.01, 1 - crowded) + request.workMillis() <= targetLeft;
         if (!inTime && !worthLate(request, nowNanos)) {
             return Decision.REFUSE;
         }
@@ -102,14 +115,19 @@
         return best.item();
     }
 
-    /** Removes and returns waiting requests for which no time is left. */
+    /**
+     * Removes and returns waiting requests for which no time is left, or which have missed their
+     * target while requests that still meet theirs keep coming and go before them.
+     */
     public List<T> expired(long nowNanos) {
         List<T> expired = new ArrayList<>();
         Iterator<Waiting<T>> all = mWaiting.iterator();
         while (all.hasNext()) {
             Waiting<T> waiting = all.next();
-            double needed = waiting.request().workMillis() * LEAST_WORK_PART;
-            if (leftMillis(waiting.request(), nowNanos) < needed) {
+            QueuedRequest request = waiting.request();
+            double needed = request.workMillis() * LEAST_WORK_PART;
+            boolean tooLate = leftMillis(request, nowNanos) < needed;
+            if (tooLate || (!inTime(request, nowNanos) && passedOver(request, nowNanos))) {
                 expired.add(waiting.item());
                 all.remove();
             }
@@ -144,7 +162,7 @@
         double before = mRunningMillis / 2;
         int ahead = 0;
         for (Waiting<T> waiting : mWaiting) {
-            if (before(waiting.request(), request, nowNanos)) {
+            if (!before(request, waiting.request(), nowNanos)) {
                 before += waiting.request().workMillis();
                 ahead++;
             }
@@ -165,7 +183,13 @@
     /** Says whether a request that misses its target is still likely to be answered in its time. */
     private boolean worthLate(QueuedRequest request, long nowNanos) {
         double left = leftMillis(request, nowNanos);
-        return backlogMillis() + request.workMillis() <= left * LATE_WAIT_PART;
+        return !passedOver(request, nowNanos)
+                && backlogMillis() + request.workMillis() <= left * LATE_WAIT_PART;
+    }
+
+    /** Says whether those that go before a late request of its rank take all of the slots. */
+    private boolean passedOver(QueuedRequest request, long nowNanos) {
+        return mLoad.upTo(request.rank(), mSlots, nowNanos) > MAX_LOAD_FOR_LATE;
     }
 
     private void started(QueuedRequest request) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -46,6 +46,7 @@
     private @Nullable BackendReport mBackend;
     private boolean mSweeping;
     private double mFailures;
+    private boolean mStopping;
 
     /**
      * Creates a desk without a backend server.
@@ -81,11 +82,16 @@
         pump();
     }
 
+    /** Refuses what arrives from now on, as the node is about to end. */
+    public void stopTaking() {
+        mStopping = true;
+    }
+
     /** Takes a call. */
     public Attempt accept(HopCall call, Attempt.Sink sink) {
         BackendAttempt attempt = new BackendAttempt(this, call, sink, queued(call));
         BackendReport backend = mBackend;
-        if (backend == null || !backend.service().equals(call.service())) {
+        if (mStopping || backend == null || !backend.service().equals(call.service())) {
             attempt.refused(
                     AttemptFailure.notSent(
                             ErrorCode.NO_BACKEND_SERVER, "no backend server of the service here"));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -50,6 +50,7 @@
     private String mService;
     private long mNextId = 1;
     private int mCalls;
+    private boolean mStopping;
 
     /**
      * Creates a router.
@@ -90,6 +91,15 @@
         return mCalls;
     }
 
+    /** Refuses what begins from now on, as the node is about to end. */
+    public void stopTaking() {
+        mStopping = true;
+    }
+
+    boolean stopping() {
+        return mStopping;
+    }
+
     EventLoop loop() {
         return mLoop;
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -34,6 +34,9 @@
     /** A caller that finds no backend server at all comes back when a heartbeat may have come. */
     private static final long NO_BACKEND_RETRY_MILLIS = 400;
 
+    /** A node that was stopped is back within about this time; its callers come back then. */
+    private static final long RESTART_RETRY_MILLIS = 600;
+
     /** The shortest time after which a refused caller is asked back. */
     private static final long MIN_RETRY_MILLIS = 50;
 
@@ -81,6 +84,10 @@
     /** Begins the call; the request's body is not used after this returns. */
     void start() {
         RouteSet config = mRouter.config();
+        if (mRouter.stopping()) {
+            refuse(ErrorCode.NOT_READY, RESTART_RETRY_MILLIS, "this node is about to end");
+            return;
+        }
         if (config == null) {
             refuse(ErrorCode.NOT_READY, NO_BACKEND_RETRY_MILLIS, "no configuration yet");
             return;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -65,14 +65,16 @@
         mConnected = connected;
     }
 
+    /** Says whether requests for its service may go there. */
+    public boolean usable() {
+        BackendRecord backend = mRecord.backend();
+        return mConnected && !mRecord.leaving() && backend != null && backend.ready();
+    }
+
     /** Says whether requests for a service may go there. */
     public boolean takes(String service) {
         BackendRecord backend = mRecord.backend();
-        return mConnected
-                && !mRecord.leaving()
-                && backend != null
-                && backend.ready()
-                && backend.service().equals(service);
+        return usable() && backend != null && backend.service().equals(service);
     }
 
     /** Counts a request that is sent there. */
@@ -106,6 +108,11 @@
         return Math.max(own, mLoad.failurePercent() / 100.0 * fresh(nowNanos, mReportedNanos));
     }
 
+    /** Returns how long its backend server works on a request on average; 0 if not known. */
+    public double workMillis() {
+        return mLoad.workMillis();
+    }
+
     /**
      * Returns how long a further request is expected to take there, in milliseconds.
      *
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
@@ -16,13 +16,18 @@
 public final class Placement {
     /**
      * Time that a request may lose in its own data centre before it leaves it, as part of its
-     * target: a late answer is worth a third of one in time, and a kilobyte between data centres
-     * costs about a tenth of it.
+     * target. Heads and frames make up a kilobyte even of a small request; a late answer is worth a
+     * third of one in time, and a kilobyte between data centres costs up to a tenth of it.
      */
-    private static final double DISTANCE_PART_PER_KB = 0.1;
+    private static final double MIN_DISTANCE_PART = 0.3;
 
-    /** The most of the target that distance counts as. */
-    private static final double MAX_DISTANCE_PART = 0.6;
+    private static final double DISTANCE_PART_PER_KB = 0.06;
+
+    /** With half of the target lost to waiting, the answer is usually still in time. */
+    private static final double MAX_DISTANCE_PART = 0.5;
+
+    /** Part of the target that work is taken to last before anything is known. */
+    private static final double WORK_PART_OF_TARGET = 0.3;
 
     /** How much longer an endpoint that fails everything seems: retries take that long. */
     private static final double FAILURE_WEIGHT = 10.0;
@@ -57,9 +62,11 @@
             Collection<EndpointState> endpoints, Request request, long nowNanos) {
         EndpointState best = null;
         double bestCost = Double.MAX_VALUE;
-        double guess = request.targetMillis() * 0.3;
+        double guess = usualWork(endpoints, request);
         double part =
-                Math.min(MAX_DISTANCE_PART, request.answerBytes() / 1024 * DISTANCE_PART_PER_KB);
+                Math.min(
+                        MAX_DISTANCE_PART,
+                        MIN_DISTANCE_PART + request.answerBytes() / 1024 * DISTANCE_PART_PER_KB);
         for (EndpointState endpoint : endpoints) {
             if (!endpoint.takes(request.service()) || request.tried().contains(endpoint.node())) {
                 continue;
@@ -75,4 +82,20 @@
         }
         return best;
     }
+
+    /**
+     * Returns the work of a request at the endpoints that are known, so that a new one is as likely
+     * to be chosen as they are.
+     */
+    private static double usualWork(Collection<EndpointState> endpoints, Request request) {
+        double sum = 0;
+        int known = 0;
+        for (EndpointState endpoint : endpoints) {
+            if (endpoint.takes(request.service()) && endpoint.workMillis() > 0) {
+                sum += endpoint.workMillis();
+                known++;
+            }
+        }
+        return known == 0 ? request.targetMillis() * WORK_PART_OF_TARGET : sum / known;
+    }
 }
