--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
@@ -59,7 +59,7 @@
     }
 
     @Test
-    void prefersWithinARankWhatStillMeetsItsTarget() {
+    void prefersWhatStillMeetsItsTarget() {
         mQueue.slots(1);
         QueuedRequest running = request(1, 300, 1_000, 50);
         mQueue.offer("running", running, 0);
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
@@ -44,12 +44,12 @@
         assertEquals(mFar, choose(Set.of("near")));
         assertNull(choose(Set.of("near", "far")));
         mNear.connected(false);
-        mFar.record(record("far", "quimper", 2, false));
+        mFar.record(record("far", "quimper", 2, false), 1);
         assertNull(choose(Set.of()));
     }
 
     @Test
-    void sendsItsShareToANewcomerOfWhichNothingIsKnown() {
+    void sendsNewcomersTheirShare() {
         EndpointState newcomer = endpoint("newcomer", true);
         mNear.load(new EndpointLoad(4, 0, 0, 2, 0), 1);
         int toNewcomer = 0;
@@ -64,6 +64,16 @@
         assertTrue(toNewcomer > 25, "to the newcomer " + toNewcomer);
     }
 
+    @Test
+    void sparesABackendServerThatHasJustStarted() {
+        EndpointState twin = endpoint("twin", true);
+        BackendRecord cold = new BackendRecord("stock", "i-new", 4, true, 3_000);
+        NetAddress address = new NetAddress("127.0.0.1", 7000);
+        twin.record(new NodeRecord("twin", "rennes", address, 1, 2, false, true, cold), 1);
+        Placement.Request request = new Placement.Request("stock", 300, 5_000, Set.of());
+        assertEquals(mNear, mPlacement.choose(List.of(mNear, twin), request, 2));
+    }
+
     @Test
     void evensOutTwoOfOneDataCentre() {
         EndpointState twin = endpoint("twin", true);
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/RetryAllowanceTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/RetryAllowanceTest.java
@@ -22,7 +22,7 @@
     }
 
     @Test
-    void afterALongPauseNoMoreThanTheShareOfTheReserveIsSpentAtOnce() {
+    void onePauseSavesNoMoreThanItsShareOfTheReserve() {
         RetryAllowance allowance = new RetryAllowance(RATIO, RESERVE);
         allowance.requested(11, 50);
         int taken = 0;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -208,7 +208,7 @@
                 record.leaving(),
                 backend == null ? "none" : backend.instance(),
                 backend != null && backend.ready());
-        endpoint(record).record(record);
+        endpoint(record).record(record, System.nanoTime());
         linkTo(record);
         return true;
     }
@@ -380,7 +380,7 @@
     private void adopt(NodeRecord self) {
         mTable.merge(self);
         EndpointState own = endpoint(self);
-        own.record(self);
+        own.record(self, System.nanoTime());
         own.connected(true);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -11,6 +11,14 @@
     /** A report of the load is trusted less with age; after this time it says nothing. */
     private static final double REPORT_LIFETIME_NANOS = 2e9;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** A backend server that has just started takes about twice as long. */
+    private static final double COLD_FACTOR = 2;
+
+    /** Backend servers slow down when nearly full; an even load is a little better. */
+    private static final double CROWDING_WEIGHT = 0.15;
+
     private final String mNode;
     private final boolean mLocal;
     private NodeRecord mRecord;
@@ -20,6 +28,7 @@
     private EndpointLoad mLoad = EndpointLoad.UNKNOWN;
     private long mReportedNanos;
     private double mFailures;
+    private long mWarmNanos;
     private long mLastFailureNanos;
 
     /**
@@ -49,14 +58,20 @@
         return mLocal;
     }
 
-    /** Takes a newer record; another run of the backend server begins without history. */
-    public void record(NodeRecord record) {
+    /**
+     * Takes a newer record; another run of the backend server begins without history.
+     *
+     * @param record the record
+     * @param nowNanos the time, on the steady clock
+     */
+    public void record(NodeRecord record, long nowNanos) {
         BackendRecord before = mRecord.backend();
         BackendRecord now = record.backend();
         mRecord = record;
         if (now != null && (before == null || !before.instance().equals(now.instance()))) {
             mFailures = 0;
             mLoad = EndpointLoad.UNKNOWN;
+            mWarmNanos = nowNanos + now.warmingMillis() * NANOS_PER_MILLI;
         }
     }
 
@@ -126,12 +141,10 @@
         double busy = Math.max(mMine, reported + mMine - mMineAtReport);
         double over = Math.max(0, busy + 1 - slots);
         double crowding = Math.min(1, busy / slots);
+        work *= mWarmNanos - nowNanos > 0 ? COLD_FACTOR : 1;
         return work * (1 + over / slots + CROWDING_WEIGHT * crowding);
     }
 
-    /** Backend servers slow down when nearly full; an even load is a little better. */
-    private static final double CROWDING_WEIGHT = 0.15;
-
     private static double fresh(long nowNanos, long thenNanos) {
         return Math.max(0, 1 - (nowNanos - thenNanos) / REPORT_LIFETIME_NANOS);
     }
