Judge a request's wait by what goes before it

Change: the wait is the time until enough slots are free for those that go before; a late request is judged by that wait too. The test plays the load: six long requests run, twenty wait, two short urgent ones come.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
@@ -89,6 +89,19 @@
         assertEquals(0, mQueue.waiting());
     }
 
+    @Test
+    void aShortUrgentRequestIsNotRefusedForTheLongOnesThatWaitBehindIt() {
+        mQueue.slots(6);
+        for (int i = 0; i < 6; i++) {
+            offer("running" + i, 2, 1_200, 8_000, 500);
+        }
+        for (int i = 0; i < 20; i++) {
+            offer("patient" + i, 2, 2_000, 8_000, 500);
+        }
+        assertEquals(BackendQueue.Decision.WAIT, offer("short", 0, 150, 500, 40));
+        assertEquals(BackendQueue.Decision.WAIT, offer("second", 0, 150, 500, 40));
+    }
+
     @Test
     void underTwiceItsCapacityUrgentCallersAreStillServedInTime() {
         mQueue.slots(4);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -36,7 +36,7 @@
     private static final double LEAST_WORK_PART = 0.6;
 
     /** A waiting request that may miss its target is taken up to this part of its time left. */
-    private static final double LATE_WAIT_PART = 0.5;
+    private static final double LATE_WAIT_PART = 0.6;
 
     /**
      * Beyond this load of its own and more urgent ranks, a request that would be late is passed
@@ -44,6 +44,11 @@
      */
     private static final double MAX_LOAD_FOR_LATE = 0.9;
 
+    /**
+     * The most of the slots that more urgent ranks are taken to hold, so that waits stay finite.
+     */
+    private static final double MAX_CROWDING = 0.95;
+
     /** The rank under which requests that other backend servers wait for are counted. */
     private static final int BACKEND_RANK = -1;
 
@@ -88,11 +93,10 @@
             started(request);
             return Decision.START;
         }
-        double wait = waitMillis(request, nowNanos);
+        double crowded = Math.min(MAX_CROWDING, mLoad.upTo(rank - 1, mSlots, nowNanos));
+        double expected = waitMillis(request, nowNanos) / (1 - crowded) + request.workMillis();
         double targetLeft = (request.targetNanos() - nowNanos) / NANOS_PER_MILLI;
-        double crowded = mLoad.upTo(rank - 1, mSlots, nowNanos);
-        boolean inTime = wait / Math.max(0.01, 1 - crowded) + request.workMillis() <= targetLeft;
-        if (!inTime && !worthLate(request, nowNanos)) {
+        if (expected > targetLeft && !worthLate(request, expected, nowNanos)) {
             return Decision.REFUSE;
         }
         mWaiting.add(new Waiting<>(item, request));
@@ -159,16 +163,16 @@
         if (mRunning < mSlots && mWaiting.isEmpty()) {
             return 0;
         }
-        double before = mRunningMillis / 2;
+        double work = mRunningMillis;
         int ahead = 0;
         for (Waiting<T> waiting : mWaiting) {
             if (!before(request, waiting.request(), nowNanos)) {
-                before += waiting.request().workMillis();
+                work += waiting.request().workMillis();
                 ahead++;
             }
         }
-        double mean = mRunning == 0 ? 0 : mRunningMillis / mRunning;
-        return ahead == 0 ? mean / (mSlots + 1) : before / mSlots;
+        double mean = work / Math.max(1, mRunning + ahead);
+        return mean * (ahead + 1) / (mSlots + 1);
     }
 
     /** Returns how long all that is here takes, in milliseconds. */
@@ -181,10 +185,9 @@
     }
 
     /** Says whether a request that misses its target is still likely to be answered in its time. */
-    private boolean worthLate(QueuedRequest request, long nowNanos) {
-        double left = leftMillis(request, nowNanos);
+    private boolean worthLate(QueuedRequest request, double expectedMillis, long nowNanos) {
         return !passedOver(request, nowNanos)
-                && backlogMillis() + request.workMillis() <= left * LATE_WAIT_PART;
+                && expectedMillis <= leftMillis(request, nowNanos) * LATE_WAIT_PART;
     }
 
     /** Says whether those that go before a late request of its rank take all of the slots. */
