Ask a second backend server when the first is silent for unusually long

Change: an idempotent call is sent to a second backend server after the mean and four mean deviations of its route's answer times, within the attempts and the allowance of repeats; load reports hold the age of what runs; a call that times out counts as a failure of the endpoints that held it.

--- a/org.azurearch.platform.test/src/test/java/org/azurearch/platform/CallPathTest.java
+++ b/org.azurearch.platform.test/src/test/java/org/azurearch/platform/CallPathTest.java
@@ -96,6 +96,18 @@
         }
     }
 
+    @Test
+    void asksASecondBackendServerWhileTheFirstIsSilent() throws Exception {
+        both(failFirst((seen, out) -> backend(seen).hang(seen, out)));
+        try (TestCaller caller = mMesh.caller("web")) {
+            assertEquals(200, caller.call("GET", "/read/1", "h").status());
+            assertEquals(2, arrivals());
+        }
+        Await.until(
+                "the silent one is told that nobody waits",
+                () -> mFirst.backend().cancelled() + mSecond.backend().cancelled() == 1);
+    }
+
     @Test
     void sendsARejectedOrderElsewhere() throws Exception {
         both(
--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/HedgeDelayTest.java
@@ -0,0 +1,23 @@
+package org.azurearch.sidecar.route;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Few calls are sent twice while answers come as usual; one whose answer is lost is. */
+class HedgeDelayTest {
+    @Test
+    void fewAnswersTakeLonger() {
+        HedgeDelay delay = new HedgeDelay();
+        SplittableRandom random = new SplittableRandom(7);
+        int longer = 0;
+        for (int i = 0; i < 5_000; i++) {
+            double millis = 90 * Math.exp(0.3 * random.nextGaussian());
+            longer += millis > delay.millis(300) ? 1 : 0;
+            delay.answered(millis);
+        }
+        assertTrue(longer < 150, "would be sent twice: " + longer);
+        assertTrue(delay.millis(300) < 300, "after " + delay.millis(300));
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -82,6 +82,7 @@
         } else if (before == State.STARTED) {
             if (mConnection != null) {
                 mConnection.abandon();
+                mDesk.returned(mSentNanos);
                 mDesk.ended(this, false, 0);
             }
         }
@@ -152,6 +153,7 @@
         }
         mConnection = connection;
         mSentNanos = System.nanoTime();
+        mDesk.sent(mSentNanos);
         connection.send(request(backend), this);
     }
 
@@ -175,6 +177,9 @@
 
     private void end(boolean failed, double workMillis) {
         mState = State.DONE;
+        if (mConnection != null) {
+            mDesk.returned(mSentNanos);
+        }
         mDesk.ended(this, failed, workMillis);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -7,6 +7,7 @@
 import org.azurearch.sidecar.Dialect;
 import org.azurearch.sidecar.admit.BackendQueue;
 import org.azurearch.sidecar.admit.QueuedRequest;
+import org.azurearch.sidecar.admit.RunningAges;
 import org.azurearch.sidecar.admit.WorkEstimate;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.AttemptFailure;
@@ -23,6 +24,13 @@
     /** Waiting requests are looked through this often for those that have no time left. */
     private static final long SWEEP_MILLIS = 25;
 
+    /**
+     * At any moment, requests that run have on average been running for half of their work or a
+     * little more. More than that shows that the backend server has turned slow, before any answer
+     * does.
+     */
+    private static final double AGE_FACTOR = 1.3;
+
     private static final double PERCENT = 100.0;
 
     /** Weight of a new outcome: about the last twenty count. */
@@ -43,6 +51,7 @@
     private final Watcher mWatcher;
     private final BackendQueue<BackendAttempt> mQueue = new BackendQueue<>();
     private final WorkEstimate mWork = new WorkEstimate();
+    private final RunningAges mAges = new RunningAges();
     private @Nullable BackendReport mBackend;
     private boolean mSweeping;
     private double mFailures;
@@ -119,7 +128,7 @@
                 mQueue.slots(),
                 mQueue.running(),
                 mQueue.waiting(),
-                mWork.mean(),
+                Math.max(mWork.mean(), AGE_FACTOR * mAges.meanMillis(System.nanoTime())),
                 (int) (mFailures * PERCENT));
     }
 
@@ -144,6 +153,16 @@
         mQueue.cancel(attempt);
     }
 
+    /** An attempt has been sent to the backend server. */
+    void sent(long nowNanos) {
+        mAges.started(nowNanos);
+    }
+
+    /** An attempt that was sent has ended. */
+    void returned(long sentNanos) {
+        mAges.ended(sentNanos);
+    }
+
     /** A started attempt has ended. */
     void ended(BackendAttempt attempt, boolean failed, double workMillis) {
         mQueue.ended(attempt.queued());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -17,6 +17,7 @@
 import org.azurearch.sidecar.internal.mesh.ConfigKeeper;
 import org.azurearch.sidecar.internal.mesh.NodeDirectory;
 import org.azurearch.sidecar.route.EndpointState;
+import org.azurearch.sidecar.route.HedgeDelay;
 import org.azurearch.sidecar.route.Placement;
 import org.azurearch.sidecar.route.RetryAllowance;
 import org.azurearch.sidecar.route.SplitPicker;
@@ -47,6 +48,7 @@
     private final Map<String, RetryAllowance> mAllowances = new HashMap<>();
     private final Map<String, Long> mLastRequestNanos = new HashMap<>();
     private final Map<String, Double> mAnswerBytes = new HashMap<>();
+    private final Map<String, HedgeDelay> mHedgeDelays = new HashMap<>();
     private String mService;
     private long mNextId = 1;
     private int mCalls;
@@ -172,8 +174,14 @@
                 now);
     }
 
-    /** Takes note of the size of an answer. */
-    void answered(RouteRule route, int bytes) {
+    /** Returns after which silence a request of a route is sent a second time. */
+    long hedgeMillis(RouteRule route) {
+        return hedgeDelay(route).millis(route.targetMillis());
+    }
+
+    /** Takes note of the size of an answer and of how long it took. */
+    void answered(RouteRule route, int bytes, long millis) {
+        hedgeDelay(route).answered(millis);
         mAnswerBytes.merge(
                 route.name(), (double) bytes, (old, now) -> old + SIZE_WEIGHT * (now - old));
     }
@@ -190,6 +198,10 @@
         return link.call(call, sink);
     }
 
+    private HedgeDelay hedgeDelay(RouteRule route) {
+        return mHedgeDelays.computeIfAbsent(route.name(), name -> new HedgeDelay());
+    }
+
     private RetryAllowance allowance(String service) {
         return mAllowances.computeIfAbsent(
                 service,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -64,8 +64,10 @@
     private long mEndNanos;
     private byte[] mBody = new byte[0];
     private List<String> mHeaders = List.of();
-    private @Nullable Sending mSending;
+    private final List<Sending> mOpen = new ArrayList<>();
+    private @Nullable Sending mLast;
     private @Nullable ScheduledFuture<?> mTimeout;
+    private @Nullable ScheduledFuture<?> mHedge;
     private @Nullable BackendAnswer mFailedAnswer;
     private int mPlacements;
     private int mArrivals;
@@ -116,6 +118,25 @@
         mRouter.requested(mService);
         mTimeout = mRouter.loop().schedule(this::timedOut, millis, TimeUnit.MILLISECONDS);
         place(null);
+        if (route.idempotent() && route.attempts() > 1) {
+            long silence = mRouter.hedgeMillis(route);
+            mHedge = mRouter.loop().schedule(this::hedge, silence, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Sends the request to a second backend server while the first one is silent. */
+    private void hedge() {
+        RouteRule route = mRoute;
+        if (mDone || route == null || mOpen.size() != 1 || !mayRepeat(route)) {
+            return;
+        }
+        Sending silent = mOpen.get(0);
+        EndpointState second = mRouter.choose(route, mService, mTried);
+        if (second != null) {
+            logAttempt(silent, "SILENT", Verdict.MAY_HAVE_RUN, "a second one is asked");
+            mRouter.metrics().retried();
+            send(route, second);
+        }
     }
 
     /** The caller has left: all work for it stops. */
@@ -147,10 +168,15 @@
             giveUp(last);
             return;
         }
+        send(route, endpoint);
+    }
+
+    private void send(RouteRule route, EndpointState endpoint) {
         mPlacements++;
         mTried.add(endpoint.node());
         Sending sending = new Sending(endpoint);
-        mSending = sending;
+        mOpen.add(sending);
+        mLast = sending;
         sending.send(call(route));
     }
 
@@ -175,16 +201,20 @@
         RouteRule route = mRoute;
         boolean repeat =
                 answer.failed()
+                        && mOpen.isEmpty()
                         && route != null
                         && route.idempotent()
                         && mayRepeat(route)
                         && leftMillis() > route.targetMillis() / 2;
-        if (!repeat) {
+        if (!answer.failed() || (!repeat && mOpen.isEmpty())) {
             deliver(answer);
             return;
         }
         mFailedAnswer = answer;
         mMayHaveRun = true;
+        if (!mOpen.isEmpty()) {
+            return;
+        }
         logAttempt(sending, "BACKEND_SERVER_FAILED", Verdict.RAN, "status " + answer.status());
         mRouter.metrics().retried();
         place(null);
@@ -196,6 +226,9 @@
             return;
         }
         mMayHaveRun |= failure.verdict() != Verdict.NOT_RUN;
+        if (!mOpen.isEmpty()) {
+            return;
+        }
         boolean allowed = failure.verdict().mayRetry(route.idempotent()) && leftMillis() > 0;
         boolean again = allowed && (!failure.reachedBackend() || mayRepeat(route));
         logAttempt(
@@ -221,9 +254,12 @@
         if (mDone) {
             return;
         }
-        Sending sending = mSending;
-        boolean sent = sending != null && sending.open();
-        if (mMayHaveRun || sent) {
+        boolean sent = !mOpen.isEmpty();
+        mOpen.forEach(Sending::timedOut);
+        BackendAnswer failed = mFailedAnswer;
+        if (failed != null) {
+            deliver(failed);
+        } else if (mMayHaveRun || sent) {
             finish(
                     HttpResponseStatus.GATEWAY_TIMEOUT.code(),
                     ErrorCode.DEADLINE_EXCEEDED,
@@ -236,11 +272,11 @@
 
     private void deliver(BackendAnswer answer) {
         RouteRule route = mRoute;
-        Sending sending = mSending;
+        Sending sending = mLast;
         end();
         mAnswerer.answer(answer);
         if (route != null) {
-            mRouter.answered(route, answer.body().length);
+            mRouter.answered(route, answer.body().length, elapsedMillis());
             mRouter.metrics()
                     .ended(route.name(), answer.status(), System.nanoTime() - mStartedNanos);
         }
@@ -294,9 +330,10 @@
         if (mTimeout != null) {
             mTimeout.cancel(false);
         }
-        if (mSending != null) {
-            mSending.stop();
+        if (mHedge != null) {
+            mHedge.cancel(false);
         }
+        List.copyOf(mOpen).forEach(Sending::stop);
     }
 
     private void logAttempt(Sending sending, String code, Verdict verdict, String detail) {
@@ -367,7 +404,6 @@
     private final class Sending implements Attempt.Sink {
         private final EndpointState mEndpoint;
         private @Nullable Attempt mAttempt;
-        private boolean mOpen = true;
 
         Sending(EndpointState endpoint) {
             mEndpoint = endpoint;
@@ -380,13 +416,13 @@
             mAttempt = attempt;
         }
 
-        boolean open() {
-            return mOpen;
+        /** The caller's time is up: the endpoint was silent for long enough to count as failing. */
+        void timedOut() {
+            mEndpoint.outcome(true, System.nanoTime());
         }
 
         void stop() {
-            if (mOpen) {
-                mOpen = false;
+            if (mOpen.remove(this)) {
                 mEndpoint.ended();
                 if (mAttempt != null) {
                     mAttempt.cancel();
@@ -412,10 +448,9 @@
         }
 
         private boolean close(boolean failure) {
-            if (!mOpen) {
+            if (!mOpen.remove(this)) {
                 return false;
             }
-            mOpen = false;
             mEndpoint.ended();
             mEndpoint.outcome(failure, System.nanoTime());
             return !mDone;
