--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -39,7 +39,13 @@
      * Callers notice within two seconds that the node takes no more calls, and a little more. Some
      * are not sent elsewhere; from then on they are refused, so that what runs can end.
      */
-    private static final long MIN_DRAIN_MILLIS = 2_500;
+    private static final long MIN_DRAIN_MILLIS = 2_300;
+
+    /**
+     * Until then other nodes go on using the backend server behind this one, which is as good as
+     * before; the rest of the time is for the news to arrive and for their calls to end.
+     */
+    private static final long LEAVE_AFTER_MILLIS = 1_800;
 
     /** What is left of the grace period when calls are cut at the latest. */
     private static final long STOP_MARGIN_MILLIS = 350;
@@ -230,7 +236,6 @@
     private void beginStop(CompletableFuture<Void> stopped) {
         mStopping = true;
         mCalls.drain();
-        mMesh.directory().publishLeaving();
         if (mBackend.departed()) {
             mMesh.unregister()
                     .whenComplete(
@@ -249,6 +254,9 @@
 
     private void awaitDrained(long sinceNanos, CompletableFuture<Void> stopped) {
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+        if (millis >= LEAVE_AFTER_MILLIS && !mMesh.directory().self().leaving()) {
+            mMesh.directory().publishLeaving();
+        }
         if (millis >= MIN_DRAIN_MILLIS) {
             mRouter.stopTaking();
             mDesk.stopTaking();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -254,12 +254,12 @@
         if (mDone) {
             return;
         }
-        boolean sent = !mOpen.isEmpty();
+        mMayHaveRun |= !mOpen.isEmpty();
         mOpen.forEach(Sending::timedOut);
         BackendAnswer failed = mFailedAnswer;
         if (failed != null) {
             deliver(failed);
-        } else if (mMayHaveRun || sent) {
+        } else if (mMayHaveRun) {
             finish(
                     HttpResponseStatus.GATEWAY_TIMEOUT.code(),
                     ErrorCode.DEADLINE_EXCEEDED,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -37,8 +37,14 @@
      */
     private static final long IDLE_PROBE_AFTER_NANOS = 4_000_000_000L;
 
-    /** A probe is answered within a round trip, or, over a lossy link, one or two resends. */
-    private static final long PROBE_TIMEOUT_NANOS = 800_000_000L;
+    /** A probe is answered within a round trip; after this time no new calls are sent there. */
+    private static final long SUSPECT_AFTER_NANOS = 200_000_000L;
+
+    /**
+     * Over a lossy link, a probe may take one or two resends. Calls that run there are given up
+     * only after this time, since what is not idempotent is lost then.
+     */
+    private static final long PROBE_TIMEOUT_NANOS = 900_000_000L;
 
     /** A node that is not there is tried again no more often than each two seconds or so. */
     private static final Duration RECONNECT_MAX = Duration.ofMillis(2_000);
@@ -50,6 +56,9 @@
         /** The link is up or down. */
         void connected(HopLink link, boolean up);
 
+        /** The other end answers, or has been silent for a while. */
+        void usable(HopLink link, boolean usable);
+
         /** A frame has arrived that is not the outcome of a call. */
         void received(HopConnection connection, HopFrame frame);
 
@@ -67,6 +76,7 @@
     private @Nullable HopConnection mConnection;
     private boolean mConnecting;
     private boolean mClosed;
+    private boolean mSuspected;
     private long mProbedNanos;
     private long mDownSinceNanos = System.nanoTime();
 
@@ -147,12 +157,22 @@
         long allowed = mPending.isEmpty() ? IDLE_PROBE_AFTER_NANOS : PROBE_AFTER_NANOS;
         if (silent < allowed) {
             mProbedNanos = 0;
+            suspect(false);
         } else if (mProbedNanos == 0) {
             mProbedNanos = nowNanos;
             connection.send(HopFrame.ping(new WireHopPing(false)));
         } else if (nowNanos - mProbedNanos > PROBE_TIMEOUT_NANOS) {
             EventLog.log(SidecarEvent.HOP_SILENT, mNode, TimeUnit.NANOSECONDS.toMillis(silent));
             connection.close();
+        } else if (nowNanos - mProbedNanos > SUSPECT_AFTER_NANOS) {
+            suspect(true);
+        }
+    }
+
+    private void suspect(boolean suspected) {
+        if (mSuspected != suspected) {
+            mSuspected = suspected;
+            mOwner.usable(this, !suspected);
         }
     }
 
@@ -168,6 +188,7 @@
     public void opened(HopConnection connection) {
         mConnection = connection;
         mProbedNanos = 0;
+        mSuspected = false;
         mBackoff.reset();
         mOwner.connected(this, true);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -26,7 +26,7 @@
  */
 public final class MeshService implements NodeDirectory.FrameHandler {
     /** Links are looked after this often. */
-    private static final long TICK_MILLIS = 200;
+    private static final long TICK_MILLIS = 100;
 
     /** Nodes of a data centre that read the store; two, so that one may be cut off unnoticed. */
     private static final int READERS = 2;
@@ -102,7 +102,7 @@
     /** Ends all exchange with other nodes. */
     public void close() {
         mClosed = true;
-        mReader.active(false);
+        mReader.close();
         mDirectory.close();
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -280,12 +280,17 @@
     }
 
     @Override
-    public void connected(HopLink link, boolean up) {
-        EventLog.log(SidecarEvent.LINK, link.node(), up);
+    public void usable(HopLink link, boolean usable) {
+        EventLog.log(SidecarEvent.LINK, link.node(), usable);
         EndpointState endpoint = mEndpoints.get(link.node());
         if (endpoint != null) {
-            endpoint.connected(up);
+            endpoint.connected(usable);
         }
+    }
+
+    @Override
+    public void connected(HopLink link, boolean up) {
+        usable(link, up);
         if (up) {
             link.send(HopFrame.hello(HopWire.toWire(mSelf)));
             mHandler.linkUp(link);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -122,7 +122,7 @@
 
     private void retry(String what, Throwable failure, Runnable again) {
         long millis = mBackoff.next().toMillis();
-        EventLog.log(SidecarEvent.STORE_DOWN, what, failure.toString());
+        EventLog.log(SidecarEvent.STORE_DOWN, what, StoreReader.cause(failure).toString());
         mLoop.schedule(again, millis, TimeUnit.MILLISECONDS);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
@@ -44,6 +45,7 @@
     private boolean mActive;
     private boolean mBusy;
     private boolean mDown;
+    private boolean mClosed;
     private long mDownSinceNanos;
     private long mNext = -1;
 
@@ -116,6 +118,18 @@
         }
     }
 
+    /** Ends the reading; a read that is held back ends with its connection. */
+    void close() {
+        mClosed = true;
+        mActive = false;
+    }
+
+    /** Returns what a stage of a future failed with. */
+    static Throwable cause(Throwable failure) {
+        Throwable cause = failure.getCause();
+        return failure instanceof CompletionException && cause != null ? cause : failure;
+    }
+
     /** Takes the last record of the key; those before it are outdated already. */
     private void take(List<KeyedRecord> records) {
         for (int i = records.size() - 1; i >= 0; i--) {
@@ -127,7 +141,11 @@
         }
     }
 
-    private void failed(Throwable failure) {
+    private void failed(Throwable wrapped) {
+        if (mClosed) {
+            return;
+        }
+        Throwable failure = cause(wrapped);
         boolean gone =
                 failure instanceof AzurearchException known
                         && known.code() == ErrorCode.OFFSET_REMOVED;
