--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/HedgeDelay.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/HedgeDelay.java
@@ -12,8 +12,8 @@
     /** Mean deviations beyond the mean: in one of some fifty calls an answer takes longer. */
     private static final double DEVIATIONS = 4;
 
-    /** Part of the target before which a second sending never helps. */
-    private static final double MIN_PART_OF_TARGET = 0.4;
+    /** Part of the target before which no second sending is made: work takes a third of it. */
+    private static final double MIN_PART_OF_TARGET = 0.6;
 
     /** Until answers are known, the second sending waits for this part of the target. */
     private static final double FIRST_PART_OF_TARGET = 0.8;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
@@ -19,12 +19,12 @@
      * target. Heads and frames make up a kilobyte even of a small request; a late answer is worth a
      * third of one in time, and a kilobyte between data centres costs up to a tenth of it.
      */
-    private static final double MIN_DISTANCE_PART = 0.3;
+    private static final double MIN_DISTANCE_PART = 0.35;
 
-    private static final double DISTANCE_PART_PER_KB = 0.06;
+    private static final double DISTANCE_PART_PER_KB = 0.08;
 
-    /** With half of the target lost to waiting, the answer is usually still in time. */
-    private static final double MAX_DISTANCE_PART = 0.5;
+    /** Work takes about a third of the target, so that with this wait it is just still in time. */
+    private static final double MAX_DISTANCE_PART = 0.65;
 
     /** Part of the target that work is taken to last before anything is known. */
     private static final double WORK_PART_OF_TARGET = 0.3;
