Never wait on the event loop while a node starts

A connection of another node that came before the node was complete made the event loop wait for its own task. The fault came in with the tests' free ports.

Change: a gate closes connections that come too early; the other node tries again.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -19,6 +19,7 @@
 import org.azurearch.sidecar.internal.backend.BackendDesk;
 import org.azurearch.sidecar.internal.call.CallRouter;
 import org.azurearch.sidecar.internal.call.CallServer;
+import org.azurearch.sidecar.internal.hop.HopGate;
 import org.azurearch.sidecar.internal.hop.HopNetwork;
 import org.azurearch.sidecar.internal.hop.HopServer;
 import org.azurearch.sidecar.internal.mesh.ConfigKeeper;
@@ -109,14 +110,17 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         CompletableFuture<Sidecar> started = new CompletableFuture<>();
         HopNetwork network = new HopNetwork(group.next());
-        int port = network.listen(settings.peers(), () -> started.join().mHops);
+        HopGate gate = new HopGate();
+        int port = network.listen(settings.peers(), gate);
         NetAddress peers = new NetAddress(settings.peers().host(), port);
         group.next()
                 .execute(
                         () -> {
                             try {
-                                started.complete(
-                                        new Sidecar(settings, platform, group, network, peers));
+                                Sidecar node =
+                                        new Sidecar(settings, platform, group, network, peers);
+                                gate.open(node.mHops);
+                                started.complete(node);
                             } catch (RuntimeException e) {
                                 started.completeExceptionally(e);
                             }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -27,8 +27,8 @@
     /**
      * At any moment, requests that run have on average been running for half of their work or a
      * little more. Beyond three times that, chance is ruled out: the backend server has turned
-     * slow, and this shows before any answer does. A smaller bound sent calls to other data
-     * centres on a calm day.
+     * slow, and this shows before any answer does. A smaller bound sent calls to other data centres
+     * on a calm day.
      */
     private static final double AGE_FACTOR = 0.6;
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopNetwork.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopNetwork.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
-import java.util.function.Supplier;
 import org.azurearch.lib.NetAddress;
 import org.jspecify.annotations.Nullable;
 
@@ -39,10 +38,10 @@
      * Takes connections from other nodes.
      *
      * @param address the address to listen on; port 0 asks for a free one
-     * @param listener returns who takes what happens on them; asked for each connection
+     * @param listener takes what happens on them
      * @return the port
      */
-    public int listen(NetAddress address, Supplier<HopConnection.Listener> listener) {
+    public int listen(NetAddress address, HopConnection.Listener listener) {
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
                         .group(mLoop, mLoop)
@@ -63,7 +62,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .handler(initializer(() -> listener))
+                .handler(initializer(listener))
                 .connect(address.socketAddress());
     }
 
@@ -74,12 +73,11 @@
         }
     }
 
-    private ChannelInitializer<SocketChannel> initializer(
-            Supplier<HopConnection.Listener> listener) {
+    private ChannelInitializer<SocketChannel> initializer(HopConnection.Listener listener) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                HopConnection.install(channel, mCodec, listener.get());
+                HopConnection.install(channel, mCodec, listener);
             }
         };
     }
