--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
@@ -65,7 +65,7 @@
     }
 
     @Test
-    void sparesABackendServerThatHasJustStarted() {
+    void sparesWhatHasJustStarted() {
         EndpointState twin = endpoint("twin", true);
         BackendRecord cold = new BackendRecord("stock", "i-new", 4, true, 3_000);
         NetAddress address = new NetAddress("127.0.0.1", 7000);
