Take out parameters that nothing uses, and name types once

Problem: read as a newcomer: a start that could skip its write but never did, a sender nobody excluded, a flag that is always false without a word why, and qualified names.

Change: the unused parameters are gone, the flag is a named constant with its reason, types are imported. No behaviour changes.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
@@ -94,7 +95,7 @@
 
     /** Returns the port that the server listens on. */
     public int port() {
-        return ((java.net.InetSocketAddress) mServer.localAddress()).getPort();
+        return ((InetSocketAddress) mServer.localAddress()).getPort();
     }
 
     @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
 import org.azurearch.lib.Verdict;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.call.Attempt;
@@ -28,6 +29,12 @@
  * answer. Confined to one event loop.
  */
 final class EntryCall {
+    /**
+     * The platform does not tell calls of backend servers from those of other callers on the VM;
+     * the rank of their routes puts them first.
+     */
+    private static final boolean FROM_BACKEND = false;
+
     /** Nodes asked for room before the caller is refused; a refusal costs a round trip only. */
     private static final int MAX_PLACEMENTS = 4;
 
@@ -281,7 +288,7 @@
                     .ended(route.name(), answer.status(), System.nanoTime() - mStartedNanos);
         }
         if (mRouter.log().sampled()) {
-            org.azurearch.events.EventLog.log(
+            EventLog.log(
                     SidecarEvent.CALL_ANSWERED,
                     mId,
                     route == null ? "-" : route.name(),
@@ -362,7 +369,7 @@
                 mService,
                 route.name(),
                 route.idempotent(),
-                false);
+                FROM_BACKEND);
     }
 
     private List<String> onward() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.azurearch.errors.ErrorCode;
@@ -96,7 +97,7 @@
         mNode = node;
         mAddress = address;
         mOwner = owner;
-        mBackoff = new Backoff(RECONNECT_BASE, RECONNECT_MAX, new java.util.SplittableRandom());
+        mBackoff = new Backoff(RECONNECT_BASE, RECONNECT_MAX, new SplittableRandom());
         connect();
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.mesh;
 
 import io.netty.channel.EventLoop;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -77,7 +78,7 @@
         mDirectory =
                 new NodeDirectory(loop, network, settings, peers, System.currentTimeMillis(), this);
         mRegistration = new NodeRegistration(log, loop, mDirectory.self(), mDirectory::merge);
-        mRegistration.start(false);
+        mRegistration.start();
         mReader = new StoreReader(log, loop, configKey, new FromStore());
         settings.seeds().forEach(mDirectory::seed);
         loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -118,7 +119,7 @@
     public void received(HopConnection connection, HopFrame frame) {
         switch (frame.getSetField()) {
             case HELLO -> mDirectory.hello(connection, frame.getHello());
-            case RECORDS -> mDirectory.merge(frame.getRecords(), connection);
+            case RECORDS -> mDirectory.merge(frame.getRecords());
             case PULSE -> compare(connection, frame.getPulse());
             case CONFIG -> received(frame.getConfig());
             case CONFIG_WANTED -> {
@@ -218,8 +219,7 @@
     private HopFrame configFrame() {
         RouteSet current = mConfigs.current();
         long version = current == null ? -1 : current.version();
-        return HopFrame.config(
-                new WireConfigContent(version, java.nio.ByteBuffer.wrap(mConfigs.content())));
+        return HopFrame.config(new WireConfigContent(version, ByteBuffer.wrap(mConfigs.content())));
     }
 
     /** What the reader of the store finds. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -139,7 +139,7 @@
         NodeRecord changed = change.apply(mSelf);
         mSelf = withVersion(changed, mSelf.incarnation(), mSelf.sequence() + 1);
         adopt(mSelf);
-        spread(List.of(mSelf), null);
+        spread(List.of(mSelf));
     }
 
     /** Takes the backend server behind this node into its record. */
@@ -214,7 +214,7 @@
     }
 
     /** Takes records that another node sent and passes on what is news. */
-    public void merge(WireNodeRecords records, @Nullable HopConnection from) {
+    public void merge(WireNodeRecords records) {
         List<NodeRecord> news = new ArrayList<>();
         for (WireNodeRecord wire : records.getRecords()) {
             NodeRecord record = HopWire.fromWire(wire);
@@ -361,17 +361,13 @@
         return link != null && link.up();
     }
 
-    private void spread(List<NodeRecord> records, @Nullable HopLink except) {
+    private void spread(List<NodeRecord> records) {
         HopFrame frame = frame(records, false);
         List<HopLink> targets = large() ? localLinks() : linksUp();
         if (large()) {
             targets.addAll(remoteRelays());
         }
-        for (HopLink link : targets) {
-            if (link != except) {
-                link.send(frame);
-            }
-        }
+        targets.forEach(link -> link.send(frame));
     }
 
     /** Where others know a later record of this node, goes beyond it. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -26,8 +26,7 @@
  * Writes where this node can be reached into the platform's store, and reads where the others can.
  *
  * <p>The record is written before the others are read, so that of two nodes that start together at
- * least one finds the other. A node that comes back to the same address writes nothing. Confined to
- * one event loop.
+ * least one finds the other. Confined to one event loop.
  */
 final class NodeRegistration {
     private static final Duration RETRY_BASE = Duration.ofMillis(150);
@@ -40,7 +39,6 @@
     private final NodeRecord mSelf;
     private final Consumer<NodeRecord> mFound;
     private final Backoff mBackoff = new Backoff(RETRY_BASE, RETRY_MAX, new SplittableRandom());
-    private boolean mWritten;
     private boolean mComplete;
 
     NodeRegistration(KeyedLog log, EventLoop loop, NodeRecord self, Consumer<NodeRecord> found) {
@@ -51,12 +49,8 @@
     }
 
     /** Registers this node and reads the others, again and again until both have succeeded. */
-    void start(boolean mayBeRegistered) {
-        if (mayBeRegistered) {
-            read();
-        } else {
-            write();
-        }
+    void start() {
+        write();
     }
 
     /** Says whether the other nodes have been read. */
@@ -76,7 +70,6 @@
                             if (failure != null) {
                                 retry("register", failure, this::write);
                             } else {
-                                mWritten = true;
                                 read();
                             }
                         });
@@ -95,16 +88,12 @@
     }
 
     private void take(KeyedRecords records) {
-        boolean registered = mWritten;
         for (KeyedRecord record : records.records()) {
             if (record.value().length == 0) {
                 continue;
             }
             try {
-                NodeRecord node = decode(record.value());
-                registered |=
-                        node.node().equals(mSelf.node()) && node.address().equals(mSelf.address());
-                mFound.accept(node);
+                mFound.accept(decode(record.value()));
             } catch (RuntimeException e) {
                 EventLog.log(
                         SidecarEvent.STORE_RECORD_UNREADABLE,
@@ -115,9 +104,6 @@
             }
         }
         mComplete = true;
-        if (!registered) {
-            write();
-        }
     }
 
     private void retry(String what, Throwable failure, Runnable again) {
