--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.azurearch.errors.AzurearchException;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.metrics.MetricsReport;
@@ -184,7 +185,7 @@
         int ready = new PlainHttpServer(mLoop, mSettings.ready(), this::readiness).port();
         try {
             mMetricsServer = new PlainHttpServer(mLoop, mSettings.metrics(), this::metrics);
-        } catch (RuntimeException e) {
+        } catch (AzurearchException e) {
             EventLog.log(SidecarEvent.HANDLER_FAILED, "metrics listener", e.toString());
         }
         mPorts = new Ports(mCalls.listen(mSettings.calls()), ready, reports);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
@@ -1,17 +1,11 @@
 package org.azurearch.sidecar.internal;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -22,7 +16,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.net.InetSocketAddress;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
@@ -61,7 +54,7 @@
         Reply handle(Request request);
     }
 
-    private final Channel mServer;
+    private final ListeningSocket mServer;
 
     /**
      * Creates a server and listens.
@@ -72,30 +65,20 @@
      */
     public PlainHttpServer(EventLoop loop, NetAddress address, Handler handler) {
         mServer =
-                new ServerBootstrap()
-                        .group(loop, loop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        channel.pipeline()
-                                                .addLast(new HttpServerCodec())
-                                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                                                .addLast(new Exchange(handler));
-                                    }
-                                })
-                        .bind(address.socketAddress())
-                        .syncUninterruptibly()
-                        .channel();
+                ListeningSocket.open(
+                        loop,
+                        address,
+                        BACKLOG,
+                        channel ->
+                                channel.pipeline()
+                                        .addLast(new HttpServerCodec())
+                                        .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                        .addLast(new Exchange(handler)));
     }
 
     /** Returns the port that the server listens on. */
     public int port() {
-        return ((InetSocketAddress) mServer.localAddress()).getPort();
+        return mServer.port();
     }
 
     @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -1,15 +1,9 @@
 package org.azurearch.sidecar.internal.call;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -18,6 +12,7 @@
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.config.RequestLimits;
 import org.azurearch.sidecar.config.RouteSet;
+import org.azurearch.sidecar.internal.ListeningSocket;
 import org.jspecify.annotations.Nullable;
 
 /** Takes the connections of callers on this VM. Confined to one event loop. */
@@ -33,7 +28,7 @@
     private final EventLoop mLoop;
     private final CallRouter mRouter;
     private final Set<CallerConnection> mConnections = new HashSet<>();
-    private @Nullable Channel mServer;
+    private @Nullable ListeningSocket mServer;
     private boolean mDraining;
 
     /**
@@ -54,24 +49,10 @@
      * @return the port
      */
     public int listen(NetAddress address) {
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(mLoop, mLoop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(
-                                new ChannelInitializer<SocketChannel>() {
-                                    @Override
-                                    protected void initChannel(SocketChannel channel) {
-                                        install(channel);
-                                    }
-                                });
-        Channel server = bootstrap.bind(address.socketAddress()).syncUninterruptibly().channel();
+        ListeningSocket server = ListeningSocket.open(mLoop, address, BACKLOG, this::install);
         mServer = server;
         mLoop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
-        return ((InetSocketAddress) server.localAddress()).getPort();
+        return server.port();
     }
 
     /** Ends each connection with its next answer. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopNetwork.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopNetwork.java
@@ -1,17 +1,14 @@
 package org.azurearch.sidecar.internal.hop;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.InetSocketAddress;
 import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.internal.ListeningSocket;
 import org.jspecify.annotations.Nullable;
 
 /** Opens connections to other nodes and takes theirs. Confined to one event loop. */
@@ -23,7 +20,7 @@
 
     private final EventLoop mLoop;
     private final FrameCodec mCodec = new FrameCodec();
-    private @Nullable Channel mServer;
+    private @Nullable ListeningSocket mServer;
 
     /**
      * Creates the network.
@@ -42,17 +39,14 @@
      * @return the port
      */
     public int listen(NetAddress address, HopConnection.Listener listener) {
-        ServerBootstrap bootstrap =
-                new ServerBootstrap()
-                        .group(mLoop, mLoop)
-                        .channel(NioServerSocketChannel.class)
-                        .option(ChannelOption.SO_REUSEADDR, true)
-                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                        .childOption(ChannelOption.TCP_NODELAY, true)
-                        .childHandler(initializer(listener));
-        Channel server = bootstrap.bind(address.socketAddress()).syncUninterruptibly().channel();
+        ListeningSocket server =
+                ListeningSocket.open(
+                        mLoop,
+                        address,
+                        BACKLOG,
+                        channel -> HopConnection.install(channel, mCodec, listener));
         mServer = server;
-        return ((InetSocketAddress) server.localAddress()).getPort();
+        return server.port();
     }
 
     /** Opens a connection; the future fails when that takes too long. */
@@ -62,7 +56,13 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .handler(initializer(listener))
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                HopConnection.install(channel, mCodec, listener);
+                            }
+                        })
                 .connect(address.socketAddress());
     }
 
@@ -72,13 +72,4 @@
             mServer.close();
         }
     }
-
-    private ChannelInitializer<SocketChannel> initializer(HopConnection.Listener listener) {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                HopConnection.install(channel, mCodec, listener);
-            }
-        };
-    }
 }
