--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/NodeTableTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/NodeTableTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.azurearch.lib.NetAddress;
 import org.junit.jupiter.api.Test;
 
@@ -13,28 +14,42 @@
     @Test
     void neverGoesBack() {
         NodeTable table = new NodeTable("self");
-        assertTrue(table.merge(record("a", 2, 3)));
-        assertFalse(table.merge(record("a", 2, 2)));
-        assertFalse(table.merge(record("a", 1, 9)));
-        assertTrue(table.merge(record("a", 3, 0)));
+        assertTrue(table.merge(record("a", 2, 3), 0));
+        assertFalse(table.merge(record("a", 2, 2), 0));
+        assertFalse(table.merge(record("a", 1, 9), 0));
+        assertTrue(table.merge(record("a", 3, 0), 0));
     }
 
     @Test
     void equalTablesHaveEqualDigestsWhateverTheOrder() {
         NodeTable one = new NodeTable("x");
         NodeTable other = new NodeTable("y");
-        one.merge(record("a", 1, 1));
-        one.merge(record("b", 1, 1));
-        other.merge(record("b", 1, 0));
-        other.merge(record("b", 1, 1));
+        one.merge(record("a", 1, 1), 0);
+        one.merge(record("b", 1, 1), 0);
+        other.merge(record("b", 1, 0), 0);
+        other.merge(record("b", 1, 1), 0);
         assertNotEquals(one.digest(), other.digest());
-        other.merge(record("a", 1, 1));
+        other.merge(record("a", 1, 1), 0);
         assertEquals(one.digest(), other.digest());
-        one.merge(record("c", 1, 1));
+        one.merge(record("c", 1, 1), 0);
         one.remove("c");
         assertEquals(one.digest(), other.digest());
     }
 
+    @Test
+    void namesWhatChangedOfLate() {
+        NodeTable table = new NodeTable("self");
+        NodeRecord old = record("a", 1, 1);
+        NodeRecord recent = record("b", 1, 1);
+        table.merge(old, 100);
+        table.merge(recent, 200);
+        assertEquals(List.of(recent), table.changedSince(150));
+        NodeRecord again = record("a", 1, 2);
+        table.merge(again, 300);
+        assertEquals(List.of(again, recent), table.changedSince(150));
+        assertEquals(List.of(), table.changedSince(301));
+    }
+
     private static NodeRecord record(String node, long incarnation, long sequence) {
         NetAddress address = new NetAddress("127.0.0.1", 7000);
         return new NodeRecord(node, "rennes", address, incarnation, sequence, false, true, null);
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/ContentPatch.java
@@ -0,0 +1,171 @@
+package org.azurearch.sidecar.config;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.zip.CRC32;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+
+/**
+ * What differs between two versions of a configuration, in compressed form. One change of a large
+ * configuration then weighs some hundred bytes instead of some hundred kilobytes, which the slowest
+ * links would pass on for seconds.
+ *
+ * <p>Both versions are cut after each closing brace. The patch is a sequence of steps: copy a range
+ * of the older version, or take literal bytes. It ends with a checksum of the newer version.
+ */
+public final class ContentPatch {
+    private static final byte END_OF_PIECE = '}';
+    private static final int COPY = 0;
+    private static final int LITERAL = 1;
+    private static final int END = 2;
+
+    /** The largest content taken; a patch that says more is damaged. */
+    private static final int MAX_CONTENT_BYTES = 64 * 1024 * 1024;
+
+    private final byte[] mOld;
+    private final byte[] mNew;
+    private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+    private final DataOutputStream mOut = new DataOutputStream(new DeflaterOutputStream(mBytes));
+
+    private ContentPatch(byte[] oldContent, byte[] newContent) {
+        mOld = oldContent;
+        mNew = newContent;
+    }
+
+    /**
+     * Returns the patch that leads from one content to another.
+     *
+     * @param oldContent the older content; empty for a patch that holds the whole newer one
+     * @param newContent the newer content
+     */
+    public static byte[] between(byte[] oldContent, byte[] newContent) {
+        try {
+            return new ContentPatch(oldContent, newContent).encode();
+        } catch (IOException e) {
+            throw new AzurearchException(ErrorCode.INTERNAL, "patch cannot be written", e);
+        }
+    }
+
+    /**
+     * Returns the newer content.
+     *
+     * @param oldContent the older content that the patch was made from
+     * @param patch the patch
+     * @throws AzurearchException when the patch is damaged or was made from another content
+     */
+    public static byte[] apply(byte[] oldContent, byte[] patch) {
+        ByteArrayOutputStream content = new ByteArrayOutputStream();
+        try (DataInputStream in =
+                new DataInputStream(new InflaterInputStream(new ByteArrayInputStream(patch)))) {
+            for (int step = in.readByte(); step != END; step = in.readByte()) {
+                if (step == COPY) {
+                    content.write(oldContent, in.readInt(), in.readInt());
+                } else {
+                    int length = in.readInt();
+                    if (length > MAX_CONTENT_BYTES) {
+                        throw new AzurearchException(ErrorCode.CORRUPT, "patch too large");
+                    }
+                    content.write(in.readNBytes(length));
+                }
+            }
+            byte[] whole = content.toByteArray();
+            if (in.readLong() != checksum(whole)) {
+                throw new AzurearchException(ErrorCode.CORRUPT, "patch of another content");
+            }
+            return whole;
+        } catch (IOException | IndexOutOfBoundsException e) {
+            throw new AzurearchException(ErrorCode.CORRUPT, "patch cannot be read", e);
+        }
+    }
+
+    private byte[] encode() throws IOException {
+        Map<ByteBuffer, Integer> known = pieces();
+        int copyFrom = 0;
+        int copied = 0;
+        int literalFrom = 0;
+        int at = 0;
+        while (at < mNew.length) {
+            int end = endOfPiece(mNew, at);
+            int from = find(known, at, end, copyFrom + copied);
+            boolean continues = copied > 0 && from == copyFrom + copied;
+            if (!continues) {
+                copy(copyFrom, copied);
+                copied = 0;
+            }
+            if (from >= 0) {
+                literal(literalFrom, at);
+                copyFrom = continues ? copyFrom : from;
+                copied += end - at;
+                literalFrom = end;
+            }
+            at = end;
+        }
+        copy(copyFrom, copied);
+        literal(literalFrom, mNew.length);
+        mOut.writeByte(END);
+        mOut.writeLong(checksum(mNew));
+        mOut.close();
+        return mBytes.toByteArray();
+    }
+
+    /** Returns where each piece of the older content begins. */
+    private Map<ByteBuffer, Integer> pieces() {
+        Map<ByteBuffer, Integer> pieces = new HashMap<>();
+        int at = 0;
+        while (at < mOld.length) {
+            int end = endOfPiece(mOld, at);
+            pieces.putIfAbsent(ByteBuffer.wrap(mOld, at, end - at), at);
+            at = end;
+        }
+        return pieces;
+    }
+
+    /** Returns where a piece stands in the older content, best at the expected place, or -1. */
+    private int find(Map<ByteBuffer, Integer> known, int at, int end, int expected) {
+        ByteBuffer piece = ByteBuffer.wrap(mNew, at, end - at);
+        if (expected + end - at <= mOld.length
+                && piece.equals(ByteBuffer.wrap(mOld, expected, end - at))) {
+            return expected;
+        }
+        return known.getOrDefault(piece, -1);
+    }
+
+    private void copy(int from, int length) throws IOException {
+        if (length > 0) {
+            mOut.writeByte(COPY);
+            mOut.writeInt(from);
+            mOut.writeInt(length);
+        }
+    }
+
+    private void literal(int from, int end) throws IOException {
+        if (end > from) {
+            mOut.writeByte(LITERAL);
+            mOut.writeInt(end - from);
+            mOut.write(mNew, from, end - from);
+        }
+    }
+
+    private static int endOfPiece(byte[] content, int at) {
+        int end = at;
+        while (end < content.length && content[end] != END_OF_PIECE) {
+            end++;
+        }
+        return Math.min(content.length, end + 1);
+    }
+
+    private static long checksum(byte[] content) {
+        CRC32 checksum = new CRC32();
+        checksum.update(content);
+        return checksum.getValue();
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigKeeper.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigKeeper.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
@@ -12,6 +14,11 @@
 /** The configuration in force; a higher version replaces a lower one, never the reverse. */
 public final class ConfigKeeper {
     private final ConfigCodec mCodec;
+
+    /** Older contents held, for differences: a quick series of changes brings some ten a second. */
+    private static final int MAX_HELD = 4;
+
+    private final NavigableMap<Long, byte[]> mHeld = new TreeMap<>();
     private final List<Consumer<RouteSet>> mSubscribers = new ArrayList<>();
     private @Nullable RouteSet mCurrent;
     private byte[] mContent = new byte[0];
@@ -40,6 +47,11 @@
         return mContent;
     }
 
+    /** Returns the content of a version if it is one of the last, or null. */
+    public byte @Nullable [] held(long version) {
+        return mHeld.get(version);
+    }
+
     /** Tells a subscriber of each configuration that comes into force. */
     public void subscribe(Consumer<RouteSet> subscriber) {
         mSubscribers.add(subscriber);
@@ -66,6 +78,10 @@
         }
         mCurrent = routes;
         mContent = content;
+        mHeld.put(routes.version(), content);
+        if (mHeld.size() > MAX_HELD) {
+            mHeld.pollFirstEntry();
+        }
         EventLog.log(SidecarEvent.CONFIG_IN_FORCE, routes.version(), before, routes.size(), source);
         mSubscribers.forEach(subscriber -> subscriber.accept(routes));
         return true;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -1,7 +1,6 @@
 package org.azurearch.sidecar.internal.mesh;
 
 import io.netty.channel.EventLoop;
-import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -10,15 +9,12 @@
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
-import org.azurearch.sidecar.config.RouteSet;
 import org.azurearch.sidecar.internal.hop.HopConnection;
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.hop.HopNetwork;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.store.KeyedLog;
 import org.azurearch.thrift.HopFrame;
-import org.azurearch.thrift.WireConfigContent;
-import org.azurearch.thrift.WireConfigWanted;
 import org.azurearch.thrift.WirePulse;
 
 /**
@@ -29,28 +25,21 @@
     /** Links are looked after this often. */
     private static final long TICK_MILLIS = 100;
 
-    /** Nodes of a data centre that read the store; two, so that one may be cut off unnoticed. */
-    private static final int READERS = 2;
-
     /** Each node compares its state with one other this often. */
     private static final long PULSE_MILLIS = 1_000;
 
-    /**
-     * A version that others hold is asked for only after this part of its bound: within it, the
-     * readers of this data centre have usually brought it, which costs no bytes between them.
-     */
-    private static final double PATIENCE_PART = 0.3;
+    /** Nodes of its data centre that a node greets with its state when it has started. */
+    private static final int GREETED = 3;
 
     private final EventLoop mLoop;
-    private final SidecarSettings mSettings;
     private final ConfigKeeper mConfigs;
     private final NodeDirectory mDirectory;
     private final NodeRegistration mRegistration;
+    private final ConfigExchange mExchange;
     private final StoreReader mReader;
     private final SplittableRandom mRandom = new SplittableRandom();
     private int mRank = -1;
     private int mGreeted;
-    private long mWantedVersion = -1;
     private boolean mClosed;
 
     /**
@@ -73,10 +62,10 @@
             String configKey,
             ConfigKeeper configs) {
         mLoop = loop;
-        mSettings = settings;
         mConfigs = configs;
         mDirectory =
                 new NodeDirectory(loop, network, settings, peers, System.currentTimeMillis(), this);
+        mExchange = new ConfigExchange(loop, configs, mDirectory, settings.configMillis());
         mRegistration = new NodeRegistration(log, loop, mDirectory.self(), mDirectory::merge);
         mRegistration.start();
         mReader = new StoreReader(log, loop, configKey, new FromStore());
@@ -109,7 +98,7 @@
 
     @Override
     public void linkUp(HopLink link) {
-        if (mGreeted < READERS + 1) {
+        if (mGreeted < GREETED && mDirectory.localLinks().contains(link)) {
             mGreeted++;
             link.send(pulseFrame(false));
         }
@@ -121,12 +110,8 @@
             case HELLO -> mDirectory.hello(connection, frame.getHello());
             case RECORDS -> mDirectory.merge(frame.getRecords());
             case PULSE -> compare(connection, frame.getPulse());
-            case CONFIG -> received(frame.getConfig());
-            case CONFIG_WANTED -> {
-                if (mConfigs.version() > frame.getConfigWanted().getAbove()) {
-                    connection.send(configFrame());
-                }
-            }
+            case CONFIG -> mExchange.received(connection, frame.getConfig());
+            case CONFIG_WANTED -> mExchange.wanted(connection, frame.getConfigWanted());
             default ->
                     EventLog.log(
                             SidecarEvent.HOP_CONNECTION_FAILED,
@@ -137,11 +122,9 @@
 
     private void compare(HopConnection connection, WirePulse pulse) {
         if (pulse.getMemberDigest() != mDirectory.table().digest()) {
-            mDirectory.sendAll(connection);
-        }
-        if (pulse.getConfigVersion() > mConfigs.version()) {
-            want(connection, pulse.getConfigVersion());
+            mDirectory.sendMissing(connection, pulse.getMembers());
         }
+        mExchange.want(connection, pulse.getConfigVersion());
         boolean differs =
                 pulse.getMemberDigest() != mDirectory.table().digest()
                         || pulse.getConfigVersion() < mConfigs.version();
@@ -150,39 +133,6 @@
         }
     }
 
-    /** Asks for a version that another node holds, once it should have come by itself. */
-    private void want(HopConnection connection, long version) {
-        if (version <= mWantedVersion) {
-            return;
-        }
-        mWantedVersion = version;
-        long patience =
-                mConfigs.current() == null ? 0 : (long) (mSettings.configMillis() * PATIENCE_PART);
-        mLoop.schedule(
-                () -> {
-                    mWantedVersion = -1;
-                    if (mConfigs.version() < version) {
-                        connection.send(
-                                HopFrame.configWanted(new WireConfigWanted(mConfigs.version())));
-                    }
-                },
-                patience,
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void received(WireConfigContent config) {
-        if (config.getVersion() > mConfigs.version()
-                && mConfigs.install(config.getContent(), "node")
-                && mRank < READERS) {
-            pushLocally();
-        }
-    }
-
-    private void pushLocally() {
-        HopFrame frame = configFrame();
-        mDirectory.localLinks().forEach(link -> link.send(frame));
-    }
-
     private void tick() {
         if (mClosed) {
             return;
@@ -190,8 +140,8 @@
         mDirectory.tick(System.nanoTime());
         NodeRecord self = mDirectory.self();
         int rank = self.storeReachable() ? mDirectory.rank(self, true) : Integer.MAX_VALUE;
-        boolean reads = rank < READERS;
-        if (reads != (mRank >= 0 && mRank < READERS)) {
+        boolean reads = rank < ConfigExchange.READERS;
+        if (reads != (mRank >= 0 && mRank < ConfigExchange.READERS)) {
             EventLog.log(SidecarEvent.READER, reads, rank);
         }
         mRank = rank;
@@ -203,9 +153,9 @@
         if (mClosed) {
             return;
         }
-        List<HopLink> up = mDirectory.linksUp();
-        if (!up.isEmpty()) {
-            up.get(mRandom.nextInt(up.size())).send(pulseFrame(false));
+        List<HopLink> partners = mDirectory.comparable();
+        if (!partners.isEmpty()) {
+            partners.get(mRandom.nextInt(partners.size())).send(pulseFrame(false));
         }
         long jittered = PULSE_MILLIS / 2 + mRandom.nextLong(PULSE_MILLIS);
         mLoop.schedule(this::pulse, jittered, TimeUnit.MILLISECONDS);
@@ -213,21 +163,18 @@
 
     private HopFrame pulseFrame(boolean reply) {
         return HopFrame.pulse(
-                new WirePulse(mConfigs.version(), mDirectory.table().digest(), reply));
-    }
-
-    private HopFrame configFrame() {
-        RouteSet current = mConfigs.current();
-        long version = current == null ? -1 : current.version();
-        return HopFrame.config(new WireConfigContent(version, ByteBuffer.wrap(mConfigs.content())));
+                new WirePulse(
+                        mConfigs.version(),
+                        mDirectory.table().digest(),
+                        reply,
+                        mDirectory.table().records().size()));
     }
 
     /** What the reader of the store finds. */
     private final class FromStore implements StoreReader.Owner {
         @Override
         public void found(byte[] content) {
-            if (mConfigs.install(content, "store")) {
-                pushLocally();
+            if (mExchange.found(content)) {
                 mDirectory.remoteRelays().forEach(link -> link.send(pulseFrame(true)));
             }
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -9,6 +9,8 @@
 import java.util.function.UnaryOperator;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Rendezvous;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
 import org.azurearch.sidecar.internal.hop.HopConnection;
@@ -38,6 +40,9 @@
     /** A node that has not been reached for this long is forgotten: 10 minutes. */
     private static final long FORGET_NANOS = 600_000_000_000L;
 
+    /** A record that changed this long ago has reached all nodes that can be reached: 4 s. */
+    private static final long RECENT_NANOS = 4_000_000_000L;
+
     /** Takes frames that do not concern node records. */
     public interface FrameHandler {
         /** A frame has arrived. */
@@ -53,6 +58,10 @@
     private final Map<String, HopLink> mLinks = new HashMap<>();
     private final Map<String, EndpointState> mEndpoints = new HashMap<>();
     private final FrameHandler mHandler;
+
+    /** Kept until a record or a link changes, as the order is asked for several times a second. */
+    private final Map<String, List<String>> mOrders = new HashMap<>();
+
     private NodeRecord mSelf;
 
     /**
@@ -137,39 +146,19 @@
     /** Changes the record of this node and tells the others. */
     public void publish(UnaryOperator<NodeRecord> change) {
         NodeRecord changed = change.apply(mSelf);
-        mSelf = withVersion(changed, mSelf.incarnation(), mSelf.sequence() + 1);
+        mSelf = changed.withVersion(mSelf.incarnation(), mSelf.sequence() + 1);
         adopt(mSelf);
         spread(List.of(mSelf));
     }
 
     /** Takes the backend server behind this node into its record. */
     public void publishBackend(@Nullable BackendRecord backend) {
-        publish(
-                self ->
-                        new NodeRecord(
-                                self.node(),
-                                self.dataCentre(),
-                                self.address(),
-                                self.incarnation(),
-                                self.sequence(),
-                                self.leaving(),
-                                self.storeReachable(),
-                                backend));
+        publish(self -> self.withBackend(backend));
     }
 
     /** Says that this node is stopping. */
     public void publishLeaving() {
-        publish(
-                self ->
-                        new NodeRecord(
-                                self.node(),
-                                self.dataCentre(),
-                                self.address(),
-                                self.incarnation(),
-                                self.sequence(),
-                                true,
-                                self.storeReachable(),
-                                self.backend()));
+        publish(NodeRecord::asLeaving);
     }
 
     /** Says whether this node reaches the platform's store. */
@@ -177,17 +166,7 @@
         if (mSelf.storeReachable() == reachable) {
             return;
         }
-        publish(
-                self ->
-                        new NodeRecord(
-                                self.node(),
-                                self.dataCentre(),
-                                self.address(),
-                                self.incarnation(),
-                                self.sequence(),
-                                self.leaving(),
-                                reachable,
-                                self.backend()));
+        publish(self -> self.withStore(reachable));
     }
 
     /** Takes a record and says whether it is news. */
@@ -196,9 +175,10 @@
             outrank(record);
             return false;
         }
-        if (!mTable.merge(record)) {
+        if (!mTable.merge(record, System.nanoTime())) {
             return false;
         }
+        mOrders.clear();
         BackendRecord backend = record.backend();
         EventLog.log(
                 SidecarEvent.MEMBER,
@@ -228,9 +208,18 @@
         }
     }
 
-    /** Sends all records over a connection. */
-    public void sendAll(HopConnection connection) {
-        connection.send(frame(new ArrayList<>(mTable.records()), true));
+    /**
+     * Sends another node what it may lack: what changed of late, or all records where that does not
+     * explain the difference.
+     *
+     * @param connection leads to the other node
+     * @param members how many nodes it knows
+     */
+    public void sendMissing(HopConnection connection, int members) {
+        List<NodeRecord> recent = mTable.changedSince(System.nanoTime() - RECENT_NANOS);
+        boolean explained = !recent.isEmpty() && members >= mTable.records().size() - recent.size();
+        List<NodeRecord> sent = explained ? recent : new ArrayList<>(mTable.records());
+        connection.send(frame(sent, true));
     }
 
     /** Answers a hello: with this node's own, and with the sender's record where it is outdated. */
@@ -258,6 +247,7 @@
                 mLinks.remove(link.node());
                 mEndpoints.remove(link.node());
                 mTable.remove(link.node());
+                mOrders.clear();
             }
         }
     }
@@ -290,6 +280,7 @@
 
     @Override
     public void connected(HopLink link, boolean up) {
+        mOrders.clear();
         usable(link, up);
         if (up) {
             link.send(HopFrame.hello(HopWire.toWire(mSelf)));
@@ -337,15 +328,58 @@
 
     /** Returns the rank of a node among those of its data centre that can be reached. */
     int rank(NodeRecord node, boolean withStore) {
-        List<String> nodes = new ArrayList<>();
+        int at = order(node.dataCentre(), withStore).indexOf(node.node());
+        return at < 0 ? Integer.MAX_VALUE : at;
+    }
+
+    /**
+     * Returns the links to the nodes to which this one passes on what is new.
+     *
+     * @param readers how many nodes of the data centre read the store
+     */
+    List<HopLink> children(int readers) {
+        List<String> withStore = order(mSelf.dataCentre(), true);
+        List<String> roots = withStore.subList(0, Math.min(readers, withStore.size()));
+        List<HopLink> links = new ArrayList<>();
+        for (String child :
+                PushTree.children(mSelf.node(), roots, order(mSelf.dataCentre(), false))) {
+            HopLink link = mLinks.get(child);
+            if (link != null && link.up()) {
+                links.add(link);
+            }
+        }
+        return links;
+    }
+
+    /**
+     * Returns the links to nodes with which this one compares its state: those of its own data
+     * centre, and for relays one relay of each other data centre, as bytes between them are dear.
+     */
+    List<HopLink> comparable() {
+        List<HopLink> links = localLinks();
+        links.removeIf(link -> !link.up());
+        if (links.isEmpty() || relays(mSelf)) {
+            links.addAll(remoteRelays());
+        }
+        return links.isEmpty() ? linksUp() : links;
+    }
+
+    /** Names of the nodes of a data centre that can be reached, the same at all that see them. */
+    private List<String> order(String dataCentre, boolean withStore) {
+        return mOrders.computeIfAbsent(
+                dataCentre + "/" + withStore, key -> computeOrder(dataCentre, withStore));
+    }
+
+    private List<String> computeOrder(String dataCentre, boolean withStore) {
+        List<NodeId> nodes = new ArrayList<>();
         for (NodeRecord record : mTable.records()) {
-            boolean same = record.dataCentre().equals(node.dataCentre());
+            boolean same = record.dataCentre().equals(dataCentre);
             boolean usable = !record.leaving() && (!withStore || record.storeReachable());
             if (same && usable && (record.node().equals(mSelf.node()) || up(record.node()))) {
-                nodes.add(record.node());
+                nodes.add(NodeId.fromString(record.node()));
             }
         }
-        return Ranking.rank(node.node(), nodes);
+        return Rendezvous.rank(dataCentre, nodes).stream().map(NodeId::name).toList();
     }
 
     private boolean relays(NodeRecord record) {
@@ -373,13 +407,14 @@
     /** Where others know a later record of this node, goes beyond it. */
     private void outrank(NodeRecord record) {
         if (record.newerThan(mSelf)) {
-            mSelf = withVersion(mSelf, record.incarnation() + 1, 0);
+            mSelf = mSelf.withVersion(record.incarnation() + 1, 0);
             publish(self -> self);
         }
     }
 
     private void adopt(NodeRecord self) {
-        mTable.merge(self);
+        mTable.merge(self, System.nanoTime());
+        mOrders.clear();
         EndpointState own = endpoint(self);
         own.record(self, System.nanoTime());
         own.connected(true);
@@ -395,6 +430,7 @@
         if (link != null && link.address().equals(record.address())) {
             return;
         }
+        mOrders.clear();
         if (link != null) {
             link.close();
         }
@@ -407,18 +443,6 @@
                 record.node(), new HopLink(mNetwork, mLoop, record.node(), record.address(), this));
     }
 
-    private static NodeRecord withVersion(NodeRecord record, long incarnation, long sequence) {
-        return new NodeRecord(
-                record.node(),
-                record.dataCentre(),
-                record.address(),
-                incarnation,
-                sequence,
-                record.leaving(),
-                record.storeReachable(),
-                record.backend());
-    }
-
     private static HopFrame frame(List<NodeRecord> records, boolean relayed) {
         List<WireNodeRecord> wire = new ArrayList<>();
         records.forEach(record -> wire.add(HopWire.toWire(record)));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeRecord.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeRecord.java
@@ -30,4 +30,35 @@
                 ? incarnation > other.incarnation
                 : sequence > other.sequence;
     }
+
+    /** Returns this record with another backend server, or none. */
+    public NodeRecord withBackend(@Nullable BackendRecord other) {
+        return new NodeRecord(
+                node, dataCentre, address, incarnation, sequence, leaving, storeReachable, other);
+    }
+
+    /** Returns this record as that of a node that is stopping. */
+    public NodeRecord asLeaving() {
+        return new NodeRecord(
+                node, dataCentre, address, incarnation, sequence, true, storeReachable, backend);
+    }
+
+    /** Returns this record with another state of the store. */
+    public NodeRecord withStore(boolean reachable) {
+        return new NodeRecord(
+                node, dataCentre, address, incarnation, sequence, leaving, reachable, backend);
+    }
+
+    /** Returns this record with another version. */
+    public NodeRecord withVersion(long otherIncarnation, long otherSequence) {
+        return new NodeRecord(
+                node,
+                dataCentre,
+                address,
+                otherIncarnation,
+                otherSequence,
+                leaving,
+                storeReachable,
+                backend);
+    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -13,6 +14,7 @@
 
     private final String mSelf;
     private final Map<String, NodeRecord> mRecords = new TreeMap<>();
+    private final Map<String, Long> mChangedNanos = new HashMap<>();
     private long mDigest;
 
     /**
@@ -24,8 +26,12 @@
         mSelf = self;
     }
 
-    /** Takes a record and says whether it is news. */
-    public boolean merge(NodeRecord record) {
+    /**
+     * Takes a record and says whether it is news.
+     *
+     * @param nowNanos the time, on the steady clock
+     */
+    public boolean merge(NodeRecord record, long nowNanos) {
         NodeRecord known = mRecords.get(record.node());
         if (known != null && !record.newerThan(known)) {
             return false;
@@ -35,6 +41,7 @@
         }
         mDigest += hash(record);
         mRecords.put(record.node(), record);
+        mChangedNanos.put(record.node(), nowNanos);
         return true;
     }
 
@@ -43,9 +50,17 @@
         NodeRecord known = node.equals(mSelf) ? null : mRecords.remove(node);
         if (known != null) {
             mDigest -= hash(known);
+            mChangedNanos.remove(node);
         }
     }
 
+    /** Returns the records that were taken since a time on the steady clock. */
+    public List<NodeRecord> changedSince(long nanos) {
+        List<NodeRecord> changed = new ArrayList<>(mRecords.values());
+        changed.removeIf(record -> mChangedNanos.getOrDefault(record.node(), nanos) - nanos < 0);
+        return changed;
+    }
+
     /** Returns the record of a node, or null. */
     public @Nullable NodeRecord record(String node) {
         return mRecords.get(node);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireConfigContent.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireConfigContent.java
@@ -7,25 +7,40 @@
 package org.azurearch.thrift;
 
 /**
- * One configuration, whole.
+ * One configuration: whole, or what differs from an older version.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireConfigContent implements org.apache.thrift.TBase<WireConfigContent, WireConfigContent._Fields>, java.io.Serializable, Cloneable, Comparable<WireConfigContent> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("WireConfigContent");
 
   private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)1);
-  private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField BASE_FIELD_DESC = new org.apache.thrift.protocol.TField("base", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField PATCH_FIELD_DESC = new org.apache.thrift.protocol.TField("patch", org.apache.thrift.protocol.TType.STRING, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireConfigContentStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireConfigContentTupleSchemeFactory();
 
   public long version; // required
-  public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer content; // required
+  /**
+   * The older version, or -1 where the content is whole.
+   */
+  public long base; // required
+  /**
+   * See ContentPatch.
+   */
+  public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer patch; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     VERSION((short)1, "version"),
-    CONTENT((short)2, "content");
+    /**
+     * The older version, or -1 where the content is whole.
+     */
+    BASE((short)2, "base"),
+    /**
+     * See ContentPatch.
+     */
+    PATCH((short)3, "patch");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -43,8 +58,10 @@
       switch(fieldId) {
         case 1: // VERSION
           return VERSION;
-        case 2: // CONTENT
-          return CONTENT;
+        case 2: // BASE
+          return BASE;
+        case 3: // PATCH
+          return PATCH;
         default:
           return null;
       }
@@ -89,13 +106,16 @@
 
   // isset id assignments
   private static final int __VERSION_ISSET_ID = 0;
+  private static final int __BASE_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.CONTENT, new org.apache.thrift.meta_data.FieldMetaData("content", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+    tmpMap.put(_Fields.BASE, new org.apache.thrift.meta_data.FieldMetaData("base", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PATCH, new org.apache.thrift.meta_data.FieldMetaData("patch", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireConfigContent.class, metaDataMap);
@@ -106,12 +126,15 @@
 
   public WireConfigContent(
     long version,
-    java.nio.ByteBuffer content)
+    long base,
+    java.nio.ByteBuffer patch)
   {
     this();
     this.version = version;
     setVersionIsSet(true);
-    this.content = org.apache.thrift.TBaseHelper.copyBinary(content);
+    this.base = base;
+    setBaseIsSet(true);
+    this.patch = org.apache.thrift.TBaseHelper.copyBinary(patch);
   }
 
   /**
@@ -120,8 +143,9 @@
   public WireConfigContent(WireConfigContent other) {
     __isset_bitfield = other.__isset_bitfield;
     this.version = other.version;
-    if (other.isSetContent()) {
-      this.content = org.apache.thrift.TBaseHelper.copyBinary(other.content);
+    this.base = other.base;
+    if (other.isSetPatch()) {
+      this.patch = org.apache.thrift.TBaseHelper.copyBinary(other.patch);
     }
   }
 
@@ -134,7 +158,9 @@
   public void clear() {
     setVersionIsSet(false);
     this.version = 0;
-    this.content = null;
+    setBaseIsSet(false);
+    this.base = 0;
+    this.patch = null;
   }
 
   public long getVersion() {
@@ -160,37 +186,72 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __VERSION_ISSET_ID, value);
   }
 
-  public byte[] getContent() {
-    setContent(org.apache.thrift.TBaseHelper.rightSize(content));
-    return content == null ? null : content.array();
+  /**
+   * The older version, or -1 where the content is whole.
+   */
+  public long getBase() {
+    return this.base;
+  }
+
+  /**
+   * The older version, or -1 where the content is whole.
+   */
+  public WireConfigContent setBase(long base) {
+    this.base = base;
+    setBaseIsSet(true);
+    return this;
+  }
+
+  public void unsetBase() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BASE_ISSET_ID);
+  }
+
+  /** Returns true if field base is set (has been assigned a value) and false otherwise */
+  public boolean isSetBase() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BASE_ISSET_ID);
+  }
+
+  public void setBaseIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BASE_ISSET_ID, value);
   }
 
-  public java.nio.ByteBuffer bufferForContent() {
-    return org.apache.thrift.TBaseHelper.copyBinary(content);
+  /**
+   * See ContentPatch.
+   */
+  public byte[] getPatch() {
+    setPatch(org.apache.thrift.TBaseHelper.rightSize(patch));
+    return patch == null ? null : patch.array();
   }
 
-  public WireConfigContent setContent(byte[] content) {
-    this.content = content == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(content.clone());
+  public java.nio.ByteBuffer bufferForPatch() {
+    return org.apache.thrift.TBaseHelper.copyBinary(patch);
+  }
+
+  /**
+   * See ContentPatch.
+   */
+  public WireConfigContent setPatch(byte[] patch) {
+    this.patch = patch == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(patch.clone());
     return this;
   }
 
-  public WireConfigContent setContent(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer content) {
-    this.content = org.apache.thrift.TBaseHelper.copyBinary(content);
+  public WireConfigContent setPatch(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer patch) {
+    this.patch = org.apache.thrift.TBaseHelper.copyBinary(patch);
     return this;
   }
 
-  public void unsetContent() {
-    this.content = null;
+  public void unsetPatch() {
+    this.patch = null;
   }
 
-  /** Returns true if field content is set (has been assigned a value) and false otherwise */
-  public boolean isSetContent() {
-    return this.content != null;
+  /** Returns true if field patch is set (has been assigned a value) and false otherwise */
+  public boolean isSetPatch() {
+    return this.patch != null;
   }
 
-  public void setContentIsSet(boolean value) {
+  public void setPatchIsSet(boolean value) {
     if (!value) {
-      this.content = null;
+      this.patch = null;
     }
   }
 
@@ -205,14 +266,22 @@
       }
       break;
 
-    case CONTENT:
+    case BASE:
       if (value == null) {
-        unsetContent();
+        unsetBase();
+      } else {
+        setBase((java.lang.Long)value);
+      }
+      break;
+
+    case PATCH:
+      if (value == null) {
+        unsetPatch();
       } else {
         if (value instanceof byte[]) {
-          setContent((byte[])value);
+          setPatch((byte[])value);
         } else {
-          setContent((java.nio.ByteBuffer)value);
+          setPatch((java.nio.ByteBuffer)value);
         }
       }
       break;
@@ -227,8 +296,11 @@
     case VERSION:
       return getVersion();
 
-    case CONTENT:
-      return getContent();
+    case BASE:
+      return getBase();
+
+    case PATCH:
+      return getPatch();
 
     }
     throw new java.lang.IllegalStateException();
@@ -244,8 +316,10 @@
     switch (field) {
     case VERSION:
       return isSetVersion();
-    case CONTENT:
-      return isSetContent();
+    case BASE:
+      return isSetBase();
+    case PATCH:
+      return isSetPatch();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -272,12 +346,21 @@
         return false;
     }
 
-    boolean this_present_content = true && this.isSetContent();
-    boolean that_present_content = true && that.isSetContent();
-    if (this_present_content || that_present_content) {
-      if (!(this_present_content && that_present_content))
+    boolean this_present_base = true;
+    boolean that_present_base = true;
+    if (this_present_base || that_present_base) {
+      if (!(this_present_base && that_present_base))
+        return false;
+      if (this.base != that.base)
+        return false;
+    }
+
+    boolean this_present_patch = true && this.isSetPatch();
+    boolean that_present_patch = true && that.isSetPatch();
+    if (this_present_patch || that_present_patch) {
+      if (!(this_present_patch && that_present_patch))
         return false;
-      if (!this.content.equals(that.content))
+      if (!this.patch.equals(that.patch))
         return false;
     }
 
@@ -290,9 +373,11 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(version);
 
-    hashCode = hashCode * 8191 + ((isSetContent()) ? 131071 : 524287);
-    if (isSetContent())
-      hashCode = hashCode * 8191 + content.hashCode();
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(base);
+
+    hashCode = hashCode * 8191 + ((isSetPatch()) ? 131071 : 524287);
+    if (isSetPatch())
+      hashCode = hashCode * 8191 + patch.hashCode();
 
     return hashCode;
   }
@@ -315,12 +400,22 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetContent(), other.isSetContent());
+    lastComparison = java.lang.Boolean.compare(isSetBase(), other.isSetBase());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetContent()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.content, other.content);
+    if (isSetBase()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.base, other.base);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPatch(), other.isSetPatch());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPatch()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.patch, other.patch);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -353,11 +448,15 @@
     sb.append(this.version);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("content:");
-    if (this.content == null) {
+    sb.append("base:");
+    sb.append(this.base);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("patch:");
+    if (this.patch == null) {
       sb.append("null");
     } else {
-      org.apache.thrift.TBaseHelper.toString(this.content, sb);
+      org.apache.thrift.TBaseHelper.toString(this.patch, sb);
     }
     first = false;
     sb.append(")");
@@ -367,8 +466,9 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // alas, we cannot check 'version' because it's a primitive and you chose the non-beans generator.
-    if (content == null) {
-      throw new org.apache.thrift.protocol.TProtocolException("Required field 'content' was not present! Struct: " + toString());
+    // alas, we cannot check 'base' because it's a primitive and you chose the non-beans generator.
+    if (patch == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'patch' was not present! Struct: " + toString());
     }
     // check for sub-struct validity
   }
@@ -419,10 +519,18 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // CONTENT
+          case 2: // BASE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.base = iprot.readI64();
+              struct.setBaseIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // PATCH
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.content = iprot.readBinary();
-              struct.setContentIsSet(true);
+              struct.patch = iprot.readBinary();
+              struct.setPatchIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -438,6 +546,9 @@
       if (!struct.isSetVersion()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'version' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetBase()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'base' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -449,9 +560,12 @@
       oprot.writeFieldBegin(VERSION_FIELD_DESC);
       oprot.writeI64(struct.version);
       oprot.writeFieldEnd();
-      if (struct.content != null) {
-        oprot.writeFieldBegin(CONTENT_FIELD_DESC);
-        oprot.writeBinary(struct.content);
+      oprot.writeFieldBegin(BASE_FIELD_DESC);
+      oprot.writeI64(struct.base);
+      oprot.writeFieldEnd();
+      if (struct.patch != null) {
+        oprot.writeFieldBegin(PATCH_FIELD_DESC);
+        oprot.writeBinary(struct.patch);
         oprot.writeFieldEnd();
       }
       oprot.writeFieldStop();
@@ -473,7 +587,8 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, WireConfigContent struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeI64(struct.version);
-      oprot.writeBinary(struct.content);
+      oprot.writeI64(struct.base);
+      oprot.writeBinary(struct.patch);
     }
 
     @Override
@@ -481,8 +596,10 @@
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       struct.version = iprot.readI64();
       struct.setVersionIsSet(true);
-      struct.content = iprot.readBinary();
-      struct.setContentIsSet(true);
+      struct.base = iprot.readI64();
+      struct.setBaseIsSet(true);
+      struct.patch = iprot.readBinary();
+      struct.setPatchIsSet(true);
     }
   }
 
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField CONFIG_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("configVersion", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField MEMBER_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("memberDigest", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("reply", org.apache.thrift.protocol.TType.BOOL, (short)3);
+  private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WirePulseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WirePulseTupleSchemeFactory();
@@ -23,12 +24,20 @@
   public long configVersion; // required
   public long memberDigest; // required
   public boolean reply; // required
+  /**
+   * How many nodes the sender knows.
+   */
+  public int members; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     CONFIG_VERSION((short)1, "configVersion"),
     MEMBER_DIGEST((short)2, "memberDigest"),
-    REPLY((short)3, "reply");
+    REPLY((short)3, "reply"),
+    /**
+     * How many nodes the sender knows.
+     */
+    MEMBERS((short)4, "members");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +59,8 @@
           return MEMBER_DIGEST;
         case 3: // REPLY
           return REPLY;
+        case 4: // MEMBERS
+          return MEMBERS;
         default:
           return null;
       }
@@ -96,6 +107,7 @@
   private static final int __CONFIGVERSION_ISSET_ID = 0;
   private static final int __MEMBERDIGEST_ISSET_ID = 1;
   private static final int __REPLY_ISSET_ID = 2;
+  private static final int __MEMBERS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -106,6 +118,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.REPLY, new org.apache.thrift.meta_data.FieldMetaData("reply", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.MEMBERS, new org.apache.thrift.meta_data.FieldMetaData("members", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WirePulse.class, metaDataMap);
   }
@@ -116,7 +130,8 @@
   public WirePulse(
     long configVersion,
     long memberDigest,
-    boolean reply)
+    boolean reply,
+    int members)
   {
     this();
     this.configVersion = configVersion;
@@ -125,6 +140,8 @@
     setMemberDigestIsSet(true);
     this.reply = reply;
     setReplyIsSet(true);
+    this.members = members;
+    setMembersIsSet(true);
   }
 
   /**
@@ -135,6 +152,7 @@
     this.configVersion = other.configVersion;
     this.memberDigest = other.memberDigest;
     this.reply = other.reply;
+    this.members = other.members;
   }
 
   @Override
@@ -150,6 +168,8 @@
     this.memberDigest = 0;
     setReplyIsSet(false);
     this.reply = false;
+    setMembersIsSet(false);
+    this.members = 0;
   }
 
   public long getConfigVersion() {
@@ -221,6 +241,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REPLY_ISSET_ID, value);
   }
 
+  /**
+   * How many nodes the sender knows.
+   */
+  public int getMembers() {
+    return this.members;
+  }
+
+  /**
+   * How many nodes the sender knows.
+   */
+  public WirePulse setMembers(int members) {
+    this.members = members;
+    setMembersIsSet(true);
+    return this;
+  }
+
+  public void unsetMembers() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __MEMBERS_ISSET_ID);
+  }
+
+  /** Returns true if field members is set (has been assigned a value) and false otherwise */
+  public boolean isSetMembers() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __MEMBERS_ISSET_ID);
+  }
+
+  public void setMembersIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMBERS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -248,6 +297,14 @@
       }
       break;
 
+    case MEMBERS:
+      if (value == null) {
+        unsetMembers();
+      } else {
+        setMembers((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -264,6 +321,9 @@
     case REPLY:
       return isReply();
 
+    case MEMBERS:
+      return getMembers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -282,6 +342,8 @@
       return isSetMemberDigest();
     case REPLY:
       return isSetReply();
+    case MEMBERS:
+      return isSetMembers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -326,6 +388,15 @@
         return false;
     }
 
+    boolean this_present_members = true;
+    boolean that_present_members = true;
+    if (this_present_members || that_present_members) {
+      if (!(this_present_members && that_present_members))
+        return false;
+      if (this.members != that.members)
+        return false;
+    }
+
     return true;
   }
 
@@ -339,6 +410,8 @@
 
     hashCode = hashCode * 8191 + ((reply) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + members;
+
     return hashCode;
   }
 
@@ -380,6 +453,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetMembers(), other.isSetMembers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetMembers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.members, other.members);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -415,6 +498,10 @@
     sb.append("reply:");
     sb.append(this.reply);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("members:");
+    sb.append(this.members);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -424,6 +511,7 @@
     // alas, we cannot check 'configVersion' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'memberDigest' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'reply' because it's a primitive and you chose the non-beans generator.
+    // alas, we cannot check 'members' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -489,6 +577,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // MEMBERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.members = iprot.readI32();
+              struct.setMembersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -506,6 +602,9 @@
       if (!struct.isSetReply()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'reply' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetMembers()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'members' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -523,6 +622,9 @@
       oprot.writeFieldBegin(REPLY_FIELD_DESC);
       oprot.writeBool(struct.reply);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
+      oprot.writeI32(struct.members);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -544,6 +646,7 @@
       oprot.writeI64(struct.configVersion);
       oprot.writeI64(struct.memberDigest);
       oprot.writeBool(struct.reply);
+      oprot.writeI32(struct.members);
     }
 
     @Override
@@ -555,6 +658,8 @@
       struct.setMemberDigestIsSet(true);
       struct.reply = iprot.readBool();
       struct.setReplyIsSet(true);
+      struct.members = iprot.readI32();
+      struct.setMembersIsSet(true);
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -86,15 +86,20 @@
   1: required i64 configVersion
   2: required i64 memberDigest
   3: required bool reply
+  /** How many nodes the sender knows. */
+  4: required i32 members
 }
 
-/** One configuration, whole. */
+/** One configuration: whole, or what differs from an older version. */
 struct WireConfigContent {
   1: required i64 version
-  2: required binary content
+  /** The older version, or -1 where the content is whole. */
+  2: required i64 base
+  /** See ContentPatch. */
+  3: required binary patch
 }
 
-/** Asks for the configuration if the receiver holds a higher version. */
+/** Asks for the configuration if the receiver holds a higher version than the sender's. */
 struct WireConfigWanted {
   1: required i64 above
 }
