Place urgent calls by what goes before them

Two causes, from the sampled answers of all nodes: the expected time counted all that waits at an endpoint, also what an urgent call overtakes; and where a called service was in trouble, the failures of all endpoints alike were weighed so much that their chance differences outweighed the distance.

Load reports now tell waiting requests by rank, placement counts those up to the request's own, and failures count beyond those of the best endpoint. Two tests of Placement failed before.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
@@ -27,7 +27,7 @@
 
     @Test
     void leavesTheDataCentreWhenWaitingThereCostsTheTarget() {
-        mNear.load(new EndpointLoad(4, 4, 20, 100, 0), 0);
+        mNear.load(new EndpointLoad(4, 4, List.of(0, 0, 20, 0), 100, 0), 0);
         assertEquals(mFar, choose(Set.of()));
     }
 
@@ -39,6 +39,22 @@
         assertEquals(mFar, choose(Set.of()));
     }
 
+    @Test
+    void urgentRequestStaysWhereItGoesBeforeThoseThatWait() {
+        mNear.load(new EndpointLoad(4, 4, List.of(0, 0, 20, 0), 100, 0), 0);
+        Placement.Request urgent = new Placement.Request("stock", 0, 200, 500, Set.of());
+        assertEquals(mNear, mPlacement.choose(List.of(mNear, mFar), urgent, 1));
+    }
+
+    @Test
+    void staysInTheDataCentreWhereAllFailAlike() {
+        mNear.load(new EndpointLoad(4, 3, List.of(0, 0, 0, 0), 100, 55), 0);
+        mFar.load(new EndpointLoad(4, 3, List.of(0, 0, 0, 0), 100, 45), 0);
+        for (int i = 0; i < 100; i++) {
+            assertEquals(mNear, choose(Set.of()));
+        }
+    }
+
     @Test
     void asksNobodyTwiceAndNobodyThatLeaves() {
         assertEquals(mFar, choose(Set.of("near")));
@@ -51,13 +67,13 @@
     @Test
     void sendsNewcomersTheirShare() {
         EndpointState newcomer = endpoint("newcomer", true);
-        mNear.load(new EndpointLoad(4, 0, 0, 2, 0), 1);
+        mNear.load(new EndpointLoad(4, 0, List.of(0, 0, 0, 0), 2, 0), 1);
         int toNewcomer = 0;
         for (int i = 0; i < 100; i++) {
             EndpointState chosen =
                     mPlacement.choose(
                             List.of(mNear, newcomer),
-                            new Placement.Request("stock", 1_000, 500, Set.of()),
+                            new Placement.Request("stock", 2, 1_000, 500, Set.of()),
                             1);
             toNewcomer += chosen == newcomer ? 1 : 0;
         }
@@ -70,7 +86,7 @@
         BackendRecord cold = new BackendRecord("stock", "i-new", 4, true, 3_000);
         NetAddress address = new NetAddress("127.0.0.1", 7000);
         twin.record(new NodeRecord("twin", "rennes", address, 1, 2, false, true, cold), 1);
-        Placement.Request request = new Placement.Request("stock", 300, 5_000, Set.of());
+        Placement.Request request = new Placement.Request("stock", 2, 300, 5_000, Set.of());
         assertEquals(mNear, mPlacement.choose(List.of(mNear, twin), request, 2));
     }
 
@@ -82,7 +98,7 @@
             EndpointState chosen =
                     mPlacement.choose(
                             List.of(mNear, twin),
-                            new Placement.Request("stock", 300, 5_000, Set.of()),
+                            new Placement.Request("stock", 2, 300, 5_000, Set.of()),
                             1);
             assertTrue(chosen != null);
             toTwin += chosen == twin ? 1 : 0;
@@ -92,7 +108,7 @@
 
     private EndpointState choose(Set<String> tried) {
         return mPlacement.choose(
-                List.of(mNear, mFar), new Placement.Request("stock", 300, 5_000, tried), 1);
+                List.of(mNear, mFar), new Placement.Request("stock", 2, 300, 5_000, tried), 1);
     }
 
     private static EndpointState endpoint(String node, boolean local) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -190,8 +190,8 @@
         }
         mPorts = new Ports(mCalls.listen(mSettings.calls()), ready, reports);
         mMetrics.gauge("calls.in-flight", () -> (Gauge<Integer>) mRouter::calls);
-        mMetrics.gauge("backend.running", () -> (Gauge<Integer>) () -> mDesk.load().running());
-        mMetrics.gauge("backend.waiting", () -> (Gauge<Integer>) () -> mDesk.load().waiting());
+        mMetrics.gauge("backend.running", () -> (Gauge<Integer>) mDesk::running);
+        mMetrics.gauge("backend.waiting", () -> (Gauge<Integer>) mDesk::waiting);
         mMetrics.gauge("config.version", () -> (Gauge<Long>) mConfigs::version);
         mMetrics.gauge("members.reachable", () -> (Gauge<Integer>) mMesh.directory()::reachable);
         EventLog.log(
@@ -281,7 +281,7 @@
     }
 
     private int pending() {
-        return mRouter.calls() + mDesk.calls();
+        return mRouter.calls() + mDesk.running() + mDesk.waiting();
     }
 
     private long sinceStartMillis() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.admit;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Iterator;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -82,6 +83,20 @@
         return mWaiting.size();
     }
 
+    /**
+     * Returns the number of requests that wait, by rank.
+     *
+     * @param ranks how many ranks are told apart; the last one holds all that are less urgent
+     */
+    public List<Integer> waitingByRank(int ranks) {
+        Integer[] counts = new Integer[ranks];
+        Arrays.fill(counts, 0);
+        for (Waiting<T> waiting : mWaiting) {
+            counts[Math.max(0, Math.min(waiting.request().rank(), ranks - 1))]++;
+        }
+        return List.of(counts);
+    }
+
     /** Takes a request that arrives. */
     public Decision offer(T item, QueuedRequest request, long nowNanos) {
         if (leftMillis(request, nowNanos) < request.workMillis() * LEAST_WORK_PART) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -128,14 +128,19 @@
         return new EndpointLoad(
                 mQueue.slots(),
                 mQueue.running(),
-                mQueue.waiting(),
+                mQueue.waitingByRank(EndpointLoad.RANKS),
                 Math.max(mWork.mean(), AGE_FACTOR * mAges.meanMillis(System.nanoTime())),
                 (int) (mFailures * PERCENT));
     }
 
-    /** Returns the number of calls that run or wait. */
-    public int calls() {
-        return mQueue.running() + mQueue.waiting();
+    /** Returns the number of calls that the backend server works on. */
+    public int running() {
+        return mQueue.running();
+    }
+
+    /** Returns the number of calls that wait for a slot. */
+    public int waiting() {
+        return mQueue.waiting();
     }
 
     BackendPool pool() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -181,7 +181,7 @@
     private void send(RouteRule route, EndpointState endpoint) {
         mPlacements++;
         mTried.add(endpoint.node());
-        Sending sending = new Sending(endpoint);
+        Sending sending = new Sending(endpoint, route.rank());
         mOpen.add(sending);
         mLast = sending;
         sending.send(call(route));
@@ -410,15 +410,17 @@
     /** One sending to one endpoint. */
     private final class Sending implements Attempt.Sink {
         private final EndpointState mEndpoint;
+        private final int mRank;
         private @Nullable Attempt mAttempt;
 
-        Sending(EndpointState endpoint) {
+        Sending(EndpointState endpoint, int rank) {
             mEndpoint = endpoint;
+            mRank = rank;
         }
 
         void send(HopCall call) {
             mArrivals++;
-            mEndpoint.started();
+            mEndpoint.started(mRank);
             Attempt attempt = mRouter.send(mEndpoint, call, this);
             mAttempt = attempt;
         }
@@ -430,7 +432,7 @@
 
         void stop() {
             if (mOpen.remove(this)) {
-                mEndpoint.ended();
+                mEndpoint.ended(mRank);
                 if (mAttempt != null) {
                     mAttempt.cancel();
                 }
@@ -458,7 +460,7 @@
             if (!mOpen.remove(this)) {
                 return false;
             }
-            mEndpoint.ended();
+            mEndpoint.ended(mRank);
             mEndpoint.outcome(failure, System.nanoTime());
             return !mDone;
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointLoad.java
@@ -1,16 +1,45 @@
 package org.azurearch.sidecar.route;
 
+import java.util.Collections;
+import java.util.List;
+
 /**
  * How busy a backend server is, as the node in front of it says.
  *
  * @param slots requests that it works on at a time
  * @param running requests that it works on now
- * @param waiting requests that wait in front of it
+ * @param waiting requests that wait in front of it, for each of {@link #RANKS} ranks; the last one
+ *     holds all that are less urgent
  * @param workMillis how long it works on a request on average; 0 if not known
  * @param failurePercent how many of the last requests it failed or rejected, in percent
  */
 public record EndpointLoad(
-        int slots, int running, int waiting, double workMillis, int failurePercent) {
+        int slots, int running, List<Integer> waiting, double workMillis, int failurePercent) {
+    /** Ranks told apart; configurations of the users have three. */
+    public static final int RANKS = 4;
+
     /** Nothing is known. */
-    public static final EndpointLoad UNKNOWN = new EndpointLoad(0, 0, 0, 0, 0);
+    public static final EndpointLoad UNKNOWN =
+            new EndpointLoad(0, 0, Collections.nCopies(RANKS, 0), 0, 0);
+
+    /** Checks the number of ranks. */
+    public EndpointLoad {
+        if (waiting.size() != RANKS) {
+            throw new IllegalArgumentException("ranks: " + waiting.size());
+        }
+    }
+
+    /** Returns the place of a rank among those told apart. */
+    public static int place(int rank) {
+        return Math.max(0, Math.min(rank, RANKS - 1));
+    }
+
+    /** Returns how many wait that go before a new request of a rank. */
+    public int waitingUpTo(int rank) {
+        int sum = 0;
+        for (int i = 0; i <= place(rank); i++) {
+            sum += waiting.get(i);
+        }
+        return sum;
+    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -23,8 +23,8 @@
     private final boolean mLocal;
     private NodeRecord mRecord;
     private boolean mConnected;
-    private int mMine;
-    private int mMineAtReport;
+    private final int[] mMine = new int[EndpointLoad.RANKS];
+    private int[] mMineAtReport = new int[EndpointLoad.RANKS];
     private EndpointLoad mLoad = EndpointLoad.UNKNOWN;
     private long mReportedNanos;
     private double mFailures;
@@ -92,21 +92,21 @@
         return usable() && backend != null && backend.service().equals(service);
     }
 
-    /** Counts a request that is sent there. */
-    public void started() {
-        mMine++;
+    /** Counts a request of a rank that is sent there. */
+    public void started(int rank) {
+        mMine[EndpointLoad.place(rank)]++;
     }
 
-    /** Counts a request that ended there. */
-    public void ended() {
-        mMine--;
+    /** Counts a request of a rank that ended there. */
+    public void ended(int rank) {
+        mMine[EndpointLoad.place(rank)]--;
     }
 
     /** Takes a report of the load. */
     public void load(EndpointLoad load, long nowNanos) {
         mLoad = load;
         mReportedNanos = nowNanos;
-        mMineAtReport = mMine;
+        mMineAtReport = mMine.clone();
     }
 
     /** Takes the outcome of a request: whether the endpoint failed. */
@@ -129,22 +129,34 @@
     }
 
     /**
-     * Returns how long a further request is expected to take there, in milliseconds.
+     * Returns how long a further request is expected to take there, in milliseconds. Less urgent
+     * ones that wait there do not count, as it goes before them.
      *
+     * @param rank the rank of the request
      * @param guessMillis the work of a request while nothing is known of the endpoint
      */
-    public double expectedMillis(double guessMillis, long nowNanos) {
+    public double expectedMillis(int rank, double guessMillis, long nowNanos) {
         BackendRecord backend = mRecord.backend();
         int slots = Math.max(1, backend == null ? 1 : backend.slots());
         double work = mLoad.workMillis() > 0 ? mLoad.workMillis() : guessMillis;
-        double reported = (mLoad.running() + mLoad.waiting()) * fresh(nowNanos, mReportedNanos);
-        double busy = Math.max(mMine, reported + mMine - mMineAtReport);
+        double reported =
+                (mLoad.running() + mLoad.waitingUpTo(rank)) * fresh(nowNanos, mReportedNanos);
+        int mine = upTo(rank, mMine);
+        double busy = Math.max(mine, reported + mine - upTo(rank, mMineAtReport));
         double over = Math.max(0, busy + 1 - slots);
         double crowding = Math.min(1, busy / slots);
         work *= mWarmNanos - nowNanos > 0 ? COLD_FACTOR : 1;
         return work * (1 + over / slots + CROWDING_WEIGHT * crowding);
     }
 
+    private static int upTo(int rank, int[] counts) {
+        int sum = 0;
+        for (int i = 0; i <= EndpointLoad.place(rank); i++) {
+            sum += counts[i];
+        }
+        return sum;
+    }
+
     private static double fresh(long nowNanos, long thenNanos) {
         return Math.max(0, 1 - (nowNanos - thenNanos) / REPORT_LIFETIME_NANOS);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
@@ -50,12 +50,13 @@
      * A request to be placed.
      *
      * @param service the service it is for
+     * @param rank the rank of its route; 0 is the most urgent
      * @param targetMillis the target of its route
      * @param answerBytes how large its answer is expected to be
      * @param tried nodes that are not asked again
      */
     public record Request(
-            String service, long targetMillis, double answerBytes, Set<String> tried) {}
+            String service, int rank, long targetMillis, double answerBytes, Set<String> tried) {}
 
     /** Returns the endpoint for a request, or null when none takes it. */
     public @Nullable EndpointState choose(
@@ -63,6 +64,7 @@
         EndpointState best = null;
         double bestCost = Double.MAX_VALUE;
         double guess = usualWork(endpoints, request);
+        double usualFailures = leastFailures(endpoints, request, nowNanos);
         double part =
                 Math.min(
                         MAX_DISTANCE_PART,
@@ -71,8 +73,8 @@
             if (!endpoint.takes(request.service()) || request.tried().contains(endpoint.node())) {
                 continue;
             }
-            double cost = endpoint.expectedMillis(guess, nowNanos);
-            cost *= 1 + FAILURE_WEIGHT * endpoint.failures(nowNanos);
+            double cost = endpoint.expectedMillis(request.rank(), guess, nowNanos);
+            cost *= 1 + FAILURE_WEIGHT * (endpoint.failures(nowNanos) - usualFailures);
             cost *= 1 + JITTER * mRandom.nextDouble();
             cost += endpoint.local() ? 0 : part * request.targetMillis();
             if (cost < bestCost) {
@@ -83,6 +85,21 @@
         return best;
     }
 
+    /**
+     * Returns the part of requests that fail wherever they go, as when a service that all of them
+     * call is in trouble: going elsewhere is no remedy against that.
+     */
+    private static double leastFailures(
+            Collection<EndpointState> endpoints, Request request, long nowNanos) {
+        double least = 1;
+        for (EndpointState endpoint : endpoints) {
+            if (endpoint.takes(request.service()) && !request.tried().contains(endpoint.node())) {
+                least = Math.min(least, endpoint.failures(nowNanos));
+            }
+        }
+        return least;
+    }
+
     /**
      * Returns the work of a request at the endpoints that are known, so that a new one is as likely
      * to be chosen as they are.
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
@@ -697,13 +697,13 @@
           case 3: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<java.lang.String>(_list8.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<java.lang.String>(_list16.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
                 {
-                  _elem9 = iprot.readString();
-                  struct.headers.add(_elem9);
+                  _elem17 = iprot.readString();
+                  struct.headers.add(_elem17);
                 }
                 iprot.readListEnd();
               }
@@ -761,9 +761,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.headers.size()));
-          for (java.lang.String _iter11 : struct.headers)
+          for (java.lang.String _iter19 : struct.headers)
           {
-            oprot.writeString(_iter11);
+            oprot.writeString(_iter19);
           }
           oprot.writeListEnd();
         }
@@ -801,9 +801,9 @@
       oprot.writeI32(struct.status);
       {
         oprot.writeI32(struct.headers.size());
-        for (java.lang.String _iter12 : struct.headers)
+        for (java.lang.String _iter20 : struct.headers)
         {
-          oprot.writeString(_iter12);
+          oprot.writeString(_iter20);
         }
       }
       oprot.writeBinary(struct.body);
@@ -818,13 +818,13 @@
       struct.status = iprot.readI32();
       struct.setStatusIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.headers = new java.util.ArrayList<java.lang.String>(_list13.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem14;
-        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.headers = new java.util.ArrayList<java.lang.String>(_list21.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
+        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
         {
-          _elem14 = iprot.readString();
-          struct.headers.add(_elem14);
+          _elem22 = iprot.readString();
+          struct.headers.add(_elem22);
         }
       }
       struct.setHeadersIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
@@ -1273,13 +1273,13 @@
           case 4: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<java.lang.String>(_list0.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem1;
-                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<java.lang.String>(_list8.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                  _elem1 = iprot.readString();
-                  struct.headers.add(_elem1);
+                  _elem9 = iprot.readString();
+                  struct.headers.add(_elem9);
                 }
                 iprot.readListEnd();
               }
@@ -1403,9 +1403,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.headers.size()));
-          for (java.lang.String _iter3 : struct.headers)
+          for (java.lang.String _iter11 : struct.headers)
           {
-            oprot.writeString(_iter3);
+            oprot.writeString(_iter11);
           }
           oprot.writeListEnd();
         }
@@ -1464,9 +1464,9 @@
       oprot.writeString(struct.target);
       {
         oprot.writeI32(struct.headers.size());
-        for (java.lang.String _iter4 : struct.headers)
+        for (java.lang.String _iter12 : struct.headers)
         {
-          oprot.writeString(_iter4);
+          oprot.writeString(_iter12);
         }
       }
       oprot.writeBinary(struct.body);
@@ -1489,13 +1489,13 @@
       struct.target = iprot.readString();
       struct.setTargetIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.headers = new java.util.ArrayList<java.lang.String>(_list5.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem6;
-        for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.headers = new java.util.ArrayList<java.lang.String>(_list13.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem14;
+        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
         {
-          _elem6 = iprot.readString();
-          struct.headers.add(_elem6);
+          _elem14 = iprot.readString();
+          struct.headers.add(_elem14);
         }
       }
       struct.setHeadersIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
@@ -15,7 +15,7 @@
 
   private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)1);
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)2);
-  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short)3);
+  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField WORK_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("workMicros", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField FAILURE_PERCENT_FIELD_DESC = new org.apache.thrift.protocol.TField("failurePercent", org.apache.thrift.protocol.TType.I32, (short)5);
 
@@ -24,7 +24,10 @@
 
   public int slots; // required
   public int running; // required
-  public int waiting; // required
+  /**
+   * By rank, the most urgent first.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> waiting; // required
   public int workMicros; // required
   public int failurePercent; // required
 
@@ -32,6 +35,9 @@
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SLOTS((short)1, "slots"),
     RUNNING((short)2, "running"),
+    /**
+     * By rank, the most urgent first.
+     */
     WAITING((short)3, "waiting"),
     WORK_MICROS((short)4, "workMicros"),
     FAILURE_PERCENT((short)5, "failurePercent");
@@ -105,9 +111,8 @@
   // isset id assignments
   private static final int __SLOTS_ISSET_ID = 0;
   private static final int __RUNNING_ISSET_ID = 1;
-  private static final int __WAITING_ISSET_ID = 2;
-  private static final int __WORKMICROS_ISSET_ID = 3;
-  private static final int __FAILUREPERCENT_ISSET_ID = 4;
+  private static final int __WORKMICROS_ISSET_ID = 2;
+  private static final int __FAILUREPERCENT_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -117,7 +122,8 @@
     tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.WAITING, new org.apache.thrift.meta_data.FieldMetaData("waiting", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     tmpMap.put(_Fields.WORK_MICROS, new org.apache.thrift.meta_data.FieldMetaData("workMicros", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.FAILURE_PERCENT, new org.apache.thrift.meta_data.FieldMetaData("failurePercent", org.apache.thrift.TFieldRequirementType.REQUIRED, 
@@ -132,7 +138,7 @@
   public WireLoad(
     int slots,
     int running,
-    int waiting,
+    java.util.List<java.lang.Integer> waiting,
     int workMicros,
     int failurePercent)
   {
@@ -142,7 +148,6 @@
     this.running = running;
     setRunningIsSet(true);
     this.waiting = waiting;
-    setWaitingIsSet(true);
     this.workMicros = workMicros;
     setWorkMicrosIsSet(true);
     this.failurePercent = failurePercent;
@@ -156,7 +161,10 @@
     __isset_bitfield = other.__isset_bitfield;
     this.slots = other.slots;
     this.running = other.running;
-    this.waiting = other.waiting;
+    if (other.isSetWaiting()) {
+      java.util.List<java.lang.Integer> __this__waiting = new java.util.ArrayList<java.lang.Integer>(other.waiting);
+      this.waiting = __this__waiting;
+    }
     this.workMicros = other.workMicros;
     this.failurePercent = other.failurePercent;
   }
@@ -172,8 +180,7 @@
     this.slots = 0;
     setRunningIsSet(false);
     this.running = 0;
-    setWaitingIsSet(false);
-    this.waiting = 0;
+    this.waiting = null;
     setWorkMicrosIsSet(false);
     this.workMicros = 0;
     setFailurePercentIsSet(false);
@@ -226,27 +233,51 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUNNING_ISSET_ID, value);
   }
 
-  public int getWaiting() {
+  public int getWaitingSize() {
+    return (this.waiting == null) ? 0 : this.waiting.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getWaitingIterator() {
+    return (this.waiting == null) ? null : this.waiting.iterator();
+  }
+
+  public void addToWaiting(int elem) {
+    if (this.waiting == null) {
+      this.waiting = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.waiting.add(elem);
+  }
+
+  /**
+   * By rank, the most urgent first.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getWaiting() {
     return this.waiting;
   }
 
-  public WireLoad setWaiting(int waiting) {
+  /**
+   * By rank, the most urgent first.
+   */
+  public WireLoad setWaiting(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> waiting) {
     this.waiting = waiting;
-    setWaitingIsSet(true);
     return this;
   }
 
   public void unsetWaiting() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITING_ISSET_ID);
+    this.waiting = null;
   }
 
   /** Returns true if field waiting is set (has been assigned a value) and false otherwise */
   public boolean isSetWaiting() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITING_ISSET_ID);
+    return this.waiting != null;
   }
 
   public void setWaitingIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITING_ISSET_ID, value);
+    if (!value) {
+      this.waiting = null;
+    }
   }
 
   public int getWorkMicros() {
@@ -318,7 +349,7 @@
       if (value == null) {
         unsetWaiting();
       } else {
-        setWaiting((java.lang.Integer)value);
+        setWaiting((java.util.List<java.lang.Integer>)value);
       }
       break;
 
@@ -417,12 +448,12 @@
         return false;
     }
 
-    boolean this_present_waiting = true;
-    boolean that_present_waiting = true;
+    boolean this_present_waiting = true && this.isSetWaiting();
+    boolean that_present_waiting = true && that.isSetWaiting();
     if (this_present_waiting || that_present_waiting) {
       if (!(this_present_waiting && that_present_waiting))
         return false;
-      if (this.waiting != that.waiting)
+      if (!this.waiting.equals(that.waiting))
         return false;
     }
 
@@ -455,7 +486,9 @@
 
     hashCode = hashCode * 8191 + running;
 
-    hashCode = hashCode * 8191 + waiting;
+    hashCode = hashCode * 8191 + ((isSetWaiting()) ? 131071 : 524287);
+    if (isSetWaiting())
+      hashCode = hashCode * 8191 + waiting.hashCode();
 
     hashCode = hashCode * 8191 + workMicros;
 
@@ -555,7 +588,11 @@
     first = false;
     if (!first) sb.append(", ");
     sb.append("waiting:");
-    sb.append(this.waiting);
+    if (this.waiting == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.waiting);
+    }
     first = false;
     if (!first) sb.append(", ");
     sb.append("workMicros:");
@@ -573,7 +610,9 @@
     // check for required fields
     // alas, we cannot check 'slots' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'running' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'waiting' because it's a primitive and you chose the non-beans generator.
+    if (waiting == null) {
+      throw new org.apache.thrift.protocol.TProtocolException("Required field 'waiting' was not present! Struct: " + toString());
+    }
     // alas, we cannot check 'workMicros' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'failurePercent' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
@@ -634,8 +673,18 @@
             }
             break;
           case 3: // WAITING
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.waiting = iprot.readI32();
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                struct.waiting = new java.util.ArrayList<java.lang.Integer>(_list0.size);
+                int _elem1;
+                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                {
+                  _elem1 = iprot.readI32();
+                  struct.waiting.add(_elem1);
+                }
+                iprot.readListEnd();
+              }
               struct.setWaitingIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
@@ -671,9 +720,6 @@
       if (!struct.isSetRunning()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'running' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetWaiting()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'waiting' was not found in serialized data! Struct: " + toString());
-      }
       if (!struct.isSetWorkMicros()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'workMicros' was not found in serialized data! Struct: " + toString());
       }
@@ -694,9 +740,18 @@
       oprot.writeFieldBegin(RUNNING_FIELD_DESC);
       oprot.writeI32(struct.running);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(WAITING_FIELD_DESC);
-      oprot.writeI32(struct.waiting);
-      oprot.writeFieldEnd();
+      if (struct.waiting != null) {
+        oprot.writeFieldBegin(WAITING_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.waiting.size()));
+          for (int _iter3 : struct.waiting)
+          {
+            oprot.writeI32(_iter3);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldBegin(WORK_MICROS_FIELD_DESC);
       oprot.writeI32(struct.workMicros);
       oprot.writeFieldEnd();
@@ -723,7 +778,13 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       oprot.writeI32(struct.slots);
       oprot.writeI32(struct.running);
-      oprot.writeI32(struct.waiting);
+      {
+        oprot.writeI32(struct.waiting.size());
+        for (int _iter4 : struct.waiting)
+        {
+          oprot.writeI32(_iter4);
+        }
+      }
       oprot.writeI32(struct.workMicros);
       oprot.writeI32(struct.failurePercent);
     }
@@ -735,7 +796,16 @@
       struct.setSlotsIsSet(true);
       struct.running = iprot.readI32();
       struct.setRunningIsSet(true);
-      struct.waiting = iprot.readI32();
+      {
+        org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+        struct.waiting = new java.util.ArrayList<java.lang.Integer>(_list5.size);
+        int _elem6;
+        for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+        {
+          _elem6 = iprot.readI32();
+          struct.waiting.add(_elem6);
+        }
+      }
       struct.setWaitingIsSet(true);
       struct.workMicros = iprot.readI32();
       struct.setWorkMicrosIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecords.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecords.java
@@ -422,14 +422,14 @@
           case 1: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<WireNodeRecord>(_list16.size);
-                @org.apache.thrift.annotation.Nullable WireNodeRecord _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<WireNodeRecord>(_list24.size);
+                @org.apache.thrift.annotation.Nullable WireNodeRecord _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new WireNodeRecord();
-                  _elem17.read(iprot);
-                  struct.records.add(_elem17);
+                  _elem25 = new WireNodeRecord();
+                  _elem25.read(iprot);
+                  struct.records.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -469,9 +469,9 @@
         oprot.writeFieldBegin(RECORDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
-          for (WireNodeRecord _iter19 : struct.records)
+          for (WireNodeRecord _iter27 : struct.records)
           {
-            _iter19.write(oprot);
+            _iter27.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -500,9 +500,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.records.size());
-        for (WireNodeRecord _iter20 : struct.records)
+        for (WireNodeRecord _iter28 : struct.records)
         {
-          _iter20.write(oprot);
+          _iter28.write(oprot);
         }
       }
       oprot.writeBool(struct.relayed);
@@ -512,14 +512,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, WireNodeRecords struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.records = new java.util.ArrayList<WireNodeRecord>(_list21.size);
-        @org.apache.thrift.annotation.Nullable WireNodeRecord _elem22;
-        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.records = new java.util.ArrayList<WireNodeRecord>(_list29.size);
+        @org.apache.thrift.annotation.Nullable WireNodeRecord _elem30;
+        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
         {
-          _elem22 = new WireNodeRecord();
-          _elem22.read(iprot);
-          struct.records.add(_elem22);
+          _elem30 = new WireNodeRecord();
+          _elem30.read(iprot);
+          struct.records.add(_elem30);
         }
       }
       struct.setRecordsIsSet(true);
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -28,7 +28,8 @@
 struct WireLoad {
   1: required i32 slots
   2: required i32 running
-  3: required i32 waiting
+  /** By rank, the most urgent first. */
+  3: required list<i32> waiting
   4: required i32 workMicros
   5: required i32 failurePercent
 }
