Use a backend server again as soon as its node has restarted

The node now remembers its backend server: in the records that others hold of its earlier run, and in the store, one write for each run or leaving of a backend server. If it took requests then, its health path is asked once; only the same instance that says it is healthy is used before its heartbeat. One that had said that it leaves is not asked, so an acknowledgement goes on binding through the restart.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/SplitPickerTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/SplitPickerTest.java
@@ -31,6 +31,40 @@
         }
     }
 
+    @Test
+    void sharesOfWhatRunsHoldWhereHalfOfOnePartIsRefused() {
+        SplitPicker picker = new SplitPicker();
+        RouteRule route = route(75, 25);
+        int[] ran = new int[2];
+        for (int i = 0; i < 2_000; i++) {
+            String service = picker.next(route, 0.3);
+            boolean refused = service.equals("a") && i % 2 == 0;
+            if (refused) {
+                picker.refused(route, service);
+            } else {
+                ran[service.equals("a") ? 0 : 1]++;
+            }
+        }
+        double share = ran[0] / (double) (ran[0] + ran[1]);
+        assertTrue(share > 0.65 && share < 0.85, "share " + share);
+    }
+
+    @Test
+    void aPartThatIsGoneDoesNotStopTheOthers() {
+        SplitPicker picker = new SplitPicker();
+        RouteRule route = route(75, 25);
+        int ran = 0;
+        for (int i = 0; i < 1_000; i++) {
+            String service = picker.next(route, 0.3);
+            if (service.equals("a")) {
+                picker.refused(route, service);
+            } else {
+                ran++;
+            }
+        }
+        assertTrue(ran > 50, "ran " + ran);
+    }
+
     private static RouteRule route(int first, int second) {
         return new RouteRule(
                 "r",
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Dialect.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Dialect.java
@@ -8,6 +8,7 @@
  * @param deadlineMillis header: for how long the sender will wait, in milliseconds
  * @param callerService header: the service on whose VM a request began
  * @param expectedInstance header: the backend server that a request is meant for
+ * @param instance header: the backend server that answers
  * @param notRun header: present where a backend server says that it did not run a request
  * @param proof header: shows that an answer is a backend server's own
  * @param retryAfter header: when a refused caller should come back, in seconds
@@ -18,6 +19,7 @@
         String deadlineMillis,
         String callerService,
         String expectedInstance,
+        String instance,
         String notRun,
         String proof,
         String retryAfter,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -92,8 +92,17 @@
         mConfigs = new ConfigKeeper(platform.configs());
         mBackend = new BackendWatch(settings, platform.reports(), mConfigs);
         mDesk = new BackendDesk(mLoop, mDialect, mBackend);
-        mMesh = new MeshService(mLoop, settings, mNetwork, peers, mLog, CONFIG_KEY, mConfigs);
-        mBackend.bind(mDesk, mMesh.directory());
+        mMesh =
+                new MeshService(
+                        mLoop,
+                        settings,
+                        mNetwork,
+                        peers,
+                        mLog,
+                        CONFIG_KEY,
+                        mConfigs,
+                        mBackend::remembered);
+        mBackend.bind(mDesk, mMesh);
         mRouter =
                 new CallRouter(
                         mLoop, settings, mDialect, mConfigs, mMesh.directory(), mDesk, mMetrics);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendWatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendWatch.java
@@ -6,11 +6,14 @@
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
 import org.azurearch.sidecar.config.RouteSet;
+import org.azurearch.sidecar.config.ServiceRule;
 import org.azurearch.sidecar.internal.backend.BackendDesk;
 import org.azurearch.sidecar.internal.mesh.ConfigKeeper;
-import org.azurearch.sidecar.internal.mesh.NodeDirectory;
+import org.azurearch.sidecar.internal.mesh.MeshService;
+import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.BackendReport;
 import org.azurearch.sidecar.member.BackendTracker;
+import org.azurearch.sidecar.member.NodeRecord;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,7 +26,10 @@
     private final ConfigKeeper mConfigs;
     private final BackendTracker mTracker = new BackendTracker();
     private @Nullable BackendDesk mDesk;
-    private @Nullable NodeDirectory mDirectory;
+    private @Nullable MeshService mMesh;
+    private @Nullable NodeRecord mRemembered;
+    private String mProbed = "";
+    private String mKept = "";
     private boolean mDeparted;
 
     /**
@@ -40,9 +46,10 @@
     }
 
     /** Sets who is told. */
-    public void bind(BackendDesk desk, NodeDirectory directory) {
+    public void bind(BackendDesk desk, MeshService mesh) {
         mDesk = desk;
-        mDirectory = directory;
+        mMesh = mesh;
+        mConfigs.subscribe(config -> probe());
     }
 
     /** Says whether the last backend server has left and none has come since. */
@@ -50,6 +57,18 @@
         return mDeparted && mTracker.current() == null;
     }
 
+    /**
+     * Takes what an earlier run of this node knew of its backend server. If that one took requests
+     * and shows to be still there and healthy, requests go to it before its next heartbeat. One
+     * that had said that it leaves is not asked.
+     */
+    public void remembered(NodeRecord earlier) {
+        if (mRemembered == null || earlier.newerThan(mRemembered)) {
+            mRemembered = earlier;
+            probe();
+        }
+    }
+
     /** Answers a heartbeat; the success is the acknowledgement. */
     public PlainHttpServer.Reply handle(PlainHttpServer.Request request) {
         BackendReportCodec.Message message;
@@ -92,6 +111,41 @@
         changed(mTracker.unreachable(), "replaced");
     }
 
+    private void probe() {
+        BackendDesk desk = mDesk;
+        RouteSet config = mConfigs.current();
+        BackendRecord backend = usableMemory();
+        if (desk == null || config == null || backend == null) {
+            return;
+        }
+        ServiceRule service = config.services().get(backend.service());
+        if (service == null || backend.instance().equals(mProbed)) {
+            return;
+        }
+        mProbed = backend.instance();
+        desk.probe(mSettings.backend(), service.healthPath(), this::probed);
+    }
+
+    private void probed(@Nullable String instance) {
+        BackendRecord backend = usableMemory();
+        if (backend != null && backend.instance().equals(instance)) {
+            BackendReport assumed = BackendReport.assumed(backend, mSettings.backend());
+            changed(mTracker.assume(assumed), "remembered");
+        }
+    }
+
+    /** Returns the backend server of an earlier run if nothing newer speaks against it. */
+    private @Nullable BackendRecord usableMemory() {
+        NodeRecord remembered = mRemembered;
+        BackendRecord backend = remembered == null ? null : remembered.backend();
+        boolean usable =
+                backend != null
+                        && backend.ready()
+                        && backend.service().equals(mSettings.service())
+                        && mTracker.current() == null;
+        return usable ? backend : null;
+    }
+
     /** Heartbeats may come from another writer: they name no backend server to use. */
     private boolean plausible(BackendReport report) {
         RouteSet config = mConfigs.current();
@@ -109,10 +163,20 @@
         return known && here;
     }
 
+    /** Keeps for the next run which backend server there is and whether it leaves. */
+    private void keep(MeshService mesh, @Nullable BackendReport current) {
+        boolean assumed = current != null && current.sequence() == BackendReport.ASSUMED;
+        String state = current == null ? "none" : current.instance() + " " + current.leaving();
+        if (!assumed && !state.equals(mKept)) {
+            mKept = state;
+            mesh.keepBackend();
+        }
+    }
+
     private void changed(BackendTracker.Change change, String cause) {
         BackendDesk desk = mDesk;
-        NodeDirectory directory = mDirectory;
-        if (change != BackendTracker.Change.CHANGED || desk == null || directory == null) {
+        MeshService mesh = mMesh;
+        if (change != BackendTracker.Change.CHANGED || desk == null || mesh == null) {
             return;
         }
         BackendReport current = mTracker.current();
@@ -124,6 +188,7 @@
                 current == null ? 0 : current.slots(),
                 cause);
         desk.backend(mTracker.ready() ? current : null);
-        directory.publishBackend(mTracker.record());
+        mesh.directory().publishBackend(mTracker.record());
+        keep(mesh, current);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
 import org.azurearch.sidecar.admit.BackendQueue;
 import org.azurearch.sidecar.admit.QueuedRequest;
@@ -92,6 +94,18 @@
         pump();
     }
 
+    /**
+     * Asks once which backend server is at an address, while none is known.
+     *
+     * @param address the address
+     * @param path the path that says whether a backend server is healthy
+     * @param taker takes which backend server is there, or null where none takes requests
+     */
+    public void probe(NetAddress address, String path, Consumer<@Nullable String> taker) {
+        mPool.target(address);
+        BackendProbe.send(mLoop, mDialect, mPool, address, path, taker);
+    }
+
     /** Refuses what arrives from now on, as the node is about to end. */
     public void stopTaking() {
         mStopping = true;
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendProbe.java
@@ -0,0 +1,95 @@
+package org.azurearch.sidecar.internal.backend;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.Dialect;
+import org.jspecify.annotations.Nullable;
+
+/** Asks once which backend server is at an address and whether it takes requests. */
+final class BackendProbe implements BackendConnection.Exchange {
+    /** The question waits for a slot like any request; the next heartbeat comes about then. */
+    private static final long TIMEOUT_MILLIS = 1_000;
+
+    private final Dialect mDialect;
+    private final Consumer<@Nullable String> mTaker;
+    private final ScheduledFuture<?> mTimeout;
+    private @Nullable BackendConnection mConnection;
+    private boolean mDone;
+
+    private BackendProbe(EventLoop loop, Dialect dialect, Consumer<@Nullable String> taker) {
+        mDialect = dialect;
+        mTaker = taker;
+        mTimeout = loop.schedule(this::timedOut, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Asks.
+     *
+     * @param pool opens connections to the address
+     * @param address the address
+     * @param path the path that says whether a backend server is healthy
+     * @param taker takes which backend server is there, or null where none takes requests
+     */
+    static void send(
+            EventLoop loop,
+            Dialect dialect,
+            BackendPool pool,
+            NetAddress address,
+            String path,
+            Consumer<@Nullable String> taker) {
+        BackendProbe probe = new BackendProbe(loop, dialect, taker);
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, address.name());
+        pool.acquire(false, System.nanoTime(), connection -> probe.connected(connection, request));
+    }
+
+    @Override
+    public void answered(FullHttpResponse answer) {
+        boolean healthy = answer.status().code() == HttpResponseStatus.OK.code();
+        end(healthy ? answer.headers().get(mDialect.instance()) : null);
+    }
+
+    @Override
+    public void broken(String reason) {
+        end(null);
+    }
+
+    private void connected(@Nullable BackendConnection connection, FullHttpRequest request) {
+        if (connection == null) {
+            end(null);
+        } else if (mDone) {
+            connection.close();
+        } else {
+            mConnection = connection;
+            connection.send(request, this);
+        }
+    }
+
+    private void timedOut() {
+        if (mConnection != null) {
+            mConnection.abandon();
+        }
+        end(null);
+    }
+
+    private void end(@Nullable String instance) {
+        if (!mDone) {
+            mDone = true;
+            mTimeout.cancel(false);
+            mTaker.accept(instance);
+        }
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -148,6 +148,11 @@
         return mSplits.next(route, mSplitStart);
     }
 
+    /** Takes note that a request of a route was refused and never ran. */
+    void refused(RouteRule route, String service) {
+        mSplits.refused(route, service);
+    }
+
     /** Counts a request for a service. */
     void requested(String service) {
         long now = System.nanoTime();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -313,6 +313,9 @@
         end();
         mAnswerer.refuse(status, code, spread);
         RouteRule route = mRoute;
+        if (route != null && !mMayHaveRun && !mService.isEmpty()) {
+            mRouter.refused(route, mService);
+        }
         String name = route == null ? "-" : route.name();
         mRouter.metrics().ended(name, status, System.nanoTime() - mStartedNanos);
         mRouter.log()
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
@@ -32,6 +33,7 @@
     private static final int GREETED = 3;
 
     private final EventLoop mLoop;
+    private final Consumer<NodeRecord> mRemembered;
     private final ConfigKeeper mConfigs;
     private final NodeDirectory mDirectory;
     private final NodeRegistration mRegistration;
@@ -52,6 +54,7 @@
      * @param log the platform's log
      * @param configKey the key of the configuration in its stream
      * @param configs the configuration in force
+     * @param remembered takes records of earlier runs of this node
      */
     public MeshService(
             EventLoop loop,
@@ -60,7 +63,9 @@
             NetAddress peers,
             KeyedLog log,
             String configKey,
-            ConfigKeeper configs) {
+            ConfigKeeper configs,
+            Consumer<NodeRecord> remembered) {
+        mRemembered = remembered;
         mLoop = loop;
         mConfigs = configs;
         mDirectory =
@@ -84,6 +89,11 @@
         return mRegistration.complete() || !mDirectory.linksUp().isEmpty();
     }
 
+    /** Keeps the backend server behind this node in the store, for its next run. */
+    public void keepBackend() {
+        mRegistration.keep(mDirectory.self());
+    }
+
     /** Drops this node from the store, as its VM is going away. */
     public CompletableFuture<Void> unregister() {
         return mRegistration.remove();
@@ -104,6 +114,11 @@
         }
     }
 
+    @Override
+    public void remembered(NodeRecord earlier) {
+        mRemembered.accept(earlier);
+    }
+
     @Override
     public void received(HopConnection connection, HopFrame frame) {
         switch (frame.getSetField()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -50,6 +50,9 @@
 
         /** A link to another node is up. */
         void linkUp(HopLink link);
+
+        /** A record of an earlier run of this node has come back. */
+        void remembered(NodeRecord earlier);
     }
 
     private final EventLoop mLoop;
@@ -173,6 +176,9 @@
     public boolean merge(NodeRecord record) {
         if (record.node().equals(mSelf.node())) {
             outrank(record);
+            if (record.incarnation() < mSelf.incarnation()) {
+                mHandler.remembered(record);
+            }
             return false;
         }
         if (!mTable.merge(record, System.nanoTime())) {
@@ -222,13 +228,13 @@
         connection.send(frame(sent, true));
     }
 
-    /** Answers a hello: with this node's own, and with the sender's record where it is outdated. */
+    /** Answers a hello: with this node's record, and with that of another run of the sender. */
     public void hello(HopConnection connection, WireNodeRecord hello) {
         NodeRecord record = HopWire.fromWire(hello);
-        merge(record);
         NodeRecord known = mTable.record(record.node());
+        merge(record);
         List<NodeRecord> reply = new ArrayList<>(List.of(mSelf));
-        if (known != null && known.newerThan(record)) {
+        if (known != null && known.incarnation() != record.incarnation()) {
             reply.add(known);
         }
         connection.send(frame(reply, true));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -34,6 +34,9 @@
     /** Each refused call is paid for; others find this node through its links all the same. */
     private static final Duration RETRY_MAX = Duration.ofMillis(2_000);
 
+    /** Ends the key under which a node keeps its backend server for its own next run. */
+    private static final String BACKEND_KEY = "#backend";
+
     private final KeyedLog mLog;
     private final EventLoop mLoop;
     private final NodeRecord mSelf;
@@ -58,9 +61,29 @@
         return mComplete;
     }
 
-    /** Drops the record, as this VM is going away. */
+    /** Keeps what this node knows of its backend server; a failed write is not repeated. */
+    void keep(NodeRecord self) {
+        mLog.append(KeyedLog.Stream.NODES, self.node() + BACKEND_KEY, encode(self))
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure != null) {
+                                EventLog.log(
+                                        SidecarEvent.STORE_DOWN,
+                                        "keep backend",
+                                        StoreReader.cause(failure).toString());
+                            }
+                        });
+    }
+
+    /** Drops the records, as this VM is going away. */
     CompletableFuture<Void> remove() {
-        return mLog.append(KeyedLog.Stream.NODES, mSelf.node(), new byte[0]);
+        return mLog.append(KeyedLog.Stream.NODES, mSelf.node(), new byte[0])
+                .thenCompose(
+                        done ->
+                                mLog.append(
+                                        KeyedLog.Stream.NODES,
+                                        mSelf.node() + BACKEND_KEY,
+                                        new byte[0]));
     }
 
     private void write() {
@@ -89,7 +112,10 @@
 
     private void take(KeyedRecords records) {
         for (KeyedRecord record : records.records()) {
-            if (record.value().length == 0) {
+            boolean others =
+                    record.key().endsWith(BACKEND_KEY)
+                            && !record.key().equals(mSelf.node() + BACKEND_KEY);
+            if (record.value().length == 0 || others) {
                 continue;
             }
             try {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendReport.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendReport.java
@@ -23,10 +23,37 @@
         int slots,
         boolean leaving,
         int warmingMillis) {
+    /** The sequence of what no heartbeat has said yet. */
+    public static final long ASSUMED = -1;
+
     /** Checks the figures. */
     public BackendReport {
         if (slots <= 0 || warmingMillis < 0) {
             throw new IllegalArgumentException("figures out of range in a heartbeat");
         }
     }
+
+    /**
+     * Returns the report of a backend server that an earlier run of this node knew.
+     *
+     * @param backend what other nodes knew of it
+     * @param address where it takes requests
+     */
+    public static BackendReport assumed(BackendRecord backend, NetAddress address) {
+        return new BackendReport(
+                backend.instance(),
+                0,
+                ASSUMED,
+                backend.service(),
+                address,
+                backend.slots(),
+                false,
+                0);
+    }
+
+    /** Returns this report as that of a backend server that is about to stop. */
+    public BackendReport asLeaving() {
+        return new BackendReport(
+                instance, bornMillis, sequence, service, address, slots, true, warmingMillis);
+    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
@@ -27,6 +27,18 @@
     private @Nullable BackendReport mCurrent;
     private boolean mUnreachable;
 
+    /**
+     * Takes a backend server that an earlier run of this node knew and that has just shown to be
+     * the same and healthy; the next heartbeat of any run replaces it.
+     */
+    public Change assume(BackendReport report) {
+        if (mCurrent != null || !mDeparted.isEmpty()) {
+            return Change.NONE;
+        }
+        mCurrent = report;
+        return Change.CHANGED;
+    }
+
     /** Takes a heartbeat. */
     public Change report(BackendReport report) {
         Long departed = mDeparted.get(report.instance());
@@ -47,7 +59,7 @@
                         || report.slots() != current.slots()
                         || !report.service().equals(current.service());
         mUnreachable = false;
-        mCurrent = leaving == report.leaving() ? report : left(report);
+        mCurrent = leaving == report.leaving() ? report : report.asLeaving();
         return changed ? Change.CHANGED : Change.NONE;
     }
 
@@ -115,18 +127,7 @@
 
     private static boolean sameRun(BackendReport report, BackendReport current) {
         return report.instance().equals(current.instance())
-                && report.bornMillis() == current.bornMillis();
-    }
-
-    private static BackendReport left(BackendReport report) {
-        return new BackendReport(
-                report.instance(),
-                report.bornMillis(),
-                report.sequence(),
-                report.service(),
-                report.address(),
-                report.slots(),
-                true,
-                report.warmingMillis());
+                && (report.bornMillis() == current.bornMillis()
+                        || current.sequence() == BackendReport.ASSUMED);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SplitPicker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SplitPicker.java
@@ -12,6 +12,13 @@
 public final class SplitPicker {
     private static final int MAX_ROUTES = 4_096;
 
+    /**
+     * Part of a deal that is taken back where the request was refused and never ran. With all of it
+     * the shares of what runs would be exact, but a service that is gone would stop the others too;
+     * with this much, shares stay within a tenth of their weights up to refusals of one in two.
+     */
+    private static final double TAKEN_BACK = 0.7;
+
     private final Map<String, double[]> mCredits = new HashMap<>();
 
     /**
@@ -42,12 +49,32 @@
         return parts.get(best).service();
     }
 
+    /**
+     * Takes note that a request which was dealt to a service was refused and never ran: the service
+     * is owed another one, so that the others do not get more than their share of what runs.
+     */
+    public void refused(RouteRule route, String service) {
+        double[] credits = mCredits.get(key(route));
+        double total = route.parts().stream().mapToInt(RouteRule.Part::weight).sum();
+        if (credits == null || total <= 0) {
+            return;
+        }
+        for (int i = 0; i < credits.length; i++) {
+            RouteRule.Part part = route.parts().get(i);
+            double dealt = part.service().equals(service) ? 1 : 0;
+            credits[i] += TAKEN_BACK * (dealt - part.weight() / total);
+        }
+    }
+
     private double[] credits(RouteRule route, double start) {
         if (mCredits.size() > MAX_ROUTES) {
             mCredits.clear();
         }
-        String key = route.name() + route.parts();
-        return mCredits.computeIfAbsent(key, k -> starting(route, start));
+        return mCredits.computeIfAbsent(key(route), key -> starting(route, start));
+    }
+
+    private static String key(RouteRule route) {
+        return route.name() + route.parts();
     }
 
     private static double[] starting(RouteRule route, double start) {
