Expect of an endpoint what requests of the same route take there

Answers now say how long the backend server works on a request of the route; the time for the request itself comes from that, the wait from the mean over all.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
@@ -42,7 +42,7 @@
     @Test
     void urgentRequestStaysWhereItGoesBeforeThoseThatWait() {
         mNear.load(new EndpointLoad(4, 4, List.of(0, 0, 20, 0), 100, 0), 0);
-        Placement.Request urgent = new Placement.Request("stock", 0, 200, 500, Set.of());
+        Placement.Request urgent = new Placement.Request("stock", "r", 0, 200, 500, Set.of());
         assertEquals(mNear, mPlacement.choose(List.of(mNear, mFar), urgent, 1));
     }
 
@@ -55,6 +55,16 @@
         }
     }
 
+    @Test
+    void shortRequestStaysWhereOnlyLongOnesTakeLonger() {
+        mNear.load(new EndpointLoad(18, 3, List.of(0, 0, 0, 0), 180, 0), 0);
+        mFar.load(new EndpointLoad(18, 3, List.of(0, 0, 0, 0), 60, 0), 0);
+        mNear.worked("short", 33);
+        mFar.worked("short", 11);
+        Placement.Request request = new Placement.Request("stock", "short", 0, 100, 500, Set.of());
+        assertEquals(mNear, mPlacement.choose(List.of(mNear, mFar), request, 1));
+    }
+
     @Test
     void asksNobodyTwiceAndNobodyThatLeaves() {
         assertEquals(mFar, choose(Set.of("near")));
@@ -73,7 +83,7 @@
             EndpointState chosen =
                     mPlacement.choose(
                             List.of(mNear, newcomer),
-                            new Placement.Request("stock", 2, 1_000, 500, Set.of()),
+                            new Placement.Request("stock", "r", 2, 1_000, 500, Set.of()),
                             1);
             toNewcomer += chosen == newcomer ? 1 : 0;
         }
@@ -86,7 +96,7 @@
         BackendRecord cold = new BackendRecord("stock", "i-new", 4, true, 3_000);
         NetAddress address = new NetAddress("127.0.0.1", 7000);
         twin.record(new NodeRecord("twin", "rennes", address, 1, 2, false, true, cold), 1);
-        Placement.Request request = new Placement.Request("stock", 2, 300, 5_000, Set.of());
+        Placement.Request request = new Placement.Request("stock", "r", 2, 300, 5_000, Set.of());
         assertEquals(mNear, mPlacement.choose(List.of(mNear, twin), request, 2));
     }
 
@@ -98,7 +108,7 @@
             EndpointState chosen =
                     mPlacement.choose(
                             List.of(mNear, twin),
-                            new Placement.Request("stock", 2, 300, 5_000, Set.of()),
+                            new Placement.Request("stock", "r", 2, 300, 5_000, Set.of()),
                             1);
             assertTrue(chosen != null);
             toTwin += chosen == twin ? 1 : 0;
@@ -108,7 +118,7 @@
 
     private EndpointState choose(Set<String> tried) {
         return mPlacement.choose(
-                List.of(mNear, mFar), new Placement.Request("stock", 2, 300, 5_000, tried), 1);
+                List.of(mNear, mFar), new Placement.Request("stock", "r", 2, 300, 5_000, tried), 1);
     }
 
     private static EndpointState endpoint(String node, boolean local) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -25,8 +25,6 @@
 final class BackendAttempt implements Attempt, BackendConnection.Exchange {
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double NANOS_PER_MILLI_EXACT = 1e6;
-    private static final int SUCCESS_MIN = 200;
-    private static final int SUCCESS_MAX = 299;
 
     private enum State {
         WAITING,
@@ -93,7 +91,6 @@
         double millis = (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI_EXACT;
         int status = answer.status().code();
         Dialect dialect = mDesk.dialect();
-        boolean success = status >= SUCCESS_MIN && status <= SUCCESS_MAX;
         if (answer.headers().contains(dialect.notRun())
                 || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             rejected(status);
@@ -105,13 +102,13 @@
                             ErrorCode.BACKEND_SERVER_FAILED,
                             "answer " + status + " is not the backend server's own"));
         } else {
-            BackendAnswer whole =
+            end(BackendAnswer.failed(status), millis);
+            mSink.answered(
                     new BackendAnswer(
                             status,
                             HeaderList.onward(answer.headers(), Set.of()),
-                            ByteBufUtil.getBytes(answer.content()));
-            end(!success && whole.failed(), millis);
-            mSink.answered(whole);
+                            ByteBufUtil.getBytes(answer.content()),
+                            mDesk.workMillis(mCall)));
         }
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -143,10 +143,22 @@
                 mQueue.slots(),
                 mQueue.running(),
                 mQueue.waitingByRank(EndpointLoad.RANKS),
-                Math.max(mWork.mean(), AGE_FACTOR * mAges.meanMillis(System.nanoTime())),
+                mWork.mean() * slowness(),
                 (int) (mFailures * PERCENT));
     }
 
+    /** Returns how long the backend server works on calls of the same route, in milliseconds. */
+    double workMillis(HopCall call) {
+        return queued(call).workMillis() * slowness();
+    }
+
+    /** Returns how many times slower than its past answers the backend server shows to be now. */
+    private double slowness() {
+        double mean = mWork.mean();
+        double now = AGE_FACTOR * mAges.meanMillis(System.nanoTime());
+        return mean > 0 ? Math.max(1, now / mean) : 1;
+    }
+
     /** Returns the number of calls that the backend server works on. */
     public int running() {
         return mQueue.running();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -175,7 +175,8 @@
         own.load(mDesk.load(), now);
         return mPlacement.choose(
                 mDirectory.endpoints(),
-                new Placement.Request(service, route.rank(), route.targetMillis(), bytes, tried),
+                new Placement.Request(
+                        service, route.name(), route.rank(), route.targetMillis(), bytes, tried),
                 now);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -444,6 +444,10 @@
 
         @Override
         public void answered(BackendAnswer answer) {
+            RouteRule route = mRoute;
+            if (route != null) {
+                mEndpoint.worked(route.name(), answer.workMillis());
+            }
             if (close(answer.failed())) {
                 EntryCall.this.answered(this, answer);
             }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -110,7 +110,8 @@
                 answer.status(),
                 answer.headers(),
                 ByteBuffer.wrap(answer.body()),
-                toWire(load));
+                toWire(load),
+                (int) (answer.workMillis() * MICROS_PER_MILLI));
     }
 
     /** Returns the frame's form of a failure. */
@@ -126,7 +127,11 @@
     }
 
     static BackendAnswer fromWire(WireHopAnswer wire) {
-        return new BackendAnswer(wire.getStatus(), wire.getHeaders(), wire.getBody());
+        return new BackendAnswer(
+                wire.getStatus(),
+                wire.getHeaders(),
+                wire.getBody(),
+                wire.getWorkMicros() / MICROS_PER_MILLI);
     }
 
     static AttemptFailure fromWire(WireHopFailure wire) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -1,5 +1,7 @@
 package org.azurearch.sidecar.route;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.NodeRecord;
 
@@ -23,6 +25,11 @@
     private final boolean mLocal;
     private NodeRecord mRecord;
     private boolean mConnected;
+
+    /** Routes held at the most; a VM's callers use a few at a time. */
+    private static final int MAX_ROUTES = 256;
+
+    private final Map<String, Double> mRouteMillis = new HashMap<>();
     private final int[] mMine = new int[EndpointLoad.RANKS];
     private int[] mMineAtReport = new int[EndpointLoad.RANKS];
     private EndpointLoad mLoad = EndpointLoad.UNKNOWN;
@@ -71,6 +78,7 @@
         if (now != null && (before == null || !before.instance().equals(now.instance()))) {
             mFailures = 0;
             mLoad = EndpointLoad.UNKNOWN;
+            mRouteMillis.clear();
             mWarmNanos = nowNanos + now.warmingMillis() * NANOS_PER_MILLI;
         }
     }
@@ -109,6 +117,14 @@
         mMineAtReport = mMine.clone();
     }
 
+    /** Takes note of how long the backend server works on a request of a route. */
+    public void worked(String route, double workMillis) {
+        if (mRouteMillis.size() >= MAX_ROUTES) {
+            mRouteMillis.clear();
+        }
+        mRouteMillis.put(route, workMillis);
+    }
+
     /** Takes the outcome of a request: whether the endpoint failed. */
     public void outcome(boolean failed, long nowNanos) {
         mFailures += NEW_WEIGHT * ((failed ? 1 : 0) - mFailures);
@@ -123,22 +139,25 @@
         return Math.max(own, mLoad.failurePercent() / 100.0 * fresh(nowNanos, mReportedNanos));
     }
 
-    /** Returns how long its backend server works on a request on average; 0 if not known. */
-    public double workMillis() {
-        return mLoad.workMillis();
+    /** Returns how long its backend server works on a request of a route; 0 if not known. */
+    public double workMillis(String route) {
+        return mRouteMillis.getOrDefault(route, 0.0);
     }
 
     /**
      * Returns how long a further request is expected to take there, in milliseconds. Less urgent
      * ones that wait there do not count, as it goes before them.
      *
+     * @param route the name of its route
      * @param rank the rank of the request
      * @param guessMillis the work of a request while nothing is known of the endpoint
      */
-    public double expectedMillis(int rank, double guessMillis, long nowNanos) {
+    public double expectedMillis(String route, int rank, double guessMillis, long nowNanos) {
         BackendRecord backend = mRecord.backend();
         int slots = Math.max(1, backend == null ? 1 : backend.slots());
-        double work = mLoad.workMillis() > 0 ? mLoad.workMillis() : guessMillis;
+        double known = workMillis(route);
+        double work = known > 0 ? known : guessMillis;
+        double others = mLoad.workMillis() > 0 ? mLoad.workMillis() : work;
         double reported =
                 (mLoad.running() + mLoad.waitingUpTo(rank)) * fresh(nowNanos, mReportedNanos);
         int mine = upTo(rank, mMine);
@@ -146,7 +165,7 @@
         double over = Math.max(0, busy + 1 - slots);
         double crowding = Math.min(1, busy / slots);
         work *= mWarmNanos - nowNanos > 0 ? COLD_FACTOR : 1;
-        return work * (1 + over / slots + CROWDING_WEIGHT * crowding);
+        return work * (1 + CROWDING_WEIGHT * crowding) + others * over / slots;
     }
 
     private static int upTo(int rank, int[] counts) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
@@ -50,13 +50,19 @@
      * A request to be placed.
      *
      * @param service the service it is for
+     * @param route the name of its route
      * @param rank the rank of its route; 0 is the most urgent
      * @param targetMillis the target of its route
      * @param answerBytes how large its answer is expected to be
      * @param tried nodes that are not asked again
      */
     public record Request(
-            String service, int rank, long targetMillis, double answerBytes, Set<String> tried) {}
+            String service,
+            String route,
+            int rank,
+            long targetMillis,
+            double answerBytes,
+            Set<String> tried) {}
 
     /** Returns the endpoint for a request, or null when none takes it. */
     public @Nullable EndpointState choose(
@@ -73,7 +79,7 @@
             if (!endpoint.takes(request.service()) || request.tried().contains(endpoint.node())) {
                 continue;
             }
-            double cost = endpoint.expectedMillis(request.rank(), guess, nowNanos);
+            double cost = endpoint.expectedMillis(request.route(), request.rank(), guess, nowNanos);
             cost *= 1 + FAILURE_WEIGHT * (endpoint.failures(nowNanos) - usualFailures);
             cost *= 1 + JITTER * mRandom.nextDouble();
             cost += endpoint.local() ? 0 : part * request.targetMillis();
@@ -108,8 +114,9 @@
         double sum = 0;
         int known = 0;
         for (EndpointState endpoint : endpoints) {
-            if (endpoint.takes(request.service()) && endpoint.workMillis() > 0) {
-                sum += endpoint.workMillis();
+            double work = endpoint.workMillis(request.route());
+            if (endpoint.takes(request.service()) && work > 0) {
+                sum += work;
                 known++;
             }
         }
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField HEADERS_FIELD_DESC = new org.apache.thrift.protocol.TField("headers", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRING, (short)4);
   private static final org.apache.thrift.protocol.TField LOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("load", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField WORK_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("workMicros", org.apache.thrift.protocol.TType.I32, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireHopAnswerStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireHopAnswerTupleSchemeFactory();
@@ -27,6 +28,10 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> headers; // required
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
   public @org.apache.thrift.annotation.Nullable WireLoad load; // required
+  /**
+   * How long the backend server works on a request of the route.
+   */
+  public int workMicros; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +39,11 @@
     STATUS((short)2, "status"),
     HEADERS((short)3, "headers"),
     BODY((short)4, "body"),
-    LOAD((short)5, "load");
+    LOAD((short)5, "load"),
+    /**
+     * How long the backend server works on a request of the route.
+     */
+    WORK_MICROS((short)6, "workMicros");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +69,8 @@
           return BODY;
         case 5: // LOAD
           return LOAD;
+        case 6: // WORK_MICROS
+          return WORK_MICROS;
         default:
           return null;
       }
@@ -105,6 +116,7 @@
   // isset id assignments
   private static final int __ID_ISSET_ID = 0;
   private static final int __STATUS_ISSET_ID = 1;
+  private static final int __WORKMICROS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -120,6 +132,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     tmpMap.put(_Fields.LOAD, new org.apache.thrift.meta_data.FieldMetaData("load", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireLoad.class)));
+    tmpMap.put(_Fields.WORK_MICROS, new org.apache.thrift.meta_data.FieldMetaData("workMicros", org.apache.thrift.TFieldRequirementType.REQUIRED, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireHopAnswer.class, metaDataMap);
   }
@@ -132,7 +146,8 @@
     int status,
     java.util.List<java.lang.String> headers,
     java.nio.ByteBuffer body,
-    WireLoad load)
+    WireLoad load,
+    int workMicros)
   {
     this();
     this.id = id;
@@ -142,6 +157,8 @@
     this.headers = headers;
     this.body = org.apache.thrift.TBaseHelper.copyBinary(body);
     this.load = load;
+    this.workMicros = workMicros;
+    setWorkMicrosIsSet(true);
   }
 
   /**
@@ -161,6 +178,7 @@
     if (other.isSetLoad()) {
       this.load = new WireLoad(other.load);
     }
+    this.workMicros = other.workMicros;
   }
 
   @Override
@@ -177,6 +195,8 @@
     this.headers = null;
     this.body = null;
     this.load = null;
+    setWorkMicrosIsSet(false);
+    this.workMicros = 0;
   }
 
   public long getId() {
@@ -325,6 +345,35 @@
     }
   }
 
+  /**
+   * How long the backend server works on a request of the route.
+   */
+  public int getWorkMicros() {
+    return this.workMicros;
+  }
+
+  /**
+   * How long the backend server works on a request of the route.
+   */
+  public WireHopAnswer setWorkMicros(int workMicros) {
+    this.workMicros = workMicros;
+    setWorkMicrosIsSet(true);
+    return this;
+  }
+
+  public void unsetWorkMicros() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WORKMICROS_ISSET_ID);
+  }
+
+  /** Returns true if field workMicros is set (has been assigned a value) and false otherwise */
+  public boolean isSetWorkMicros() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WORKMICROS_ISSET_ID);
+  }
+
+  public void setWorkMicrosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WORKMICROS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -372,6 +421,14 @@
       }
       break;
 
+    case WORK_MICROS:
+      if (value == null) {
+        unsetWorkMicros();
+      } else {
+        setWorkMicros((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -394,6 +451,9 @@
     case LOAD:
       return getLoad();
 
+    case WORK_MICROS:
+      return getWorkMicros();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -416,6 +476,8 @@
       return isSetBody();
     case LOAD:
       return isSetLoad();
+    case WORK_MICROS:
+      return isSetWorkMicros();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -478,6 +540,15 @@
         return false;
     }
 
+    boolean this_present_workMicros = true;
+    boolean that_present_workMicros = true;
+    if (this_present_workMicros || that_present_workMicros) {
+      if (!(this_present_workMicros && that_present_workMicros))
+        return false;
+      if (this.workMicros != that.workMicros)
+        return false;
+    }
+
     return true;
   }
 
@@ -501,6 +572,8 @@
     if (isSetLoad())
       hashCode = hashCode * 8191 + load.hashCode();
 
+    hashCode = hashCode * 8191 + workMicros;
+
     return hashCode;
   }
 
@@ -562,6 +635,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWorkMicros(), other.isSetWorkMicros());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWorkMicros()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.workMicros, other.workMicros);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -617,6 +700,10 @@
       sb.append(this.load);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("workMicros:");
+    sb.append(this.workMicros);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -634,6 +721,7 @@
     if (load == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'load' was not present! Struct: " + toString());
     }
+    // alas, we cannot check 'workMicros' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
     if (load != null) {
       load.validate();
@@ -729,6 +817,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // WORK_MICROS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.workMicros = iprot.readI32();
+              struct.setWorkMicrosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -743,6 +839,9 @@
       if (!struct.isSetStatus()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'status' was not found in serialized data! Struct: " + toString());
       }
+      if (!struct.isSetWorkMicros()) {
+        throw new org.apache.thrift.protocol.TProtocolException("Required field 'workMicros' was not found in serialized data! Struct: " + toString());
+      }
       struct.validate();
     }
 
@@ -779,6 +878,9 @@
         struct.load.write(oprot);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(WORK_MICROS_FIELD_DESC);
+      oprot.writeI32(struct.workMicros);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -808,6 +910,7 @@
       }
       oprot.writeBinary(struct.body);
       struct.load.write(oprot);
+      oprot.writeI32(struct.workMicros);
     }
 
     @Override
@@ -833,6 +936,8 @@
       struct.load = new WireLoad();
       struct.load.read(iprot);
       struct.setLoadIsSet(true);
+      struct.workMicros = iprot.readI32();
+      struct.setWorkMicrosIsSet(true);
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -58,6 +58,8 @@
   3: required list<string> headers
   4: required binary body
   5: required WireLoad load
+  /** How long the backend server works on a request of the route. */
+  6: required i32 workMicros
 }
 
 /** Why there is no answer from the backend server. */
