Look at a few distant endpoints only, and say what follows a failure

Placement now looks at all endpoints of its own data centre and at six others chosen at random.

ATTEMPT_FAILED printed the number of tried nodes under next=; it now says the node that is asked beside, another or none. Counters are kept instead of being looked up by a joined name for each call.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -65,6 +67,22 @@
         assertEquals(mNear, mPlacement.choose(List.of(mNear, mFar), request, 1));
     }
 
+    @Test
+    void staysNearAmongManyDistantOnesAndSpreadsOverThemWhenItMustLeave() {
+        List<EndpointState> all = new ArrayList<>(List.of(mNear));
+        for (int i = 0; i < 60; i++) {
+            all.add(endpoint("far-" + i, false));
+        }
+        Placement.Request request = new Placement.Request("stock", "r", 2, 300, 5_000, Set.of());
+        assertEquals(mNear, mPlacement.choose(all, request, 1));
+        mNear.load(new EndpointLoad(4, 4, List.of(0, 0, 20, 0), 100, 0), 0);
+        Set<EndpointState> chosen = new HashSet<>();
+        for (int i = 0; i < 600; i++) {
+            chosen.add(mPlacement.choose(all, request, 1));
+        }
+        assertTrue(chosen.size() > 50, "spread over " + chosen.size());
+    }
+
     @Test
     void asksNobodyTwiceAndNobodyThatLeaves() {
         assertEquals(mFar, choose(Set.of("near")));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallMetrics.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallMetrics.java
@@ -17,16 +17,19 @@
 
     private final MetricRegistry mRegistry;
     private final Map<String, Histogram> mByRoute = new HashMap<>();
+    private final Map<Integer, Counter> mByStatus = new HashMap<>();
     private final Counter mRetried;
+    private final Counter mCancelled;
 
     CallMetrics(MetricRegistry registry) {
         mRegistry = registry;
         mRetried = registry.counter("calls.retried");
+        mCancelled = registry.counter("calls.cancelled");
     }
 
     /** Counts a call that has ended. */
     void ended(String route, int status, long nanos) {
-        mRegistry.counter("calls.status." + status).inc();
+        mByStatus.computeIfAbsent(status, code -> mRegistry.counter("calls.status." + code)).inc();
         Histogram histogram = mByRoute.get(route);
         if (histogram == null && mByRoute.size() < MAX_ROUTES) {
             histogram = Histograms.calls(mRegistry, MESH, route);
@@ -44,6 +47,6 @@
 
     /** Counts a call whose caller left. */
     void cancelled() {
-        mRegistry.counter("calls.cancelled").inc();
+        mCancelled.inc();
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -50,6 +50,11 @@
     private static final int TOO_LARGE = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code();
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** What follows a failed sending, for the log. */
+    private static final String ANOTHER = "another";
+
+    private static final String NONE = "none";
+
     /** Gives the outcome to the caller. */
     interface Answerer {
         /** Passes on a backend server's answer. */
@@ -140,7 +145,7 @@
         Sending silent = mOpen.get(0);
         EndpointState second = mRouter.choose(route, mService, mTried);
         if (second != null) {
-            logAttempt(silent, "SILENT", Verdict.MAY_HAVE_RUN, "a second one is asked");
+            logAttempt(silent, "SILENT", Verdict.MAY_HAVE_RUN, second.node(), "no answer yet");
             mRouter.metrics().retried();
             send(route, second);
         }
@@ -222,7 +227,12 @@
         if (!mOpen.isEmpty()) {
             return;
         }
-        logAttempt(sending, "BACKEND_SERVER_FAILED", Verdict.RAN, "status " + answer.status());
+        logAttempt(
+                sending,
+                "BACKEND_SERVER_FAILED",
+                Verdict.RAN,
+                ANOTHER,
+                "status " + answer.status());
         mRouter.metrics().retried();
         place(null);
     }
@@ -242,7 +252,8 @@
                 sending,
                 failure.code().name(),
                 failure.verdict(),
-                failure.detail() + (again ? "" : " (last)"));
+                again ? ANOTHER : NONE,
+                failure.detail());
         if (!again) {
             giveUp(failure);
             return;
@@ -346,7 +357,8 @@
         List.copyOf(mOpen).forEach(Sending::stop);
     }
 
-    private void logAttempt(Sending sending, String code, Verdict verdict, String detail) {
+    private void logAttempt(
+            Sending sending, String code, Verdict verdict, String next, String detail) {
         mRouter.log()
                 .failure(
                         SidecarEvent.ATTEMPT_FAILED,
@@ -355,7 +367,7 @@
                         mPlacements,
                         code,
                         verdict.headerValue(),
-                        mTried.size(),
+                        next,
                         detail);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/Placement.java
@@ -1,6 +1,8 @@
 package org.azurearch.sidecar.route;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +37,12 @@
     /** Part by which estimates are varied, so that nodes do not all choose the same endpoint. */
     private static final double JITTER = 0.1;
 
+    /**
+     * Endpoints of other data centres that are looked at for one request. The best of six chosen at
+     * random is among the best sixth of them in two cases of three.
+     */
+    private static final int MAX_DISTANT = 6;
+
     private final RandomGenerator mRandom;
 
     /**
@@ -67,18 +75,16 @@
     /** Returns the endpoint for a request, or null when none takes it. */
     public @Nullable EndpointState choose(
             Collection<EndpointState> endpoints, Request request, long nowNanos) {
+        List<EndpointState> candidates = candidates(endpoints, request);
         EndpointState best = null;
         double bestCost = Double.MAX_VALUE;
-        double guess = usualWork(endpoints, request);
-        double usualFailures = leastFailures(endpoints, request, nowNanos);
+        double guess = usualWork(candidates, request);
+        double usualFailures = leastFailures(candidates, nowNanos);
         double part =
                 Math.min(
                         MAX_DISTANCE_PART,
                         MIN_DISTANCE_PART + request.answerBytes() / 1024 * DISTANCE_PART_PER_KB);
-        for (EndpointState endpoint : endpoints) {
-            if (!endpoint.takes(request.service()) || request.tried().contains(endpoint.node())) {
-                continue;
-            }
+        for (EndpointState endpoint : candidates) {
             double cost = endpoint.expectedMillis(request.route(), request.rank(), guess, nowNanos);
             cost *= 1 + FAILURE_WEIGHT * (endpoint.failures(nowNanos) - usualFailures);
             cost *= 1 + JITTER * mRandom.nextDouble();
@@ -91,17 +97,43 @@
         return best;
     }
 
+    /**
+     * Returns all endpoints of the data centre that take a request, and some of the others: where
+     * there are many, a few of them serve as well as all, and looking at all takes longer than the
+     * rest of a call.
+     */
+    private List<EndpointState> candidates(Collection<EndpointState> endpoints, Request request) {
+        List<EndpointState> candidates = new ArrayList<>();
+        List<EndpointState> distant = new ArrayList<>();
+        int seen = 0;
+        for (EndpointState endpoint : endpoints) {
+            if (!endpoint.takes(request.service()) || request.tried().contains(endpoint.node())) {
+                continue;
+            }
+            if (endpoint.local()) {
+                candidates.add(endpoint);
+            } else if (distant.size() < MAX_DISTANT) {
+                distant.add(endpoint);
+                seen++;
+            } else {
+                int place = mRandom.nextInt(++seen);
+                if (place < MAX_DISTANT) {
+                    distant.set(place, endpoint);
+                }
+            }
+        }
+        candidates.addAll(distant);
+        return candidates;
+    }
+
     /**
      * Returns the part of requests that fail wherever they go, as when a service that all of them
      * call is in trouble: going elsewhere is no remedy against that.
      */
-    private static double leastFailures(
-            Collection<EndpointState> endpoints, Request request, long nowNanos) {
+    private static double leastFailures(List<EndpointState> candidates, long nowNanos) {
         double least = 1;
-        for (EndpointState endpoint : endpoints) {
-            if (endpoint.takes(request.service()) && !request.tried().contains(endpoint.node())) {
-                least = Math.min(least, endpoint.failures(nowNanos));
-            }
+        for (EndpointState endpoint : candidates) {
+            least = Math.min(least, endpoint.failures(nowNanos));
         }
         return least;
     }
@@ -110,12 +142,12 @@
      * Returns the work of a request at the endpoints that are known, so that a new one is as likely
      * to be chosen as they are.
      */
-    private static double usualWork(Collection<EndpointState> endpoints, Request request) {
+    private static double usualWork(List<EndpointState> candidates, Request request) {
         double sum = 0;
         int known = 0;
-        for (EndpointState endpoint : endpoints) {
+        for (EndpointState endpoint : candidates) {
             double work = endpoint.workMillis(request.route());
-            if (endpoint.takes(request.service()) && work > 0) {
+            if (work > 0) {
                 sum += work;
                 known++;
             }
