Ask the only backend server again after a reset connection

A backend server that forgets idle connections resets what is sent next on one. Where it was the only one of its service that could be reached, an idempotent call then ended with 502: nodes that were tried are not asked again.

Where no other is left and the request may have run, the same backend server is asked once more on another connection, within the route's attempts and the shared bound. ConnectionTest also covers answers before a long body was read, and settings that are read again: the latter failed once since reloading returned before the new settings held (calls are read before queued tasks); it now returns when they do.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -166,14 +166,13 @@
                 .join();
     }
 
-    /** Goes over to settings that were read again; addresses stay as they are. */
+    /**
+     * Goes over to settings that were read again; addresses stay as they are. Calls that begin
+     * after this returns go by them.
+     */
     public void reload(SidecarSettings settings) {
-        mLoop.execute(
-                () -> {
-                    mRouter.service(settings.service());
-                    EventLog.log(
-                            SidecarEvent.RELOADED, settings.service(), settings.backend().name());
-                });
+        CompletableFuture.runAsync(() -> mRouter.service(settings.service()), mLoop).join();
+        EventLog.log(SidecarEvent.RELOADED, settings.service(), settings.backend().name());
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -143,7 +143,7 @@
             return;
         }
         Sending silent = mOpen.get(0);
-        EndpointState second = mRouter.choose(route, mService, mTried);
+        EndpointState second = choose(route, mTried);
         if (second != null) {
             logAttempt(silent, "SILENT", Verdict.MAY_HAVE_RUN, second.node(), "no answer yet");
             mRouter.metrics().retried();
@@ -174,8 +174,10 @@
         if (route == null || mDone) {
             return;
         }
-        EndpointState endpoint =
-                mPlacements >= MAX_PLACEMENTS ? null : mRouter.choose(route, mService, mTried);
+        EndpointState endpoint = mPlacements >= MAX_PLACEMENTS ? null : choose(route, mTried);
+        if (endpoint == null && mMayHaveRun && mayPlaceAgain(route)) {
+            endpoint = choose(route, Set.of());
+        }
         if (endpoint == null) {
             giveUp(last);
             return;
@@ -183,6 +185,18 @@
         send(route, endpoint);
     }
 
+    private @Nullable EndpointState choose(RouteRule route, Set<String> tried) {
+        return mRouter.choose(route, mService, tried);
+    }
+
+    /**
+     * Says whether a backend server may get the request once more because there is no other one: it
+     * lost the answer or reset a connection that had stood idle, and a new one may do.
+     */
+    private boolean mayPlaceAgain(RouteRule route) {
+        return route.idempotent() && mPlacements < MAX_PLACEMENTS && mArrivals < route.attempts();
+    }
+
     private void send(RouteRule route, EndpointState endpoint) {
         mPlacements++;
         mTried.add(endpoint.node());
