Hold a departure that names no start against late heartbeats

A node restarted, its backend server said goodbye before its first heartbeat there (so without a known start; the message has no body), and 2.3 s later a delayed heartbeat of the same run was taken for a new run, since any start is later than an unknown one.

A departure without a start now holds for all runs that started before it by the time of day, also where the run is only remembered from before the restart. Two tests of BackendTracker failed before. Left open: a restart between the departure and the late heartbeat.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
@@ -11,6 +11,7 @@
 
 /** Heartbeats late, crossed, of other runs and of other writers. */
 class BackendTrackerTest {
+    private static final long NOW = 1_000;
     private static final NetAddress ADDRESS = new NetAddress("127.0.0.1", 8080);
 
     private final BackendTracker mTracker = new BackendTracker();
@@ -40,7 +41,7 @@
     @Test
     void aDepartedRunNeverComesBack() {
         mTracker.report(report("a", 10, 1, false));
-        assertEquals(Change.CHANGED, mTracker.departed("a", 10));
+        assertEquals(Change.CHANGED, mTracker.departed("a", 10, NOW));
         assertEquals(Change.STALE, mTracker.report(report("a", 10, 9, false)));
         assertNull(mTracker.current());
     }
@@ -48,7 +49,7 @@
     @Test
     void theSameNameMayStartAgain() {
         mTracker.report(report("a", 10, 7, false));
-        mTracker.departed("a", 10);
+        mTracker.departed("a", 10, NOW);
         assertEquals(Change.CHANGED, mTracker.report(report("a", 20, 1, false)));
         assertTrue(mTracker.ready());
     }
@@ -74,11 +75,29 @@
     @Test
     void aDepartureOfAnotherRunLeavesTheCurrentOne() {
         mTracker.report(report("a", 20, 1, false));
-        assertEquals(Change.NONE, mTracker.departed("b", 10));
-        assertEquals(Change.NONE, mTracker.departed("a", 10));
+        assertEquals(Change.NONE, mTracker.departed("b", 10, NOW));
+        assertEquals(Change.NONE, mTracker.departed("a", 10, NOW));
         assertTrue(mTracker.ready());
     }
 
+    @Test
+    void aDepartureThatNamesNoStartHoldsForTheRunsBeforeIt() {
+        mTracker.departed("a", 0, NOW);
+        assertEquals(Change.STALE, mTracker.report(report("a", 10, 27, false)));
+        assertEquals(Change.CHANGED, mTracker.report(report("a", NOW + 1, 1, false)));
+    }
+
+    @Test
+    void aDepartureThatNamesNoStartEndsARememberedRun() {
+        BackendRecord remembered = new BackendRecord("stock", "a", 4, true, 0);
+        assertEquals(Change.CHANGED, mTracker.assume(BackendReport.assumed(remembered, ADDRESS)));
+        assertTrue(mTracker.ready());
+        assertEquals(Change.CHANGED, mTracker.departed("a", 0, NOW));
+        assertEquals(Change.STALE, mTracker.report(report("a", 10, 27, false)));
+        assertFalse(mTracker.ready());
+        assertEquals(Change.NONE, mTracker.assume(BackendReport.assumed(remembered, ADDRESS)));
+    }
+
     private static BackendReport report(
             String instance, long born, long sequence, boolean leaving) {
         return new BackendReport(instance, born, sequence, "stock", ADDRESS, 4, leaving, 0);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendWatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendWatch.java
@@ -84,7 +84,7 @@
         BackendReport report = message.report();
         if (report == null) {
             mDeparted = true;
-            changed(mTracker.departed(message.instance(), message.bornMillis()), "departed");
+            changed(departed(message), "departed");
         } else if (!plausible(report)) {
             return PlainHttpServer.Reply.of(HttpResponseStatus.BAD_REQUEST.code());
         } else {
@@ -111,6 +111,11 @@
         changed(mTracker.unreachable(), "replaced");
     }
 
+    private BackendTracker.Change departed(BackendReportCodec.Message message) {
+        return mTracker.departed(
+                message.instance(), message.bornMillis(), System.currentTimeMillis());
+    }
+
     private void probe() {
         BackendDesk desk = mDesk;
         RouteSet config = mConfigs.current();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -2,7 +2,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -12,6 +15,7 @@
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.config.RouteRule;
 import org.azurearch.sidecar.config.RouteSet;
+import org.azurearch.sidecar.internal.HeaderList;
 import org.azurearch.sidecar.internal.backend.BackendDesk;
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.mesh.ConfigKeeper;
@@ -118,8 +122,19 @@
         return mLog;
     }
 
-    String service() {
-        return mService;
+    /**
+     * Returns the headers that go on with a request, with the caller's service set by this node.
+     */
+    List<String> onward(HttpHeaders received) {
+        Set<String> dropped =
+                Set.of(
+                        mDialect.callerService(),
+                        mDialect.deadlineMillis(),
+                        mDialect.expectedInstance());
+        List<String> headers = new ArrayList<>(HeaderList.onward(received, dropped));
+        headers.add(mDialect.callerService());
+        headers.add(mService);
+        return headers;
     }
 
     @Nullable RouteSet config() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -20,7 +20,6 @@
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.config.RouteRule;
 import org.azurearch.sidecar.config.RouteSet;
-import org.azurearch.sidecar.internal.HeaderList;
 import org.azurearch.sidecar.route.EndpointState;
 import org.jspecify.annotations.Nullable;
 
@@ -125,7 +124,7 @@
         }
         mEndNanos = mStartedNanos + millis * NANOS_PER_MILLI;
         mBody = ByteBufUtil.getBytes(mRequest.content());
-        mHeaders = onward();
+        mHeaders = mRouter.onward(mRequest.headers());
         mService = mRouter.pick(route);
         mRouter.requested(mService);
         mTimeout = mRouter.loop().schedule(this::timedOut, millis, TimeUnit.MILLISECONDS);
@@ -401,19 +400,6 @@
                 FROM_BACKEND);
     }
 
-    private List<String> onward() {
-        String caller = mRouter.dialect().callerService();
-        Set<String> dropped =
-                Set.of(
-                        caller,
-                        mRouter.dialect().deadlineMillis(),
-                        mRouter.dialect().expectedInstance());
-        List<String> headers = new ArrayList<>(HeaderList.onward(mRequest.headers(), dropped));
-        headers.add(caller);
-        headers.add(mRouter.service());
-        return headers;
-    }
-
     private long deadlineMillis(RouteRule route) {
         String text = mRequest.headers().get(mRouter.dialect().deadlineMillis());
         if (text == null) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
@@ -67,13 +67,17 @@
      * Takes note that a backend server is gone.
      *
      * @param instance identifies the backend server
-     * @param bornMillis its start; 0 if not said, which means the run that is known
+     * @param bornMillis its start; 0 if not said, which means the run that is known, or where none
+     *     is, any that started before now
+     * @param nowMillis the time of day, in milliseconds since the epoch
      */
-    public Change departed(String instance, long bornMillis) {
+    public Change departed(String instance, long bornMillis, long nowMillis) {
         BackendReport current = mCurrent;
         boolean isCurrent = current != null && current.instance().equals(instance);
-        long born =
-                bornMillis == 0 && current != null && isCurrent ? current.bornMillis() : bornMillis;
+        boolean knownRun =
+                current != null && isCurrent && current.sequence() != BackendReport.ASSUMED;
+        long lastRun = current != null && knownRun ? current.bornMillis() : nowMillis;
+        long born = bornMillis == 0 ? lastRun : bornMillis;
         if (mDeparted.size() >= MAX_DEPARTED) {
             mDeparted.clear();
         }
