--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
@@ -88,7 +88,7 @@
     }
 
     @Test
-    void aDepartureThatNamesNoStartEndsARememberedRun() {
+    void aDepartureThatNamesNoStartEndsTheRememberedRun() {
         BackendRecord remembered = new BackendRecord("stock", "a", 4, true, 0);
         assertEquals(Change.CHANGED, mTracker.assume(BackendReport.assumed(remembered, ADDRESS)));
         assertTrue(mTracker.ready());
