Share what the sidecar had written again

The sidecar's code repeated pieces that the product has: a sixth copy of taking a failure out of its CompletionException, a token bucket in RetryAllowance and one in CallLog beside those of RetryBudget and RateLimit, Thrift bytes in NodeRegistration beside ThriftBytes, and a hash of name, incarnation and sequence beside Hashes.

Completions.cause now serves all six places, TokenBucket all four, and NodeRegistration and NodeTable call ThriftBytes and Hashes. FrameCodec keeps its own serializers, as it reuses them for each frame. Behaviour stays, but that a record from the store with bytes left over is now refused as unreadable, and digests have other values, alike on all nodes.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallLog.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallLog.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.call;
 
 import org.azurearch.events.EventLog;
+import org.azurearch.lib.TokenBucket;
 import org.azurearch.sidecar.SidecarEvent;
 
 /**
@@ -16,7 +17,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long REPORT_NANOS = 1_000_000_000L;
 
-    private double mTokens = BURST;
+    private final TokenBucket mTokens = new TokenBucket(BURST);
     private long mLastNanos = System.nanoTime();
     private long mReportedNanos = mLastNanos;
     private int mAnswered;
@@ -36,14 +37,12 @@
 
     private boolean take() {
         long now = System.nanoTime();
-        mTokens =
-                Math.min(BURST, mTokens + (now - mLastNanos) / NANOS_PER_SECOND * LINES_PER_SECOND);
+        mTokens.add((now - mLastNanos) / NANOS_PER_SECOND * LINES_PER_SECOND, BURST);
         mLastNanos = now;
-        if (mTokens < 1) {
+        if (!mTokens.tryTake()) {
             mDropped++;
             return false;
         }
-        mTokens--;
         if (mDropped > 0 && now - mReportedNanos > REPORT_NANOS) {
             EventLog.log(SidecarEvent.CALL_LINES_DROPPED, mDropped);
             mDropped = 0;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -6,13 +6,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.apache.thrift.TDeserializer;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
-import org.azurearch.errors.AzurearchException;
-import org.azurearch.errors.ErrorCode;
+import org.azurearch.errors.Completions;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.hop.HopWire;
 import org.azurearch.sidecar.member.NodeRecord;
@@ -63,14 +59,17 @@
 
     /** Keeps what this node knows of its backend server; a failed write is not repeated. */
     void keep(NodeRecord self) {
-        mLog.append(KeyedLog.Stream.NODES, self.node() + BACKEND_KEY, encode(self))
+        mLog.append(
+                        KeyedLog.Stream.NODES,
+                        self.node() + BACKEND_KEY,
+                        ThriftBytes.write(HopWire.toWire(self)))
                 .whenComplete(
                         (done, failure) -> {
                             if (failure != null) {
                                 EventLog.log(
                                         SidecarEvent.STORE_DOWN,
                                         "keep backend",
-                                        StoreReader.cause(failure).toString());
+                                        Completions.cause(failure).toString());
                             }
                         });
     }
@@ -87,7 +86,7 @@
     }
 
     private void write() {
-        mLog.append(KeyedLog.Stream.NODES, mSelf.node(), encode(mSelf))
+        mLog.append(KeyedLog.Stream.NODES, mSelf.node(), ThriftBytes.write(HopWire.toWire(mSelf)))
                 .whenComplete(
                         (done, failure) -> {
                             if (failure != null) {
@@ -119,7 +118,8 @@
                 continue;
             }
             try {
-                mFound.accept(decode(record.value()));
+                mFound.accept(
+                        HopWire.fromWire(ThriftBytes.read(new WireNodeRecord(), record.value())));
             } catch (RuntimeException e) {
                 EventLog.log(
                         SidecarEvent.STORE_RECORD_UNREADABLE,
@@ -134,26 +134,7 @@
 
     private void retry(String what, Throwable failure, Runnable again) {
         long millis = mBackoff.next().toMillis();
-        EventLog.log(SidecarEvent.STORE_DOWN, what, StoreReader.cause(failure).toString());
+        EventLog.log(SidecarEvent.STORE_DOWN, what, Completions.cause(failure).toString());
         mLoop.schedule(again, millis, TimeUnit.MILLISECONDS);
     }
-
-    private static byte[] encode(NodeRecord record) {
-        try {
-            return new TSerializer(new TCompactProtocol.Factory())
-                    .serialize(HopWire.toWire(record));
-        } catch (TException e) {
-            throw new AzurearchException(ErrorCode.INTERNAL, "record cannot be encoded", e);
-        }
-    }
-
-    private static NodeRecord decode(byte[] value) {
-        WireNodeRecord wire = new WireNodeRecord();
-        try {
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(wire, value);
-        } catch (TException e) {
-            throw new AzurearchException(ErrorCode.CORRUPT, "malformed record", e);
-        }
-        return HopWire.fromWire(wire);
-    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -4,9 +4,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.Completions;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
@@ -124,12 +124,6 @@
         mActive = false;
     }
 
-    /** Returns what a stage of a future failed with. */
-    static Throwable cause(Throwable failure) {
-        Throwable cause = failure.getCause();
-        return failure instanceof CompletionException && cause != null ? cause : failure;
-    }
-
     /** Takes the last record of the key; those before it are outdated already. */
     private void take(List<KeyedRecord> records) {
         for (int i = records.size() - 1; i >= 0; i--) {
@@ -145,7 +139,7 @@
         if (mClosed) {
             return;
         }
-        Throwable failure = cause(wrapped);
+        Throwable failure = Completions.cause(wrapped);
         boolean gone =
                 failure instanceof AzurearchException known
                         && known.code() == ErrorCode.OFFSET_REMOVED;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
@@ -6,12 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.azurearch.internal.member.Hashes;
 import org.jspecify.annotations.Nullable;
 
 /** The newest record of every node. Confined to one thread. */
 public final class NodeTable {
-    private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L; // golden ratio, spreads bits
-
     private final String mSelf;
     private final Map<String, NodeRecord> mRecords = new TreeMap<>();
     private final Map<String, Long> mChangedNanos = new HashMap<>();
@@ -71,21 +70,12 @@
         return mRecords.values();
     }
 
-    /** Returns all records but the one of this node. */
-    public List<NodeRecord> others() {
-        List<NodeRecord> others = new ArrayList<>(mRecords.values());
-        others.removeIf(record -> record.node().equals(mSelf));
-        return others;
-    }
-
     /** Returns a number that is equal for equal tables. */
     public long digest() {
         return mDigest;
     }
 
     private static long hash(NodeRecord record) {
-        long hash = record.node().hashCode();
-        hash = hash * HASH_FACTOR + record.incarnation();
-        return (hash * HASH_FACTOR + record.sequence()) * HASH_FACTOR;
+        return Hashes.of(record.node(), record.incarnation(), record.sequence());
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/RetryAllowance.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/RetryAllowance.java
@@ -1,5 +1,7 @@
 package org.azurearch.sidecar.route;
 
+import org.azurearch.lib.TokenBucket;
+
 /**
  * Bounds how often this node sends requests for a service to a second backend server. All nodes
  * share one bound: a part of the requests, and a reserve in each window. This node uses its own
@@ -14,7 +16,7 @@
 
     private final double mPerRequest;
     private final double mReserve;
-    private double mTokens;
+    private final TokenBucket mTokens = new TokenBucket(1);
 
     /**
      * Creates an allowance with a full reserve.
@@ -25,7 +27,6 @@
     public RetryAllowance(double ratio, double reserve) {
         mPerRequest = ratio * USED_PART;
         mReserve = reserve * USED_PART;
-        mTokens = 1;
     }
 
     /**
@@ -36,15 +37,11 @@
      */
     public void requested(int nodes, double windows) {
         double share = mReserve / Math.max(1, nodes);
-        mTokens = Math.min(Math.max(1, share), mTokens + mPerRequest + share * windows);
+        mTokens.add(mPerRequest + share * windows, Math.max(1, share));
     }
 
     /** Takes the right to one repeat, if there is one. */
     public boolean take() {
-        if (mTokens < 1) {
-            return false;
-        }
-        mTokens -= 1;
-        return true;
+        return mTokens.tryTake();
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/admit/RateLimit.java
+++ b/org.azurearch/src/main/java/org/azurearch/admit/RateLimit.java
@@ -1,17 +1,19 @@
 package org.azurearch.admit;
 
+import org.azurearch.lib.TokenBucket;
+
 /** Token bucket that holds one second's worth of calls. Not thread-safe. */
 final class RateLimit {
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long MILLIS_PER_SECOND = 1_000L;
 
     private int mPerSecond;
-    private double mTokens;
+    private final TokenBucket mTokens;
     private long mFilledAtNanos;
 
     RateLimit(int perSecond, long nowNanos) {
         mPerSecond = perSecond;
-        mTokens = perSecond;
+        mTokens = new TokenBucket(perSecond);
         mFilledAtNanos = nowNanos;
     }
 
@@ -19,17 +21,13 @@
     boolean tryTake(int perSecond, long nowNanos) {
         mPerSecond = perSecond;
         double filled = (nowNanos - mFilledAtNanos) / NANOS_PER_SECOND * perSecond;
-        mTokens = Math.min(perSecond, mTokens + filled);
+        mTokens.add(filled, perSecond);
         mFilledAtNanos = nowNanos;
-        if (mTokens < 1.0) {
-            return false;
-        }
-        mTokens -= 1.0;
-        return true;
+        return mTokens.tryTake();
     }
 
     /** Returns when the next token will be there. */
     long retryAfterMillis() {
-        return (long) Math.ceil((1.0 - mTokens) * MILLIS_PER_SECOND / Math.max(1, mPerSecond));
+        return (long) Math.ceil(mTokens.missing() * MILLIS_PER_SECOND / Math.max(1, mPerSecond));
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimService.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimService.java
@@ -9,10 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import org.azurearch.call.CallEvent;
 import org.azurearch.call.ClaimTable;
 import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.Completions;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.kernel.Duty;
@@ -156,7 +156,8 @@
         if (batch != null) {
             batch.records().forEach(this::apply);
             follow();
-        } else if (cause(read.failure()) instanceof OffsetRemovedException removed) {
+        } else if (read.failure() != null
+                && Completions.cause(read.failure()) instanceof OffsetRemovedException removed) {
             mNextOffset = removed.earliest();
             follow();
         } else {
@@ -241,13 +242,8 @@
 
     /** Says whether an append certainly had no effect. */
     private static boolean unavailable(@Nullable Throwable failure) {
-        return cause(failure) instanceof AzurearchException known
+        return failure != null
+                && Completions.cause(failure) instanceof AzurearchException known
                 && known.code() != ErrorCode.LOG_RESULT_UNKNOWN;
     }
-
-    private static @Nullable Throwable cause(@Nullable Throwable failure) {
-        return failure instanceof CompletionException && failure.getCause() != null
-                ? failure.getCause()
-                : failure;
-    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/log/HttpLogClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/log/HttpLogClient.java
@@ -8,10 +8,10 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.Completions;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.lib.StreamId;
 import org.azurearch.log.LogBatch;
@@ -103,10 +103,7 @@
     }
 
     private static AzurearchException failed(Throwable failure, ErrorCode lostAnswer) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null
-                        ? failure.getCause()
-                        : failure;
+        Throwable cause = Completions.cause(failure);
         boolean neverSent =
                 cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException;
         return neverSent
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/Hashes.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/Hashes.java
@@ -22,9 +22,12 @@
 
     /** Returns the hash of the node, incarnation and sequence of a member. */
     static long of(Member member) {
-        return mix(
-                mix(of(member.node().name()) + member.incarnation()) * FNV_PRIME
-                        + member.sequence());
+        return of(member.node().name(), member.incarnation(), member.sequence());
+    }
+
+    /** Returns the hash of a node's name, incarnation and sequence. */
+    public static long of(String node, long incarnation, long sequence) {
+        return mix(mix(of(node) + incarnation) * FNV_PRIME + sequence);
     }
 
     /** Returns the hash of an entry of the board. */
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/Appender.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/Appender.java
@@ -4,9 +4,9 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.Completions;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.fold.Change;
@@ -89,10 +89,7 @@
     }
 
     private void failed(Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null
-                        ? failure.getCause()
-                        : failure;
+        Throwable cause = Completions.cause(failure);
         ErrorCode code =
                 cause instanceof AzurearchException known ? known.code() : ErrorCode.INTERNAL;
         if (code != ErrorCode.LOG_UNAVAILABLE && code != ErrorCode.LOG_RESULT_UNKNOWN) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/spread/LogCalls.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/spread/LogCalls.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.Completions;
 import org.azurearch.events.EventLog;
 import org.azurearch.fold.FoldState;
 import org.azurearch.lib.Digest;
@@ -100,10 +101,10 @@
     }
 
     private static LogBatch probeAfter(Throwable failure) {
-        if (cause(failure) instanceof OffsetRemovedException removed) {
+        if (Completions.cause(failure) instanceof OffsetRemovedException removed) {
             return new LogBatch(List.of(), removed.earliest(), -1);
         }
-        throw new CompletionException(cause(failure));
+        throw new CompletionException(Completions.cause(failure));
     }
 
     private CompletableFuture<SnapshotSchedule.@Nullable Saved> lastRecord(LogBatch probe) {
@@ -141,7 +142,8 @@
         if (batch != null) {
             return new SpreadInput.LogRead(batch);
         }
-        return cause(failure) instanceof OffsetRemovedException removed
+        return failure != null
+                        && Completions.cause(failure) instanceof OffsetRemovedException removed
                 ? new SpreadInput.LogRemoved(removed.earliest())
                 : new SpreadInput.LogFailed(reason(failure));
     }
@@ -151,19 +153,14 @@
         if (batch != null) {
             return new SpreadInput.SnapshotsRead(asked, batch);
         }
-        return cause(failure) instanceof OffsetRemovedException removed
+        return failure != null
+                        && Completions.cause(failure) instanceof OffsetRemovedException removed
                 ? new SpreadInput.SnapshotsRemoved(removed.earliest())
                 : new SpreadInput.SnapshotsFailed(reason(failure));
     }
 
-    private static @Nullable Throwable cause(@Nullable Throwable failure) {
-        return failure instanceof CompletionException && failure.getCause() != null
-                ? failure.getCause()
-                : failure;
-    }
-
     private static String reason(@Nullable Throwable failure) {
-        Throwable cause = cause(failure);
+        Throwable cause = failure == null ? null : Completions.cause(failure);
         return cause instanceof AzurearchException known
                 ? known.code().code() + ": " + known.getMessage()
                 : String.valueOf(cause);
--- a/org.azurearch/src/main/java/org/azurearch/internal/transport/PeerDispatcher.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/PeerDispatcher.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.Completions;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.thrift.PeerReply;
@@ -68,10 +68,7 @@
     }
 
     private static PeerReply refusal(PeerRequest._Fields kind, Throwable failure) {
-        Throwable cause =
-                failure instanceof CompletionException && failure.getCause() != null
-                        ? failure.getCause()
-                        : failure;
+        Throwable cause = Completions.cause(failure);
         if (cause instanceof AzurearchException known) {
             return known.code() == ErrorCode.BUSY
                     ? busy()
--- a/org.azurearch/src/main/java/org/azurearch/route/RetryBudget.java
+++ b/org.azurearch/src/main/java/org/azurearch/route/RetryBudget.java
@@ -1,7 +1,9 @@
 package org.azurearch.route;
 
+import org.azurearch.lib.TokenBucket;
+
 /**
- * Token bucket that bounds retries to a percentage of first attempts. Confined to one thread.
+ * Bounds retries to a percentage of first attempts. Confined to one thread.
  *
  * <p>A small reserve lets a service with few calls retry at all.
  */
@@ -10,7 +12,7 @@
     private static final double MAX_TOKENS = 100.0;
     private static final double PERCENT = 100.0;
 
-    private double mTokens = RESERVE_TOKENS;
+    private final TokenBucket mTokens = new TokenBucket(RESERVE_TOKENS);
 
     /**
      * Counts a first attempt.
@@ -18,15 +20,11 @@
      * @param percent retries allowed, in percent of first attempts
      */
     public void attempted(int percent) {
-        mTokens = Math.min(MAX_TOKENS, mTokens + percent / PERCENT);
+        mTokens.add(percent / PERCENT, MAX_TOKENS);
     }
 
     /** Takes the right to one retry, if there is one. */
     public boolean tryRetry() {
-        if (mTokens < 1.0) {
-            return false;
-        }
-        mTokens -= 1.0;
-        return true;
+        return mTokens.tryTake();
     }
 }
