Take out dead parts and work that each call repeated

State that follows from other state: the content in force, whether the backend server has gone, the reader's rank.

Each call counted the links that are up, built a set of three header names, and a refused one built the key of a split it does not have. The count is kept until a link changes, the set is a field, and routes of one part return at once. Behaviour stays; tests keep their assertions, those of Placement lose an argument that nothing read.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/PlacementTest.java
@@ -29,7 +29,7 @@
 
     @Test
     void leavesTheDataCentreWhenWaitingThereCostsTheTarget() {
-        mNear.load(new EndpointLoad(4, 4, List.of(0, 0, 20, 0), 100, 0), 0);
+        mNear.load(new EndpointLoad(4, List.of(0, 0, 20, 0), 100, 0), 0);
         assertEquals(mFar, choose(Set.of()));
     }
 
@@ -43,15 +43,15 @@
 
     @Test
     void urgentRequestStaysWhereItGoesBeforeThoseThatWait() {
-        mNear.load(new EndpointLoad(4, 4, List.of(0, 0, 20, 0), 100, 0), 0);
+        mNear.load(new EndpointLoad(4, List.of(0, 0, 20, 0), 100, 0), 0);
         Placement.Request urgent = new Placement.Request("stock", "r", 0, 200, 500, Set.of());
         assertEquals(mNear, mPlacement.choose(List.of(mNear, mFar), urgent, 1));
     }
 
     @Test
     void staysInTheDataCentreWhereAllFailAlike() {
-        mNear.load(new EndpointLoad(4, 3, List.of(0, 0, 0, 0), 100, 55), 0);
-        mFar.load(new EndpointLoad(4, 3, List.of(0, 0, 0, 0), 100, 45), 0);
+        mNear.load(new EndpointLoad(3, List.of(0, 0, 0, 0), 100, 55), 0);
+        mFar.load(new EndpointLoad(3, List.of(0, 0, 0, 0), 100, 45), 0);
         for (int i = 0; i < 100; i++) {
             assertEquals(mNear, choose(Set.of()));
         }
@@ -59,8 +59,8 @@
 
     @Test
     void shortRequestStaysWhereOnlyLongOnesTakeLonger() {
-        mNear.load(new EndpointLoad(18, 3, List.of(0, 0, 0, 0), 180, 0), 0);
-        mFar.load(new EndpointLoad(18, 3, List.of(0, 0, 0, 0), 60, 0), 0);
+        mNear.load(new EndpointLoad(3, List.of(0, 0, 0, 0), 180, 0), 0);
+        mFar.load(new EndpointLoad(3, List.of(0, 0, 0, 0), 60, 0), 0);
         mNear.worked("short", 33);
         mFar.worked("short", 11);
         Placement.Request request = new Placement.Request("stock", "short", 0, 100, 500, Set.of());
@@ -75,7 +75,7 @@
         }
         Placement.Request request = new Placement.Request("stock", "r", 2, 300, 5_000, Set.of());
         assertEquals(mNear, mPlacement.choose(all, request, 1));
-        mNear.load(new EndpointLoad(4, 4, List.of(0, 0, 20, 0), 100, 0), 0);
+        mNear.load(new EndpointLoad(4, List.of(0, 0, 20, 0), 100, 0), 0);
         Set<EndpointState> chosen = new HashSet<>();
         for (int i = 0; i < 600; i++) {
             chosen.add(mPlacement.choose(all, request, 1));
@@ -95,7 +95,7 @@
     @Test
     void sendsNewcomersTheirShare() {
         EndpointState newcomer = endpoint("newcomer", true);
-        mNear.load(new EndpointLoad(4, 0, List.of(0, 0, 0, 0), 2, 0), 1);
+        mNear.load(new EndpointLoad(0, List.of(0, 0, 0, 0), 2, 0), 1);
         int toNewcomer = 0;
         for (int i = 0; i < 100; i++) {
             EndpointState chosen =
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -27,7 +27,6 @@
 import org.azurearch.sidecar.internal.mesh.MeshService;
 import org.azurearch.sidecar.route.EndpointState;
 import org.azurearch.sidecar.store.KeyedLog;
-import org.jspecify.annotations.Nullable;
 
 /**
  * A node beside a backend server, on a platform that keeps the configuration. All of it runs on one
@@ -72,7 +71,6 @@
     private final BackendWatch mBackend;
     private final HopServer mHops;
     private final long mStartedNanos = System.nanoTime();
-    private @Nullable PlainHttpServer mMetricsServer;
     private Ports mPorts = new Ports(0, 0, 0);
     private boolean mStopping;
     private boolean mWasReady;
@@ -192,7 +190,7 @@
         int reports = new PlainHttpServer(mLoop, mSettings.reports(), this::report).port();
         int ready = new PlainHttpServer(mLoop, mSettings.ready(), this::readiness).port();
         try {
-            mMetricsServer = new PlainHttpServer(mLoop, mSettings.metrics(), this::metrics);
+            new PlainHttpServer(mLoop, mSettings.metrics(), this::metrics);
         } catch (AzurearchException e) {
             EventLog.log(SidecarEvent.HANDLER_FAILED, "metrics listener", e.toString());
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -68,11 +68,6 @@
         mSlots = Math.max(1, slots);
     }
 
-    /** Returns the slots. */
-    public int slots() {
-        return mSlots;
-    }
-
     /** Returns the number of requests that the backend server works on. */
     public int running() {
         return mRunning;
@@ -174,7 +169,7 @@
     }
 
     /** Returns how long a request would wait, behind those that go before it, in milliseconds. */
-    public double waitMillis(QueuedRequest request, long nowNanos) {
+    private double waitMillis(QueuedRequest request, long nowNanos) {
         if (mRunning < mSlots && mWaiting.isEmpty()) {
             return 0;
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/HopCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/HopCall.java
@@ -16,7 +16,6 @@
  * @param service the service that it is for
  * @param route the name of the route
  * @param idempotent whether it may run more than once
- * @param fromBackend whether another backend server waits for it
  */
 public record HopCall(
         long id,
@@ -29,5 +28,4 @@
         int rank,
         String service,
         String route,
-        boolean idempotent,
-        boolean fromBackend) {}
+        boolean idempotent) {}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendWatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendWatch.java
@@ -30,7 +30,6 @@
     private @Nullable NodeRecord mRemembered;
     private String mProbed = "";
     private String mKept = "";
-    private boolean mDeparted;
 
     /**
      * Creates a watch that has heard nothing.
@@ -54,7 +53,7 @@
 
     /** Says whether the last backend server has left and none has come since. */
     public boolean departed() {
-        return mDeparted && mTracker.current() == null;
+        return mTracker.gone();
     }
 
     /**
@@ -83,7 +82,6 @@
         }
         BackendReport report = message.report();
         if (report == null) {
-            mDeparted = true;
             changed(departed(message), "departed");
         } else if (!plausible(report)) {
             return PlainHttpServer.Reply.of(HttpResponseStatus.BAD_REQUEST.code());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/HeaderList.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/HeaderList.java
@@ -7,7 +7,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import org.jspecify.annotations.Nullable;
 
 /** Header lists of names and values in turn. */
 public final class HeaderList {
@@ -57,21 +56,6 @@
         }
     }
 
-    /**
-     * Returns the first value of a name, or null.
-     *
-     * @param list the list
-     * @param name the name; case does not matter
-     */
-    public static @Nullable String value(List<String> list, String name) {
-        for (int i = 0; i + 1 < list.size(); i += 2) {
-            if (list.get(i).equalsIgnoreCase(name)) {
-                return list.get(i + 1);
-            }
-        }
-        return null;
-    }
-
     private static boolean names(String connection, String name) {
         for (String part : connection.split(",")) {
             if (part.trim().equals(name)) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDesk.java
@@ -36,6 +36,12 @@
 
     private static final double PERCENT = 100.0;
 
+    /**
+     * The platform does not tell calls of backend servers from those of other callers; the rank of
+     * their routes puts them first.
+     */
+    private static final boolean FROM_BACKEND = false;
+
     /** Weight of a new outcome: about the last twenty count. */
     private static final double NEW_WEIGHT = 0.05;
 
@@ -140,7 +146,6 @@
     /** Returns how busy the backend server is. */
     public EndpointLoad load() {
         return new EndpointLoad(
-                mQueue.slots(),
                 mQueue.running(),
                 mQueue.waitingByRank(EndpointLoad.RANKS),
                 mWork.mean() * slowness(),
@@ -149,7 +154,7 @@
 
     /** Returns how long the backend server works on calls of the same route, in milliseconds. */
     double workMillis(HopCall call) {
-        return queued(call).workMillis() * slowness();
+        return expectedMillis(call) * slowness();
     }
 
     /** Returns how many times slower than its past answers the backend server shows to be now. */
@@ -256,14 +261,18 @@
     }
 
     private QueuedRequest queued(HopCall call) {
-        long targetMillis =
-                Math.max(1, TimeUnit.NANOSECONDS.toMillis(call.targetNanos() - System.nanoTime()));
         return new QueuedRequest(
                 call.route(),
                 call.rank(),
-                call.fromBackend(),
+                FROM_BACKEND,
                 call.targetNanos(),
                 call.endNanos(),
-                mWork.of(call.route(), targetMillis));
+                expectedMillis(call));
+    }
+
+    private double expectedMillis(HopCall call) {
+        long targetMillis =
+                Math.max(1, TimeUnit.NANOSECONDS.toMillis(call.targetNanos() - System.nanoTime()));
+        return mWork.of(call.route(), targetMillis);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendPool.java
@@ -12,9 +12,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
@@ -45,7 +43,6 @@
     private final EventLoop mLoop;
     private final Dialect mDialect;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
-    private final Set<BackendConnection> mOpen = new HashSet<>();
     private @Nullable NetAddress mAddress;
 
     BackendPool(EventLoop loop, Dialect dialect) {
@@ -84,14 +81,9 @@
     }
 
     void closed(BackendConnection connection) {
-        mOpen.remove(connection);
         mIdle.remove(connection);
     }
 
-    int open() {
-        return mOpen.size();
-    }
-
     private void open(Consumer<@Nullable BackendConnection> taker) {
         NetAddress address = mAddress;
         if (address == null) {
@@ -115,7 +107,6 @@
                 .addListener(
                         connected -> {
                             if (connected.isSuccess()) {
-                                mOpen.add(opened[0]);
                                 taker.accept(opened[0]);
                             } else {
                                 taker.accept(null);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,6 +52,7 @@
     private final Map<String, Long> mLastRequestNanos = new HashMap<>();
     private final Map<String, Double> mAnswerBytes = new HashMap<>();
     private final Map<String, HedgeDelay> mHedgeDelays = new HashMap<>();
+    private final Set<String> mOwnHeaders;
     private String mService;
     private long mNextId = 1;
     private int mCalls;
@@ -80,6 +80,11 @@
         mLoop = loop;
         mSettings = settings;
         mDialect = dialect;
+        mOwnHeaders =
+                Set.of(
+                        dialect.callerService(),
+                        dialect.deadlineMillis(),
+                        dialect.expectedInstance());
         mConfigs = configs;
         mDirectory = directory;
         mDesk = desk;
@@ -126,12 +131,7 @@
      * Returns the headers that go on with a request, with the caller's service set by this node.
      */
     List<String> onward(HttpHeaders received) {
-        Set<String> dropped =
-                Set.of(
-                        mDialect.callerService(),
-                        mDialect.deadlineMillis(),
-                        mDialect.expectedInstance());
-        List<String> headers = new ArrayList<>(HeaderList.onward(received, dropped));
+        List<String> headers = HeaderList.onward(received, mOwnHeaders);
         headers.add(mDialect.callerService());
         headers.add(mService);
         return headers;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -28,12 +28,6 @@
  * answer. Confined to one event loop.
  */
 final class EntryCall {
-    /**
-     * The platform does not tell calls of backend servers from those of other callers on the VM;
-     * the rank of their routes puts them first.
-     */
-    private static final boolean FROM_BACKEND = false;
-
     /** Nodes asked for room before the caller is refused; a refusal costs a round trip only. */
     private static final int MAX_PLACEMENTS = 4;
 
@@ -351,7 +345,7 @@
                         mVersion,
                         status,
                         code.code(),
-                        mMayHaveRun ? "may-have-run" : "not-run",
+                        (mMayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN).headerValue(),
                         mPlacements,
                         elapsedMillis(),
                         spread,
@@ -396,8 +390,7 @@
                 route.rank(),
                 mService,
                 route.name(),
-                route.idempotent(),
-                FROM_BACKEND);
+                route.idempotent());
     }
 
     private long deadlineMillis(RouteRule route) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -82,8 +82,7 @@
                 call.rank(),
                 call.service(),
                 call.route(),
-                call.idempotent(),
-                call.fromBackend());
+                call.idempotent());
     }
 
     /** Returns the call of a frame that arrives now. */
@@ -99,8 +98,7 @@
                 wire.getRank(),
                 wire.getServiceName(),
                 wire.getRoute(),
-                wire.isIdempotent(),
-                wire.isFromBackend());
+                wire.isIdempotent());
     }
 
     /** Returns the frame's form of an answer. */
@@ -145,7 +143,6 @@
 
     static EndpointLoad fromWire(WireLoad wire) {
         return new EndpointLoad(
-                wire.getSlots(),
                 wire.getRunning(),
                 wire.getWaiting(),
                 wire.getWorkMicros() / MICROS_PER_MILLI,
@@ -154,7 +151,6 @@
 
     private static WireLoad toWire(EndpointLoad load) {
         return new WireLoad(
-                load.slots(),
                 load.running(),
                 load.waiting(),
                 (int) (load.workMillis() * MICROS_PER_MILLI),
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigKeeper.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigKeeper.java
@@ -21,7 +21,6 @@
     private final NavigableMap<Long, byte[]> mHeld = new TreeMap<>();
     private final List<Consumer<RouteSet>> mSubscribers = new ArrayList<>();
     private @Nullable RouteSet mCurrent;
-    private byte[] mContent = new byte[0];
 
     /**
      * Creates a keeper without a configuration.
@@ -42,9 +41,10 @@
         return mCurrent == null ? -1 : mCurrent.version();
     }
 
-    /** Returns the configuration in force as the platform keeps it. */
+    /** Returns the configuration in force as the platform keeps it; empty before the first. */
     public byte[] content() {
-        return mContent;
+        byte[] content = held(version());
+        return content == null ? new byte[0] : content;
     }
 
     /** Returns the content of a version if it is one of the last, or null. */
@@ -77,7 +77,6 @@
             return false;
         }
         mCurrent = routes;
-        mContent = content;
         mHeld.put(routes.version(), content);
         if (mHeld.size() > MAX_HELD) {
             mHeld.pollFirstEntry();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -40,7 +40,7 @@
     private final ConfigExchange mExchange;
     private final StoreReader mReader;
     private final SplittableRandom mRandom = new SplittableRandom();
-    private int mRank = -1;
+    private boolean mReads;
     private int mGreeted;
     private boolean mClosed;
 
@@ -156,10 +156,10 @@
         NodeRecord self = mDirectory.self();
         int rank = self.storeReachable() ? mDirectory.rank(self, true) : Integer.MAX_VALUE;
         boolean reads = rank < ConfigExchange.READERS;
-        if (reads != (mRank >= 0 && mRank < ConfigExchange.READERS)) {
+        if (reads != mReads) {
+            mReads = reads;
             EventLog.log(SidecarEvent.READER, reads, rank);
         }
-        mRank = rank;
         mReader.active(reads);
         mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -65,6 +65,9 @@
     /** Kept until a record or a link changes, as the order is asked for several times a second. */
     private final Map<String, List<String>> mOrders = new HashMap<>();
 
+    /** Kept in the same way, as each call asks for it; 0 when it has to be counted again. */
+    private int mReachable;
+
     private NodeRecord mSelf;
 
     /**
@@ -139,11 +142,10 @@
 
     /** Returns the number of nodes that can be reached, this one included. */
     public int reachable() {
-        int count = 1;
-        for (HopLink link : mLinks.values()) {
-            count += link.up() ? 1 : 0;
+        if (mReachable == 0) {
+            mReachable = 1 + linksUp().size();
         }
-        return count;
+        return mReachable;
     }
 
     /** Changes the record of this node and tells the others. */
@@ -184,7 +186,7 @@
         if (!mTable.merge(record, System.nanoTime())) {
             return false;
         }
-        mOrders.clear();
+        viewChanged();
         BackendRecord backend = record.backend();
         EventLog.log(
                 SidecarEvent.MEMBER,
@@ -253,7 +255,7 @@
                 mLinks.remove(link.node());
                 mEndpoints.remove(link.node());
                 mTable.remove(link.node());
-                mOrders.clear();
+                viewChanged();
             }
         }
     }
@@ -286,7 +288,7 @@
 
     @Override
     public void connected(HopLink link, boolean up) {
-        mOrders.clear();
+        viewChanged();
         usable(link, up);
         if (up) {
             link.send(HopFrame.hello(HopWire.toWire(mSelf)));
@@ -359,7 +361,7 @@
 
     /**
      * Returns the links to nodes with which this one compares its state: those of its own data
-     * centre, and for relays one relay of each other data centre, as bytes between them are dear.
+     * centre, and for relays the relays of the others, as bytes between them are dear.
      */
     List<HopLink> comparable() {
         List<HopLink> links = localLinks();
@@ -388,6 +390,11 @@
         return Rendezvous.rank(dataCentre, nodes).stream().map(NodeId::name).toList();
     }
 
+    private void viewChanged() {
+        mOrders.clear();
+        mReachable = 0;
+    }
+
     private boolean relays(NodeRecord record) {
         return rank(record, false) < RELAYS;
     }
@@ -403,8 +410,9 @@
 
     private void spread(List<NodeRecord> records) {
         HopFrame frame = frame(records, false);
-        List<HopLink> targets = large() ? localLinks() : linksUp();
+        List<HopLink> targets = linksUp();
         if (large()) {
+            targets = localLinks();
             targets.addAll(remoteRelays());
         }
         targets.forEach(link -> link.send(frame));
@@ -420,7 +428,7 @@
 
     private void adopt(NodeRecord self) {
         mTable.merge(self, System.nanoTime());
-        mOrders.clear();
+        viewChanged();
         EndpointState own = endpoint(self);
         own.record(self, System.nanoTime());
         own.connected(true);
@@ -436,7 +444,7 @@
         if (link != null && link.address().equals(record.address())) {
             return;
         }
-        mOrders.clear();
+        viewChanged();
         if (link != null) {
             link.close();
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
@@ -98,6 +98,11 @@
         return Change.CHANGED;
     }
 
+    /** Says whether a backend server has left and none has come since. */
+    public boolean gone() {
+        return mCurrent == null && !mDeparted.isEmpty();
+    }
+
     /** Returns the last heartbeat of the backend server that is there, or null. */
     public @Nullable BackendReport current() {
         return mCurrent;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointLoad.java
@@ -6,7 +6,6 @@
 /**
  * How busy a backend server is, as the node in front of it says.
  *
- * @param slots requests that it works on at a time
  * @param running requests that it works on now
  * @param waiting requests that wait in front of it, for each of {@link #RANKS} ranks; the last one
  *     holds all that are less urgent
@@ -14,13 +13,13 @@
  * @param failurePercent how many of the last requests it failed or rejected, in percent
  */
 public record EndpointLoad(
-        int slots, int running, List<Integer> waiting, double workMillis, int failurePercent) {
+        int running, List<Integer> waiting, double workMillis, int failurePercent) {
     /** Ranks told apart; configurations of the users have three. */
     public static final int RANKS = 4;
 
     /** Nothing is known. */
     public static final EndpointLoad UNKNOWN =
-            new EndpointLoad(0, 0, Collections.nCopies(RANKS, 0), 0, 0);
+            new EndpointLoad(0, Collections.nCopies(RANKS, 0), 0, 0);
 
     /** Checks the number of ranks. */
     public EndpointLoad {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -21,14 +21,13 @@
     /** Backend servers slow down when nearly full; an even load is a little better. */
     private static final double CROWDING_WEIGHT = 0.15;
 
+    /** Routes held at the most; a VM's callers use a few at a time. */
+    private static final int MAX_ROUTES = 256;
+
     private final String mNode;
     private final boolean mLocal;
     private NodeRecord mRecord;
     private boolean mConnected;
-
-    /** Routes held at the most; a VM's callers use a few at a time. */
-    private static final int MAX_ROUTES = 256;
-
     private final Map<String, Double> mRouteMillis = new HashMap<>();
     private final int[] mMine = new int[EndpointLoad.RANKS];
     private int[] mMineAtReport = new int[EndpointLoad.RANKS];
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SplitPicker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SplitPicker.java
@@ -54,6 +54,9 @@
      * is owed another one, so that the others do not get more than their share of what runs.
      */
     public void refused(RouteRule route, String service) {
+        if (route.parts().size() == 1) {
+            return;
+        }
         double[] credits = mCredits.get(key(route));
         double total = route.parts().stream().mapToInt(RouteRule.Part::weight).sum();
         if (credits == null || total <= 0) {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
@@ -24,7 +24,6 @@
   private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)9);
   private static final org.apache.thrift.protocol.TField ROUTE_FIELD_DESC = new org.apache.thrift.protocol.TField("route", org.apache.thrift.protocol.TType.STRING, (short)10);
   private static final org.apache.thrift.protocol.TField IDEMPOTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("idempotent", org.apache.thrift.protocol.TType.BOOL, (short)11);
-  private static final org.apache.thrift.protocol.TField FROM_BACKEND_FIELD_DESC = new org.apache.thrift.protocol.TField("fromBackend", org.apache.thrift.protocol.TType.BOOL, (short)12);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireHopCallStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireHopCallTupleSchemeFactory();
@@ -43,7 +42,6 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String route; // required
   public boolean idempotent; // required
-  public boolean fromBackend; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -60,8 +58,7 @@
     RANK((short)8, "rank"),
     SERVICE_NAME((short)9, "serviceName"),
     ROUTE((short)10, "route"),
-    IDEMPOTENT((short)11, "idempotent"),
-    FROM_BACKEND((short)12, "fromBackend");
+    IDEMPOTENT((short)11, "idempotent");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -99,8 +96,6 @@
           return ROUTE;
         case 11: // IDEMPOTENT
           return IDEMPOTENT;
-        case 12: // FROM_BACKEND
-          return FROM_BACKEND;
         default:
           return null;
       }
@@ -149,7 +144,6 @@
   private static final int __TARGETLEFTMILLIS_ISSET_ID = 2;
   private static final int __RANK_ISSET_ID = 3;
   private static final int __IDEMPOTENT_ISSET_ID = 4;
-  private static final int __FROMBACKEND_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -177,8 +171,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.IDEMPOTENT, new org.apache.thrift.meta_data.FieldMetaData("idempotent", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-    tmpMap.put(_Fields.FROM_BACKEND, new org.apache.thrift.meta_data.FieldMetaData("fromBackend", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireHopCall.class, metaDataMap);
   }
@@ -197,8 +189,7 @@
     int rank,
     java.lang.String serviceName,
     java.lang.String route,
-    boolean idempotent,
-    boolean fromBackend)
+    boolean idempotent)
   {
     this();
     this.id = id;
@@ -217,8 +208,6 @@
     this.route = route;
     this.idempotent = idempotent;
     setIdempotentIsSet(true);
-    this.fromBackend = fromBackend;
-    setFromBackendIsSet(true);
   }
 
   /**
@@ -250,7 +239,6 @@
       this.route = other.route;
     }
     this.idempotent = other.idempotent;
-    this.fromBackend = other.fromBackend;
   }
 
   @Override
@@ -276,8 +264,6 @@
     this.route = null;
     setIdempotentIsSet(false);
     this.idempotent = false;
-    setFromBackendIsSet(false);
-    this.fromBackend = false;
   }
 
   public long getId() {
@@ -576,29 +562,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __IDEMPOTENT_ISSET_ID, value);
   }
 
-  public boolean isFromBackend() {
-    return this.fromBackend;
-  }
-
-  public WireHopCall setFromBackend(boolean fromBackend) {
-    this.fromBackend = fromBackend;
-    setFromBackendIsSet(true);
-    return this;
-  }
-
-  public void unsetFromBackend() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FROMBACKEND_ISSET_ID);
-  }
-
-  /** Returns true if field fromBackend is set (has been assigned a value) and false otherwise */
-  public boolean isSetFromBackend() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FROMBACKEND_ISSET_ID);
-  }
-
-  public void setFromBackendIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FROMBACKEND_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -694,14 +657,6 @@
       }
       break;
 
-    case FROM_BACKEND:
-      if (value == null) {
-        unsetFromBackend();
-      } else {
-        setFromBackend((java.lang.Boolean)value);
-      }
-      break;
-
     }
   }
 
@@ -742,9 +697,6 @@
     case IDEMPOTENT:
       return isIdempotent();
 
-    case FROM_BACKEND:
-      return isFromBackend();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -779,8 +731,6 @@
       return isSetRoute();
     case IDEMPOTENT:
       return isSetIdempotent();
-    case FROM_BACKEND:
-      return isSetFromBackend();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -897,15 +847,6 @@
         return false;
     }
 
-    boolean this_present_fromBackend = true;
-    boolean that_present_fromBackend = true;
-    if (this_present_fromBackend || that_present_fromBackend) {
-      if (!(this_present_fromBackend && that_present_fromBackend))
-        return false;
-      if (this.fromBackend != that.fromBackend)
-        return false;
-    }
-
     return true;
   }
 
@@ -947,8 +888,6 @@
 
     hashCode = hashCode * 8191 + ((idempotent) ? 131071 : 524287);
 
-    hashCode = hashCode * 8191 + ((fromBackend) ? 131071 : 524287);
-
     return hashCode;
   }
 
@@ -1070,16 +1009,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetFromBackend(), other.isSetFromBackend());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetFromBackend()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.fromBackend, other.fromBackend);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -1171,10 +1100,6 @@
     sb.append("idempotent:");
     sb.append(this.idempotent);
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("fromBackend:");
-    sb.append(this.fromBackend);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1204,7 +1129,6 @@
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'route' was not present! Struct: " + toString());
     }
     // alas, we cannot check 'idempotent' because it's a primitive and you chose the non-beans generator.
-    // alas, we cannot check 'fromBackend' because it's a primitive and you chose the non-beans generator.
     // check for sub-struct validity
   }
 
@@ -1344,14 +1268,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 12: // FROM_BACKEND
-            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-              struct.fromBackend = iprot.readBool();
-              struct.setFromBackendIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1375,9 +1291,6 @@
       if (!struct.isSetIdempotent()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'idempotent' was not found in serialized data! Struct: " + toString());
       }
-      if (!struct.isSetFromBackend()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'fromBackend' was not found in serialized data! Struct: " + toString());
-      }
       struct.validate();
     }
 
@@ -1438,9 +1351,6 @@
       oprot.writeFieldBegin(IDEMPOTENT_FIELD_DESC);
       oprot.writeBool(struct.idempotent);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(FROM_BACKEND_FIELD_DESC);
-      oprot.writeBool(struct.fromBackend);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1476,7 +1386,6 @@
       oprot.writeString(struct.serviceName);
       oprot.writeString(struct.route);
       oprot.writeBool(struct.idempotent);
-      oprot.writeBool(struct.fromBackend);
     }
 
     @Override
@@ -1513,8 +1422,6 @@
       struct.setRouteIsSet(true);
       struct.idempotent = iprot.readBool();
       struct.setIdempotentIsSet(true);
-      struct.fromBackend = iprot.readBool();
-      struct.setFromBackendIsSet(true);
     }
   }
 
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
@@ -13,16 +13,14 @@
 public class WireLoad implements org.apache.thrift.TBase<WireLoad, WireLoad._Fields>, java.io.Serializable, Cloneable, Comparable<WireLoad> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("WireLoad");
 
-  private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)1);
-  private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)2);
-  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.LIST, (short)3);
-  private static final org.apache.thrift.protocol.TField WORK_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("workMicros", org.apache.thrift.protocol.TType.I32, (short)4);
-  private static final org.apache.thrift.protocol.TField FAILURE_PERCENT_FIELD_DESC = new org.apache.thrift.protocol.TField("failurePercent", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)1);
+  private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.LIST, (short)2);
+  private static final org.apache.thrift.protocol.TField WORK_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("workMicros", org.apache.thrift.protocol.TType.I32, (short)3);
+  private static final org.apache.thrift.protocol.TField FAILURE_PERCENT_FIELD_DESC = new org.apache.thrift.protocol.TField("failurePercent", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireLoadTupleSchemeFactory();
 
-  public int slots; // required
   public int running; // required
   /**
    * By rank, the most urgent first.
@@ -33,14 +31,13 @@
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    SLOTS((short)1, "slots"),
-    RUNNING((short)2, "running"),
+    RUNNING((short)1, "running"),
     /**
      * By rank, the most urgent first.
      */
-    WAITING((short)3, "waiting"),
-    WORK_MICROS((short)4, "workMicros"),
-    FAILURE_PERCENT((short)5, "failurePercent");
+    WAITING((short)2, "waiting"),
+    WORK_MICROS((short)3, "workMicros"),
+    FAILURE_PERCENT((short)4, "failurePercent");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -56,15 +53,13 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // SLOTS
-          return SLOTS;
-        case 2: // RUNNING
+        case 1: // RUNNING
           return RUNNING;
-        case 3: // WAITING
+        case 2: // WAITING
           return WAITING;
-        case 4: // WORK_MICROS
+        case 3: // WORK_MICROS
           return WORK_MICROS;
-        case 5: // FAILURE_PERCENT
+        case 4: // FAILURE_PERCENT
           return FAILURE_PERCENT;
         default:
           return null;
@@ -109,16 +104,13 @@
   }
 
   // isset id assignments
-  private static final int __SLOTS_ISSET_ID = 0;
-  private static final int __RUNNING_ISSET_ID = 1;
-  private static final int __WORKMICROS_ISSET_ID = 2;
-  private static final int __FAILUREPERCENT_ISSET_ID = 3;
+  private static final int __RUNNING_ISSET_ID = 0;
+  private static final int __WORKMICROS_ISSET_ID = 1;
+  private static final int __FAILUREPERCENT_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.SLOTS, new org.apache.thrift.meta_data.FieldMetaData("slots", org.apache.thrift.TFieldRequirementType.REQUIRED, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.WAITING, new org.apache.thrift.meta_data.FieldMetaData("waiting", org.apache.thrift.TFieldRequirementType.REQUIRED, 
@@ -136,15 +128,12 @@
   }
 
   public WireLoad(
-    int slots,
     int running,
     java.util.List<java.lang.Integer> waiting,
     int workMicros,
     int failurePercent)
   {
     this();
-    this.slots = slots;
-    setSlotsIsSet(true);
     this.running = running;
     setRunningIsSet(true);
     this.waiting = waiting;
@@ -159,7 +148,6 @@
    */
   public WireLoad(WireLoad other) {
     __isset_bitfield = other.__isset_bitfield;
-    this.slots = other.slots;
     this.running = other.running;
     if (other.isSetWaiting()) {
       java.util.List<java.lang.Integer> __this__waiting = new java.util.ArrayList<java.lang.Integer>(other.waiting);
@@ -176,8 +164,6 @@
 
   @Override
   public void clear() {
-    setSlotsIsSet(false);
-    this.slots = 0;
     setRunningIsSet(false);
     this.running = 0;
     this.waiting = null;
@@ -187,29 +173,6 @@
     this.failurePercent = 0;
   }
 
-  public int getSlots() {
-    return this.slots;
-  }
-
-  public WireLoad setSlots(int slots) {
-    this.slots = slots;
-    setSlotsIsSet(true);
-    return this;
-  }
-
-  public void unsetSlots() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SLOTS_ISSET_ID);
-  }
-
-  /** Returns true if field slots is set (has been assigned a value) and false otherwise */
-  public boolean isSetSlots() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SLOTS_ISSET_ID);
-  }
-
-  public void setSlotsIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SLOTS_ISSET_ID, value);
-  }
-
   public int getRunning() {
     return this.running;
   }
@@ -329,14 +292,6 @@
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case SLOTS:
-      if (value == null) {
-        unsetSlots();
-      } else {
-        setSlots((java.lang.Integer)value);
-      }
-      break;
-
     case RUNNING:
       if (value == null) {
         unsetRunning();
@@ -376,9 +331,6 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case SLOTS:
-      return getSlots();
-
     case RUNNING:
       return getRunning();
 
@@ -403,8 +355,6 @@
     }
 
     switch (field) {
-    case SLOTS:
-      return isSetSlots();
     case RUNNING:
       return isSetRunning();
     case WAITING:
@@ -430,15 +380,6 @@
     if (this == that)
       return true;
 
-    boolean this_present_slots = true;
-    boolean that_present_slots = true;
-    if (this_present_slots || that_present_slots) {
-      if (!(this_present_slots && that_present_slots))
-        return false;
-      if (this.slots != that.slots)
-        return false;
-    }
-
     boolean this_present_running = true;
     boolean that_present_running = true;
     if (this_present_running || that_present_running) {
@@ -482,8 +423,6 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + slots;
-
     hashCode = hashCode * 8191 + running;
 
     hashCode = hashCode * 8191 + ((isSetWaiting()) ? 131071 : 524287);
@@ -505,16 +444,6 @@
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetSlots(), other.isSetSlots());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetSlots()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.slots, other.slots);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetRunning(), other.isSetRunning());
     if (lastComparison != 0) {
       return lastComparison;
@@ -579,10 +508,6 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("WireLoad(");
     boolean first = true;
 
-    sb.append("slots:");
-    sb.append(this.slots);
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("running:");
     sb.append(this.running);
     first = false;
@@ -608,7 +533,6 @@
 
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
-    // alas, we cannot check 'slots' because it's a primitive and you chose the non-beans generator.
     // alas, we cannot check 'running' because it's a primitive and you chose the non-beans generator.
     if (waiting == null) {
       throw new org.apache.thrift.protocol.TProtocolException("Required field 'waiting' was not present! Struct: " + toString());
@@ -656,15 +580,7 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // SLOTS
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.slots = iprot.readI32();
-              struct.setSlotsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 2: // RUNNING
+          case 1: // RUNNING
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
               struct.running = iprot.readI32();
               struct.setRunningIsSet(true);
@@ -672,7 +588,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // WAITING
+          case 2: // WAITING
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
@@ -690,7 +606,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // WORK_MICROS
+          case 3: // WORK_MICROS
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
               struct.workMicros = iprot.readI32();
               struct.setWorkMicrosIsSet(true);
@@ -698,7 +614,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // FAILURE_PERCENT
+          case 4: // FAILURE_PERCENT
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
               struct.failurePercent = iprot.readI32();
               struct.setFailurePercentIsSet(true);
@@ -714,9 +630,6 @@
       iprot.readStructEnd();
 
       // check for required fields of primitive type, which can't be checked in the validate method
-      if (!struct.isSetSlots()) {
-        throw new org.apache.thrift.protocol.TProtocolException("Required field 'slots' was not found in serialized data! Struct: " + toString());
-      }
       if (!struct.isSetRunning()) {
         throw new org.apache.thrift.protocol.TProtocolException("Required field 'running' was not found in serialized data! Struct: " + toString());
       }
@@ -734,9 +647,6 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      oprot.writeFieldBegin(SLOTS_FIELD_DESC);
-      oprot.writeI32(struct.slots);
-      oprot.writeFieldEnd();
       oprot.writeFieldBegin(RUNNING_FIELD_DESC);
       oprot.writeI32(struct.running);
       oprot.writeFieldEnd();
@@ -776,7 +686,6 @@
     @Override
     public void write(org.apache.thrift.protocol.TProtocol prot, WireLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      oprot.writeI32(struct.slots);
       oprot.writeI32(struct.running);
       {
         oprot.writeI32(struct.waiting.size());
@@ -792,8 +701,6 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      struct.slots = iprot.readI32();
-      struct.setSlotsIsSet(true);
       struct.running = iprot.readI32();
       struct.setRunningIsSet(true);
       {
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -26,12 +26,11 @@
 
 /** How busy the backend server behind a node is. */
 struct WireLoad {
-  1: required i32 slots
-  2: required i32 running
+  1: required i32 running
   /** By rank, the most urgent first. */
-  3: required list<i32> waiting
-  4: required i32 workMicros
-  5: required i32 failurePercent
+  2: required list<i32> waiting
+  3: required i32 workMicros
+  4: required i32 failurePercent
 }
 
 /** A request on its way to the node in front of the chosen backend server. */
@@ -48,7 +47,6 @@
   9: required string serviceName
   10: required string route
   11: required bool idempotent
-  12: required bool fromBackend
 }
 
 /** The backend server's whole answer. */
