Log which requests a lost backend connection was running

A request under which backend servers crash comes again with another id, at any node. The log could not tell such repetitions from the retries of one call, or from lost answers: AZ0851 names the id at the node where the call began, and nothing names the request itself.

The node beside the backend server now logs AZ0832 for each connection that it loses while a request runs, with the id, the instance and the fingerprint that repetitions share, and counts them. RequestFingerprint of the streaming call path serves here too; for a request that is held whole it leaves the query to the second fingerprint, since repetitions share the path only. Lines go through the shared rate limit of call lines, which moves up a package so that the dispatcher can use it.

No decision changes.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -16,6 +16,7 @@
 import org.azurearch.metrics.MetricsReport;
 import org.azurearch.metrics.PrometheusText;
 import org.azurearch.sidecar.internal.BackendMonitor;
+import org.azurearch.sidecar.internal.CallLog;
 import org.azurearch.sidecar.internal.PlainHttpServer;
 import org.azurearch.sidecar.internal.backend.BackendDispatcher;
 import org.azurearch.sidecar.internal.call.CallRouter;
@@ -93,7 +94,8 @@
         mLog = platform.openLog(mLoop);
         mConfigs = new ConfigHolder(platform.configCodec());
         mBackendMonitor = new BackendMonitor(settings, platform.heartbeatCodec(), mConfigs);
-        mDispatcher = new BackendDispatcher(mLoop, mDialect, mBackendMonitor);
+        CallLog callLog = new CallLog();
+        mDispatcher = new BackendDispatcher(mLoop, mDialect, mBackendMonitor, callLog, mMetrics);
         mMesh =
                 new MeshService(
                         mLoop,
@@ -113,6 +115,7 @@
                         mConfigs,
                         mMesh.directory(),
                         mDispatcher,
+                        callLog,
                         mMetrics);
         mCallServer = new CallServer(mLoop, mRouter);
         mHopServer = new HopServer(mDispatcher, mMesh);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -37,6 +37,8 @@
     BACKEND_CHANGED(830, Level.INFO, "instance={} service={} ready={} slots={} cause={}"),
     /** A heartbeat of the backend server is ignored. */
     BACKEND_REPORT_IGNORED(831, Level.INFO, "instance={} sequence={} reason={}"),
+    /** The connection to the backend server was lost while it ran a request. */
+    REQUEST_LOST(832, Level.INFO, "id={} fingerprint={} instance={} reason={}"),
     /** The link to a peer came up or went down. */
     LINK(840, Level.INFO, "node={} up={}"),
     /** A connection to a peer failed. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/HopCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/HopCall.java
@@ -29,4 +29,14 @@
         int rank,
         String service,
         String route,
-        boolean idempotent) {}
+        boolean idempotent) {
+    /** Returns the value of the header that identifies the request, or "-" without one. */
+    public String requestId(String headerName) {
+        for (int i = 0; i + 1 < headers.size(); i += 2) {
+            if (headers.get(i).equalsIgnoreCase(headerName)) {
+                return headers.get(i + 1);
+            }
+        }
+        return "-";
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallLog.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/CallLog.java
@@ -1,4 +1,4 @@
-package org.azurearch.sidecar.internal.call;
+package org.azurearch.sidecar.internal;
 
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.TokenBucket;
@@ -8,7 +8,7 @@
  * Logs calls at a bounded rate: every failure and one in a hundred answers. Lines over the limit
  * are counted and the count is logged. Confined to one event loop.
  */
-final class CallLog {
+public final class CallLog {
     /** A line takes about 10 microseconds of processor time. */
     private static final double LINES_PER_SECOND = 40;
 
@@ -24,14 +24,14 @@
     private long mDropped;
 
     /** Logs a failure if the rate limit allows. */
-    void failure(SidecarEvent event, Object... arguments) {
+    public void failure(SidecarEvent event, Object... arguments) {
         if (acquireLine()) {
             EventLog.log(event, arguments);
         }
     }
 
     /** Counts an answer and returns whether to log it. */
-    boolean sampleAnswer() {
+    public boolean sampleAnswer() {
         return mAnswered++ % ANSWERED_SAMPLE == 0 && acquireLine();
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -115,8 +115,10 @@
 
     @Override
     public void failed(String reason) {
-        if (mState == State.STARTED) {
+        Heartbeat backend = mBackend;
+        if (mState == State.STARTED && backend != null) {
             end(true, 0);
+            mDispatcher.connectionLost(mCall, backend, reason);
             mListener.failed(AttemptFailure.unknown(ErrorCode.BACKEND_SERVER_FAILED, reason));
         }
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -1,5 +1,7 @@
 package org.azurearch.sidecar.internal.backend;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -7,6 +9,7 @@
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
+import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.admit.BackendQueue;
 import org.azurearch.sidecar.admit.QueuedRequest;
 import org.azurearch.sidecar.admit.RunningAges;
@@ -14,6 +17,8 @@
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.internal.CallLog;
+import org.azurearch.sidecar.internal.suspect.CallFingerprints;
 import org.azurearch.sidecar.member.Heartbeat;
 import org.azurearch.sidecar.route.EndpointLoad;
 import org.jspecify.annotations.Nullable;
@@ -58,6 +63,9 @@
     private final Dialect mDialect;
     private final BackendConnectionPool mPool;
     private final Listener mListener;
+    private final CallFingerprints mFingerprints;
+    private final CallLog mLog;
+    private final Counter mConnectionsLost;
     private final BackendQueue<BackendAttempt> mQueue = new BackendQueue<>();
     private final WorkEstimate mWorkEstimate = new WorkEstimate();
     private final RunningAges mRunningAges = new RunningAges();
@@ -72,10 +80,20 @@
      * @param loop the event loop of the node
      * @param dialect the header names
      * @param listener receives failures to reach the backend server
+     * @param log logs calls
+     * @param metrics where metrics are registered
      */
-    public BackendDispatcher(EventLoop loop, Dialect dialect, Listener listener) {
+    public BackendDispatcher(
+            EventLoop loop,
+            Dialect dialect,
+            Listener listener,
+            CallLog log,
+            MetricRegistry metrics) {
         mLoop = loop;
         mDialect = dialect;
+        mFingerprints = new CallFingerprints(dialect);
+        mLog = log;
+        mConnectionsLost = metrics.counter("backend.connections-lost");
         mPool = new BackendConnectionPool(loop, dialect);
         mListener = listener;
     }
@@ -216,6 +234,17 @@
         startWaiting();
     }
 
+    /** Records that the connection was lost while the backend server ran a request. */
+    void connectionLost(HopCall call, Heartbeat backend, String reason) {
+        mConnectionsLost.inc();
+        mLog.failure(
+                SidecarEvent.REQUEST_LOST,
+                call.requestId(mDialect.requestId()),
+                mFingerprints.of(call).fingerprints().get(0),
+                backend.instance(),
+                reason);
+    }
+
     void reportUnreachable(Heartbeat backend) {
         if (backend == mBackend) {
             mListener.unreachable();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -14,6 +14,7 @@
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.config.RouteRule;
 import org.azurearch.sidecar.config.RoutingConfig;
+import org.azurearch.sidecar.internal.CallLog;
 import org.azurearch.sidecar.internal.HeaderList;
 import org.azurearch.sidecar.internal.backend.BackendDispatcher;
 import org.azurearch.sidecar.internal.hop.HopLink;
@@ -46,7 +47,7 @@
     private final NodeDirectory mDirectory;
     private final BackendDispatcher mDispatcher;
     private final CallMetrics mMetrics;
-    private final CallLog mLog = new CallLog();
+    private final CallLog mLog;
     private final SplittableRandom mRandom = new SplittableRandom();
     private final EndpointSelector mSelector = new EndpointSelector(mRandom);
     private final SplitPicker mSplitPicker = new SplitPicker();
@@ -70,6 +71,7 @@
      * @param configs the configuration in force
      * @param directory the known nodes
      * @param dispatcher sends calls to the backend server behind this node
+     * @param log logs calls
      * @param metrics where metrics are registered
      */
     public CallRouter(
@@ -79,6 +81,7 @@
             ConfigHolder configs,
             NodeDirectory directory,
             BackendDispatcher dispatcher,
+            CallLog log,
             MetricRegistry metrics) {
         mLoop = loop;
         mSettings = settings;
@@ -91,6 +94,7 @@
         mConfigs = configs;
         mDirectory = directory;
         mDispatcher = dispatcher;
+        mLog = log;
         mMetrics = new CallMetrics(metrics);
         mCallerService = settings.service();
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/RequestFingerprint.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RequestFingerprint.java
@@ -1,6 +1,7 @@
 package org.azurearch.internal.call;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -22,7 +23,7 @@
  * Fingerprints of a request, equal for repetitions of the same request. They cover the method, the
  * target and the first bytes of the body; the second one also covers the headers.
  */
-final class RequestFingerprint {
+public final class RequestFingerprint {
     private static final int PREFIX_BYTES = 256;
     private static final int DIGEST_BYTES = 12;
     private static final int SUMMARY_CHARS = 120;
@@ -39,25 +40,66 @@
                     "x-correlation-id");
 
     private final String mMethodAndTarget;
+    private final String mQuery;
     private final HttpHeaders mHeaders;
+    private final Set<String> mIgnoredHeaders;
     private final ByteArrayOutputStream mPrefix = new ByteArrayOutputStream(0);
     private boolean mComplete;
 
     RequestFingerprint(HttpRequest request) {
-        mMethodAndTarget = request.method().name() + ' ' + request.uri();
-        mHeaders = request.headers();
+        this(request.method().name() + ' ' + request.uri(), "", request.headers(), Set.of());
+    }
+
+    private RequestFingerprint(
+            String methodAndTarget, String query, HttpHeaders headers, Set<String> ignoredHeaders) {
+        mMethodAndTarget = methodAndTarget;
+        mQuery = query;
+        mHeaders = headers;
+        mIgnoredHeaders = ignoredHeaders;
+    }
+
+    /**
+     * Returns the fingerprints of a request that is held whole, whose repetitions may differ in the
+     * query: only the second fingerprint covers it.
+     *
+     * @param method the method
+     * @param target the path with its query
+     * @param headers the headers
+     * @param ignoredHeaders names, in lower case, of further headers that may differ between
+     *     repetitions
+     * @param body the complete body
+     */
+    public static RequestFingerprint ofWhole(
+            String method,
+            String target,
+            HttpHeaders headers,
+            Set<String> ignoredHeaders,
+            byte[] body) {
+        int queryAt = target.indexOf('?');
+        String path = queryAt < 0 ? target : target.substring(0, queryAt);
+        RequestFingerprint fingerprint =
+                new RequestFingerprint(
+                        method + ' ' + path,
+                        target.substring(path.length()),
+                        headers,
+                        ignoredHeaders);
+        fingerprint.add(Unpooled.wrappedBuffer(body));
+        return fingerprint;
     }
 
     /** Adds a part of the body. */
     void add(HttpContent content) {
-        ByteBuf bytes = content.content();
+        add(content.content());
+        mComplete |= content instanceof LastHttpContent || mPrefix.size() >= PREFIX_BYTES;
+    }
+
+    private void add(ByteBuf bytes) {
         int length = Math.min(PREFIX_BYTES - mPrefix.size(), bytes.readableBytes());
         if (length > 0) {
             byte[] part = new byte[length];
             bytes.getBytes(bytes.readerIndex(), part);
             mPrefix.writeBytes(part);
         }
-        mComplete |= content instanceof LastHttpContent || mPrefix.size() >= PREFIX_BYTES;
     }
 
     /** Returns whether further parts of the body no longer change the fingerprints. */
@@ -66,7 +108,7 @@
     }
 
     /** Returns the digest of method and target. */
-    String targetDigest() {
+    public String targetDigest() {
         return digest(mMethodAndTarget.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -75,16 +117,16 @@
      * whose headers vary; the second distinguishes a request that differs from ordinary ones only
      * in a header.
      */
-    List<String> fingerprints() {
+    public List<String> fingerprints() {
         byte[] methodAndTarget = mMethodAndTarget.getBytes(StandardCharsets.UTF_8);
         byte[] prefix = mPrefix.toByteArray();
         String coarse = digest(methodAndTarget, new byte[1], prefix);
-        byte[] headers = headerText().getBytes(StandardCharsets.UTF_8);
+        byte[] headers = (mQuery + headerText()).getBytes(StandardCharsets.UTF_8);
         return List.of(coarse, coarse + SuspectTable.VARIANT_SEPARATOR + digest(headers));
     }
 
     /** Returns method and target in readable form, truncated. */
-    String summary() {
+    public String summary() {
         return mMethodAndTarget.substring(0, Math.min(SUMMARY_CHARS, mMethodAndTarget.length()));
     }
 
@@ -92,7 +134,11 @@
         TreeSet<String> lines = new TreeSet<>();
         for (Map.Entry<String, String> header : mHeaders) {
             String name = header.getKey().toLowerCase(Locale.ROOT);
-            if (!VARYING_HEADERS.contains(name) && !name.startsWith(CallHeaders.PREFIX)) {
+            boolean varies =
+                    VARYING_HEADERS.contains(name)
+                            || mIgnoredHeaders.contains(name)
+                            || name.startsWith(CallHeaders.PREFIX);
+            if (!varies) {
                 lines.add(name + ':' + header.getValue());
             }
         }
