Contain the crashing variant of a request, not all of its variants

A request that differs from ordinary ones only in a header was contained under both of its fingerprints after its second crash, so that the ordinary requests were refused with it unless one of them had completed between the crashes. Where the first fingerprint covers the path alone, as for requests that are held whole, that would take away a whole path.

A fingerprint without a variant is now contained only if no variant of it was itself in flight at several crashes, and for the short time that also holds where the cause cannot be determined.

--- a/org.azurearch.test/src/test/java/org/azurearch/call/SuspectTableTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/call/SuspectTableTest.java
@@ -60,6 +60,34 @@
         assertFalse(table.contained("b", 60_200));
     }
 
+    @Test
+    void otherVariantsAreNotContainedWithTheCrashingOne() {
+        SuspectTable table =
+                table(
+                        Map.of(),
+                        strike("path", "c1", 100),
+                        strike("path.crashing", "c1", 100),
+                        strike("path.other", "c1", 100),
+                        strike("path", "c2", 200),
+                        strike("path.crashing", "c2", 200));
+        assertTrue(table.contained("path.crashing", 300));
+        assertFalse(table.contained("path", 300));
+        assertFalse(table.contained("path.other", 300));
+    }
+
+    @Test
+    void requestWhoseVariantChangesIsContainedBriefly() {
+        SuspectTable table =
+                table(
+                        Map.of(),
+                        strike("path", "c1", 100),
+                        strike("path.first", "c1", 100),
+                        strike("path", "c2", 200),
+                        strike("path.second", "c2", 200));
+        assertTrue(table.contained("path", 60_199));
+        assertFalse(table.contained("path", 60_200));
+    }
+
     private static SuspectTable table(Map<String, Long> cleared, Strike... strikes) {
         return SuspectTable.of(List.of(strikes), cleared, LIFETIMES);
     }
--- a/org.azurearch/src/main/java/org/azurearch/call/SuspectTable.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/SuspectTable.java
@@ -17,6 +17,10 @@
  * that ordinary requests, which keep completing, are hardly ever contained. If several requests
  * were in flight at the same crashes, the cause cannot be determined, and all of them are contained
  * for a short time only.
+ *
+ * <p>A fingerprint without a variant stands for all requests that differ in the variant only. It is
+ * contained if none of them was in flight at several crashes, so that the variant must be one that
+ * changes with each repetition, and for a short time only, as it may affect other requests.
  */
 public final class SuspectTable {
     /** A table without suspects. */
@@ -127,20 +131,38 @@
     private long expiresAtMillis(String fingerprint) {
         List<Strike> strikes = mStrikes.getOrDefault(fingerprint, List.of());
         Map<String, Long> crashes = crashTimes(strikes);
-        if (crashes.size() < CRASHES_TO_CONTAIN) {
+        if (crashes.size() < CRASHES_TO_CONTAIN || explainedByVariant(fingerprint)) {
             return 0;
         }
         long last = crashes.values().stream().mapToLong(Long::longValue).max().orElse(0);
         boolean shared =
-                mStrikes.entrySet().stream()
-                        .filter(
-                                other ->
-                                        !withoutVariant(other.getKey())
-                                                .equals(withoutVariant(fingerprint)))
-                        .anyMatch(other -> includesAll(crashes, crashTimes(other.getValue())));
+                hasVariants(fingerprint)
+                        || mStrikes.entrySet().stream()
+                                .filter(
+                                        other ->
+                                                !withoutVariant(other.getKey())
+                                                        .equals(withoutVariant(fingerprint)))
+                                .anyMatch(
+                                        other ->
+                                                includesAll(crashes, crashTimes(other.getValue())));
         return last + (shared ? mLifetimes.sharedMillis() : mLifetimes.soleMillis());
     }
 
+    /** Returns whether a variant of a fingerprint was itself in flight at several crashes. */
+    private boolean explainedByVariant(String fingerprint) {
+        return mStrikes.entrySet().stream()
+                .filter(other -> variantOf(other.getKey(), fingerprint))
+                .anyMatch(other -> crashTimes(other.getValue()).size() >= CRASHES_TO_CONTAIN);
+    }
+
+    private boolean hasVariants(String fingerprint) {
+        return mStrikes.keySet().stream().anyMatch(other -> variantOf(other, fingerprint));
+    }
+
+    private static boolean variantOf(String other, String fingerprint) {
+        return other.startsWith(fingerprint + VARIANT_SEPARATOR);
+    }
+
     private static String withoutVariant(String fingerprint) {
         int variant = fingerprint.indexOf(VARIANT_SEPARATOR);
         return variant < 0 ? fingerprint : fingerprint.substring(0, variant);
