Contain a path whose crashes no single variant explains

The crashes of a contained variant took the fingerprint that all variants share out of containment altogether.

Only the crashes of the variant with the most of them are left out; what remains counts for the shared fingerprint. The new test failed before (1 of 7); ContainmentTest passes.

--- a/org.azurearch.test/src/test/java/org/azurearch/call/SuspectTableTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/call/SuspectTableTest.java
@@ -88,6 +88,22 @@
         assertFalse(table.contained("path", 60_200));
     }
 
+    @Test
+    void requestWhoseVariantChangesIsContainedThoughOneVariantWasRetried() {
+        SuspectTable table =
+                table(
+                        Map.of(),
+                        strike("path", "c1", 100),
+                        strike("path.first", "c1", 100),
+                        strike("path", "c2", 200),
+                        strike("path.first", "c2", 200),
+                        strike("path", "c3", 300),
+                        strike("path.second", "c3", 300),
+                        strike("path", "c4", 400),
+                        strike("path.third", "c4", 400));
+        assertTrue(table.contained("path", 500));
+    }
+
     private static SuspectTable table(Map<String, Long> cleared, Strike... strikes) {
         return SuspectTable.of(List.of(strikes), cleared, LIFETIMES);
     }
--- a/org.azurearch/src/main/java/org/azurearch/call/SuspectTable.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/SuspectTable.java
@@ -18,9 +18,9 @@
  * were in flight at the same crashes, the cause cannot be determined, and all of them are contained
  * for a short time only.
  *
- * <p>A fingerprint without a variant stands for all requests that differ in the variant only. It is
- * contained if none of them was in flight at several crashes, so that the variant must be one that
- * changes with each repetition, and for a short time only, as it may affect other requests.
+ * <p>A fingerprint without a variant stands for all requests that differ in the variant only. The
+ * crashes of the variant that was in flight at most of them do not count for it if that variant is
+ * contained. It is contained for a short time only, as other requests may share it.
  */
 public final class SuspectTable {
     /** A table without suspects. */
@@ -39,7 +39,8 @@
      * @param targetDigest digest of its method and target
      * @param summary method and target in readable form, truncated
      * @param crash the identifier of the crash
-     * @param atMillis the time of the crash, in milliseconds since the epoch
+     * @param atMillis the time of the crash, in milliseconds on one clock for all strikes of a
+     *     table; not negative
      */
     public record Strike(
             String fingerprint, String targetDigest, String summary, String crash, long atMillis) {}
@@ -128,10 +129,11 @@
     }
 
     /** Returns when the containment of a request ends, or 0 if it has too few crashes. */
-    private long expiresAtMillis(String fingerprint) {
+    public long expiresAtMillis(String fingerprint) {
         List<Strike> strikes = mStrikes.getOrDefault(fingerprint, List.of());
         Map<String, Long> crashes = crashTimes(strikes);
-        if (crashes.size() < CRASHES_TO_CONTAIN || explainedByVariant(fingerprint)) {
+        crashes.keySet().removeAll(crashesOfContainedVariant(fingerprint));
+        if (crashes.size() < CRASHES_TO_CONTAIN) {
             return 0;
         }
         long last = crashes.values().stream().mapToLong(Long::longValue).max().orElse(0);
@@ -148,11 +150,16 @@
         return last + (shared ? mLifetimes.sharedMillis() : mLifetimes.soleMillis());
     }
 
-    /** Returns whether a variant of a fingerprint was itself in flight at several crashes. */
-    private boolean explainedByVariant(String fingerprint) {
-        return mStrikes.entrySet().stream()
-                .filter(other -> variantOf(other.getKey(), fingerprint))
-                .anyMatch(other -> crashTimes(other.getValue()).size() >= CRASHES_TO_CONTAIN);
+    /** Returns the crashes of the variant with the most crashes, none if it is not contained. */
+    private Set<String> crashesOfContainedVariant(String fingerprint) {
+        Set<String> most = Set.of();
+        for (Map.Entry<String, List<Strike>> other : mStrikes.entrySet()) {
+            Set<String> crashes = crashTimes(other.getValue()).keySet();
+            if (variantOf(other.getKey(), fingerprint) && crashes.size() > most.size()) {
+                most = crashes;
+            }
+        }
+        return most.size() < CRASHES_TO_CONTAIN ? Set.of() : most;
     }
 
     private boolean hasVariants(String fingerprint) {
