--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -26,6 +26,9 @@
 import org.azurearch.sidecar.internal.hop.HopServer;
 import org.azurearch.sidecar.internal.mesh.ConfigHolder;
 import org.azurearch.sidecar.internal.mesh.MeshService;
+import org.azurearch.sidecar.internal.suspect.CallFingerprints;
+import org.azurearch.sidecar.internal.suspect.CrashDetector;
+import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.route.EndpointState;
 import org.azurearch.sidecar.store.KeyedLog;
 
@@ -95,7 +98,17 @@
         mConfigs = new ConfigHolder(platform.configCodec());
         mBackendMonitor = new BackendMonitor(settings, platform.heartbeatCodec(), mConfigs);
         CallLog callLog = new CallLog();
-        mDispatcher = new BackendDispatcher(mLoop, mDialect, mBackendMonitor, callLog, mMetrics);
+        SuspectTracker suspects =
+                new SuspectTracker(new CallFingerprints(mDialect), settings.node(), mMetrics);
+        mDispatcher =
+                new BackendDispatcher(
+                        mLoop,
+                        mDialect,
+                        mBackendMonitor,
+                        callLog,
+                        suspects,
+                        new CrashDetector(mLoop, suspects),
+                        mMetrics);
         mMesh =
                 new MeshService(
                         mLoop,
@@ -105,6 +118,7 @@
                         mLog,
                         CONFIG_KEY,
                         mConfigs,
+                        suspects,
                         mBackendMonitor::restore);
         mBackendMonitor.attach(mDispatcher, mMesh);
         mRouter =
@@ -115,6 +129,7 @@
                         mConfigs,
                         mMesh.directory(),
                         mDispatcher,
+                        suspects,
                         callLog,
                         mMetrics);
         mCallServer = new CallServer(mLoop, mRouter);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -39,6 +39,10 @@
     BACKEND_REPORT_IGNORED(831, Level.INFO, "instance={} sequence={} reason={}"),
     /** The connection to the backend server was lost while it ran a request. */
     REQUEST_LOST(832, Level.INFO, "id={} fingerprint={} instance={} reason={}"),
+    /** The backend server crashed; the requests in flight become suspects. */
+    BACKEND_CRASHED(833, Level.WARN, "instance={} crash={} requests={}"),
+    /** A request was in flight at its second crash and is refused from now on. */
+    REQUEST_CONTAINED(834, Level.ERROR, "fingerprint={} crash={} request={}"),
     /** The link to a peer came up or went down. */
     LINK(840, Level.INFO, "node={} up={}"),
     /** A connection to a peer failed. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/AttemptFailure.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/AttemptFailure.java
@@ -29,6 +29,16 @@
                 Verdict.NOT_RUN, ErrorCode.OVERLOADED, false, retryAfterMillis, detail);
     }
 
+    /** A refusal because backend servers crashed under requests like this one. */
+    public static AttemptFailure suspect(long retryAfterMillis) {
+        return new AttemptFailure(
+                Verdict.NOT_RUN,
+                ErrorCode.SUSPECT_REQUEST,
+                false,
+                retryAfterMillis,
+                "several backend servers crashed under requests like this one");
+    }
+
     /** A rejection by a backend server that states that it did not run the request. */
     public static AttemptFailure rejected(ErrorCode code, String detail) {
         return new AttemptFailure(Verdict.NOT_RUN, code, true, 0, detail);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -104,6 +104,9 @@
                             "answer " + status + " was not produced by the backend server"));
         } else {
             end(BackendAnswer.failed(status), millis);
+            if (!BackendAnswer.failed(status)) {
+                mDispatcher.completed(mCall);
+            }
             mListener.answered(
                     new BackendAnswer(
                             status,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.call.RequestFingerprint;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
 import org.azurearch.sidecar.SidecarEvent;
@@ -19,6 +20,8 @@
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.internal.CallLog;
 import org.azurearch.sidecar.internal.suspect.CallFingerprints;
+import org.azurearch.sidecar.internal.suspect.CrashDetector;
+import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.member.Heartbeat;
 import org.azurearch.sidecar.route.EndpointLoad;
 import org.jspecify.annotations.Nullable;
@@ -65,6 +68,8 @@
     private final Listener mListener;
     private final CallFingerprints mFingerprints;
     private final CallLog mLog;
+    private final SuspectTracker mSuspects;
+    private final CrashDetector mCrashes;
     private final Counter mConnectionsLost;
     private final BackendQueue<BackendAttempt> mQueue = new BackendQueue<>();
     private final WorkEstimate mWorkEstimate = new WorkEstimate();
@@ -81,6 +86,8 @@
      * @param dialect the header names
      * @param listener receives failures to reach the backend server
      * @param log logs calls
+     * @param suspects the requests under which backend servers crashed
+     * @param crashes finds out whether a lost connection means a crash
      * @param metrics where metrics are registered
      */
     public BackendDispatcher(
@@ -88,10 +95,14 @@
             Dialect dialect,
             Listener listener,
             CallLog log,
+            SuspectTracker suspects,
+            CrashDetector crashes,
             MetricRegistry metrics) {
         mLoop = loop;
         mDialect = dialect;
         mFingerprints = new CallFingerprints(dialect);
+        mSuspects = suspects;
+        mCrashes = crashes;
         mLog = log;
         mConnectionsLost = metrics.counter("backend.connections-lost");
         mPool = new BackendConnectionPool(loop, dialect);
@@ -151,6 +162,11 @@
                             "this node has no backend server of the service"));
             return attempt;
         }
+        AttemptFailure contained = mSuspects.containment(call);
+        if (contained != null) {
+            attempt.refuse(contained);
+            return attempt;
+        }
         long now = System.nanoTime();
         switch (mQueue.offer(attempt, attempt.queued(), now)) {
             case START -> attempt.start(backend);
@@ -236,13 +252,20 @@
 
     /** Records that the connection was lost while the backend server ran a request. */
     void connectionLost(HopCall call, Heartbeat backend, String reason) {
+        RequestFingerprint fingerprint = mFingerprints.of(call);
         mConnectionsLost.inc();
         mLog.failure(
                 SidecarEvent.REQUEST_LOST,
                 call.requestId(mDialect.requestId()),
-                mFingerprints.of(call).fingerprints().get(0),
+                fingerprint.fingerprints().get(0),
                 backend.instance(),
                 reason);
+        mCrashes.connectionLost(fingerprint, backend);
+    }
+
+    /** Records that the backend server answered a call without failing it. */
+    void completed(HopCall call) {
+        mSuspects.completed(call);
     }
 
     void reportUnreachable(Heartbeat backend) {
@@ -266,7 +289,13 @@
             if (next == null) {
                 return;
             }
-            next.start(backend);
+            AttemptFailure contained = mSuspects.containment(next.call());
+            if (contained == null) {
+                next.start(backend);
+            } else {
+                mQueue.release(next.queued());
+                next.refuse(contained);
+            }
             backend = mBackend;
         }
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.azurearch.sidecar.Dialect;
+import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.HopCall;
@@ -20,6 +21,7 @@
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.mesh.ConfigHolder;
 import org.azurearch.sidecar.internal.mesh.NodeDirectory;
+import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.route.EndpointSelector;
 import org.azurearch.sidecar.route.EndpointState;
 import org.azurearch.sidecar.route.HedgeDelay;
@@ -47,6 +49,7 @@
     private final NodeDirectory mDirectory;
     private final BackendDispatcher mDispatcher;
     private final CallMetrics mMetrics;
+    private final SuspectTracker mSuspects;
     private final CallLog mLog;
     private final SplittableRandom mRandom = new SplittableRandom();
     private final EndpointSelector mSelector = new EndpointSelector(mRandom);
@@ -71,6 +74,7 @@
      * @param configs the configuration in force
      * @param directory the known nodes
      * @param dispatcher sends calls to the backend server behind this node
+     * @param suspects the requests under which backend servers crashed
      * @param log logs calls
      * @param metrics where metrics are registered
      */
@@ -81,6 +85,7 @@
             ConfigHolder configs,
             NodeDirectory directory,
             BackendDispatcher dispatcher,
+            SuspectTracker suspects,
             CallLog log,
             MetricRegistry metrics) {
         mLoop = loop;
@@ -94,6 +99,7 @@
         mConfigs = configs;
         mDirectory = directory;
         mDispatcher = dispatcher;
+        mSuspects = suspects;
         mLog = log;
         mMetrics = new CallMetrics(metrics);
         mCallerService = settings.service();
@@ -130,6 +136,10 @@
         return mMetrics;
     }
 
+    SuspectTracker suspects() {
+        return mSuspects;
+    }
+
     CallLog log() {
         return mLog;
     }
@@ -144,6 +154,24 @@
         return headers;
     }
 
+    /**
+     * Returns how long a request may take: the deadline of its caller or the timeout of its route,
+     * whichever is shorter.
+     */
+    long allowedMillis(HttpHeaders received, RouteRule route, String requestId) {
+        String text = received.get(mDialect.deadlineMillis());
+        if (text == null) {
+            return route.timeoutMillis();
+        }
+        try {
+            return Math.min(Long.parseLong(text.trim()), route.timeoutMillis());
+        } catch (NumberFormatException e) {
+            mLog.failure(
+                    SidecarEvent.CALLER_MALFORMED, requestId, "deadline is not a number: " + text);
+            return route.timeoutMillis();
+        }
+    }
+
     @Nullable RoutingConfig config() {
         return mConfigs.current();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -114,7 +114,7 @@
             finish(TOO_LARGE, ErrorCode.TOO_LARGE, 0, "the body is larger than the limit");
             return;
         }
-        long millis = Math.min(deadlineMillis(route), route.timeoutMillis());
+        long millis = mRouter.allowedMillis(mRequest.headers(), route, mId);
         if (millis <= 0) {
             refuse(ErrorCode.DEADLINE_EXCEEDED, 0, "no time left at arrival");
             return;
@@ -122,6 +122,11 @@
         mDeadlineNanos = mStartedNanos + millis * NANOS_PER_MILLI;
         mBody = ByteBufUtil.getBytes(mRequest.content());
         mHeaders = mRouter.forwardedHeaders(mRequest.headers());
+        AttemptFailure contained = mRouter.suspects().containment(call(route));
+        if (contained != null) {
+            refuse(contained.code(), contained.retryAfterMillis(), contained.detail());
+            return;
+        }
         mService = mRouter.nextService(route);
         mRouter.recordRequest(mService);
         mTimeout = mRouter.loop().schedule(this::timedOut, millis, TimeUnit.MILLISECONDS);
@@ -263,7 +268,10 @@
         if (!mOpenAttempts.isEmpty()) {
             return;
         }
-        boolean allowed = failure.verdict().mayRetry(route.idempotent()) && remainingMillis() > 0;
+        boolean allowed =
+                failure.verdict().mayRetry(route.idempotent())
+                        && failure.code() != ErrorCode.SUSPECT_REQUEST
+                        && remainingMillis() > 0;
         boolean retry = allowed && (!failure.reachedBackend() || mayRetry(route));
         logAttempt(
                 attempt,
@@ -281,8 +289,14 @@
         sendToNext(failure);
     }
 
+    /**
+     * Returns whether the request may be sent to a further backend server that may run it. A
+     * suspect may not, so that it crashes one of them at most.
+     */
     private boolean mayRetry(RouteRule route) {
-        return mBackendAttemptCount < route.maxAttempts() && mRouter.tryAcquireRetry(mService);
+        return mBackendAttemptCount < route.maxAttempts()
+                && !mRouter.suspects().suspect(call(route))
+                && mRouter.tryAcquireRetry(mService);
     }
 
     private void timedOut() {
@@ -403,23 +417,6 @@
                 route.idempotent());
     }
 
-    private long deadlineMillis(RouteRule route) {
-        String text = mRequest.headers().get(mRouter.dialect().deadlineMillis());
-        if (text == null) {
-            return route.timeoutMillis();
-        }
-        try {
-            return Long.parseLong(text.trim());
-        } catch (NumberFormatException e) {
-            mRouter.log()
-                    .failure(
-                            SidecarEvent.CALLER_MALFORMED,
-                            mId,
-                            "deadline is not a number: " + text);
-            return route.timeoutMillis();
-        }
-    }
-
     private long remainingMillis() {
         return (mDeadlineNanos - System.nanoTime()) / NANOS_PER_MILLI;
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -1,12 +1,16 @@
 package org.azurearch.sidecar.internal.hop;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.call.SuspectTable.Strike;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.lib.Verdict;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.internal.suspect.StrikeEntry;
 import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.route.EndpointLoad;
@@ -16,6 +20,7 @@
 import org.azurearch.thrift.WireHopFailure;
 import org.azurearch.thrift.WireLoad;
 import org.azurearch.thrift.WireNodeRecord;
+import org.azurearch.thrift.WireStrike;
 
 /** Converts between the node's own types and the Thrift types of the frames. */
 public final class HopWire {
@@ -70,6 +75,48 @@
                                 backend.getWarmingMillis()));
     }
 
+    /**
+     * Returns the Thrift form of strikes, with ages in place of times.
+     *
+     * @param nowMillis the time, on the clock of the strikes
+     */
+    public static List<WireStrike> toWire(List<StrikeEntry> entries, long nowMillis) {
+        List<WireStrike> wire = new ArrayList<>();
+        for (StrikeEntry entry : entries) {
+            Strike strike = entry.strike();
+            wire.add(
+                    new WireStrike(
+                            strike.fingerprint(),
+                            strike.targetDigest(),
+                            strike.summary(),
+                            strike.crash(),
+                            (int) (nowMillis - strike.atMillis()),
+                            entry.cleared()));
+        }
+        return wire;
+    }
+
+    /**
+     * Returns the strikes of their Thrift form.
+     *
+     * @param takenMillis the time at which the ages were computed, on the clock of the strikes
+     */
+    public static List<StrikeEntry> fromWire(List<WireStrike> wire, long takenMillis) {
+        List<StrikeEntry> entries = new ArrayList<>();
+        for (WireStrike strike : wire) {
+            entries.add(
+                    new StrikeEntry(
+                            new Strike(
+                                    strike.getFingerprint(),
+                                    strike.getTargetDigest(),
+                                    strike.getSummary(),
+                                    strike.getCrash(),
+                                    takenMillis - Math.max(0, strike.getAgeMillis())),
+                            strike.isCleared()));
+        }
+        return entries;
+    }
+
     static WireHopCall toWire(HopCall call, long nowNanos) {
         return new WireHopCall(
                 call.id(),
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -13,17 +13,22 @@
 import org.azurearch.sidecar.internal.hop.HopConnection;
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.hop.HopNetwork;
+import org.azurearch.sidecar.internal.hop.HopWire;
+import org.azurearch.sidecar.internal.suspect.StrikeEntry;
+import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.store.KeyedLog;
 import org.azurearch.thrift.HopFrame;
+import org.azurearch.thrift.WireNodeRecords;
 import org.azurearch.thrift.WirePulse;
+import org.azurearch.thrift.WireSavedStrikes;
 
 /**
  * Keeps the configuration and the membership of this node up to date. Reads the store while this
  * node is a reader of its data centre, forwards changes and runs anti-entropy with peers. Confined
  * to one event loop.
  */
-public final class MeshService implements NodeDirectory.Listener {
+public final class MeshService implements NodeDirectory.Listener, SuspectTracker.Publisher {
     /** Interval at which the links and this node's role as a reader are checked. */
     private static final long TICK_MILLIS = 100;
 
@@ -36,6 +41,7 @@
     private final EventLoop mLoop;
     private final Consumer<NodeRecord> mEarlierRecordConsumer;
     private final ConfigHolder mConfigs;
+    private final SuspectTracker mSuspects;
     private final NodeDirectory mDirectory;
     private final NodeRegistration mRegistration;
     private final ConfigExchange mExchange;
@@ -55,6 +61,7 @@
      * @param log the platform's log
      * @param configKey the key of the configuration in its stream
      * @param configs the configuration in force
+     * @param suspects the requests under which backend servers crashed
      * @param earlierRecordConsumer receives records of earlier runs of this node
      */
     public MeshService(
@@ -65,14 +72,19 @@
             KeyedLog log,
             String configKey,
             ConfigHolder configs,
+            SuspectTracker suspects,
             Consumer<NodeRecord> earlierRecordConsumer) {
+        mSuspects = suspects;
         mEarlierRecordConsumer = earlierRecordConsumer;
         mLoop = loop;
         mConfigs = configs;
         mDirectory =
                 new NodeDirectory(loop, network, settings, peers, System.currentTimeMillis(), this);
         mExchange = new ConfigExchange(loop, configs, mDirectory, settings.configApplyMillis());
-        mRegistration = new NodeRegistration(log, loop, mDirectory.self(), mDirectory::merge);
+        mRegistration =
+                new NodeRegistration(
+                        log, loop, mDirectory.self(), mDirectory::merge, this::mergeSaved);
+        suspects.attach(this);
         mRegistration.start();
         mReader = new StoreReader(log, loop, configKey, new StoreListener());
         settings.seeds().forEach(mDirectory::seed);
@@ -113,6 +125,23 @@
             mStartupPulsesSent++;
             link.send(pulseFrame(false));
         }
+        List<StrikeEntry> strikes = mSuspects.entries();
+        if (!strikes.isEmpty()) {
+            link.send(frame(strikes, true));
+        }
+    }
+
+    @Override
+    public void publish(List<StrikeEntry> changed) {
+        mDirectory.broadcast(frame(changed, false));
+    }
+
+    @Override
+    public void save(List<StrikeEntry> contained) {
+        mRegistration.saveStrikes(
+                new WireSavedStrikes(
+                        HopWire.toWire(contained, mSuspects.nowMillis()),
+                        System.currentTimeMillis()));
     }
 
     @Override
@@ -124,7 +153,7 @@
     public void received(HopConnection connection, HopFrame frame) {
         switch (frame.getSetField()) {
             case HELLO -> mDirectory.handleHello(connection, frame.getHello());
-            case RECORDS -> mDirectory.merge(frame.getRecords());
+            case RECORDS -> merge(frame.getRecords());
             case PULSE -> compare(connection, frame.getPulse());
             case CONFIG -> mExchange.received(connection, frame.getConfig());
             case CONFIG_WANTED -> mExchange.answerPull(connection, frame.getConfigWanted());
@@ -136,13 +165,41 @@
         }
     }
 
+    private void merge(WireNodeRecords records) {
+        mDirectory.merge(records);
+        if (records.isSetStrikes()) {
+            List<StrikeEntry> changed =
+                    mSuspects.merge(HopWire.fromWire(records.getStrikes(), mSuspects.nowMillis()));
+            if (!changed.isEmpty() && !records.isRelayed()) {
+                mDirectory.relay(frame(changed, true));
+            }
+        }
+    }
+
+    private void mergeSaved(WireSavedStrikes saved) {
+        long age = Math.max(0, System.currentTimeMillis() - saved.getSavedAtMillis());
+        mSuspects.merge(HopWire.fromWire(saved.getStrikes(), mSuspects.nowMillis() - age));
+    }
+
+    private HopFrame frame(List<StrikeEntry> strikes, boolean relayed) {
+        return HopFrame.records(
+                new WireNodeRecords(List.of(), relayed)
+                        .setStrikes(HopWire.toWire(strikes, mSuspects.nowMillis())));
+    }
+
     private void compare(HopConnection connection, WirePulse pulse) {
+        boolean strikesDiffer =
+                pulse.isSetStrikeDigest() && pulse.getStrikeDigest() != mSuspects.digest();
+        if (strikesDiffer) {
+            connection.send(frame(mSuspects.entries(), true));
+        }
         if (pulse.getMemberDigest() != mDirectory.table().digest()) {
             mDirectory.sendMissing(connection, pulse.getMembers());
         }
         mExchange.schedulePull(connection, pulse.getConfigVersion());
         boolean differs =
-                pulse.getMemberDigest() != mDirectory.table().digest()
+                strikesDiffer
+                        || pulse.getMemberDigest() != mDirectory.table().digest()
                         || pulse.getConfigVersion() < mConfigs.version();
         if (!pulse.isReply() && differs) {
             connection.send(pulseFrame(true));
@@ -169,6 +226,7 @@
         if (mClosed) {
             return;
         }
+        mSuspects.tick();
         List<HopLink> partners = mDirectory.antiEntropyLinks();
         if (!partners.isEmpty()) {
             partners.get(mRandom.nextInt(partners.size())).send(pulseFrame(false));
@@ -180,10 +238,11 @@
     private HopFrame pulseFrame(boolean reply) {
         return HopFrame.pulse(
                 new WirePulse(
-                        mConfigs.version(),
-                        mDirectory.table().digest(),
-                        reply,
-                        mDirectory.table().records().size()));
+                                mConfigs.version(),
+                                mDirectory.table().digest(),
+                                reply,
+                                mDirectory.table().records().size())
+                        .setStrikeDigest(mSuspects.digest()));
     }
 
     /** Handles the events of the store reader. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -213,11 +213,14 @@
                 newer.add(record);
             }
         }
-        if (!newer.isEmpty()
-                && !records.isRelayed()
-                && usesRelays()
-                && isRelay(ownEndpoint().record())) {
-            HopFrame frame = frame(newer, true);
+        if (!newer.isEmpty() && !records.isRelayed()) {
+            relay(frame(newer, true));
+        }
+    }
+
+    /** Forwards a frame in this data centre if this node is a relay of a large mesh. */
+    void relay(HopFrame frame) {
+        if (usesRelays() && isRelay(ownEndpoint().record())) {
             localLinks().forEach(link -> link.send(frame));
         }
     }
@@ -425,7 +428,11 @@
     }
 
     private void broadcast(List<NodeRecord> records) {
-        HopFrame frame = frame(records, false);
+        broadcast(frame(records, false));
+    }
+
+    /** Sends a frame to all peers, in a large mesh by way of the relays of other data centres. */
+    void broadcast(HopFrame frame) {
         List<HopLink> targets = linksUp();
         if (usesRelays()) {
             targets = localLinks();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -16,6 +16,7 @@
 import org.azurearch.sidecar.store.KeyedRecord;
 import org.azurearch.sidecar.store.KeyedRecords;
 import org.azurearch.thrift.WireNodeRecord;
+import org.azurearch.thrift.WireSavedStrikes;
 import org.azurearch.time.Backoff;
 
 /**
@@ -36,19 +37,28 @@
     /** Suffix of the key under which a node saves its backend server for its next run. */
     private static final String BACKEND_KEY = "#backend";
 
+    /** Suffix of the key under which a node saves the strikes of contained requests. */
+    private static final String STRIKES_KEY = "#strikes";
+
     private final KeyedLog mLog;
     private final EventLoop mLoop;
     private final NodeRecord mSelf;
     private final Consumer<NodeRecord> mRecordConsumer;
+    private final Consumer<WireSavedStrikes> mStrikesConsumer;
     private final Backoff mBackoff = new Backoff(RETRY_BASE, RETRY_MAX, new SplittableRandom());
     private boolean mComplete;
 
     NodeRegistration(
-            KeyedLog log, EventLoop loop, NodeRecord self, Consumer<NodeRecord> recordConsumer) {
+            KeyedLog log,
+            EventLoop loop,
+            NodeRecord self,
+            Consumer<NodeRecord> recordConsumer,
+            Consumer<WireSavedStrikes> strikesConsumer) {
         mLog = log;
         mLoop = loop;
         mSelf = self;
         mRecordConsumer = recordConsumer;
+        mStrikesConsumer = strikesConsumer;
     }
 
     /**
@@ -67,16 +77,22 @@
      * Saves the record with this node's backend server; a failed write is logged but not retried.
      */
     void saveBackend(NodeRecord self) {
-        mLog.append(
-                        KeyedLog.Stream.NODES,
-                        self.node() + BACKEND_KEY,
-                        ThriftBytes.write(HopWire.toWire(self)))
+        save(BACKEND_KEY, "save backend", ThriftBytes.write(HopWire.toWire(self)));
+    }
+
+    /** Saves strikes for nodes that start later; a failed write is logged but not retried. */
+    void saveStrikes(WireSavedStrikes strikes) {
+        save(STRIKES_KEY, "save strikes", ThriftBytes.write(strikes));
+    }
+
+    private void save(String keySuffix, String what, byte[] value) {
+        mLog.append(KeyedLog.Stream.NODES, mSelf.node() + keySuffix, value)
                 .whenComplete(
                         (done, failure) -> {
                             if (failure != null) {
                                 EventLog.log(
                                         SidecarEvent.STORE_DOWN,
-                                        "save backend",
+                                        what,
                                         Completions.unwrap(failure).toString());
                             }
                         });
@@ -84,13 +100,11 @@
 
     /** Removes this node's records, as its VM is being removed. */
     CompletableFuture<Void> remove() {
-        return mLog.append(KeyedLog.Stream.NODES, mSelf.node(), new byte[0])
-                .thenCompose(
-                        done ->
-                                mLog.append(
-                                        KeyedLog.Stream.NODES,
-                                        mSelf.node() + BACKEND_KEY,
-                                        new byte[0]));
+        return remove("").thenCompose(done -> remove(BACKEND_KEY));
+    }
+
+    private CompletableFuture<Void> remove(String keySuffix) {
+        return mLog.append(KeyedLog.Stream.NODES, mSelf.node() + keySuffix, new byte[0]);
     }
 
     private void write() {
@@ -126,8 +140,7 @@
                 continue;
             }
             try {
-                mRecordConsumer.accept(
-                        HopWire.fromWire(ThriftBytes.read(new WireNodeRecord(), record.value())));
+                deliver(record);
             } catch (RuntimeException e) {
                 EventLog.log(
                         SidecarEvent.STORE_RECORD_UNREADABLE,
@@ -140,6 +153,15 @@
         mComplete = true;
     }
 
+    private void deliver(KeyedRecord record) {
+        if (record.key().endsWith(STRIKES_KEY)) {
+            mStrikesConsumer.accept(ThriftBytes.read(new WireSavedStrikes(), record.value()));
+        } else {
+            mRecordConsumer.accept(
+                    HopWire.fromWire(ThriftBytes.read(new WireNodeRecord(), record.value())));
+        }
+    }
+
     private void retry(String what, Throwable failure, Runnable again) {
         long millis = mBackoff.nextDelay().toMillis();
         EventLog.log(SidecarEvent.STORE_DOWN, what, Completions.unwrap(failure).toString());
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectRegistry.java
@@ -0,0 +1,178 @@
+package org.azurearch.sidecar.internal.suspect;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.azurearch.call.SuspectTable;
+import org.azurearch.call.SuspectTable.Strike;
+import org.azurearch.internal.call.RequestFingerprint;
+import org.azurearch.internal.member.Hashes;
+
+/**
+ * The strikes that this node and its peers have recorded, and which requests they contain. Strikes
+ * are only added, cleared and expired, so that nodes agree in whichever order they merge them.
+ * Times are those of a steady clock, as the times of day of nodes differ. Confined to one thread.
+ */
+public final class SuspectRegistry {
+    /** How long a strike counts after the crash, also if it was cleared. */
+    static final Duration LIFETIME = Duration.ofMinutes(10);
+
+    /** How long requests are contained that were in flight at the same crashes. */
+    private static final Duration SHARED_LIFETIME = Duration.ofMinutes(1);
+
+    /** Limit of the strikes held; beyond it, the oldest are dropped. */
+    private static final int MAX_STRIKES = 4_096;
+
+    private final Map<String, StrikeEntry> mEntries = new LinkedHashMap<>();
+    private SuspectTable mTable = SuspectTable.EMPTY;
+
+    /** Returns whether no request is suspect, so that none needs a fingerprint. */
+    public boolean isEmpty() {
+        return mTable.isEmpty();
+    }
+
+    /** Returns whether a request was in flight at a crash and has not completed since. */
+    public boolean suspect(RequestFingerprint request) {
+        return mayBeSuspect(request) && request.fingerprints().stream().anyMatch(mTable::suspect);
+    }
+
+    /**
+     * Returns how long a request remains contained, in milliseconds; 0 if it is not.
+     *
+     * @param nowMillis the time, on the steady clock
+     */
+    public long containedMillis(RequestFingerprint request, long nowMillis) {
+        if (!mayBeSuspect(request)) {
+            return 0;
+        }
+        long longest = 0;
+        for (String fingerprint : request.fingerprints()) {
+            longest = Math.max(longest, mTable.expiresAtMillis(fingerprint) - nowMillis);
+        }
+        return longest;
+    }
+
+    /**
+     * Records a request that was in flight at a crash.
+     *
+     * @param crash identifies the crash
+     * @param nowMillis the time, on the steady clock
+     * @return the new strikes
+     */
+    public List<StrikeEntry> strike(RequestFingerprint request, String crash, long nowMillis) {
+        List<StrikeEntry> strikes = new ArrayList<>();
+        for (String fingerprint : request.fingerprints()) {
+            strikes.add(
+                    new StrikeEntry(
+                            new Strike(
+                                    fingerprint,
+                                    request.targetDigest(),
+                                    request.summary(),
+                                    crash,
+                                    nowMillis),
+                            false));
+        }
+        return merge(strikes, nowMillis);
+    }
+
+    /** Clears a request that has completed; returns the strikes that no longer count. */
+    public List<StrikeEntry> completed(RequestFingerprint request, long nowMillis) {
+        if (!mayBeSuspect(request)) {
+            return List.of();
+        }
+        List<String> fingerprints = request.fingerprints();
+        List<StrikeEntry> cleared = new ArrayList<>();
+        for (StrikeEntry entry : mEntries.values()) {
+            if (!entry.cleared() && fingerprints.contains(entry.strike().fingerprint())) {
+                cleared.add(entry.asCleared());
+            }
+        }
+        return merge(cleared, nowMillis);
+    }
+
+    /**
+     * Adds strikes, and clears those that are cleared elsewhere.
+     *
+     * @return the strikes that changed
+     */
+    public List<StrikeEntry> merge(Collection<StrikeEntry> entries, long nowMillis) {
+        List<StrikeEntry> changed = new ArrayList<>();
+        for (StrikeEntry entry : entries) {
+            StrikeEntry known = mEntries.get(entry.key());
+            boolean isNew = known == null && !expired(entry, nowMillis);
+            boolean isCleared = known != null && entry.cleared() && !known.cleared();
+            if (isNew || isCleared) {
+                mEntries.put(entry.key(), entry);
+                changed.add(entry);
+            }
+        }
+        if (!changed.isEmpty()) {
+            rebuild(nowMillis);
+        }
+        return changed;
+    }
+
+    /** Removes the strikes that have expired. */
+    public void expire(long nowMillis) {
+        if (mEntries.values().stream().anyMatch(entry -> expired(entry, nowMillis))) {
+            rebuild(nowMillis);
+        }
+    }
+
+    /** Returns all strikes, including those that were cleared. */
+    public List<StrikeEntry> entries() {
+        return List.copyOf(mEntries.values());
+    }
+
+    /** Returns the strikes of the contained requests. */
+    public List<StrikeEntry> containedEntries(long nowMillis) {
+        return mEntries.values().stream()
+                .filter(entry -> mTable.contained(entry.strike().fingerprint(), nowMillis))
+                .toList();
+    }
+
+    /** Returns the number of fingerprints that are contained. */
+    public int containedCount(long nowMillis) {
+        return mTable.contained(nowMillis).size();
+    }
+
+    /** Returns a digest of all strikes; registries with the same strikes have equal digests. */
+    public long digest() {
+        long digest = 0;
+        for (StrikeEntry entry : mEntries.values()) {
+            digest += Hashes.of(entry.key() + (entry.cleared() ? "-" : "+"));
+        }
+        return digest;
+    }
+
+    private boolean mayBeSuspect(RequestFingerprint request) {
+        return !mTable.isEmpty() && mTable.suspectTarget(request.targetDigest());
+    }
+
+    private void rebuild(long nowMillis) {
+        mEntries.values().removeIf(entry -> expired(entry, nowMillis));
+        while (mEntries.size() > MAX_STRIKES) {
+            mEntries.remove(mEntries.keySet().iterator().next());
+        }
+        List<Strike> counting =
+                mEntries.values().stream()
+                        .filter(entry -> !entry.cleared())
+                        .map(StrikeEntry::strike)
+                        .toList();
+        mTable =
+                counting.isEmpty()
+                        ? SuspectTable.EMPTY
+                        : SuspectTable.of(
+                                counting,
+                                Map.of(),
+                                new SuspectTable.Lifetimes(
+                                        LIFETIME.toMillis(), SHARED_LIFETIME.toMillis()));
+    }
+
+    private static boolean expired(StrikeEntry entry, long nowMillis) {
+        return nowMillis - entry.strike().atMillis() >= LIFETIME.toMillis();
+    }
+}
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
@@ -0,0 +1,162 @@
+package org.azurearch.sidecar.internal.suspect;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.call.SuspectTable.Strike;
+import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.RequestFingerprint;
+import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.call.AttemptFailure;
+import org.azurearch.sidecar.call.HopCall;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tells which calls are suspect or contained, and shares new strikes with the peers. Confined to
+ * one event loop.
+ */
+public final class SuspectTracker {
+    /** Sends strikes to the peers and saves them for nodes that start later. */
+    public interface Publisher {
+        /** Sends strikes that this node recorded or cleared. */
+        void publish(List<StrikeEntry> changed);
+
+        /** Saves the strikes of contained requests. */
+        void save(List<StrikeEntry> contained);
+    }
+
+    private final CallFingerprints mFingerprints;
+    private final SuspectRegistry mRegistry = new SuspectRegistry();
+    private final String mCrashPrefix;
+    private final Counter mRefused;
+    private final Set<String> mReported = new HashSet<>();
+    private final long mStartedNanos = System.nanoTime();
+    private @Nullable Publisher mPublisher;
+
+    /**
+     * Creates a tracker without suspects.
+     *
+     * @param fingerprints computes the fingerprints of calls
+     * @param node the name of this node, which makes the identifiers of crashes unique
+     * @param metrics where metrics are registered
+     */
+    public SuspectTracker(CallFingerprints fingerprints, String node, MetricRegistry metrics) {
+        mFingerprints = fingerprints;
+        mCrashPrefix = node + ".";
+        mRefused = metrics.counter("suspects.refused");
+        metrics.gauge(
+                "suspects.contained",
+                () -> (Gauge<Integer>) () -> mRegistry.containedCount(nowMillis()));
+    }
+
+    /** Sets where strikes are published. */
+    public void attach(Publisher publisher) {
+        mPublisher = publisher;
+    }
+
+    /** Returns whether a call was in flight at a crash and no such call has completed since. */
+    public boolean suspect(HopCall call) {
+        return !mRegistry.isEmpty() && mRegistry.suspect(mFingerprints.of(call));
+    }
+
+    /** Returns why a call is refused if it is contained, otherwise null. */
+    public @Nullable AttemptFailure containment(HopCall call) {
+        long millis =
+                mRegistry.isEmpty()
+                        ? 0
+                        : mRegistry.containedMillis(mFingerprints.of(call), nowMillis());
+        if (millis <= 0) {
+            return null;
+        }
+        mRefused.inc();
+        return AttemptFailure.suspect(millis);
+    }
+
+    /** Returns an identifier for a crash of the backend server behind this node. */
+    String newCrash() {
+        return mCrashPrefix + System.currentTimeMillis();
+    }
+
+    /** Records that a request was in flight at a crash. */
+    void strike(RequestFingerprint fingerprint, String crash) {
+        publish(mRegistry.strike(fingerprint, crash, nowMillis()));
+        reportContained();
+    }
+
+    /** Records that a call has completed. */
+    public void completed(HopCall call) {
+        if (!mRegistry.isEmpty()) {
+            publish(mRegistry.completed(mFingerprints.of(call), nowMillis()));
+        }
+    }
+
+    /** Adds strikes of other nodes; returns those that were new to this node. */
+    public List<StrikeEntry> merge(Collection<StrikeEntry> entries) {
+        List<StrikeEntry> changed = mRegistry.merge(entries, nowMillis());
+        if (!changed.isEmpty()) {
+            reportContained();
+        }
+        return changed;
+    }
+
+    /** Returns all strikes known to this node. */
+    public List<StrikeEntry> entries() {
+        return mRegistry.entries();
+    }
+
+    /** Returns a digest of all strikes, to compare with that of a peer. */
+    public long digest() {
+        return mRegistry.digest();
+    }
+
+    /** Removes the strikes that have expired; called about once a second. */
+    public void tick() {
+        mRegistry.expire(nowMillis());
+    }
+
+    /**
+     * Returns the time of the strikes: a steady clock that exceeds the age of each of them, so that
+     * no time is negative.
+     */
+    public long nowMillis() {
+        return SuspectRegistry.LIFETIME.toMillis()
+                + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartedNanos);
+    }
+
+    /**
+     * Logs and saves newly contained requests under which the backend server behind this node has
+     * crashed. The strikes of two nodes may cross, so that neither contains it by its own strike.
+     */
+    private void reportContained() {
+        List<StrikeEntry> contained = mRegistry.containedEntries(nowMillis());
+        Set<String> fingerprints = new HashSet<>();
+        boolean isNew = false;
+        for (StrikeEntry entry : contained) {
+            Strike strike = entry.strike();
+            fingerprints.add(strike.fingerprint());
+            if (strike.crash().startsWith(mCrashPrefix) && mReported.add(strike.fingerprint())) {
+                isNew = true;
+                EventLog.log(
+                        SidecarEvent.REQUEST_CONTAINED,
+                        strike.fingerprint(),
+                        strike.crash(),
+                        strike.summary());
+            }
+        }
+        mReported.retainAll(fingerprints);
+        if (isNew && mPublisher != null) {
+            mPublisher.save(contained);
+        }
+    }
+
+    private void publish(List<StrikeEntry> changed) {
+        if (!changed.isEmpty() && mPublisher != null) {
+            mPublisher.publish(changed);
+        }
+    }
+}
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * A frame.
+ * A frame between two nodes.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class HopFrame extends org.apache.thrift.TUnion<HopFrame, HopFrame._Fields> {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireBackend.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireBackend.java
@@ -27,7 +27,7 @@
   public int slots; // required
   public boolean ready; // required
   /**
-   * How much longer it is slow after its start, in milliseconds.
+   * Remaining warm-up time after its start, in milliseconds.
    */
   public int warmingMillis; // required
 
@@ -38,7 +38,7 @@
     SLOTS((short)3, "slots"),
     READY((short)4, "ready"),
     /**
-     * How much longer it is slow after its start, in milliseconds.
+     * Remaining warm-up time after its start, in milliseconds.
      */
     WARMING_MILLIS((short)5, "warmingMillis");
 
@@ -281,14 +281,14 @@
   }
 
   /**
-   * How much longer it is slow after its start, in milliseconds.
+   * Remaining warm-up time after its start, in milliseconds.
    */
   public int getWarmingMillis() {
     return this.warmingMillis;
   }
 
   /**
-   * How much longer it is slow after its start, in milliseconds.
+   * Remaining warm-up time after its start, in milliseconds.
    */
   public WireBackend setWarmingMillis(int warmingMillis) {
     this.warmingMillis = warmingMillis;
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireConfigContent.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireConfigContent.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * One configuration: whole, or what differs from an older version.
+ * A configuration, whole or as a patch on an older version.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireConfigContent implements org.apache.thrift.TBase<WireConfigContent, WireConfigContent._Fields>, java.io.Serializable, Cloneable, Comparable<WireConfigContent> {
@@ -22,11 +22,11 @@
 
   public long version; // required
   /**
-   * The older version, or -1 where the content is whole.
+   * The older version, or -1 if the configuration is whole.
    */
   public long base; // required
   /**
-   * See ContentPatch.
+   * The patch in the format of ContentPatch.
    */
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer patch; // required
 
@@ -34,11 +34,11 @@
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     VERSION((short)1, "version"),
     /**
-     * The older version, or -1 where the content is whole.
+     * The older version, or -1 if the configuration is whole.
      */
     BASE((short)2, "base"),
     /**
-     * See ContentPatch.
+     * The patch in the format of ContentPatch.
      */
     PATCH((short)3, "patch");
 
@@ -187,14 +187,14 @@
   }
 
   /**
-   * The older version, or -1 where the content is whole.
+   * The older version, or -1 if the configuration is whole.
    */
   public long getBase() {
     return this.base;
   }
 
   /**
-   * The older version, or -1 where the content is whole.
+   * The older version, or -1 if the configuration is whole.
    */
   public WireConfigContent setBase(long base) {
     this.base = base;
@@ -216,7 +216,7 @@
   }
 
   /**
-   * See ContentPatch.
+   * The patch in the format of ContentPatch.
    */
   public byte[] getPatch() {
     setPatch(org.apache.thrift.TBaseHelper.rightSize(patch));
@@ -228,7 +228,7 @@
   }
 
   /**
-   * See ContentPatch.
+   * The patch in the format of ContentPatch.
    */
   public WireConfigContent setPatch(byte[] patch) {
     this.patch = patch == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(patch.clone());
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireConfigWanted.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireConfigWanted.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * Asks for the configuration if the receiver holds a higher version than the sender's.
+ * Pulls the configuration if the receiver holds a version above the given one.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireConfigWanted implements org.apache.thrift.TBase<WireConfigWanted, WireConfigWanted._Fields>, java.io.Serializable, Cloneable, Comparable<WireConfigWanted> {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * The backend server's whole answer.
+ * The backend server's complete answer.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireHopAnswer implements org.apache.thrift.TBase<WireHopAnswer, WireHopAnswer._Fields>, java.io.Serializable, Cloneable, Comparable<WireHopAnswer> {
@@ -29,7 +29,7 @@
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
   public @org.apache.thrift.annotation.Nullable WireLoad load; // required
   /**
-   * How long the backend server works on a request of the route.
+   * Current work time of the backend server on a request of the route.
    */
   public int workMicros; // required
 
@@ -41,7 +41,7 @@
     BODY((short)4, "body"),
     LOAD((short)5, "load"),
     /**
-     * How long the backend server works on a request of the route.
+     * Current work time of the backend server on a request of the route.
      */
     WORK_MICROS((short)6, "workMicros");
 
@@ -346,14 +346,14 @@
   }
 
   /**
-   * How long the backend server works on a request of the route.
+   * Current work time of the backend server on a request of the route.
    */
   public int getWorkMicros() {
     return this.workMicros;
   }
 
   /**
-   * How long the backend server works on a request of the route.
+   * Current work time of the backend server on a request of the route.
    */
   public WireHopAnswer setWorkMicros(int workMicros) {
     this.workMicros = workMicros;
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * A request on its way to the node in front of the chosen backend server.
+ * A request, sent to the destination node.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireHopCall implements org.apache.thrift.TBase<WireHopCall, WireHopCall._Fields>, java.io.Serializable, Cloneable, Comparable<WireHopCall> {
@@ -32,7 +32,7 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String method; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String target; // required
   /**
-   * Names and values in turn.
+   * Alternating names and values.
    */
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> headers; // required
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer body; // required
@@ -49,7 +49,7 @@
     METHOD((short)2, "method"),
     TARGET((short)3, "target"),
     /**
-     * Names and values in turn.
+     * Alternating names and values.
      */
     HEADERS((short)4, "headers"),
     BODY((short)5, "body"),
@@ -356,7 +356,7 @@
   }
 
   /**
-   * Names and values in turn.
+   * Alternating names and values.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<java.lang.String> getHeaders() {
@@ -364,7 +364,7 @@
   }
 
   /**
-   * Names and values in turn.
+   * Alternating names and values.
    */
   public WireHopCall setHeaders(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> headers) {
     this.headers = headers;
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCancel.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCancel.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * Nobody waits for the call any more.
+ * Cancels a call whose outcome is no longer needed.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireHopCancel implements org.apache.thrift.TBase<WireHopCancel, WireHopCancel._Fields>, java.io.Serializable, Cloneable, Comparable<WireHopCancel> {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopFailure.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopFailure.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * Why there is no answer from the backend server.
+ * The reason why the backend server gave no answer.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireHopFailure implements org.apache.thrift.TBase<WireHopFailure, WireHopFailure._Fields>, java.io.Serializable, Cloneable, Comparable<WireHopFailure> {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopPing.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopPing.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * Asks whether the connection still works, or says so.
+ * Checks that the connection works; the receiver returns it with reply set.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireHopPing implements org.apache.thrift.TBase<WireHopPing, WireHopPing._Fields>, java.io.Serializable, Cloneable, Comparable<WireHopPing> {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * How busy the backend server behind a node is.
+ * The load of the backend server behind a node.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireLoad implements org.apache.thrift.TBase<WireLoad, WireLoad._Fields>, java.io.Serializable, Cloneable, Comparable<WireLoad> {
@@ -23,7 +23,7 @@
 
   public int running; // required
   /**
-   * By rank, the most urgent first.
+   * Number of waiting calls by rank, the most urgent first.
    */
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> waiting; // required
   public int workMicros; // required
@@ -33,7 +33,7 @@
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     RUNNING((short)1, "running"),
     /**
-     * By rank, the most urgent first.
+     * Number of waiting calls by rank, the most urgent first.
      */
     WAITING((short)2, "waiting"),
     WORK_MICROS((short)3, "workMicros"),
@@ -213,7 +213,7 @@
   }
 
   /**
-   * By rank, the most urgent first.
+   * Number of waiting calls by rank, the most urgent first.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<java.lang.Integer> getWaiting() {
@@ -221,7 +221,7 @@
   }
 
   /**
-   * By rank, the most urgent first.
+   * Number of waiting calls by rank, the most urgent first.
    */
   public WireLoad setWaiting(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> waiting) {
     this.waiting = waiting;
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecord.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecord.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * What a node says of itself; the higher incarnation, then the higher sequence, is the newer one.
+ * A node's record of itself, ordered by incarnation, then by sequence; the higher is newer.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireNodeRecord implements org.apache.thrift.TBase<WireNodeRecord, WireNodeRecord._Fields>, java.io.Serializable, Cloneable, Comparable<WireNodeRecord> {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecords.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecords.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * Records of nodes, for the receiver and, where relayed is not set, its data centre.
+ * Node records and strikes; a relay forwards them in its data centre unless relayed is set.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WireNodeRecords implements org.apache.thrift.TBase<WireNodeRecords, WireNodeRecords._Fields>, java.io.Serializable, Cloneable, Comparable<WireNodeRecords> {
@@ -15,17 +15,20 @@
 
   private static final org.apache.thrift.protocol.TField RECORDS_FIELD_DESC = new org.apache.thrift.protocol.TField("records", org.apache.thrift.protocol.TType.LIST, (short)1);
   private static final org.apache.thrift.protocol.TField RELAYED_FIELD_DESC = new org.apache.thrift.protocol.TField("relayed", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField STRIKES_FIELD_DESC = new org.apache.thrift.protocol.TField("strikes", org.apache.thrift.protocol.TType.LIST, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireNodeRecordsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireNodeRecordsTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.util.List<WireNodeRecord> records; // required
   public boolean relayed; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<WireStrike> strikes; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     RECORDS((short)1, "records"),
-    RELAYED((short)2, "relayed");
+    RELAYED((short)2, "relayed"),
+    STRIKES((short)3, "strikes");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +48,8 @@
           return RECORDS;
         case 2: // RELAYED
           return RELAYED;
+        case 3: // STRIKES
+          return STRIKES;
         default:
           return null;
       }
@@ -90,6 +95,7 @@
   // isset id assignments
   private static final int __RELAYED_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.STRIKES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -98,6 +104,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireNodeRecord.class))));
     tmpMap.put(_Fields.RELAYED, new org.apache.thrift.meta_data.FieldMetaData("relayed", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.STRIKES, new org.apache.thrift.meta_data.FieldMetaData("strikes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireStrike.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireNodeRecords.class, metaDataMap);
   }
@@ -128,6 +137,13 @@
       this.records = __this__records;
     }
     this.relayed = other.relayed;
+    if (other.isSetStrikes()) {
+      java.util.List<WireStrike> __this__strikes = new java.util.ArrayList<WireStrike>(other.strikes.size());
+      for (WireStrike other_element : other.strikes) {
+        __this__strikes.add(new WireStrike(other_element));
+      }
+      this.strikes = __this__strikes;
+    }
   }
 
   @Override
@@ -140,6 +156,7 @@
     this.records = null;
     setRelayedIsSet(false);
     this.relayed = false;
+    this.strikes = null;
   }
 
   public int getRecordsSize() {
@@ -206,6 +223,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RELAYED_ISSET_ID, value);
   }
 
+  public int getStrikesSize() {
+    return (this.strikes == null) ? 0 : this.strikes.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<WireStrike> getStrikesIterator() {
+    return (this.strikes == null) ? null : this.strikes.iterator();
+  }
+
+  public void addToStrikes(WireStrike elem) {
+    if (this.strikes == null) {
+      this.strikes = new java.util.ArrayList<WireStrike>();
+    }
+    this.strikes.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<WireStrike> getStrikes() {
+    return this.strikes;
+  }
+
+  public WireNodeRecords setStrikes(@org.apache.thrift.annotation.Nullable java.util.List<WireStrike> strikes) {
+    this.strikes = strikes;
+    return this;
+  }
+
+  public void unsetStrikes() {
+    this.strikes = null;
+  }
+
+  /** Returns true if field strikes is set (has been assigned a value) and false otherwise */
+  public boolean isSetStrikes() {
+    return this.strikes != null;
+  }
+
+  public void setStrikesIsSet(boolean value) {
+    if (!value) {
+      this.strikes = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -225,6 +283,14 @@
       }
       break;
 
+    case STRIKES:
+      if (value == null) {
+        unsetStrikes();
+      } else {
+        setStrikes((java.util.List<WireStrike>)value);
+      }
+      break;
+
     }
   }
 
@@ -238,6 +304,9 @@
     case RELAYED:
       return isRelayed();
 
+    case STRIKES:
+      return getStrikes();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -254,6 +323,8 @@
       return isSetRecords();
     case RELAYED:
       return isSetRelayed();
+    case STRIKES:
+      return isSetStrikes();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -289,6 +360,15 @@
         return false;
     }
 
+    boolean this_present_strikes = true && this.isSetStrikes();
+    boolean that_present_strikes = true && that.isSetStrikes();
+    if (this_present_strikes || that_present_strikes) {
+      if (!(this_present_strikes && that_present_strikes))
+        return false;
+      if (!this.strikes.equals(that.strikes))
+        return false;
+    }
+
     return true;
   }
 
@@ -302,6 +382,10 @@
 
     hashCode = hashCode * 8191 + ((relayed) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetStrikes()) ? 131071 : 524287);
+    if (isSetStrikes())
+      hashCode = hashCode * 8191 + strikes.hashCode();
+
     return hashCode;
   }
 
@@ -333,6 +417,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStrikes(), other.isSetStrikes());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStrikes()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.strikes, other.strikes);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -368,6 +462,16 @@
     sb.append("relayed:");
     sb.append(this.relayed);
     first = false;
+    if (isSetStrikes()) {
+      if (!first) sb.append(", ");
+      sb.append("strikes:");
+      if (this.strikes == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.strikes);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -422,14 +526,14 @@
           case 1: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<WireNodeRecord>(_list24.size);
-                @org.apache.thrift.annotation.Nullable WireNodeRecord _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<WireNodeRecord>(_list32.size);
+                @org.apache.thrift.annotation.Nullable WireNodeRecord _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                  _elem25 = new WireNodeRecord();
-                  _elem25.read(iprot);
-                  struct.records.add(_elem25);
+                  _elem33 = new WireNodeRecord();
+                  _elem33.read(iprot);
+                  struct.records.add(_elem33);
                 }
                 iprot.readListEnd();
               }
@@ -446,6 +550,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // STRIKES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
+                struct.strikes = new java.util.ArrayList<WireStrike>(_list35.size);
+                @org.apache.thrift.annotation.Nullable WireStrike _elem36;
+                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
+                {
+                  _elem36 = new WireStrike();
+                  _elem36.read(iprot);
+                  struct.strikes.add(_elem36);
+                }
+                iprot.readListEnd();
+              }
+              struct.setStrikesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -469,9 +592,9 @@
         oprot.writeFieldBegin(RECORDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
-          for (WireNodeRecord _iter27 : struct.records)
+          for (WireNodeRecord _iter38 : struct.records)
           {
-            _iter27.write(oprot);
+            _iter38.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -480,6 +603,20 @@
       oprot.writeFieldBegin(RELAYED_FIELD_DESC);
       oprot.writeBool(struct.relayed);
       oprot.writeFieldEnd();
+      if (struct.strikes != null) {
+        if (struct.isSetStrikes()) {
+          oprot.writeFieldBegin(STRIKES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.strikes.size()));
+            for (WireStrike _iter39 : struct.strikes)
+            {
+              _iter39.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -500,31 +637,60 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.records.size());
-        for (WireNodeRecord _iter28 : struct.records)
+        for (WireNodeRecord _iter40 : struct.records)
         {
-          _iter28.write(oprot);
+          _iter40.write(oprot);
         }
       }
       oprot.writeBool(struct.relayed);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetStrikes()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetStrikes()) {
+        {
+          oprot.writeI32(struct.strikes.size());
+          for (WireStrike _iter41 : struct.strikes)
+          {
+            _iter41.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WireNodeRecords struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.records = new java.util.ArrayList<WireNodeRecord>(_list29.size);
-        @org.apache.thrift.annotation.Nullable WireNodeRecord _elem30;
-        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+        org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.records = new java.util.ArrayList<WireNodeRecord>(_list42.size);
+        @org.apache.thrift.annotation.Nullable WireNodeRecord _elem43;
+        for (int _i44 = 0; _i44 < _list42.size; ++_i44)
         {
-          _elem30 = new WireNodeRecord();
-          _elem30.read(iprot);
-          struct.records.add(_elem30);
+          _elem43 = new WireNodeRecord();
+          _elem43.read(iprot);
+          struct.records.add(_elem43);
         }
       }
       struct.setRecordsIsSet(true);
       struct.relayed = iprot.readBool();
       struct.setRelayedIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        {
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.strikes = new java.util.ArrayList<WireStrike>(_list45.size);
+          @org.apache.thrift.annotation.Nullable WireStrike _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          {
+            _elem46 = new WireStrike();
+            _elem46.read(iprot);
+            struct.strikes.add(_elem46);
+          }
+        }
+        struct.setStrikesIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
@@ -7,7 +7,7 @@
 package org.azurearch.thrift;
 
 /**
- * The state of the sender in brief; the receiver sends what the sender lacks.
+ * Digest of the sender's state for anti-entropy; the receiver sends what the sender lacks.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class WirePulse implements org.apache.thrift.TBase<WirePulse, WirePulse._Fields>, java.io.Serializable, Cloneable, Comparable<WirePulse> {
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField MEMBER_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("memberDigest", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("reply", org.apache.thrift.protocol.TType.BOOL, (short)3);
   private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField STRIKE_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("strikeDigest", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WirePulseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WirePulseTupleSchemeFactory();
@@ -25,9 +26,10 @@
   public long memberDigest; // required
   public boolean reply; // required
   /**
-   * How many nodes the sender knows.
+   * Number of nodes that the sender knows.
    */
   public int members; // required
+  public long strikeDigest; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,9 +37,10 @@
     MEMBER_DIGEST((short)2, "memberDigest"),
     REPLY((short)3, "reply"),
     /**
-     * How many nodes the sender knows.
+     * Number of nodes that the sender knows.
      */
-    MEMBERS((short)4, "members");
+    MEMBERS((short)4, "members"),
+    STRIKE_DIGEST((short)5, "strikeDigest");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,6 +64,8 @@
           return REPLY;
         case 4: // MEMBERS
           return MEMBERS;
+        case 5: // STRIKE_DIGEST
+          return STRIKE_DIGEST;
         default:
           return null;
       }
@@ -108,7 +113,9 @@
   private static final int __MEMBERDIGEST_ISSET_ID = 1;
   private static final int __REPLY_ISSET_ID = 2;
   private static final int __MEMBERS_ISSET_ID = 3;
+  private static final int __STRIKEDIGEST_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.STRIKE_DIGEST};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -120,6 +127,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.MEMBERS, new org.apache.thrift.meta_data.FieldMetaData("members", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.STRIKE_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("strikeDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WirePulse.class, metaDataMap);
   }
@@ -153,6 +162,7 @@
     this.memberDigest = other.memberDigest;
     this.reply = other.reply;
     this.members = other.members;
+    this.strikeDigest = other.strikeDigest;
   }
 
   @Override
@@ -170,6 +180,8 @@
     this.reply = false;
     setMembersIsSet(false);
     this.members = 0;
+    setStrikeDigestIsSet(false);
+    this.strikeDigest = 0;
   }
 
   public long getConfigVersion() {
@@ -242,14 +254,14 @@
   }
 
   /**
-   * How many nodes the sender knows.
+   * Number of nodes that the sender knows.
    */
   public int getMembers() {
     return this.members;
   }
 
   /**
-   * How many nodes the sender knows.
+   * Number of nodes that the sender knows.
    */
   public WirePulse setMembers(int members) {
     this.members = members;
@@ -270,6 +282,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMBERS_ISSET_ID, value);
   }
 
+  public long getStrikeDigest() {
+    return this.strikeDigest;
+  }
+
+  public WirePulse setStrikeDigest(long strikeDigest) {
+    this.strikeDigest = strikeDigest;
+    setStrikeDigestIsSet(true);
+    return this;
+  }
+
+  public void unsetStrikeDigest() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STRIKEDIGEST_ISSET_ID);
+  }
+
+  /** Returns true if field strikeDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetStrikeDigest() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STRIKEDIGEST_ISSET_ID);
+  }
+
+  public void setStrikeDigestIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STRIKEDIGEST_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -305,6 +340,14 @@
       }
       break;
 
+    case STRIKE_DIGEST:
+      if (value == null) {
+        unsetStrikeDigest();
+      } else {
+        setStrikeDigest((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -324,6 +367,9 @@
     case MEMBERS:
       return getMembers();
 
+    case STRIKE_DIGEST:
+      return getStrikeDigest();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -344,6 +390,8 @@
       return isSetReply();
     case MEMBERS:
       return isSetMembers();
+    case STRIKE_DIGEST:
+      return isSetStrikeDigest();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -397,6 +445,15 @@
         return false;
     }
 
+    boolean this_present_strikeDigest = true && this.isSetStrikeDigest();
+    boolean that_present_strikeDigest = true && that.isSetStrikeDigest();
+    if (this_present_strikeDigest || that_present_strikeDigest) {
+      if (!(this_present_strikeDigest && that_present_strikeDigest))
+        return false;
+      if (this.strikeDigest != that.strikeDigest)
+        return false;
+    }
+
     return true;
   }
 
@@ -412,6 +469,10 @@
 
     hashCode = hashCode * 8191 + members;
 
+    hashCode = hashCode * 8191 + ((isSetStrikeDigest()) ? 131071 : 524287);
+    if (isSetStrikeDigest())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(strikeDigest);
+
     return hashCode;
   }
 
@@ -463,6 +524,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStrikeDigest(), other.isSetStrikeDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStrikeDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.strikeDigest, other.strikeDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -502,6 +573,12 @@
     sb.append("members:");
     sb.append(this.members);
     first = false;
+    if (isSetStrikeDigest()) {
+      if (!first) sb.append(", ");
+      sb.append("strikeDigest:");
+      sb.append(this.strikeDigest);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -585,6 +662,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // STRIKE_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.strikeDigest = iprot.readI64();
+              struct.setStrikeDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -625,6 +710,11 @@
       oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
       oprot.writeI32(struct.members);
       oprot.writeFieldEnd();
+      if (struct.isSetStrikeDigest()) {
+        oprot.writeFieldBegin(STRIKE_DIGEST_FIELD_DESC);
+        oprot.writeI64(struct.strikeDigest);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -647,6 +737,14 @@
       oprot.writeI64(struct.memberDigest);
       oprot.writeBool(struct.reply);
       oprot.writeI32(struct.members);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetStrikeDigest()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetStrikeDigest()) {
+        oprot.writeI64(struct.strikeDigest);
+      }
     }
 
     @Override
@@ -660,6 +758,11 @@
       struct.setReplyIsSet(true);
       struct.members = iprot.readI32();
       struct.setMembersIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.strikeDigest = iprot.readI64();
+        struct.setStrikeDigestIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -76,10 +76,31 @@
   1: required i64 id
 }
 
-/** Node records; a relay forwards them in its data centre unless relayed is set. */
+/** A request that was in flight at a crash of a backend server, under one of its fingerprints. */
+struct WireStrike {
+  1: required string fingerprint
+  /** Digest of its method and target. */
+  2: required string targetDigest
+  3: required string summary
+  /** Identifies the crash. */
+  4: required string crash
+  5: required i32 ageMillis
+  /** Whether the request has completed since then. */
+  6: required bool cleared
+}
+
+/** Strikes as saved in the platform's store. */
+struct WireSavedStrikes {
+  1: required list<WireStrike> strikes
+  /** The time of day at which the ages were computed, in milliseconds since the epoch. */
+  2: required i64 savedAtMillis
+}
+
+/** Node records and strikes; a relay forwards them in its data centre unless relayed is set. */
 struct WireNodeRecords {
   1: required list<WireNodeRecord> records
   2: required bool relayed
+  3: optional list<WireStrike> strikes
 }
 
 /** Digest of the sender's state for anti-entropy; the receiver sends what the sender lacks. */
@@ -89,6 +110,7 @@
   3: required bool reply
   /** Number of nodes that the sender knows. */
   4: required i32 members
+  5: optional i64 strikeDigest
 }
 
 /** A configuration, whole or as a patch on an older version. */
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
@@ -225,7 +225,7 @@
         Announcement announcement = admission().announcement();
         if (announcement != null && crashMonitor().connectionLost(fingerprint)) {
             new CrashProbe(mEventLoop, announcement.address(), crashMonitor())
-                    .start(mPath.timers());
+                    .start(mPath.timers()::after);
         }
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CrashMonitor.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CrashMonitor.java
@@ -19,7 +19,7 @@
  * Records which requests were in flight when the backend server behind this node crashed, and
  * shares them with the peers through the board. Thread-safe.
  */
-final class CrashMonitor implements CrashContainment {
+final class CrashMonitor implements CrashContainment, CrashProbe.Listener {
     private static final String STRIKE_KIND = "crash.strike";
     private static final String CLEARED_KIND = "crash.cleared";
     private static final String SEPARATOR = " ";
@@ -61,8 +61,8 @@
     /**
      * Records a request whose connection was lost.
      *
-     * @return true if it is the first since the last {@link #onProbed}, so that the caller must
-     *     start a {@link CrashProbe}
+     * @return true if it is the first since the last {@link #probed}, so that the caller must start
+     *     a {@link CrashProbe}
      */
     synchronized boolean connectionLost(RequestFingerprint fingerprint) {
         if (mLostRequests.size() < MAX_STRIKES_PER_CRASH) {
@@ -71,11 +71,14 @@
         return mLostRequests.size() == 1;
     }
 
-    /**
-     * Handles the result of a {@link CrashProbe}: after a crash, all requests recorded since the
-     * last result become suspects.
-     */
-    void onProbed(boolean crashed) {
+    @Override
+    public void crashed() {
+        // The requests lost until the second probe belong to the same crash.
+    }
+
+    /** After a crash, all requests recorded since the last result become suspects. */
+    @Override
+    public void probed(boolean crashed) {
         List<RequestFingerprint> lost;
         synchronized (this) {
             lost = List.copyOf(mLostRequests);
