Log and measure the limit that a backend server names

A backend server in need names in its answers how many requests a second it takes. No node took note of it, so that neither the log nor the metrics could tell whether a limit was unknown, kept by each node alone, or passed over by retries.

The node beside the backend server, which all requests pass, now reads the header and logs AZ0835 when the limit changes; the gauge backend.limit and the counter backend.sent show it beside what was sent. Only a signed answer without the header ends a limit. The dialect has one name more.

No decision changes.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Dialect.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Dialect.java
@@ -11,6 +11,8 @@
  * @param instance header: the backend server that answered
  * @param notRun header: present if the backend server states that it did not run the request
  * @param responseSignature header: proves that an answer comes from the backend server itself
+ * @param requestLimit header of an answer: how many requests a second the backend server takes from
+ *     all nodes together; it holds until an answer lacks the header
  * @param retryAfter header: how long a refused caller should wait before it retries, in seconds
  * @param readyPath path at which the platform polls whether the node takes calls
  */
@@ -22,5 +24,6 @@
         String instance,
         String notRun,
         String responseSignature,
+        String requestLimit,
         String retryAfter,
         String readyPath) {}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -43,6 +43,8 @@
     BACKEND_CRASHED(833, Level.WARN, "instance={} crash={} requests={}"),
     /** A request was in flight at its second crash and is refused from now on. */
     REQUEST_CONTAINED(834, Level.ERROR, "fingerprint={} crash={} request={}"),
+    /** The backend server named a limit of its requests, another one, or none any more. */
+    BACKEND_LIMIT(835, Level.INFO, "instance={} per_second={} before={}"),
     /** The link to a peer came up or went down. */
     LINK(840, Level.INFO, "node={} up={}"),
     /** A connection to a peer failed. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -92,6 +92,7 @@
         double millis = (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI_EXACT;
         int status = answer.status().code();
         Dialect dialect = mDispatcher.dialect();
+        noteLimit(answer);
         if (answer.headers().contains(dialect.notRun())
                 || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             rejected(status);
@@ -126,6 +127,19 @@
         }
     }
 
+    /**
+     * Passes on the limit that an answer names. Only a signed answer without the header ends the
+     * limit, as a rejection may come from a part that does not know it.
+     */
+    private void noteLimit(FullHttpResponse answer) {
+        Heartbeat backend = mBackend;
+        String value = answer.headers().get(mDispatcher.dialect().requestLimit());
+        boolean signed = answer.headers().contains(mDispatcher.dialect().responseSignature());
+        if (backend != null && (value != null || signed)) {
+            mDispatcher.limitNamed(backend, value);
+        }
+    }
+
     private void rejected(int status) {
         end(true, 0);
         Heartbeat backend = mBackend;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.backend;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import java.util.List;
@@ -53,6 +54,9 @@
     /** Weight of a new outcome in the failure rate, which covers about the last 20 outcomes. */
     private static final double FAILURE_RATE_WEIGHT = 0.05;
 
+    /** The value of a limit that the backend server does not name. */
+    private static final double UNLIMITED = -1;
+
     /** Receives failures to reach the expected backend server. */
     public interface Listener {
         /** Called if no connection to the backend server could be opened. */
@@ -71,6 +75,7 @@
     private final SuspectTracker mSuspects;
     private final CrashDetector mCrashes;
     private final Counter mConnectionsLost;
+    private final Counter mSent;
     private final BackendQueue<BackendAttempt> mQueue = new BackendQueue<>();
     private final WorkEstimate mWorkEstimate = new WorkEstimate();
     private final RunningAges mRunningAges = new RunningAges();
@@ -78,6 +83,7 @@
     private boolean mSweepScheduled;
     private double mFailureRate;
     private boolean mStopping;
+    private double mNamedLimit = UNLIMITED;
 
     /**
      * Creates a dispatcher without a backend server.
@@ -105,6 +111,8 @@
         mCrashes = crashes;
         mLog = log;
         mConnectionsLost = metrics.counter("backend.connections-lost");
+        mSent = metrics.counter("backend.sent");
+        metrics.gauge("backend.limit", () -> (Gauge<Double>) () -> mNamedLimit);
         mPool = new BackendConnectionPool(loop, dialect);
         mListener = listener;
     }
@@ -123,6 +131,7 @@
         }
         mQueue.setSlots(backend.slots());
         if (before == null || !before.instance().equals(backend.instance())) {
+            mNamedLimit = UNLIMITED;
             mPool.switchTo(backend.address());
             mFailureRate = 0;
         }
@@ -232,6 +241,7 @@
 
     /** Records that an attempt has been sent to the backend server. */
     void attemptSent(long nowNanos) {
+        mSent.inc();
         mRunningAges.started(nowNanos);
     }
 
@@ -263,6 +273,38 @@
         mCrashes.connectionLost(fingerprint, backend);
     }
 
+    /**
+     * Records the limit that an answer names.
+     *
+     * @param backend the backend server that answered
+     * @param value the limit, in requests a second as a decimal number, or null if it names none
+     */
+    void limitNamed(Heartbeat backend, @Nullable String value) {
+        double perSecond = value == null ? UNLIMITED : parseLimit(backend, value);
+        if (backend != mBackend || perSecond == mNamedLimit) {
+            return;
+        }
+        mLog.failure(SidecarEvent.BACKEND_LIMIT, backend.instance(), perSecond, mNamedLimit);
+        mNamedLimit = perSecond;
+    }
+
+    private double parseLimit(Heartbeat backend, String value) {
+        try {
+            double perSecond = Double.parseDouble(value.trim());
+            if (perSecond >= 0 && Double.isFinite(perSecond)) {
+                return perSecond;
+            }
+        } catch (NumberFormatException e) {
+            // Logged below, like a number out of range.
+        }
+        mLog.failure(
+                SidecarEvent.BACKEND_REPORT_IGNORED,
+                backend.instance(),
+                "-",
+                "limit is not a number of requests a second: " + value);
+        return mNamedLimit;
+    }
+
     /** Records that the backend server answered a call without failing it. */
     void completed(HopCall call) {
         mSuspects.completed(call);
