Keep the limit that a backend server names in its answers

A backend server in need got several times the requests that it had named as its limit: 106 and 60 in four seconds where 58 and 37 were allowed.

The node beside the backend server, which all requests pass, now starts no more than the limit for all nodes together. A request waits for its turn like for a slot and is refused at once if it comes too late for it, with the time until there is room. The limit travels in the record of the backend server, as an optional field, so that other nodes count with fewer slots there and a restarted node takes it over.

Unit tests play the rate, the queue, the selection and the record without a network.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
@@ -34,6 +34,20 @@
         assertEquals(BackendQueue.Decision.REFUSE, offer("x", 1, 300, 400, 100));
     }
 
+    @Test
+    void requestsBeyondNamedLimitWaitOrAreRefused() {
+        mQueue.setSlots(6);
+        mQueue.limitStarts(5, 0);
+        assertEquals(BackendQueue.Decision.START, offer("a", 1, 500, 1_000, 100));
+        assertEquals(BackendQueue.Decision.WAIT, offer("b", 1, 500, 1_000, 100));
+        assertNull(mQueue.startNext(0), "slots are free but the limit allows no start");
+        assertEquals(BackendQueue.Decision.WAIT, offer("c", 1, 600, 1_000, 100));
+        assertEquals(BackendQueue.Decision.REFUSE, offer("d", 1, 250, 1_000, 100));
+        assertTrue(mQueue.backlogMillis(0) >= 600, "backlog " + mQueue.backlogMillis(0));
+        assertEquals("b", mQueue.startNext(200 * MILLI));
+        assertNull(mQueue.startNext(200 * MILLI));
+    }
+
     @Test
     void startsUrgentRankFirst() {
         mQueue.setSlots(1);
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
@@ -90,12 +90,28 @@
     @Test
     void departureWithoutStartEndsAssumedRun() {
         BackendRecord remembered = new BackendRecord("stock", "a", 4, true, 0);
-        assertEquals(Change.CHANGED, mTracker.assume(Heartbeat.assumed(remembered, ADDRESS)));
+        assertEquals(
+                Change.CHANGED,
+                mTracker.assume(Heartbeat.assumed(remembered, ADDRESS), BackendRecord.NO_LIMIT));
         assertTrue(mTracker.ready());
         assertEquals(Change.CHANGED, mTracker.onDeparture("a", 0, NOW));
         assertEquals(Change.STALE, mTracker.onHeartbeat(heartbeat("a", 10, 27, false)));
         assertFalse(mTracker.ready());
-        assertEquals(Change.NONE, mTracker.assume(Heartbeat.assumed(remembered, ADDRESS)));
+        assertEquals(
+                Change.NONE,
+                mTracker.assume(Heartbeat.assumed(remembered, ADDRESS), BackendRecord.NO_LIMIT));
+    }
+
+    @Test
+    void publishesLimitOnlyIfItChangesNoticeably() {
+        mTracker.onHeartbeat(heartbeat("a", 1, 1, false));
+        assertEquals(Change.CHANGED, mTracker.onLimit(10));
+        assertEquals(10, mTracker.record().limitPerSecond());
+        assertEquals(Change.NONE, mTracker.onLimit(10.5));
+        assertEquals(Change.CHANGED, mTracker.onLimit(12));
+        assertEquals(12, mTracker.record().limitPerSecond());
+        mTracker.onHeartbeat(heartbeat("a", 2, 1, false));
+        assertEquals(BackendRecord.NO_LIMIT, mTracker.record().limitPerSecond());
     }
 
     private static Heartbeat heartbeat(
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
@@ -122,6 +122,20 @@
         assertEquals(mNear, mSelector.choose(List.of(mNear, twin), request, 2));
     }
 
+    @Test
+    void prefersEndpointsThatNameNoLimitOnceRequestsWait() {
+        EndpointState limited = endpoint("limited", true);
+        BackendRecord backend = new BackendRecord("stock", "i-limited", 4, true, 0, 2);
+        NetAddress address = new NetAddress("127.0.0.1", 7000);
+        limited.record(new NodeRecord("limited", "rennes", address, 1, 2, false, true, backend), 1);
+        limited.requestStarted(2);
+        mNear.requestStarted(2);
+        mNear.requestStarted(2);
+        EndpointSelector.Request request =
+                new EndpointSelector.Request("stock", "r", 2, 300, 5_000, Set.of());
+        assertEquals(mNear, mSelector.choose(List.of(mNear, limited), request, 2));
+    }
+
     @Test
     void spreadsEvenlyOverTwoLocalEndpoints() {
         EndpointState twin = endpoint("twin", true);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -16,6 +16,9 @@
  * target, the earliest target first; then the rest. A request is refused on arrival if the work
  * ahead of it leaves too little time, and while it waits as soon as that becomes clear.
  *
+ * <p>A backend server may limit its requests a second; then a request also waits for its turn
+ * within the limit, and what does not fit is refused in the same way.
+ *
  * <p>Confined to one thread.
  *
  * @param <T> the type of the object that is attached to a request
@@ -61,6 +64,7 @@
 
     private final List<Waiting<T>> mWaiting = new ArrayList<>();
     private final RankLoad mLoad = new RankLoad();
+    private final StartRate mStartRate = new StartRate();
     private double mRunningMillis;
     private int mSlots = 1;
     private int mRunning;
@@ -70,6 +74,15 @@
         mSlots = Math.max(1, slots);
     }
 
+    /**
+     * Limits how many requests a second are started.
+     *
+     * @param perSecond the limit; negative for none
+     */
+    public void limitStarts(double perSecond, long nowNanos) {
+        mStartRate.limit(perSecond, nowNanos);
+    }
+
     /** Returns the number of requests that the backend server is running. */
     public int running() {
         return mRunning;
@@ -101,11 +114,12 @@
         }
         int rank = request.fromBackend() ? BACKEND_RANK : request.rank();
         mLoad.addArrival(rank, request.workMillis(), nowNanos);
-        if (mRunning < mSlots && mWaiting.isEmpty()) {
+        if (mRunning < mSlots && mWaiting.isEmpty() && mStartRate.tryStart(nowNanos)) {
             occupySlot(request);
             return Decision.START;
         }
-        double urgentLoad = Math.min(MAX_URGENT_LOAD, mLoad.loadUpTo(rank - 1, mSlots, nowNanos));
+        double urgentLoad =
+                Math.min(MAX_URGENT_LOAD, mLoad.loadUpTo(rank - 1, capacity(request), nowNanos));
         double expectedMillis =
                 waitMillis(request, nowNanos) / (1 - urgentLoad) + request.workMillis();
         double targetLeftMillis = (request.targetNanos() - nowNanos) / NANOS_PER_MILLI;
@@ -117,9 +131,12 @@
         return Decision.WAIT;
     }
 
-    /** Starts the next waiting request and returns it, or null if none waits or no slot is free. */
+    /**
+     * Starts the next waiting request and returns it, or null if none waits, no slot is free or the
+     * limit allows none now.
+     */
     public @Nullable T startNext(long nowNanos) {
-        if (mRunning >= mSlots || mWaiting.isEmpty()) {
+        if (mRunning >= mSlots || mWaiting.isEmpty() || !mStartRate.tryStart(nowNanos)) {
             return null;
         }
         Waiting<T> best = mWaiting.get(0);
@@ -175,7 +192,7 @@
     /** Returns how long a request would wait behind those that precede it, in milliseconds. */
     private double waitMillis(QueuedRequest request, long nowNanos) {
         if (mRunning < mSlots && mWaiting.isEmpty()) {
-            return 0;
+            return mStartRate.millisUntil(1, nowNanos);
         }
         double work = mRunningMillis;
         int ahead = 0;
@@ -186,16 +203,17 @@
             }
         }
         double mean = work / Math.max(1, mRunning + ahead);
-        return mean * (ahead + 1) / (mSlots + 1);
+        return Math.max(
+                mean * (ahead + 1) / (mSlots + 1), mStartRate.millisUntil(ahead + 1, nowNanos));
     }
 
     /** Returns how long all running and waiting requests will take, in milliseconds. */
-    public double backlogMillis() {
+    public double backlogMillis(long nowNanos) {
         double total = mRunningMillis / 2;
         for (Waiting<T> waiting : mWaiting) {
             total += waiting.request().workMillis();
         }
-        return total / mSlots;
+        return Math.max(total / mSlots, mStartRate.millisUntil(mWaiting.size() + 1, nowNanos));
     }
 
     /**
@@ -208,7 +226,14 @@
 
     /** Returns whether requests that precede a late request of its rank take all slots. */
     private boolean starved(QueuedRequest request, long nowNanos) {
-        return mLoad.loadUpTo(request.rank(), mSlots, nowNanos) > MAX_LOAD_FOR_LATE;
+        return mLoad.loadUpTo(request.rank(), capacity(request), nowNanos) > MAX_LOAD_FOR_LATE;
+    }
+
+    /** Returns the number of slots that requests like the given one can keep busy. */
+    private double capacity(QueuedRequest request) {
+        return mStartRate.limited()
+                ? Math.min(mSlots, mStartRate.perSecond() * request.workMillis() / 1_000)
+                : mSlots;
     }
 
     private void occupySlot(QueuedRequest request) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/RankLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/RankLoad.java
@@ -25,7 +25,7 @@
      * Returns the load of a rank and all more urgent ones, as a fraction of the backend server's
      * capacity; above 1 if they need more than that.
      */
-    double loadUpTo(int rank, int slots, long nowNanos) {
+    double loadUpTo(int rank, double slots, long nowNanos) {
         decay(nowNanos);
         double work = 0;
         for (double each : mWork.headMap(rank, true).values()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
@@ -109,6 +109,11 @@
         applyChange(mTracker.onUnreachable(), "replaced");
     }
 
+    @Override
+    public void limitNamed(double perSecond) {
+        applyChange(mTracker.onLimit(perSecond), "limit");
+    }
+
     private BackendTracker.Change recordDeparture(HeartbeatCodec.Message message) {
         return mTracker.onDeparture(
                 message.instance(), message.startedMillis(), System.currentTimeMillis());
@@ -133,7 +138,7 @@
         BackendRecord backend = restorableBackend();
         if (backend != null && backend.instance().equals(instance)) {
             Heartbeat assumed = Heartbeat.assumed(backend, mSettings.backend());
-            applyChange(mTracker.assume(assumed), "remembered");
+            applyChange(mTracker.assume(assumed, backend.limitPerSecond()), "remembered");
         }
     }
 
@@ -193,7 +198,7 @@
                 mTracker.ready(),
                 current == null ? 0 : current.slots(),
                 cause);
-        dispatcher.updateBackend(mTracker.ready() ? current : null);
+        dispatcher.updateBackend(mTracker.ready() ? current : null, mTracker.limitPerSecond());
         mesh.directory().publishBackend(mTracker.record());
         saveIfChanged(mesh, current);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -23,6 +23,7 @@
 import org.azurearch.sidecar.internal.suspect.CallFingerprints;
 import org.azurearch.sidecar.internal.suspect.CrashDetector;
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
+import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.Heartbeat;
 import org.azurearch.sidecar.route.EndpointLoad;
 import org.jspecify.annotations.Nullable;
@@ -32,7 +33,10 @@
  * wait in a queue until a slot is free. Confined to one event loop.
  */
 public final class BackendDispatcher {
-    /** Interval at which waiting requests without remaining time are refused. */
+    /**
+     * Interval at which waiting requests without remaining time are refused, and those are started
+     * for which a limit allows it.
+     */
     private static final long SWEEP_MILLIS = 25;
 
     /**
@@ -54,16 +58,16 @@
     /** Weight of a new outcome in the failure rate, which covers about the last 20 outcomes. */
     private static final double FAILURE_RATE_WEIGHT = 0.05;
 
-    /** The value of a limit that the backend server does not name. */
-    private static final double UNLIMITED = -1;
-
-    /** Receives failures to reach the expected backend server. */
+    /** Receives what requests show of the backend server. */
     public interface Listener {
         /** Called if no connection to the backend server could be opened. */
         void unreachable();
 
         /** Called if a backend server of another service or run answers at its address. */
         void replaced();
+
+        /** Called when the backend server names another limit, negative if none any more. */
+        void limitNamed(double perSecond);
     }
 
     private final EventLoop mLoop;
@@ -83,7 +87,7 @@
     private boolean mSweepScheduled;
     private double mFailureRate;
     private boolean mStopping;
-    private double mNamedLimit = UNLIMITED;
+    private double mNamedLimit = BackendRecord.NO_LIMIT;
 
     /**
      * Creates a dispatcher without a backend server.
@@ -117,8 +121,12 @@
         mListener = listener;
     }
 
-    /** Sets the backend server that accepts requests; null refuses all waiting requests. */
-    public void updateBackend(@Nullable Heartbeat backend) {
+    /**
+     * Sets the backend server that accepts requests; null refuses all waiting requests.
+     *
+     * @param limitPerSecond the limit that is known of it, if it differs from the previous one
+     */
+    public void updateBackend(@Nullable Heartbeat backend, double limitPerSecond) {
         Heartbeat before = mBackend;
         mBackend = backend;
         if (backend == null) {
@@ -131,7 +139,7 @@
         }
         mQueue.setSlots(backend.slots());
         if (before == null || !before.instance().equals(backend.instance())) {
-            mNamedLimit = UNLIMITED;
+            applyLimit(limitPerSecond);
             mPool.switchTo(backend.address());
             mFailureRate = 0;
         }
@@ -183,7 +191,7 @@
             default ->
                     attempt.refuse(
                             AttemptFailure.refused(
-                                    (long) mQueue.backlogMillis(),
+                                    (long) mQueue.backlogMillis(now),
                                     "waiting="
                                             + mQueue.waiting()
                                             + " running="
@@ -280,12 +288,18 @@
      * @param value the limit, in requests a second as a decimal number, or null if it names none
      */
     void limitNamed(Heartbeat backend, @Nullable String value) {
-        double perSecond = value == null ? UNLIMITED : parseLimit(backend, value);
+        double perSecond = value == null ? BackendRecord.NO_LIMIT : parseLimit(backend, value);
         if (backend != mBackend || perSecond == mNamedLimit) {
             return;
         }
         mLog.failure(SidecarEvent.BACKEND_LIMIT, backend.instance(), perSecond, mNamedLimit);
+        applyLimit(perSecond);
+        mListener.limitNamed(perSecond);
+    }
+
+    private void applyLimit(double perSecond) {
         mNamedLimit = perSecond;
+        mQueue.limitStarts(perSecond, System.nanoTime());
     }
 
     private double parseLimit(Heartbeat backend, String value) {
@@ -347,7 +361,7 @@
         for (BackendAttempt attempt : expired) {
             attempt.refuse(
                     AttemptFailure.refused(
-                            (long) mQueue.backlogMillis(), "no time left after waiting"));
+                            (long) mQueue.backlogMillis(nowNanos), "no time left after waiting"));
         }
     }
 
@@ -361,6 +375,7 @@
     private void sweep() {
         mSweepScheduled = false;
         refuseExpired(System.nanoTime());
+        startWaiting();
         if (mQueue.waiting() > 0) {
             scheduleSweep();
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -50,6 +50,9 @@
                             backend.slots(),
                             backend.ready(),
                             backend.warmingMillis()));
+            if (backend.limitPerSecond() >= 0) {
+                wire.getBackend().setLimitPerSecond(backend.limitPerSecond());
+            }
         }
         return wire;
     }
@@ -72,7 +75,10 @@
                                 backend.getInstance(),
                                 backend.getSlots(),
                                 backend.isReady(),
-                                backend.getWarmingMillis()));
+                                backend.getWarmingMillis(),
+                                backend.isSetLimitPerSecond()
+                                        ? backend.getLimitPerSecond()
+                                        : BackendRecord.NO_LIMIT));
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
@@ -8,13 +8,29 @@
  * @param slots the number of requests that it runs concurrently
  * @param ready whether it takes requests
  * @param warmingMillis how much longer it is slow after its start, in milliseconds
+ * @param limitPerSecond how many requests a second it takes from all nodes together; negative if it
+ *     names no limit
  */
 public record BackendRecord(
-        String service, String instance, int slots, boolean ready, int warmingMillis) {
+        String service,
+        String instance,
+        int slots,
+        boolean ready,
+        int warmingMillis,
+        double limitPerSecond) {
+    /** The limit of a backend server that names none. */
+    public static final double NO_LIMIT = -1;
+
     /** Checks that the number of slots is positive. */
     public BackendRecord {
         if (slots <= 0) {
             throw new IllegalArgumentException("slots must be positive: " + slots);
         }
     }
+
+    /** Creates a record of a backend server that names no limit. */
+    public BackendRecord(
+            String service, String instance, int slots, boolean ready, int warmingMillis) {
+        this(service, instance, slots, ready, warmingMillis, NO_LIMIT);
+    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
@@ -23,19 +23,27 @@
     /** Limit of the instances recorded as departed; a VM has a few a day. */
     private static final int MAX_DEPARTED_INSTANCES = 256;
 
+    /** Smallest change of a limit that is published, as a fraction of the published one. */
+    private static final double MIN_LIMIT_CHANGE = 0.1;
+
     private final Map<String, Long> mDepartedStartMillis = new HashMap<>();
     private @Nullable Heartbeat mCurrent;
     private boolean mUnreachable;
+    private double mLimitPerSecond = BackendRecord.NO_LIMIT;
+    private double mPublishedLimit = BackendRecord.NO_LIMIT;
 
     /**
      * Assumes that a backend server recorded by an earlier run of this node is current, after a
      * probe has found the same instance healthy. The next heartbeat of any run replaces it.
+     *
+     * @param limitPerSecond the limit that it named then; negative if none
      */
-    public Change assume(Heartbeat heartbeat) {
+    public Change assume(Heartbeat heartbeat, double limitPerSecond) {
         if (mCurrent != null || !mDepartedStartMillis.isEmpty()) {
             return Change.NONE;
         }
         mCurrent = heartbeat;
+        mLimitPerSecond = limitPerSecond;
         return Change.CHANGED;
     }
 
@@ -59,6 +67,9 @@
                         || heartbeat.slots() != current.slots()
                         || !heartbeat.service().equals(current.service());
         mUnreachable = false;
+        if (!sameRun) {
+            mLimitPerSecond = BackendRecord.NO_LIMIT;
+        }
         mCurrent = leaving == heartbeat.leaving() ? heartbeat : heartbeat.asLeaving();
         return changed ? Change.CHANGED : Change.NONE;
     }
@@ -99,6 +110,26 @@
         return Change.CHANGED;
     }
 
+    /**
+     * Records the limit that the backend server names. Small differences are not published, as
+     * peers use the limit only to estimate how long a request would wait.
+     *
+     * @param perSecond the limit; negative if it names none
+     */
+    public Change onLimit(double perSecond) {
+        mLimitPerSecond = perSecond;
+        double difference = Math.abs(perSecond - mPublishedLimit);
+        boolean appears = perSecond < 0 != mPublishedLimit < 0;
+        return appears || difference > MIN_LIMIT_CHANGE * Math.abs(mPublishedLimit)
+                ? Change.CHANGED
+                : Change.NONE;
+    }
+
+    /** Returns the limit that the backend server names; negative if none. */
+    public double limitPerSecond() {
+        return mLimitPerSecond;
+    }
+
     /** Returns whether a backend server has departed and none has replaced it. */
     public boolean departed() {
         return mCurrent == null && !mDepartedStartMillis.isEmpty();
@@ -117,6 +148,7 @@
     /** Returns the record to publish to peers, or null if there is no backend server. */
     public @Nullable BackendRecord record() {
         Heartbeat current = mCurrent;
+        mPublishedLimit = mLimitPerSecond;
         return current == null
                 ? null
                 : new BackendRecord(
@@ -124,7 +156,8 @@
                         current.instance(),
                         current.slots(),
                         ready(),
-                        current.warmingMillis());
+                        current.warmingMillis(),
+                        mLimitPerSecond);
     }
 
     private static boolean supersedes(Heartbeat heartbeat, Heartbeat current) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.NodeRecord;
+import org.jspecify.annotations.Nullable;
 
 /** This node's view of one backend server and the node in front of it. Confined to one thread. */
 public final class EndpointState {
@@ -14,6 +15,10 @@
     private static final double REPORT_LIFETIME_NANOS = 2e9;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    /** Smallest limit that is assumed, so that expected times stay finite. */
+    private static final double MIN_LIMIT_PER_SECOND = 0.5;
 
     /** A backend server that has just started takes about twice as long. */
     private static final double COLD_FACTOR = 2;
@@ -156,10 +161,10 @@
      */
     public double expectedMillis(String route, int rank, double defaultWorkMillis, long nowNanos) {
         BackendRecord backend = mRecord.backend();
-        int slots = Math.max(1, backend == null ? 1 : backend.slots());
         double observedWork = workMillis(route);
         double work = observedWork > 0 ? observedWork : defaultWorkMillis;
         double meanWork = mLoad.workMillis() > 0 ? mLoad.workMillis() : work;
+        double slots = capacity(backend, meanWork);
         double reported =
                 (mLoad.running() + mLoad.waitingUpTo(rank)) * freshness(nowNanos, mReportedNanos);
         int own = sumUpTo(rank, mOwnRequests);
@@ -170,6 +175,18 @@
         return work * (1 + CROWDING_WEIGHT * crowding) + meanWork * excess / slots;
     }
 
+    /** Returns the number of slots that requests can keep busy within the limit of its requests. */
+    private static double capacity(@Nullable BackendRecord backend, double workMillis) {
+        if (backend == null) {
+            return 1;
+        }
+        int slots = Math.max(1, backend.slots());
+        double perSecond = Math.max(MIN_LIMIT_PER_SECOND, backend.limitPerSecond());
+        return backend.limitPerSecond() < 0
+                ? slots
+                : Math.min(slots, perSecond * workMillis / MILLIS_PER_SECOND);
+    }
+
     private static int sumUpTo(int rank, int[] counts) {
         int sum = 0;
         for (int i = 0; i <= EndpointLoad.rankIndex(rank); i++) {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireBackend.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireBackend.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField SLOTS_FIELD_DESC = new org.apache.thrift.protocol.TField("slots", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField READY_FIELD_DESC = new org.apache.thrift.protocol.TField("ready", org.apache.thrift.protocol.TType.BOOL, (short)4);
   private static final org.apache.thrift.protocol.TField WARMING_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("warmingMillis", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField LIMIT_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("limitPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireBackendStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireBackendTupleSchemeFactory();
@@ -30,6 +31,10 @@
    * Remaining warm-up time after its start, in milliseconds.
    */
   public int warmingMillis; // required
+  /**
+   * How many requests a second it takes from all nodes together, if it names a limit.
+   */
+  public double limitPerSecond; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +45,11 @@
     /**
      * Remaining warm-up time after its start, in milliseconds.
      */
-    WARMING_MILLIS((short)5, "warmingMillis");
+    WARMING_MILLIS((short)5, "warmingMillis"),
+    /**
+     * How many requests a second it takes from all nodes together, if it names a limit.
+     */
+    LIMIT_PER_SECOND((short)6, "limitPerSecond");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -66,6 +75,8 @@
           return READY;
         case 5: // WARMING_MILLIS
           return WARMING_MILLIS;
+        case 6: // LIMIT_PER_SECOND
+          return LIMIT_PER_SECOND;
         default:
           return null;
       }
@@ -112,7 +123,9 @@
   private static final int __SLOTS_ISSET_ID = 0;
   private static final int __READY_ISSET_ID = 1;
   private static final int __WARMINGMILLIS_ISSET_ID = 2;
+  private static final int __LIMITPERSECOND_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.LIMIT_PER_SECOND};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -126,6 +139,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.WARMING_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("warmingMillis", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.LIMIT_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("limitPerSecond", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireBackend.class, metaDataMap);
   }
@@ -165,6 +180,7 @@
     this.slots = other.slots;
     this.ready = other.ready;
     this.warmingMillis = other.warmingMillis;
+    this.limitPerSecond = other.limitPerSecond;
   }
 
   @Override
@@ -182,6 +198,8 @@
     this.ready = false;
     setWarmingMillisIsSet(false);
     this.warmingMillis = 0;
+    setLimitPerSecondIsSet(false);
+    this.limitPerSecond = 0.0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -309,6 +327,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WARMINGMILLIS_ISSET_ID, value);
   }
 
+  /**
+   * How many requests a second it takes from all nodes together, if it names a limit.
+   */
+  public double getLimitPerSecond() {
+    return this.limitPerSecond;
+  }
+
+  /**
+   * How many requests a second it takes from all nodes together, if it names a limit.
+   */
+  public WireBackend setLimitPerSecond(double limitPerSecond) {
+    this.limitPerSecond = limitPerSecond;
+    setLimitPerSecondIsSet(true);
+    return this;
+  }
+
+  public void unsetLimitPerSecond() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LIMITPERSECOND_ISSET_ID);
+  }
+
+  /** Returns true if field limitPerSecond is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimitPerSecond() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LIMITPERSECOND_ISSET_ID);
+  }
+
+  public void setLimitPerSecondIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LIMITPERSECOND_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -352,6 +399,14 @@
       }
       break;
 
+    case LIMIT_PER_SECOND:
+      if (value == null) {
+        unsetLimitPerSecond();
+      } else {
+        setLimitPerSecond((java.lang.Double)value);
+      }
+      break;
+
     }
   }
 
@@ -374,6 +429,9 @@
     case WARMING_MILLIS:
       return getWarmingMillis();
 
+    case LIMIT_PER_SECOND:
+      return getLimitPerSecond();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -396,6 +454,8 @@
       return isSetReady();
     case WARMING_MILLIS:
       return isSetWarmingMillis();
+    case LIMIT_PER_SECOND:
+      return isSetLimitPerSecond();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -458,6 +518,15 @@
         return false;
     }
 
+    boolean this_present_limitPerSecond = true && this.isSetLimitPerSecond();
+    boolean that_present_limitPerSecond = true && that.isSetLimitPerSecond();
+    if (this_present_limitPerSecond || that_present_limitPerSecond) {
+      if (!(this_present_limitPerSecond && that_present_limitPerSecond))
+        return false;
+      if (this.limitPerSecond != that.limitPerSecond)
+        return false;
+    }
+
     return true;
   }
 
@@ -479,6 +548,10 @@
 
     hashCode = hashCode * 8191 + warmingMillis;
 
+    hashCode = hashCode * 8191 + ((isSetLimitPerSecond()) ? 131071 : 524287);
+    if (isSetLimitPerSecond())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(limitPerSecond);
+
     return hashCode;
   }
 
@@ -540,6 +613,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimitPerSecond(), other.isSetLimitPerSecond());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimitPerSecond()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limitPerSecond, other.limitPerSecond);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -591,6 +674,12 @@
     sb.append("warmingMillis:");
     sb.append(this.warmingMillis);
     first = false;
+    if (isSetLimitPerSecond()) {
+      if (!first) sb.append(", ");
+      sb.append("limitPerSecond:");
+      sb.append(this.limitPerSecond);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -687,6 +776,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // LIMIT_PER_SECOND
+            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+              struct.limitPerSecond = iprot.readDouble();
+              struct.setLimitPerSecondIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -731,6 +828,11 @@
       oprot.writeFieldBegin(WARMING_MILLIS_FIELD_DESC);
       oprot.writeI32(struct.warmingMillis);
       oprot.writeFieldEnd();
+      if (struct.isSetLimitPerSecond()) {
+        oprot.writeFieldBegin(LIMIT_PER_SECOND_FIELD_DESC);
+        oprot.writeDouble(struct.limitPerSecond);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -754,6 +856,14 @@
       oprot.writeI32(struct.slots);
       oprot.writeBool(struct.ready);
       oprot.writeI32(struct.warmingMillis);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetLimitPerSecond()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetLimitPerSecond()) {
+        oprot.writeDouble(struct.limitPerSecond);
+      }
     }
 
     @Override
@@ -769,6 +879,11 @@
       struct.setReadyIsSet(true);
       struct.warmingMillis = iprot.readI32();
       struct.setWarmingMillisIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.limitPerSecond = iprot.readDouble();
+        struct.setLimitPerSecondIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -9,6 +9,8 @@
   4: required bool ready
   /** Remaining warm-up time after its start, in milliseconds. */
   5: required i32 warmingMillis
+  /** How many requests a second it takes from all nodes together, if it names a limit. */
+  6: optional double limitPerSecond
 }
 
 /** A node's record of itself, ordered by incarnation, then by sequence; the higher is newer. */
