Send nothing to a server that announces its leaving in answers

The node beside it takes such an answer like a leaving heartbeat, before it starts the next request. Nodes that passed on the answer, or saw the record of a leaving server, keep that run out by themselves, and a restarted node keeps out the run that its earlier record names, so that a late heartbeat does not bring it back. The record carries the start of the run for that, and a later run under the same id is used again. New fields are optional.

Open as before: a server that deregisters without announcing anything, a restart of its node, and then a late heartbeat, for calls that begin at that node.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
@@ -125,7 +125,7 @@
     @Test
     void prefersEndpointsThatNameNoLimitOnceRequestsWait() {
         EndpointState limited = endpoint("limited", true);
-        BackendRecord backend = new BackendRecord("stock", "i-limited", 4, true, 0, 2);
+        BackendRecord backend = new BackendRecord("stock", "i-limited", 4, true, 0, 2, 0, false);
         NetAddress address = new NetAddress("127.0.0.1", 7000);
         limited.record(new NodeRecord("limited", "rennes", address, 1, 2, false, true, backend), 1);
         limited.requestStarted(2);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Dialect.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Dialect.java
@@ -13,6 +13,8 @@
  * @param responseSignature header: proves that an answer comes from the backend server itself
  * @param requestLimit header of an answer: how many requests a second the backend server takes from
  *     all nodes together; it holds until an answer lacks the header
+ * @param leaving header of an answer: present with the value 1 if the backend server is about to
+ *     stop
  * @param retryAfter header: how long a refused caller should wait before it retries, in seconds
  * @param readyPath path at which the platform polls whether the node takes calls
  */
@@ -25,5 +27,6 @@
         String notRun,
         String responseSignature,
         String requestLimit,
+        String leaving,
         String retryAfter,
         String readyPath) {}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/HopCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/HopCall.java
@@ -1,6 +1,8 @@
 package org.azurearch.sidecar.call;
 
 import java.util.List;
+import org.azurearch.sidecar.internal.HeaderList;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A request that is sent to the node in front of the selected backend server.
@@ -30,13 +32,8 @@
         String service,
         String route,
         boolean idempotent) {
-    /** Returns the value of the header that identifies the request, or "-" without one. */
-    public String requestId(String headerName) {
-        for (int i = 0; i + 1 < headers.size(); i += 2) {
-            if (headers.get(i).equalsIgnoreCase(headerName)) {
-                return headers.get(i + 1);
-            }
-        }
-        return "-";
+    /** Returns the value of a header, or null if it is missing. */
+    public @Nullable String header(String name) {
+        return HeaderList.value(headers, name);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
@@ -59,11 +59,21 @@
     /**
      * Restores the backend server that an earlier run of this node recorded. If it was ready and a
      * probe finds the same instance healthy, it gets requests before its next heartbeat. An
-     * instance that had announced that it was leaving is not probed.
+     * instance that had announced that it was leaving is not probed, and a late heartbeat of that
+     * run does not bring it back.
      */
     public void restore(NodeRecord earlier) {
         if (mEarlierRecord == null || earlier.newerThan(mEarlierRecord)) {
             mEarlierRecord = earlier;
+            BackendRecord backend = earlier.backend();
+            if (backend != null && backend.leaving()) {
+                applyChange(
+                        mTracker.onDeparture(
+                                backend.instance(),
+                                backend.startedMillis(),
+                                System.currentTimeMillis()),
+                        "left");
+            }
             probe();
         }
     }
@@ -109,6 +119,11 @@
         applyChange(mTracker.onUnreachable(), "replaced");
     }
 
+    @Override
+    public void leavingAnnounced() {
+        applyChange(mTracker.onLeavingAnnounced(), "announced");
+    }
+
     @Override
     public void limitNamed(double perSecond) {
         applyChange(mTracker.onLimit(perSecond), "limit");
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/HeaderList.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/HeaderList.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** Functions on headers held as a list of alternating names and values. */
 public final class HeaderList {
@@ -49,6 +50,16 @@
         return list;
     }
 
+    /** Returns the value of a header, or null if it is missing. */
+    public static @Nullable String value(List<String> list, String name) {
+        for (int i = 0; i + 1 < list.size(); i += 2) {
+            if (list.get(i).equalsIgnoreCase(name)) {
+                return list.get(i + 1);
+            }
+        }
+        return null;
+    }
+
     /** Adds the headers of a list to those of a message. */
     public static void add(HttpHeaders headers, List<String> list) {
         for (int i = 0; i + 1 < list.size(); i += 2) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -93,6 +93,7 @@
         int status = answer.status().code();
         Dialect dialect = mDispatcher.dialect();
         noteLimit(answer);
+        noteLeaving(answer);
         if (answer.headers().contains(dialect.notRun())
                 || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
             rejected(status);
@@ -140,6 +141,15 @@
         }
     }
 
+    private void noteLeaving(FullHttpResponse answer) {
+        Heartbeat backend = mBackend;
+        if (backend != null
+                && BackendAnswer.LEAVING.equals(
+                        answer.headers().get(mDispatcher.dialect().leaving()))) {
+            mDispatcher.leavingAnnounced(backend);
+        }
+    }
+
     private void rejected(int status) {
         end(true, 0);
         Heartbeat backend = mBackend;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -66,6 +66,9 @@
         /** Called if a backend server of another service or run answers at its address. */
         void replaced();
 
+        /** Called when the backend server announces in an answer that it is leaving. */
+        void leavingAnnounced();
+
         /** Called when the backend server names another limit, negative if none any more. */
         void limitNamed(double perSecond);
     }
@@ -271,10 +274,11 @@
     /** Records that the connection was lost while the backend server ran a request. */
     void connectionLost(HopCall call, Heartbeat backend, String reason) {
         RequestFingerprint fingerprint = mFingerprints.of(call);
+        String id = call.header(mDialect.requestId());
         mConnectionsLost.inc();
         mLog.failure(
                 SidecarEvent.REQUEST_LOST,
-                call.requestId(mDialect.requestId()),
+                id == null ? "-" : id,
                 fingerprint.fingerprints().get(0),
                 backend.instance(),
                 reason);
@@ -297,6 +301,13 @@
         mListener.limitNamed(perSecond);
     }
 
+    /** Records that an answer announces that the backend server is leaving. */
+    void leavingAnnounced(Heartbeat backend) {
+        if (backend == mBackend) {
+            mListener.leavingAnnounced();
+        }
+    }
+
     private void applyLimit(double perSecond) {
         mNamedLimit = perSecond;
         mQueue.limitStarts(perSecond, System.nanoTime());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -12,6 +12,7 @@
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
 import org.azurearch.sidecar.call.Attempt;
+import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.config.RouteRule;
 import org.azurearch.sidecar.config.RoutingConfig;
@@ -217,6 +218,11 @@
         return retryBudget(service).tryTake();
     }
 
+    /** Returns whether a backend server announces in an answer that it is leaving. */
+    boolean announcesLeaving(BackendAnswer answer) {
+        return BackendAnswer.LEAVING.equals(answer.header(mDialect.leaving()));
+    }
+
     /** Chooses an endpoint for a request; returns null if no backend server accepts it. */
     @Nullable EndpointState choose(RouteRule route, String service, Set<String> tried) {
         double bytes = mAnswerBytes.getOrDefault(route.name(), INITIAL_ANSWER_BYTES);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -20,6 +20,7 @@
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.config.RouteRule;
 import org.azurearch.sidecar.config.RoutingConfig;
+import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.route.EndpointState;
 import org.jspecify.annotations.Nullable;
 
@@ -429,11 +430,13 @@
     private final class EndpointAttempt implements Attempt.Listener {
         private final EndpointState mEndpoint;
         private final int mRank;
+        private final @Nullable BackendRecord mBackend;
         private @Nullable Attempt mAttempt;
 
         EndpointAttempt(EndpointState endpoint, int rank) {
             mEndpoint = endpoint;
             mRank = rank;
+            mBackend = endpoint.record().backend();
         }
 
         void send(HopCall call) {
@@ -463,6 +466,9 @@
             if (route != null) {
                 mEndpoint.observeWork(route.name(), answer.workMillis());
             }
+            if (mBackend != null && mRouter.announcesLeaving(answer)) {
+                mEndpoint.excludeRun(mBackend);
+            }
             if (complete(answer.failed())) {
                 EntryCall.this.answered(this, answer);
             }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -43,20 +43,37 @@
                         record.storeReachable());
         BackendRecord backend = record.backend();
         if (backend != null) {
-            wire.setBackend(
-                    new WireBackend(
-                            backend.service(),
-                            backend.instance(),
-                            backend.slots(),
-                            backend.ready(),
-                            backend.warmingMillis()));
-            if (backend.limitPerSecond() >= 0) {
-                wire.getBackend().setLimitPerSecond(backend.limitPerSecond());
-            }
+            wire.setBackend(toWire(backend));
         }
         return wire;
     }
 
+    private static WireBackend toWire(BackendRecord backend) {
+        WireBackend wire =
+                new WireBackend(
+                        backend.service(),
+                        backend.instance(),
+                        backend.slots(),
+                        backend.ready(),
+                        backend.warmingMillis());
+        if (backend.limitPerSecond() >= 0) {
+            wire.setLimitPerSecond(backend.limitPerSecond());
+        }
+        return wire.setStartedMillis(backend.startedMillis()).setLeaving(backend.leaving());
+    }
+
+    private static BackendRecord fromWire(WireBackend wire) {
+        return new BackendRecord(
+                wire.getServiceName(),
+                wire.getInstance(),
+                wire.getSlots(),
+                wire.isReady(),
+                wire.getWarmingMillis(),
+                wire.isSetLimitPerSecond() ? wire.getLimitPerSecond() : BackendRecord.NO_LIMIT,
+                wire.getStartedMillis(),
+                wire.isLeaving());
+    }
+
     /** Returns the node record of its Thrift form. */
     public static NodeRecord fromWire(WireNodeRecord wire) {
         WireBackend backend = wire.getBackend();
@@ -68,17 +85,7 @@
                 wire.getSequence(),
                 wire.isLeaving(),
                 wire.isStoreReachable(),
-                backend == null
-                        ? null
-                        : new BackendRecord(
-                                backend.getServiceName(),
-                                backend.getInstance(),
-                                backend.getSlots(),
-                                backend.isReady(),
-                                backend.getWarmingMillis(),
-                                backend.isSetLimitPerSecond()
-                                        ? backend.getLimitPerSecond()
-                                        : BackendRecord.NO_LIMIT));
+                backend == null ? null : fromWire(backend));
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
@@ -10,6 +10,8 @@
  * @param warmingMillis how much longer it is slow after its start, in milliseconds
  * @param limitPerSecond how many requests a second it takes from all nodes together; negative if it
  *     names no limit
+ * @param startedMillis when this run of it started, in milliseconds since the epoch; 0 if unknown
+ * @param leaving whether it is about to stop
  */
 public record BackendRecord(
         String service,
@@ -17,7 +19,9 @@
         int slots,
         boolean ready,
         int warmingMillis,
-        double limitPerSecond) {
+        double limitPerSecond,
+        long startedMillis,
+        boolean leaving) {
     /** The limit of a backend server that names none. */
     public static final double NO_LIMIT = -1;
 
@@ -28,9 +32,9 @@
         }
     }
 
-    /** Creates a record of a backend server that names no limit. */
+    /** Creates a record of a backend server that names no limit and is not leaving. */
     public BackendRecord(
             String service, String instance, int slots, boolean ready, int warmingMillis) {
-        this(service, instance, slots, ready, warmingMillis, NO_LIMIT);
+        this(service, instance, slots, ready, warmingMillis, NO_LIMIT, 0, false);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
@@ -101,6 +101,16 @@
         return Change.NONE;
     }
 
+    /** Records that the current backend server has announced in an answer that it is leaving. */
+    public Change onLeavingAnnounced() {
+        Heartbeat current = mCurrent;
+        if (current == null || current.leaving()) {
+            return Change.NONE;
+        }
+        mCurrent = current.asLeaving();
+        return Change.CHANGED;
+    }
+
     /** Records that the backend server cannot be reached; its next heartbeat revokes this. */
     public Change onUnreachable() {
         if (mUnreachable || mCurrent == null) {
@@ -157,7 +167,9 @@
                         current.slots(),
                         ready(),
                         current.warmingMillis(),
-                        mLimitPerSecond);
+                        mLimitPerSecond,
+                        current.startedMillis(),
+                        current.leaving());
     }
 
     private static boolean supersedes(Heartbeat heartbeat, Heartbeat current) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -41,6 +41,8 @@
     private double mFailureRate;
     private long mWarmedUpNanos;
     private long mLastFailureNanos;
+    private String mExcludedInstance = "";
+    private long mExcludedStartMillis;
 
     /**
      * Creates the state of an endpoint.
@@ -79,6 +81,9 @@
         BackendRecord before = mRecord.backend();
         BackendRecord now = record.backend();
         mRecord = record;
+        if (now != null && now.leaving()) {
+            excludeRun(now);
+        }
         if (now != null && (before == null || !before.instance().equals(now.instance()))) {
             mFailureRate = 0;
             mLoad = EndpointLoad.UNKNOWN;
@@ -87,6 +92,20 @@
         }
     }
 
+    /**
+     * Excludes a run of the backend server, which has announced that it is leaving. Its node may
+     * report it as ready again after a restart, by a late heartbeat.
+     */
+    public void excludeRun(BackendRecord backend) {
+        mExcludedInstance = backend.instance();
+        mExcludedStartMillis = backend.startedMillis();
+    }
+
+    private boolean excluded(BackendRecord backend) {
+        return backend.instance().equals(mExcludedInstance)
+                && backend.startedMillis() <= mExcludedStartMillis;
+    }
+
     /** Sets whether the node can be reached. */
     public void setConnected(boolean connected) {
         mConnected = connected;
@@ -95,7 +114,11 @@
     /** Returns whether requests for its service may be sent to the endpoint. */
     public boolean usable() {
         BackendRecord backend = mRecord.backend();
-        return mConnected && !mRecord.leaving() && backend != null && backend.ready();
+        return mConnected
+                && !mRecord.leaving()
+                && backend != null
+                && backend.ready()
+                && !excluded(backend);
     }
 
     /** Returns whether requests for a service may be sent to the endpoint. */
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireBackend.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireBackend.java
@@ -19,6 +19,8 @@
   private static final org.apache.thrift.protocol.TField READY_FIELD_DESC = new org.apache.thrift.protocol.TField("ready", org.apache.thrift.protocol.TType.BOOL, (short)4);
   private static final org.apache.thrift.protocol.TField WARMING_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("warmingMillis", org.apache.thrift.protocol.TType.I32, (short)5);
   private static final org.apache.thrift.protocol.TField LIMIT_PER_SECOND_FIELD_DESC = new org.apache.thrift.protocol.TField("limitPerSecond", org.apache.thrift.protocol.TType.DOUBLE, (short)6);
+  private static final org.apache.thrift.protocol.TField STARTED_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("startedMillis", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.BOOL, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireBackendStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireBackendTupleSchemeFactory();
@@ -35,6 +37,14 @@
    * How many requests a second it takes from all nodes together, if it names a limit.
    */
   public double limitPerSecond; // optional
+  /**
+   * When this run of it started, in milliseconds since the epoch; 0 if unknown.
+   */
+  public long startedMillis; // optional
+  /**
+   * Whether it is about to stop.
+   */
+  public boolean leaving; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -49,7 +59,15 @@
     /**
      * How many requests a second it takes from all nodes together, if it names a limit.
      */
-    LIMIT_PER_SECOND((short)6, "limitPerSecond");
+    LIMIT_PER_SECOND((short)6, "limitPerSecond"),
+    /**
+     * When this run of it started, in milliseconds since the epoch; 0 if unknown.
+     */
+    STARTED_MILLIS((short)7, "startedMillis"),
+    /**
+     * Whether it is about to stop.
+     */
+    LEAVING((short)8, "leaving");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -77,6 +95,10 @@
           return WARMING_MILLIS;
         case 6: // LIMIT_PER_SECOND
           return LIMIT_PER_SECOND;
+        case 7: // STARTED_MILLIS
+          return STARTED_MILLIS;
+        case 8: // LEAVING
+          return LEAVING;
         default:
           return null;
       }
@@ -124,8 +146,10 @@
   private static final int __READY_ISSET_ID = 1;
   private static final int __WARMINGMILLIS_ISSET_ID = 2;
   private static final int __LIMITPERSECOND_ISSET_ID = 3;
+  private static final int __STARTEDMILLIS_ISSET_ID = 4;
+  private static final int __LEAVING_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.LIMIT_PER_SECOND};
+  private static final _Fields optionals[] = {_Fields.LIMIT_PER_SECOND,_Fields.STARTED_MILLIS,_Fields.LEAVING};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -141,6 +165,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.LIMIT_PER_SECOND, new org.apache.thrift.meta_data.FieldMetaData("limitPerSecond", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+    tmpMap.put(_Fields.STARTED_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("startedMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireBackend.class, metaDataMap);
   }
@@ -181,6 +209,8 @@
     this.ready = other.ready;
     this.warmingMillis = other.warmingMillis;
     this.limitPerSecond = other.limitPerSecond;
+    this.startedMillis = other.startedMillis;
+    this.leaving = other.leaving;
   }
 
   @Override
@@ -200,6 +230,10 @@
     this.warmingMillis = 0;
     setLimitPerSecondIsSet(false);
     this.limitPerSecond = 0.0;
+    setStartedMillisIsSet(false);
+    this.startedMillis = 0;
+    setLeavingIsSet(false);
+    this.leaving = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -356,6 +390,64 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LIMITPERSECOND_ISSET_ID, value);
   }
 
+  /**
+   * When this run of it started, in milliseconds since the epoch; 0 if unknown.
+   */
+  public long getStartedMillis() {
+    return this.startedMillis;
+  }
+
+  /**
+   * When this run of it started, in milliseconds since the epoch; 0 if unknown.
+   */
+  public WireBackend setStartedMillis(long startedMillis) {
+    this.startedMillis = startedMillis;
+    setStartedMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetStartedMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STARTEDMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field startedMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetStartedMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STARTEDMILLIS_ISSET_ID);
+  }
+
+  public void setStartedMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTEDMILLIS_ISSET_ID, value);
+  }
+
+  /**
+   * Whether it is about to stop.
+   */
+  public boolean isLeaving() {
+    return this.leaving;
+  }
+
+  /**
+   * Whether it is about to stop.
+   */
+  public WireBackend setLeaving(boolean leaving) {
+    this.leaving = leaving;
+    setLeavingIsSet(true);
+    return this;
+  }
+
+  public void unsetLeaving() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEAVING_ISSET_ID);
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEAVING_ISSET_ID);
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -407,6 +499,22 @@
       }
       break;
 
+    case STARTED_MILLIS:
+      if (value == null) {
+        unsetStartedMillis();
+      } else {
+        setStartedMillis((java.lang.Long)value);
+      }
+      break;
+
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -432,6 +540,12 @@
     case LIMIT_PER_SECOND:
       return getLimitPerSecond();
 
+    case STARTED_MILLIS:
+      return getStartedMillis();
+
+    case LEAVING:
+      return isLeaving();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -456,6 +570,10 @@
       return isSetWarmingMillis();
     case LIMIT_PER_SECOND:
       return isSetLimitPerSecond();
+    case STARTED_MILLIS:
+      return isSetStartedMillis();
+    case LEAVING:
+      return isSetLeaving();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -527,6 +645,24 @@
         return false;
     }
 
+    boolean this_present_startedMillis = true && this.isSetStartedMillis();
+    boolean that_present_startedMillis = true && that.isSetStartedMillis();
+    if (this_present_startedMillis || that_present_startedMillis) {
+      if (!(this_present_startedMillis && that_present_startedMillis))
+        return false;
+      if (this.startedMillis != that.startedMillis)
+        return false;
+    }
+
+    boolean this_present_leaving = true && this.isSetLeaving();
+    boolean that_present_leaving = true && that.isSetLeaving();
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (this.leaving != that.leaving)
+        return false;
+    }
+
     return true;
   }
 
@@ -552,6 +688,14 @@
     if (isSetLimitPerSecond())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(limitPerSecond);
 
+    hashCode = hashCode * 8191 + ((isSetStartedMillis()) ? 131071 : 524287);
+    if (isSetStartedMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(startedMillis);
+
+    hashCode = hashCode * 8191 + ((isSetLeaving()) ? 131071 : 524287);
+    if (isSetLeaving())
+      hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -623,6 +767,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStartedMillis(), other.isSetStartedMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStartedMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.startedMillis, other.startedMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -680,6 +844,18 @@
       sb.append(this.limitPerSecond);
       first = false;
     }
+    if (isSetStartedMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("startedMillis:");
+      sb.append(this.startedMillis);
+      first = false;
+    }
+    if (isSetLeaving()) {
+      if (!first) sb.append(", ");
+      sb.append("leaving:");
+      sb.append(this.leaving);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -784,6 +960,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // STARTED_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.startedMillis = iprot.readI64();
+              struct.setStartedMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 8: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.leaving = iprot.readBool();
+              struct.setLeavingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -833,6 +1025,16 @@
         oprot.writeDouble(struct.limitPerSecond);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetStartedMillis()) {
+        oprot.writeFieldBegin(STARTED_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.startedMillis);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetLeaving()) {
+        oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+        oprot.writeBool(struct.leaving);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -860,10 +1062,22 @@
       if (struct.isSetLimitPerSecond()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetStartedMillis()) {
+        optionals.set(1);
+      }
+      if (struct.isSetLeaving()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetLimitPerSecond()) {
         oprot.writeDouble(struct.limitPerSecond);
       }
+      if (struct.isSetStartedMillis()) {
+        oprot.writeI64(struct.startedMillis);
+      }
+      if (struct.isSetLeaving()) {
+        oprot.writeBool(struct.leaving);
+      }
     }
 
     @Override
@@ -879,11 +1093,19 @@
       struct.setReadyIsSet(true);
       struct.warmingMillis = iprot.readI32();
       struct.setWarmingMillisIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.limitPerSecond = iprot.readDouble();
         struct.setLimitPerSecondIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.startedMillis = iprot.readI64();
+        struct.setStartedMillisIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.leaving = iprot.readBool();
+        struct.setLeavingIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -11,6 +11,10 @@
   5: required i32 warmingMillis
   /** How many requests a second it takes from all nodes together, if it names a limit. */
   6: optional double limitPerSecond
+  /** When this run of it started, in milliseconds since the epoch; 0 if unknown. */
+  7: optional i64 startedMillis
+  /** Whether it is about to stop. */
+  8: optional bool leaving
 }
 
 /** A node's record of itself, ordered by incarnation, then by sequence; the higher is newer. */
