Compute fingerprints only for the paths of suspects

While any request was suspect, each call computed its fingerprints up to four times, with a copy of its headers. Suspects that do not come again stay for ten minutes, so that one crash would slow all calls meanwhile.

The digest of method and path now decides first. A node that reads saved strikes after they have expired removes them from the store.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -11,6 +11,7 @@
 import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.hop.HopWire;
+import org.azurearch.sidecar.internal.suspect.SuspectRegistry;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.store.KeyedLog;
 import org.azurearch.sidecar.store.KeyedRecord;
@@ -77,16 +78,16 @@
      * Saves the record with this node's backend server; a failed write is logged but not retried.
      */
     void saveBackend(NodeRecord self) {
-        save(BACKEND_KEY, "save backend", ThriftBytes.write(HopWire.toWire(self)));
+        append(mSelf.node() + BACKEND_KEY, "save backend", ThriftBytes.write(HopWire.toWire(self)));
     }
 
     /** Saves strikes for nodes that start later; a failed write is logged but not retried. */
     void saveStrikes(WireSavedStrikes strikes) {
-        save(STRIKES_KEY, "save strikes", ThriftBytes.write(strikes));
+        append(mSelf.node() + STRIKES_KEY, "save strikes", ThriftBytes.write(strikes));
     }
 
-    private void save(String keySuffix, String what, byte[] value) {
-        mLog.append(KeyedLog.Stream.NODES, mSelf.node() + keySuffix, value)
+    private void append(String key, String what, byte[] value) {
+        mLog.append(KeyedLog.Stream.NODES, key, value)
                 .whenComplete(
                         (done, failure) -> {
                             if (failure != null) {
@@ -140,7 +141,7 @@
                 continue;
             }
             try {
-                deliver(record);
+                deliverRecord(record);
             } catch (RuntimeException e) {
                 EventLog.log(
                         SidecarEvent.STORE_RECORD_UNREADABLE,
@@ -153,15 +154,25 @@
         mComplete = true;
     }
 
-    private void deliver(KeyedRecord record) {
+    private void deliverRecord(KeyedRecord record) {
         if (record.key().endsWith(STRIKES_KEY)) {
-            mStrikesConsumer.accept(ThriftBytes.read(new WireSavedStrikes(), record.value()));
+            deliverStrikes(record.key(), ThriftBytes.read(new WireSavedStrikes(), record.value()));
         } else {
             mRecordConsumer.accept(
                     HopWire.fromWire(ThriftBytes.read(new WireNodeRecord(), record.value())));
         }
     }
 
+    /** Delivers saved strikes, or removes them from the store if they have expired. */
+    private void deliverStrikes(String key, WireSavedStrikes saved) {
+        long ageMillis = System.currentTimeMillis() - saved.getSavedAtMillis();
+        if (ageMillis < SuspectRegistry.LIFETIME.toMillis()) {
+            mStrikesConsumer.accept(saved);
+        } else {
+            append(key, "remove strikes", new byte[0]);
+        }
+    }
+
     private void retry(String what, Throwable failure, Runnable again) {
         long millis = mBackoff.nextDelay().toMillis();
         EventLog.log(SidecarEvent.STORE_DOWN, what, Completions.unwrap(failure).toString());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectRegistry.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectRegistry.java
@@ -18,7 +18,7 @@
  */
 public final class SuspectRegistry {
     /** How long a strike counts after the crash, also if it was cleared. */
-    static final Duration LIFETIME = Duration.ofMinutes(10);
+    public static final Duration LIFETIME = Duration.ofMinutes(10);
 
     /** How long requests are contained that were in flight at the same crashes. */
     private static final Duration SHARED_LIFETIME = Duration.ofMinutes(1);
@@ -34,9 +34,14 @@
         return mTable.isEmpty();
     }
 
+    /** Returns whether a suspect has this digest of method and path. */
+    public boolean suspectTarget(String targetDigest) {
+        return mTable.suspectTarget(targetDigest);
+    }
+
     /** Returns whether a request was in flight at a crash and has not completed since. */
     public boolean suspect(RequestFingerprint request) {
-        return mayBeSuspect(request) && request.fingerprints().stream().anyMatch(mTable::suspect);
+        return request.fingerprints().stream().anyMatch(mTable::suspect);
     }
 
     /**
@@ -45,9 +50,6 @@
      * @param nowMillis the time, on the steady clock
      */
     public long containedMillis(RequestFingerprint request, long nowMillis) {
-        if (!mayBeSuspect(request)) {
-            return 0;
-        }
         long longest = 0;
         for (String fingerprint : request.fingerprints()) {
             longest = Math.max(longest, mTable.expiresAtMillis(fingerprint) - nowMillis);
@@ -80,9 +82,6 @@
 
     /** Clears a request that has completed; returns the strikes that no longer count. */
     public List<StrikeEntry> completed(RequestFingerprint request, long nowMillis) {
-        if (!mayBeSuspect(request)) {
-            return List.of();
-        }
         List<String> fingerprints = request.fingerprints();
         List<StrikeEntry> cleared = new ArrayList<>();
         for (StrikeEntry entry : mEntries.values()) {
@@ -148,10 +147,6 @@
         return digest;
     }
 
-    private boolean mayBeSuspect(RequestFingerprint request) {
-        return !mTable.isEmpty() && mTable.suspectTarget(request.targetDigest());
-    }
-
     private void rebuild(long nowMillis) {
         mEntries.values().removeIf(entry -> expired(entry, nowMillis));
         while (mEntries.size() > MAX_STRIKES) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
@@ -61,15 +61,15 @@
 
     /** Returns whether a call was in flight at a crash and no such call has completed since. */
     public boolean suspect(HopCall call) {
-        return !mRegistry.isEmpty() && mRegistry.suspect(mFingerprints.of(call));
+        return mayBeSuspect(call) && mRegistry.suspect(mFingerprints.of(call));
     }
 
     /** Returns why a call is refused if it is contained, otherwise null. */
     public @Nullable AttemptFailure containment(HopCall call) {
-        long millis =
-                mRegistry.isEmpty()
-                        ? 0
-                        : mRegistry.containedMillis(mFingerprints.of(call), nowMillis());
+        if (!mayBeSuspect(call)) {
+            return null;
+        }
+        long millis = mRegistry.containedMillis(mFingerprints.of(call), nowMillis());
         if (millis <= 0) {
             return null;
         }
@@ -90,7 +90,7 @@
 
     /** Records that a call has completed. */
     public void completed(HopCall call) {
-        if (!mRegistry.isEmpty()) {
+        if (mayBeSuspect(call)) {
             publish(mRegistry.completed(mFingerprints.of(call), nowMillis()));
         }
     }
@@ -154,6 +154,13 @@
         }
     }
 
+    /** Returns whether the method and path of a call are those of a suspect. */
+    private boolean mayBeSuspect(HopCall call) {
+        return !mRegistry.isEmpty()
+                && mRegistry.suspectTarget(
+                        RequestFingerprint.targetDigest(call.method(), call.target()));
+    }
+
     private void publish(List<StrikeEntry> changed) {
         if (!changed.isEmpty() && mPublisher != null) {
             mPublisher.publish(changed);
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/RequestFingerprint.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/RequestFingerprint.java
@@ -75,8 +75,7 @@
             HttpHeaders headers,
             Set<String> ignoredHeaders,
             byte[] body) {
-        int queryAt = target.indexOf('?');
-        String path = queryAt < 0 ? target : target.substring(0, queryAt);
+        String path = path(target);
         RequestFingerprint fingerprint =
                 new RequestFingerprint(
                         method + ' ' + path,
@@ -87,6 +86,21 @@
         return fingerprint;
     }
 
+    /**
+     * Returns {@link #targetDigest} of a request that is held whole, without computing the rest.
+     *
+     * @param method the method
+     * @param target the path with its query
+     */
+    public static String targetDigest(String method, String target) {
+        return digest((method + ' ' + path(target)).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String path(String target) {
+        int queryAt = target.indexOf('?');
+        return queryAt < 0 ? target : target.substring(0, queryAt);
+    }
+
     /** Adds a part of the body. */
     void add(HttpContent content) {
         add(content.content());
