Count a link as up only once the peer has answered

Both readers of the data centre were frozen; the third node found their links silent and closed them, but the kernel of a frozen VM accepts connections, so that the links were up again within 100 ms and the frozen nodes went on ranking before it as readers.

A link is now up once a frame of the peer has arrived on it, which every node sends in answer to the first one.

HopLinkTest fails with the link up on connecting, as before, and passes now.

--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
@@ -0,0 +1,134 @@
+package org.azurearch.sidecar.internal.hop;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.azurearch.junit.Await;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.Verdict;
+import org.azurearch.sidecar.call.Attempt;
+import org.azurearch.sidecar.call.AttemptFailure;
+import org.azurearch.sidecar.call.BackendAnswer;
+import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.route.EndpointLoad;
+import org.azurearch.thrift.HopFrame;
+import org.azurearch.thrift.WireNodeRecords;
+import org.azurearch.thrift.WirePulse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** When a link to a peer counts as up. */
+class HopLinkTest {
+    private final EventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = mGroup.next();
+    private final HopNetwork mNetwork = new HopNetwork(mLoop);
+    private final List<String> mEvents = Collections.synchronizedList(new ArrayList<>());
+
+    @AfterEach
+    void stop() {
+        mGroup.shutdownGracefully();
+    }
+
+    @Test
+    void linkToPeerThatOnlyAcceptsConnectionsIsNotUp() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            HopLink link = open(new NetAddress("127.0.0.1", silent.getLocalPort()));
+            try (Socket accepted = silent.accept()) {
+                accepted.getInputStream().read();
+                assertEquals(List.of("connected"), mEvents);
+                assertFalse(onLoop(link::up));
+                List<Verdict> verdicts = Collections.synchronizedList(new ArrayList<>());
+                onLoop(() -> link.call(call(), new VerdictListener(verdicts)));
+                assertEquals(List.of(Verdict.NOT_RUN), verdicts);
+            }
+            onLoop(() -> close(link));
+        }
+    }
+
+    @Test
+    void linkIsUpOnceThePeerHasAnswered() throws Exception {
+        int port = mNetwork.listen(new NetAddress("127.0.0.1", 0), new AnsweringPeer());
+        HopLink link = open(new NetAddress("127.0.0.1", port));
+        Await.until("the link is up", () -> mEvents.contains("up"));
+        assertEquals(List.of("connected", "up"), mEvents.subList(0, 2));
+        onLoop(() -> close(link));
+    }
+
+    private HopLink open(NetAddress address) throws Exception {
+        return onLoop(() -> new HopLink(mNetwork, mLoop, "peer", address, new RecordingListener()));
+    }
+
+    private static boolean close(HopLink link) {
+        link.close();
+        return true;
+    }
+
+    private <T> T onLoop(Supplier<T> task) throws Exception {
+        return CompletableFuture.supplyAsync(task, mLoop).get();
+    }
+
+    private static HopCall call() {
+        return new HopCall(1, "GET", "/", List.of(), new byte[0], 0, 0, 1, "s", "r", false);
+    }
+
+    /** Answers each frame as a running node does. */
+    private static final class AnsweringPeer implements HopConnection.Listener {
+        @Override
+        public void opened(HopConnection connection) {}
+
+        @Override
+        public void received(HopConnection connection, HopFrame frame) {
+            connection.send(HopFrame.records(new WireNodeRecords(List.of(), true)));
+        }
+
+        @Override
+        public void closed(HopConnection connection) {}
+    }
+
+    private record VerdictListener(List<Verdict> verdicts) implements Attempt.Listener {
+        @Override
+        public void answered(BackendAnswer answer) {
+            verdicts.add(Verdict.RAN);
+        }
+
+        @Override
+        public void failed(AttemptFailure failure) {
+            verdicts.add(failure.verdict());
+        }
+    }
+
+    private final class RecordingListener implements HopLink.Listener {
+        @Override
+        public void connected(HopLink link) {
+            mEvents.add("connected");
+            link.send(HopFrame.pulse(new WirePulse(0, 0, false, 0)));
+        }
+
+        @Override
+        public void connectionChanged(HopLink link, boolean up) {
+            mEvents.add(up ? "up" : "down");
+        }
+
+        @Override
+        public void usabilityChanged(HopLink link, boolean usable) {}
+
+        @Override
+        public void received(HopConnection connection, HopFrame frame) {}
+
+        @Override
+        public void loadReported(HopLink link, EndpointLoad load) {}
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -25,7 +25,11 @@
 import org.azurearch.time.Backoff;
 import org.jspecify.annotations.Nullable;
 
-/** A connection to a peer that is reopened whenever it is lost. Confined to one event loop. */
+/**
+ * A connection to a peer that is reopened whenever it is lost. It is up once the peer has answered:
+ * the kernel of a VM accepts connections for a process that is suspended. Confined to one event
+ * loop.
+ */
 public final class HopLink implements HopConnection.Listener {
     /** Silence before a ping while calls are pending: a few times the usual answer time. */
     private static final long PING_AFTER_NANOS = 300_000_000L;
@@ -52,6 +56,9 @@
 
     /** Receives events of the peer. */
     public interface Listener {
+        /** Called when a connection is open, to send the first frame, which the peer answers. */
+        void connected(HopLink link);
+
         /** Called when the link goes up or down. */
         void connectionChanged(HopLink link, boolean up);
 
@@ -74,6 +81,7 @@
     private final Map<Long, Attempt.Listener> mPending = new HashMap<>();
     private @Nullable HopConnection mConnection;
     private boolean mConnecting;
+    private boolean mUp;
     private boolean mClosed;
     private boolean mSuspected;
     private long mPingedNanos;
@@ -115,15 +123,15 @@
 
     /** Returns whether the link is up. */
     public boolean up() {
-        return mConnection != null;
+        return mUp;
     }
 
     /** Returns how long the link has been down, or 0 if it is up. */
     public long downNanos(long nowNanos) {
-        return mConnection != null ? 0 : nowNanos - mDownSinceNanos;
+        return mUp ? 0 : nowNanos - mDownSinceNanos;
     }
 
-    /** Sends a frame if the link is up. */
+    /** Sends a frame if a connection is open. */
     public void send(HopFrame frame) {
         if (mConnection != null) {
             mConnection.send(frame);
@@ -137,7 +145,7 @@
      */
     public Attempt call(HopCall call, Attempt.Listener listener) {
         HopConnection connection = mConnection;
-        if (connection == null) {
+        if (connection == null || !mUp) {
             listener.failed(
                     AttemptFailure.notSent(ErrorCode.PEER_UNAVAILABLE, "no link to " + mNode));
             return () -> {};
@@ -162,7 +170,8 @@
             return;
         }
         long silentNanos = nowNanos - connection.lastReadNanos();
-        long allowedNanos = mPending.isEmpty() ? IDLE_PING_AFTER_NANOS : PING_AFTER_NANOS;
+        boolean awaited = !mUp || !mPending.isEmpty();
+        long allowedNanos = awaited ? PING_AFTER_NANOS : IDLE_PING_AFTER_NANOS;
         if (silentNanos < allowedNanos) {
             mPingedNanos = 0;
             updateSuspected(false);
@@ -179,7 +188,7 @@
     }
 
     private void updateSuspected(boolean suspected) {
-        if (mSuspected != suspected) {
+        if (mUp && mSuspected != suspected) {
             mSuspected = suspected;
             mListener.usabilityChanged(this, !suspected);
         }
@@ -198,12 +207,16 @@
         mConnection = connection;
         mPingedNanos = 0;
         mSuspected = false;
-        mBackoff.reset();
-        mListener.connectionChanged(this, true);
+        mListener.connected(this);
     }
 
     @Override
     public void received(HopConnection connection, HopFrame frame) {
+        if (!mUp) {
+            mUp = true;
+            mBackoff.reset();
+            mListener.connectionChanged(this, true);
+        }
         if (frame.isSetAnswer()) {
             WireHopAnswer answer = frame.getAnswer();
             mListener.loadReported(this, HopWire.fromWire(answer.getLoad()));
@@ -223,8 +236,11 @@
             return;
         }
         mConnection = null;
-        mDownSinceNanos = System.nanoTime();
-        mListener.connectionChanged(this, false);
+        if (mUp) {
+            mUp = false;
+            mDownSinceNanos = System.nanoTime();
+            mListener.connectionChanged(this, false);
+        }
         List<Attempt.Listener> lost = new ArrayList<>(mPending.values());
         mPending.clear();
         AttemptFailure failure =
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -297,12 +297,16 @@
         }
     }
 
+    @Override
+    public void connected(HopLink link) {
+        link.send(HopFrame.hello(HopWire.toWire(mSelf)));
+    }
+
     @Override
     public void connectionChanged(HopLink link, boolean up) {
         invalidateCaches();
         usabilityChanged(link, up);
         if (up) {
-            link.send(HopFrame.hello(HopWire.toWire(mSelf)));
             mListener.linkUp(link);
         }
     }
