Close the connections of peers when a node stops

A stopped node closed its own links and its listener, but left the connections that peers had opened to the end of the process.

HopServer now closes them.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -309,6 +309,7 @@
             EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis);
             mCallServer.close();
             mMesh.close();
+            mHopServer.close();
             mNetwork.close();
             mLog.close();
             stopped.complete(null);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -14,7 +14,7 @@
 import org.azurearch.thrift.WireHopCall;
 
 /** Accepts calls from peers for the backend server behind this node. Confined to one event loop. */
-public final class HopServer implements HopConnection.Listener {
+public final class HopServer implements HopConnection.Listener, AutoCloseable {
     private final BackendDispatcher mDispatcher;
     private final NodeDirectory.Listener mFallback;
     private final Map<HopConnection, Map<Long, Attempt>> mCalls = new HashMap<>();
@@ -59,6 +59,12 @@
         }
     }
 
+    /** Closes all connections that peers opened. */
+    @Override
+    public void close() {
+        List.copyOf(mCalls.keySet()).forEach(HopConnection::close);
+    }
+
     private void begin(HopConnection connection, WireHopCall wire) {
         HopCall call = HopWire.fromWire(wire, System.nanoTime());
         OutcomeSender sender = new OutcomeSender(connection, call.id());
