Let a node advertise another address to its peers than it listens at

No test of the users' platform could cut the links between nodes: each node told its peers the address of its own socket, so that no proxy could stand in between. Limits and strikes that only one process keeps look right as long as no link is cut.

An optional setting names the address that peers are told; it also serves nodes behind a mapped port.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -79,7 +79,8 @@
     private final BackendMonitor mBackendMonitor;
     private final HopServer mHopServer;
     private final long mStartedNanos = System.nanoTime();
-    private Ports mPorts = new Ports(0, 0, 0);
+    private final int mPeerPort;
+    private Ports mPorts = new Ports(0, 0, 0, 0);
     private boolean mStopping;
     private boolean mWasReady;
 
@@ -88,12 +89,14 @@
             Platform platform,
             EventLoopGroup group,
             HopNetwork network,
-            NetAddress peers) {
+            NetAddress peers,
+            int peerPort) {
         mSettings = settings;
         mGroup = group;
         mLoop = group.next();
         mDialect = platform.dialect();
         mNetwork = network;
+        mPeerPort = peerPort;
         mLog = platform.openLog(mLoop);
         mConfigs = new ConfigHolder(platform.configCodec());
         mBackendMonitor = new BackendMonitor(settings, platform.heartbeatCodec(), mConfigs);
@@ -148,13 +151,16 @@
         HopNetwork network = new HopNetwork(group.next());
         DeferredHopListener hopListener = new DeferredHopListener();
         int port = network.listen(settings.peers(), hopListener);
-        NetAddress peers = new NetAddress(settings.peers().host(), port);
+        NetAddress advertised = settings.advertisedPeers();
+        NetAddress peers =
+                advertised == null ? new NetAddress(settings.peers().host(), port) : advertised;
         group.next()
                 .execute(
                         () -> {
                             try {
                                 Sidecar node =
-                                        new Sidecar(settings, platform, group, network, peers);
+                                        new Sidecar(
+                                                settings, platform, group, network, peers, port);
                                 hopListener.delegateTo(node.mHopServer);
                                 started.complete(node);
                             } catch (RuntimeException e) {
@@ -172,8 +178,9 @@
      * @param calls the port for calls from this VM
      * @param ready the port at which the platform polls whether it takes calls
      * @param heartbeats the port for heartbeats
+     * @param peers the port for peers
      */
-    public record Ports(int calls, int ready, int heartbeats) {}
+    public record Ports(int calls, int ready, int heartbeats, int peers) {}
 
     /** Returns the bound ports; they differ from the settings where those have port 0. */
     public Ports ports() {
@@ -224,7 +231,7 @@
         } catch (AzurearchException e) {
             EventLog.log(SidecarEvent.HANDLER_FAILED, "metrics listener", e.toString());
         }
-        mPorts = new Ports(mCallServer.listen(mSettings.calls()), ready, heartbeats);
+        mPorts = new Ports(mCallServer.listen(mSettings.calls()), ready, heartbeats, mPeerPort);
         mMetrics.gauge("calls.in-flight", () -> (Gauge<Integer>) mRouter::calls);
         mMetrics.gauge("backend.running", () -> (Gauge<Integer>) mDispatcher::running);
         mMetrics.gauge("backend.waiting", () -> (Gauge<Integer>) mDispatcher::waiting);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarSettings.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.azurearch.lib.NetAddress;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The settings of a node.
@@ -13,7 +14,9 @@
  * @param calls the address to which callers on this VM send their requests
  * @param ready the address at which the platform polls whether the node takes calls
  * @param heartbeats the address to which the backend server sends its heartbeats
- * @param peers the address at which peers reach this node
+ * @param peers the address at which this node listens for peers
+ * @param advertisedPeers the address at which peers reach this node; null if it is the one that it
+ *     listens at
  * @param metrics the address at which metrics are served
  * @param seeds peers to contact at the start; they may be down
  * @param heartbeatMillis the period of the backend server's heartbeats
@@ -30,6 +33,7 @@
         NetAddress ready,
         NetAddress heartbeats,
         NetAddress peers,
+        @Nullable NetAddress advertisedPeers,
         NetAddress metrics,
         List<NetAddress> seeds,
         long heartbeatMillis,
