Keep the earlier run of a node until its present run has a backend

The store had lost its record, so that only its peers knew it.

Cause: a peer answers the hello of a restarted node with its record of the earlier run. The log of a failed run shows the order: LINK one up, MEMBER one backend=none, and only then LINK web up.

NodeTable keeps the last record with a backend server of earlier runs until the present run names one, and the hello is answered with it, however the new run became known. A record without a backend server, which says nothing of it, no longer takes the place of one with it.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/NodeTableTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/NodeTableTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -11,6 +12,9 @@
 
 /** Merging of records that arrive in any order. */
 class NodeTableTest {
+    private static final BackendRecord BACKEND =
+            new BackendRecord("stock", "i-1", 4, true, 0, BackendRecord.NO_LIMIT, 1, false);
+
     @Test
     void olderRecordIsIgnored() {
         NodeTable table = new NodeTable("self");
@@ -50,6 +54,19 @@
         assertEquals(List.of(), table.changedSince(301));
     }
 
+    @Test
+    void keepsBackendOfEarlierRunUntilPresentRunNamesOne() {
+        NodeTable table = new NodeTable("self");
+        NodeRecord first = record("a", 1, 1).withBackend(BACKEND);
+        table.merge(first, 0);
+        assertNull(table.earlierRun("a"));
+        table.merge(record("a", 2, 0), 0);
+        table.merge(record("a", 3, 0), 0);
+        assertEquals(first, table.earlierRun("a"));
+        table.merge(record("a", 3, 1).withBackend(BACKEND), 0);
+        assertNull(table.earlierRun("a"));
+    }
+
     private static NodeRecord record(String node, long incarnation, long sequence) {
         NetAddress address = new NetAddress("127.0.0.1", 7000);
         return new NodeRecord(node, "rennes", address, incarnation, sequence, false, true, null);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
@@ -63,10 +63,10 @@
      * run does not bring it back.
      */
     public void restore(NodeRecord earlier) {
-        if (mEarlierRecord == null || earlier.newerThan(mEarlierRecord)) {
+        BackendRecord backend = earlier.backend();
+        if (backend != null && (mEarlierRecord == null || earlier.newerThan(mEarlierRecord))) {
             mEarlierRecord = earlier;
-            BackendRecord backend = earlier.backend();
-            if (backend != null && backend.leaving()) {
+            if (backend.leaving()) {
                 applyChange(
                         mTracker.onDeparture(
                                 backend.instance(),
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -240,15 +240,21 @@
     }
 
     /**
-     * Replies to a hello with this node's record, and that of another run of the sender if known.
+     * Replies to a hello with this node's record, a newer one of the sender and the last one with a
+     * backend server of its earlier runs, if known. This node may have learned of the present run
+     * before, over its own link or from others.
      */
     public void handleHello(HopConnection connection, WireNodeRecord hello) {
         NodeRecord record = HopWire.fromWire(hello);
-        NodeRecord known = mTable.record(record.node());
         merge(record);
         List<NodeRecord> reply = new ArrayList<>(List.of(mSelf));
-        if (known != null && known.incarnation() != record.incarnation()) {
-            reply.add(known);
+        NodeRecord newest = mTable.record(record.node());
+        if (newest != null && newest.incarnation() > record.incarnation()) {
+            reply.add(newest);
+        }
+        NodeRecord earlier = mTable.earlierRun(record.node());
+        if (earlier != null) {
+            reply.add(earlier);
         }
         connection.send(frame(reply, true));
         HopLink link = mLinks.get(record.node());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
@@ -13,6 +13,7 @@
 public final class NodeTable {
     private final String mSelf;
     private final Map<String, NodeRecord> mRecords = new TreeMap<>();
+    private final Map<String, NodeRecord> mEarlierRuns = new HashMap<>();
     private final Map<String, Long> mChangedNanos = new HashMap<>();
     private long mDigest;
 
@@ -38,6 +39,7 @@
         }
         if (known != null) {
             mDigest -= hash(known);
+            keepEarlierRun(known, record);
         }
         mDigest += hash(record);
         mRecords.put(record.node(), record);
@@ -51,6 +53,7 @@
         if (known != null) {
             mDigest -= hash(known);
             mChangedNanos.remove(node);
+            mEarlierRuns.remove(node);
         }
     }
 
@@ -66,6 +69,14 @@
         return mRecords.get(node);
     }
 
+    /**
+     * Returns the last record with a backend server of an earlier run of a node, or null if the
+     * present run has named a backend server itself.
+     */
+    public @Nullable NodeRecord earlierRun(String node) {
+        return mEarlierRuns.get(node);
+    }
+
     /** Returns all records. */
     public Collection<NodeRecord> records() {
         return mRecords.values();
@@ -76,6 +87,14 @@
         return mDigest;
     }
 
+    private void keepEarlierRun(NodeRecord known, NodeRecord record) {
+        if (record.backend() != null) {
+            mEarlierRuns.remove(record.node());
+        } else if (record.incarnation() != known.incarnation() && known.backend() != null) {
+            mEarlierRuns.put(record.node(), known);
+        }
+    }
+
     private static long hash(NodeRecord record) {
         return Hashes.of(record.node(), record.incarnation(), record.sequence());
     }
