Let the next run of a node know that its backend server departed

A node whose backend server had deregistered published and saved that it had none. After a restart it knew nothing of the departure, so that a late heartbeat of the departed run brought the server back and callers were sent to it: RestartTest.lateHeartbeatOfDeregisteredBackendIsIgnoredAfter- Restart got 200 where 503 is due.

The record that is published and saved now names the departed run as leaving and not ready, as that of a draining server already does, and the next run takes it up in the same way. The test passes; BackendTrackerTest shows the record. A new run of the server (a later start) is accepted.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/BackendTrackerTest.java
@@ -102,6 +102,18 @@
                 mTracker.assume(Heartbeat.assumed(remembered, ADDRESS), BackendRecord.NO_LIMIT));
     }
 
+    @Test
+    void recordOfDepartedRunNamesItAsLeaving() {
+        assertNull(mTracker.record());
+        mTracker.onHeartbeat(heartbeat("a", 10, 1, false));
+        mTracker.onDeparture("a", 0, NOW);
+        BackendRecord departed = mTracker.record();
+        assertTrue(departed.leaving() && !departed.ready());
+        assertEquals(10, departed.startedMillis());
+        mTracker.onHeartbeat(heartbeat("a", 11, 1, false));
+        assertTrue(mTracker.record().ready());
+    }
+
     @Test
     void publishesLimitOnlyIfItChangesNoticeably() {
         mTracker.onHeartbeat(heartbeat("a", 1, 1, false));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
@@ -28,6 +28,7 @@
 
     private final Map<String, Long> mDepartedStartMillis = new HashMap<>();
     private @Nullable Heartbeat mCurrent;
+    private @Nullable BackendRecord mDeparted;
     private boolean mUnreachable;
     private double mLimitPerSecond = BackendRecord.NO_LIMIT;
     private double mPublishedLimit = BackendRecord.NO_LIMIT;
@@ -96,6 +97,16 @@
         mDepartedStartMillis.merge(instance, departedStartMillis, Math::max);
         if (current != null && isCurrent && current.startedMillis() <= departedStartMillis) {
             mCurrent = null;
+            mDeparted =
+                    new BackendRecord(
+                            current.service(),
+                            instance,
+                            current.slots(),
+                            false,
+                            0,
+                            BackendRecord.NO_LIMIT,
+                            departedStartMillis,
+                            true);
             return Change.CHANGED;
         }
         return Change.NONE;
@@ -155,12 +166,16 @@
         return mCurrent != null && !mCurrent.leaving() && !mUnreachable;
     }
 
-    /** Returns the record to publish to peers, or null if there is no backend server. */
+    /**
+     * Returns the record to publish to peers: that of the current backend server, or of the one
+     * that departed last, so that a later run of this node knows of the departure; null if there
+     * was none.
+     */
     public @Nullable BackendRecord record() {
         Heartbeat current = mCurrent;
         mPublishedLimit = mLimitPerSecond;
         return current == null
-                ? null
+                ? mDeparted
                 : new BackendRecord(
                         current.service(),
                         current.instance(),
