Keep the lowest rate of a limited server in one place

Two constants named the same rate of 0.5 a second, one for the queue beside the server and one for the estimate at the other nodes. The estimate now uses that of the queue. No behaviour changes; the tests of both pass.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/StartRate.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/StartRate.java
@@ -10,8 +10,11 @@
     /** Starts allowed at once after a pause, as a part of those of a second. */
     private static final double BURST_SECONDS = 0.25;
 
-    /** Lowest rate that is applied, as the end of a limit shows only in the answer to a request. */
-    private static final double MIN_PER_SECOND = 0.5;
+    /**
+     * Lowest rate that is applied, in starts a second, as the end of a limit shows only in the
+     * answer to a request.
+     */
+    public static final double MIN_PER_SECOND = 0.5;
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1e3;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.azurearch.sidecar.admit.StartRate;
 import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.jspecify.annotations.Nullable;
@@ -17,9 +18,6 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double MILLIS_PER_SECOND = 1e3;
 
-    /** Smallest limit that is assumed, so that expected times stay finite. */
-    private static final double MIN_LIMIT_PER_SECOND = 0.5;
-
     /** A backend server that has just started takes about twice as long. */
     private static final double COLD_FACTOR = 2;
 
@@ -204,7 +202,7 @@
             return 1;
         }
         int slots = Math.max(1, backend.slots());
-        double perSecond = Math.max(MIN_LIMIT_PER_SECOND, backend.limitPerSecond());
+        double perSecond = Math.max(StartRate.MIN_PER_SECOND, backend.limitPerSecond());
         return backend.limitPerSecond() < 0
                 ? slots
                 : Math.min(slots, perSecond * workMillis / MILLIS_PER_SECOND);
