Give answers to exchanges, and run pipelined requests side by side

Cause: CallerConnection took the next pipelined request off its queue and began it in a later turn of the event loop. A request read in between found no call and an empty queue, overtook it, and the answer, id and close flag of one request went to the other.

Change: ExchangeOrder keeps the exchanges of a connection in the order of their requests; an answer is given to an exchange and written in its turn, so that no code names "the current call". Idempotent requests run side by side with deadlines from their arrival; one that may run once starts when all before it are written and holds back what follows. Nothing behind an answer that closes is run, goes on running or is answered; a drain answers what has started. Beyond pipeline.maxRequests or pipeline.maxBytes the connection is not read. Oversized requests are refused in their turn.

--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/call/ExchangeOrderTest.java
@@ -0,0 +1,191 @@
+package org.azurearch.sidecar.internal.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.azurearch.sidecar.PipelineLimits;
+
+/**
+ * Guards against answers that change places, requests that run beside one that may run once, and
+ * requests that go on running behind an answer that closes their connection.
+ */
+class ExchangeOrderTest {
+    private static final PipelineLimits LIMITS = new PipelineLimits(4, 100);
+
+    private final List<Integer> mWritten = new ArrayList<>();
+    private final List<FakeExchange> mExchanges = new ArrayList<>();
+    private final ExchangeOrder mOrder = new ExchangeOrder(LIMITS);
+    private boolean mClosed;
+
+    private final class FakeExchange extends ExchangeOrder.Exchange {
+        private final int mNumber;
+        private final boolean mConcurrent;
+        private final boolean mImmediate;
+        private boolean mStarted;
+        private boolean mAnswered;
+        private boolean mCancelled;
+        private boolean mWasWritten;
+
+        FakeExchange(boolean concurrent, boolean immediate) {
+            mNumber = mExchanges.size();
+            mConcurrent = concurrent;
+            mImmediate = immediate;
+        }
+
+        boolean running() {
+            return mStarted && !mAnswered && !mCancelled;
+        }
+
+        @Override
+        boolean concurrent() {
+            return mConcurrent;
+        }
+
+        @Override
+        long requestBytes() {
+            return 1;
+        }
+
+        @Override
+        void start() {
+            assertFalse(mStarted || mCancelled, "started once, and not after it was dropped");
+            assertFalse(mClosed, "nothing starts on a closed connection");
+            mStarted = true;
+            for (FakeExchange other : mExchanges) {
+                boolean pending = other.mNumber < mNumber && !other.mWasWritten;
+                assertFalse(pending && !(mConcurrent && other.mConcurrent), "runs beside another");
+            }
+            if (mImmediate) {
+                answer(false);
+            }
+        }
+
+        void answer(boolean closes) {
+            mAnswered = true;
+            mOrder.answered(this, closes, 10);
+        }
+
+        @Override
+        void cancel() {
+            assertFalse(mCancelled || mWasWritten, "dropped once, and not after its answer");
+            mCancelled = true;
+        }
+
+        @Override
+        void write(boolean last) {
+            assertTrue(mAnswered, "written before it was answered");
+            assertFalse(mClosed || mCancelled, "written after the connection was closed");
+            mWasWritten = true;
+            mWritten.add(mNumber);
+            mClosed = last;
+        }
+    }
+
+    /** Plays arrivals, answers, drains and closes in any order. */
+    @Property(tries = 3_000)
+    void everyAnswerKeepsItsPlace(
+            @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 99) Integer> steps) {
+        for (int step : steps) {
+            play(step);
+            for (int i = 0; i < mWritten.size(); i++) {
+                assertEquals(i, mWritten.get(i), "answers are written in the order of requests");
+            }
+        }
+        for (FakeExchange exchange : mExchanges) {
+            boolean behindLast = mClosed && !exchange.mWasWritten;
+            assertEquals(behindLast, exchange.mCancelled && mClosed, "dropped exactly those");
+        }
+    }
+
+    private void play(int step) {
+        List<FakeExchange> running = mExchanges.stream().filter(FakeExchange::running).toList();
+        if (step < 45 || running.isEmpty()) {
+            FakeExchange next = new FakeExchange(step % 4 != 0, step % 5 == 0);
+            mExchanges.add(next);
+            mOrder.add(next);
+        } else if (step < 95) {
+            running.get(step % running.size()).answer(step % 9 == 0);
+        } else if (step < 98) {
+            mOrder.drain();
+        } else if (!mClosed) {
+            mClosed = true;
+            mOrder.closed();
+        }
+    }
+
+    @Example
+    void concurrentRequestsRunBesideEachOther() {
+        FakeExchange first = add(true);
+        FakeExchange second = add(true);
+        assertTrue(first.mStarted && second.mStarted);
+        second.answer(false);
+        assertEquals(List.of(), mWritten);
+        first.answer(false);
+        assertEquals(List.of(0, 1), mWritten);
+    }
+
+    @Example
+    void requestThatMayRunOnceHoldsBackWhatFollows() {
+        FakeExchange read = add(true);
+        FakeExchange order = add(false);
+        FakeExchange behind = add(true);
+        assertFalse(order.mStarted || behind.mStarted);
+        read.answer(false);
+        assertTrue(order.mStarted);
+        assertFalse(behind.mStarted);
+        order.answer(false);
+        assertTrue(behind.mStarted);
+    }
+
+    @Example
+    void nothingBehindAnAnswerThatClosesGoesOnRunning() {
+        FakeExchange first = add(true);
+        FakeExchange closing = add(true);
+        FakeExchange behind = add(true);
+        closing.answer(true);
+        assertTrue(behind.mCancelled);
+        assertTrue(add(true).mCancelled);
+        first.answer(false);
+        assertEquals(List.of(0, 1), mWritten);
+        assertTrue(mClosed);
+    }
+
+    @Example
+    void drainAnswersWhatHasStartedInOrderAndStartsNothingElse() {
+        FakeExchange first = add(true);
+        FakeExchange second = add(true);
+        mOrder.drain();
+        FakeExchange late = add(true);
+        assertFalse(late.mStarted);
+        second.answer(false);
+        first.answer(false);
+        assertEquals(List.of(0, 1), mWritten);
+        assertTrue(late.mCancelled);
+        assertTrue(mClosed);
+    }
+
+    @Example
+    void heldAnswersAreBounded() {
+        add(true);
+        for (int i = 0; i < 3; i++) {
+            assertFalse(mOrder.full());
+            add(true);
+        }
+        assertTrue(mOrder.full());
+    }
+
+    private FakeExchange add(boolean concurrent) {
+        FakeExchange exchange = new FakeExchange(concurrent, false);
+        mExchanges.add(exchange);
+        mOrder.add(exchange);
+        return exchange;
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarSettings.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarSettings.java
@@ -23,6 +23,7 @@
  * @param graceMillis the longest duration of a planned shutdown
  * @param configApplyMillis the time within which an accepted configuration has to be in force
  * @param retries the bound on retries that all nodes share
+ * @param pipeline the limits of what one connection of a caller may hold
  */
 public record SidecarSettings(
         String node,
@@ -39,7 +40,8 @@
         long heartbeatMillis,
         long graceMillis,
         long configApplyMillis,
-        RetryBound retries) {
+        RetryBound retries,
+        PipelineLimits pipeline) {
     /**
      * The bound on retries at other backend servers, summed over all nodes.
      *
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.azurearch.sidecar.Dialect;
+import org.azurearch.sidecar.PipelineLimits;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
 import org.azurearch.sidecar.call.Attempt;
@@ -133,6 +134,10 @@
         return mDialect;
     }
 
+    PipelineLimits pipelineLimits() {
+        return mSettings.pipeline();
+    }
+
     CallMetrics metrics() {
         return mMetrics;
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.HashSet;
 import java.util.List;
@@ -55,9 +54,10 @@
         return socket.port();
     }
 
-    /** Closes each connection after its next answer. */
+    /** Closes each connection once the calls that it has started are answered. */
     public void drain() {
         mDraining = true;
+        mConnections.forEach(CallerConnection::drain);
     }
 
     /** Stops listening and closes all connections. */
@@ -69,12 +69,11 @@
         List.copyOf(mConnections).forEach(CallerConnection::close);
     }
 
-    boolean draining() {
-        return mDraining;
-    }
-
     void opened(CallerConnection connection) {
         mConnections.add(connection);
+        if (mDraining) {
+            connection.drain();
+        }
     }
 
     void closed(CallerConnection connection) {
@@ -82,11 +81,12 @@
     }
 
     private void install(SocketChannel channel) {
+        CallerConnection connection = new CallerConnection(mRouter, this, channel);
         channel.pipeline()
                 .addLast(new StrictRequestDecoder())
                 .addLast(new HttpResponseEncoder())
-                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                .addLast(new CallerConnection(mRouter, this, channel));
+                .addLast(new RequestAggregator(MAX_BODY_BYTES, connection))
+                .addLast(connection);
     }
 
     private void sweep() {
@@ -95,7 +95,8 @@
         long allowed = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMillis());
         long now = System.nanoTime();
         for (CallerConnection connection : List.copyOf(mConnections)) {
-            if (connection.idle() && connection.idleNanos(now) > allowed) {
+            boolean unused = connection.idle() && connection.idleNanos(now) > allowed;
+            if (connection.stalledNanos(now) > allowed || (unused && connection.heldBytes() == 0)) {
                 connection.close();
             }
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -1,55 +1,36 @@
 package org.azurearch.sidecar.internal.call;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.Locale;
-import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
-import org.azurearch.internal.call.RequestCheck;
 import org.azurearch.sidecar.SidecarEvent;
-import org.azurearch.sidecar.call.BackendAnswer;
-import org.azurearch.sidecar.internal.HeaderList;
-import org.jspecify.annotations.Nullable;
 
 /**
- * A connection of a caller. Runs one call at a time and queues pipelined requests. Confined to one
- * event loop.
+ * A connection of a caller. Answers its requests in their order; those that may run more than once
+ * run beside each other. Confined to one event loop.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements EntryCall.Responder {
-    /** Maximum number of pipelined requests waiting; callers rarely pipeline. */
-    private static final int MAX_PIPELINED = 16;
-
-    private static final double MILLIS_PER_SECOND = 1_000.0;
-    private static final int BAD_REQUEST = HttpResponseStatus.BAD_REQUEST.code();
-
+final class CallerConnection extends ChannelInboundHandlerAdapter {
     private final CallRouter mRouter;
     private final CallServer mServer;
     private final Channel mChannel;
-    private final Deque<FullHttpRequest> mPipelined = new ArrayDeque<>();
-    private @Nullable EntryCall mCall;
-    private String mRequestId = "";
-    private boolean mCloseAfter;
+    private final ExchangeOrder mExchanges;
     private long mIdleSinceNanos = System.nanoTime();
+    private long mUnwrittenBytes;
+    private long mWriteProgressNanos = mIdleSinceNanos;
 
     CallerConnection(CallRouter router, CallServer server, Channel channel) {
         mRouter = router;
         mServer = server;
         mChannel = channel;
+        mExchanges = new ExchangeOrder(router.pipelineLimits());
     }
 
     @Override
@@ -57,32 +38,25 @@
         mServer.opened(this);
     }
 
+    /** Closes the connection once the calls that have started are answered. */
+    void drain() {
+        mExchanges.drain();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!(message instanceof FullHttpRequest request)) {
             ReferenceCountUtil.release(message);
             return;
         }
-        if (mCall == null && mPipelined.isEmpty()) {
-            begin(request);
-        } else if (mPipelined.size() < MAX_PIPELINED) {
-            mPipelined.add(request);
-        } else {
-            request.release();
-            mChannel.close();
-        }
+        mExchanges.add(new CallerExchange(mRouter, this, request));
+        updateReading();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mServer.closed(this);
-        mPipelined.forEach(ReferenceCountUtil::release);
-        mPipelined.clear();
-        EntryCall call = mCall;
-        mCall = null;
-        if (call != null) {
-            call.cancel();
-        }
+        mExchanges.closed();
     }
 
     @Override
@@ -93,93 +67,67 @@
         context.close();
     }
 
-    @Override
-    public void answer(BackendAnswer answer) {
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(answer.status()),
-                        Unpooled.wrappedBuffer(answer.body()));
-        HeaderList.add(response.headers(), answer.headers());
-        write(response);
+    /** Gives an exchange its answer, which is written in its turn. */
+    void answered(CallerExchange exchange, boolean closes, long bytes) {
+        mExchanges.answered(exchange, closes, bytes);
+        if (mExchanges.isEmpty()) {
+            mIdleSinceNanos = System.nanoTime();
+        }
+        updateReading();
     }
 
-    @Override
-    public void refuse(int status, ErrorCode code, long retryAfterMillis) {
-        byte[] body = ("{\"error\":\"" + code.code() + "\"}").getBytes(StandardCharsets.UTF_8);
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        Unpooled.wrappedBuffer(body));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        if (!mRequestId.isEmpty()) {
-            response.headers().set(mRouter.dialect().requestId(), mRequestId);
-        }
-        if (retryAfterMillis > 0) {
-            String seconds =
-                    String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND);
-            response.headers().set(mRouter.dialect().retryAfter(), seconds);
+    /** Writes an answer whose turn it is. */
+    void write(FullHttpResponse response, boolean last) {
+        if (last) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            mChannel.writeAndFlush(response, mChannel.voidPromise());
         }
-        write(response);
+    }
+
+    /** Returns the address of the caller, for log lines. */
+    String peer() {
+        return String.valueOf(mChannel.remoteAddress());
     }
 
     /** Returns whether no call is running. */
     boolean idle() {
-        return mCall == null;
+        return mExchanges.isEmpty();
     }
 
     long idleNanos(long nowNanos) {
         return nowNanos - mIdleSinceNanos;
     }
 
-    void close() {
-        mChannel.close();
+    /** Returns the bytes of answers that the caller has not read or whose turn has not come. */
+    long heldBytes() {
+        return mExchanges.answerBytes() + unwrittenBytes();
     }
 
-    private void begin(FullHttpRequest request) {
-        String problem = RequestCheck.problem(request);
-        if (problem != null) {
-            request.release();
-            EventLog.log(SidecarEvent.CALLER_MALFORMED, mChannel.remoteAddress(), problem);
-            mCloseAfter = true;
-            refuse(BAD_REQUEST, ErrorCode.BAD_REQUEST, 0);
-            return;
-        }
-        String id = request.headers().get(mRouter.dialect().requestId());
-        mRequestId = id == null ? "" : id;
-        mCloseAfter = !HttpUtil.isKeepAlive(request);
-        EntryCall call = new EntryCall(mRouter, request, this);
-        mCall = call;
-        try {
-            call.start();
-        } finally {
-            request.release();
+    /** Returns how long the caller has read nothing although answers wait for it. */
+    long stalledNanos(long nowNanos) {
+        long unwritten = unwrittenBytes();
+        if (unwritten == 0 || unwritten != mUnwrittenBytes) {
+            mUnwrittenBytes = unwritten;
+            mWriteProgressNanos = nowNanos;
         }
+        return nowNanos - mWriteProgressNanos;
     }
 
-    private void write(FullHttpResponse response) {
-        mCall = null;
-        mIdleSinceNanos = System.nanoTime();
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        boolean close = mCloseAfter || mServer.draining();
-        if (close) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
-            return;
-        }
-        mChannel.writeAndFlush(response, mChannel.voidPromise());
-        FullHttpRequest next = mPipelined.poll();
-        if (next != null) {
-            mRouter.loop().execute(() -> beginNext(next));
-        }
+    void close() {
+        mChannel.close();
     }
 
-    private void beginNext(FullHttpRequest next) {
-        if (mChannel.isActive()) {
-            begin(next);
-        } else {
-            next.release();
+    private long unwrittenBytes() {
+        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
+    private void updateReading() {
+        boolean read = !mExchanges.full();
+        if (mChannel.config().isAutoRead() != read) {
+            mChannel.config().setAutoRead(read);
         }
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -92,6 +92,16 @@
         router.callBegun();
     }
 
+    /** Returns whether the request may run more than once, or cannot run at all. */
+    boolean idempotent() {
+        RouteRule route = mRoute;
+        if (route == null) {
+            RoutingConfig config = mRouter.config();
+            route = config == null ? null : findRoute(config);
+        }
+        return route == null || route.idempotent();
+    }
+
     /** Starts the call. The request's content is copied and not used after this returns. */
     void start() {
         RoutingConfig config = mRouter.config();
@@ -104,10 +114,9 @@
             return;
         }
         mConfigVersion = config.version();
-        String host = mRequest.headers().get(HttpHeaderNames.HOST);
-        RouteRule route = config.findRoute(host == null ? "" : host, mRequest.uri());
+        RouteRule route = findRoute(config);
         if (route == null) {
-            refuse(ErrorCode.NO_ROUTE, 0, "no route for " + host + mRequest.uri());
+            refuse(ErrorCode.NO_ROUTE, 0, "no route for " + host() + mRequest.uri());
             return;
         }
         mRoute = route;
@@ -116,11 +125,12 @@
             return;
         }
         long millis = mRouter.allowedMillis(mRequest.headers(), route, mId);
-        if (millis <= 0) {
-            refuse(ErrorCode.DEADLINE_EXCEEDED, 0, "no time left at arrival");
+        mDeadlineNanos = mStartedNanos + millis * NANOS_PER_MILLI;
+        long remainingMillis = remainingMillis();
+        if (remainingMillis <= 0) {
+            refuse(ErrorCode.DEADLINE_EXCEEDED, 0, "no time left at the start");
             return;
         }
-        mDeadlineNanos = mStartedNanos + millis * NANOS_PER_MILLI;
         mBody = ByteBufUtil.getBytes(mRequest.content());
         mHeaders = mRouter.forwardedHeaders(mRequest.headers());
         AttemptFailure contained = mRouter.suspects().containment(call(route));
@@ -130,7 +140,7 @@
         }
         mService = mRouter.nextService(route);
         mRouter.recordRequest(mService);
-        mTimeout = mRouter.loop().schedule(this::timedOut, millis, TimeUnit.MILLISECONDS);
+        mTimeout = mRouter.loop().schedule(this::timedOut, remainingMillis, TimeUnit.MILLISECONDS);
         sendToNext(null);
         if (route.idempotent() && route.maxAttempts() > 1) {
             long delay = mRouter.hedgeMillis(route);
@@ -138,6 +148,15 @@
         }
     }
 
+    private @Nullable RouteRule findRoute(RoutingConfig config) {
+        return config.findRoute(host(), mRequest.uri());
+    }
+
+    private String host() {
+        String host = mRequest.headers().get(HttpHeaderNames.HOST);
+        return host == null ? "" : host;
+    }
+
     /** Sends the request to a second backend server as the first has not answered yet. */
     private void hedge() {
         RouteRule route = mRoute;
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ExchangeOrder.java
@@ -0,0 +1,207 @@
+package org.azurearch.sidecar.internal.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.azurearch.sidecar.PipelineLimits;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The exchanges of one connection, in the order of their requests. An answer is given to an
+ * exchange, never to the connection, so that it cannot take the place of another one.
+ *
+ * <p>Concurrent exchanges run beside each other. Any other one starts when all before it are
+ * written, and those behind it start when it is written. An exchange that closes the connection
+ * ends all behind it; they are not answered, and their caller sends them again.
+ *
+ * <p>Has no I/O. Confined to one thread.
+ */
+final class ExchangeOrder {
+    /** A request and its answer. */
+    abstract static class Exchange {
+        private State mState = State.WAITING;
+        private boolean mCloses;
+        private long mAnswerBytes;
+
+        /** Returns whether it may run beside others of its connection. */
+        abstract boolean concurrent();
+
+        /** Returns the size of the request, in bytes. */
+        abstract long requestBytes();
+
+        /** Starts; the answer may come before this method returns. */
+        abstract void start();
+
+        /** Drops the exchange, which is not answered. Called at most once, also if not started. */
+        abstract void cancel();
+
+        /** Writes the answer. */
+        abstract void write(boolean last);
+    }
+
+    private enum State {
+        WAITING,
+        RUNNING,
+        ANSWERED,
+        ENDED
+    }
+
+    private final PipelineLimits mLimits;
+    private final List<Exchange> mExchanges = new ArrayList<>();
+    private long mRequestBytes;
+    private long mAnswerBytes;
+    private boolean mDraining;
+    private boolean mClosing;
+    private boolean mAdvancing;
+
+    ExchangeOrder(PipelineLimits limits) {
+        mLimits = limits;
+    }
+
+    /** Adds the exchange of a request that arrived. Drops it if the connection is closing. */
+    void add(Exchange exchange) {
+        if (mClosing) {
+            exchange.mState = State.ENDED;
+            exchange.cancel();
+            return;
+        }
+        mExchanges.add(exchange);
+        mRequestBytes += exchange.requestBytes();
+        advance();
+    }
+
+    /**
+     * Records that an exchange has its answer. Does nothing if the exchange has ended.
+     *
+     * @param closes whether the connection closes after the answer
+     * @param bytes the size of the answer
+     */
+    void answered(Exchange exchange, boolean closes, long bytes) {
+        if (exchange.mState != State.RUNNING) {
+            return;
+        }
+        exchange.mState = State.ANSWERED;
+        exchange.mCloses = closes;
+        exchange.mAnswerBytes = bytes;
+        mAnswerBytes += bytes;
+        if (closes) {
+            mClosing = true;
+            dropBehind(exchange);
+        }
+        advance();
+    }
+
+    /** Closes the connection once the exchanges that have started are answered. */
+    void drain() {
+        mDraining = true;
+    }
+
+    /** Drops all exchanges, as the connection is closed. */
+    void closed() {
+        mClosing = true;
+        List<Exchange> dropped = List.copyOf(mExchanges);
+        mExchanges.clear();
+        mRequestBytes = 0;
+        mAnswerBytes = 0;
+        dropped.forEach(ExchangeOrder::drop);
+    }
+
+    /** Returns whether no exchange is under way or waits. */
+    boolean isEmpty() {
+        return mExchanges.isEmpty();
+    }
+
+    /** Returns whether no further request may be read until an answer has been written. */
+    boolean full() {
+        return mExchanges.size() >= mLimits.maxRequests()
+                || mRequestBytes + mAnswerBytes >= mLimits.maxBytes();
+    }
+
+    /** Returns the size of the answers that wait for their turn, in bytes. */
+    long answerBytes() {
+        return mAnswerBytes;
+    }
+
+    private void advance() {
+        if (mAdvancing) {
+            return;
+        }
+        mAdvancing = true;
+        try {
+            boolean changed = true;
+            while (changed) {
+                changed = writeNext() || startNext();
+            }
+        } finally {
+            mAdvancing = false;
+        }
+    }
+
+    private boolean writeNext() {
+        if (mExchanges.isEmpty() || mExchanges.get(0).mState != State.ANSWERED) {
+            return false;
+        }
+        Exchange first = mExchanges.remove(0);
+        forget(first);
+        first.mState = State.ENDED;
+        boolean last = first.mCloses || (mDraining && !anyStarted());
+        if (last) {
+            mClosing = true;
+            dropFrom(0);
+        }
+        first.write(last);
+        return true;
+    }
+
+    private boolean startNext() {
+        Exchange next = startable();
+        if (next == null) {
+            return false;
+        }
+        next.mState = State.RUNNING;
+        next.start();
+        return true;
+    }
+
+    private @Nullable Exchange startable() {
+        for (int i = 0; i < mExchanges.size(); i++) {
+            Exchange exchange = mExchanges.get(i);
+            if (exchange.mState == State.WAITING) {
+                return i == 0 || mayStartBehind(exchange) ? exchange : null;
+            }
+            if (!exchange.concurrent()) {
+                return null;
+            }
+        }
+        return null;
+    }
+
+    private boolean mayStartBehind(Exchange exchange) {
+        return !mDraining && mAnswerBytes < mLimits.maxBytes() && exchange.concurrent();
+    }
+
+    private boolean anyStarted() {
+        return mExchanges.stream().anyMatch(exchange -> exchange.mState != State.WAITING);
+    }
+
+    private void dropBehind(Exchange exchange) {
+        dropFrom(mExchanges.indexOf(exchange) + 1);
+    }
+
+    private void dropFrom(int index) {
+        List<Exchange> tail = mExchanges.subList(index, mExchanges.size());
+        List<Exchange> dropped = List.copyOf(tail);
+        tail.clear();
+        dropped.forEach(this::forget);
+        dropped.forEach(ExchangeOrder::drop);
+    }
+
+    private void forget(Exchange exchange) {
+        mRequestBytes -= exchange.requestBytes();
+        mAnswerBytes -= exchange.mAnswerBytes;
+    }
+
+    private static void drop(Exchange exchange) {
+        exchange.mState = State.ENDED;
+        exchange.cancel();
+    }
+}
