Ask limited backend servers again as soon as they take a request

Cause: the selector counted a limit as fewer slots (limit x work), so that an idle limited server looked busy for one over its limit at all times. Other nodes passed it by, and since only an answer shows that a limit has ended, for good. Beside that, a server whose first answer took some milliseconds longer was never chosen again while the others kept up.

Change: the load of a limited server names how long until one more request may start there (optional field of the frame); the sender lets this wait pass with time and adds one turn for each request it has sent since. Differences below a fiftieth of the target are left to chance.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -207,13 +207,21 @@
                 mean * (ahead + 1) / (mSlots + 1), mStartRate.millisUntil(ahead + 1, nowNanos));
     }
 
+    /**
+     * Returns how long until one more request may start within the limit, after all that wait, in
+     * milliseconds; 0 without a limit.
+     */
+    public double startWaitMillis(long nowNanos) {
+        return mStartRate.millisUntil(mWaiting.size() + 1, nowNanos);
+    }
+
     /** Returns how long all running and waiting requests will take, in milliseconds. */
     public double backlogMillis(long nowNanos) {
         double total = mRunningMillis / 2;
         for (Waiting<T> waiting : mWaiting) {
             total += waiting.request().workMillis();
         }
-        return Math.max(total / mSlots, mStartRate.millisUntil(mWaiting.size() + 1, nowNanos));
+        return Math.max(total / mSlots, startWaitMillis(nowNanos));
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -209,7 +209,8 @@
                 mQueue.running(),
                 mQueue.waitingByRank(EndpointLoad.RANK_COUNT),
                 mWorkEstimate.meanMillis() * slowdownFactor(),
-                (int) (mFailureRate * PERCENT));
+                (int) (mFailureRate * PERCENT),
+                mQueue.startWaitMillis(System.nanoTime()));
     }
 
     /** Returns the current work time of calls of the same route, in milliseconds. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -206,14 +206,20 @@
                 wire.getRunning(),
                 wire.getWaiting(),
                 wire.getWorkMicros() / MICROS_PER_MILLI,
-                wire.getFailurePercent());
+                wire.getFailurePercent(),
+                wire.isSetStartWaitMillis() ? wire.getStartWaitMillis() : 0);
     }
 
     private static WireLoad toWire(EndpointLoad load) {
-        return new WireLoad(
-                load.running(),
-                load.waiting(),
-                (int) (load.workMillis() * MICROS_PER_MILLI),
-                load.failurePercent());
+        WireLoad wire =
+                new WireLoad(
+                        load.running(),
+                        load.waiting(),
+                        (int) (load.workMillis() * MICROS_PER_MILLI),
+                        load.failurePercent());
+        if (load.startWaitMillis() > 0) {
+            wire.setStartWaitMillis((int) Math.ceil(load.startWaitMillis()));
+        }
+        return wire;
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointLoad.java
@@ -11,9 +11,15 @@
  *     the last number includes all less urgent ranks
  * @param workMillis how long it works on a request on average; 0 if unknown
  * @param failurePercent the percentage of recent requests that it failed or rejected
+ * @param startWaitMillis how long until one more request may start within the limit that the
+ *     backend server names; 0 without a limit
  */
 public record EndpointLoad(
-        int running, List<Integer> waiting, double workMillis, int failurePercent) {
+        int running,
+        List<Integer> waiting,
+        double workMillis,
+        int failurePercent,
+        double startWaitMillis) {
     /** Number of ranks that are distinguished; the users' configurations have three. */
     public static final int RANK_COUNT = 4;
 
@@ -21,6 +27,11 @@
     public static final EndpointLoad UNKNOWN =
             new EndpointLoad(0, Collections.nCopies(RANK_COUNT, 0), 0, 0);
 
+    /** Creates the load of a backend server that names no limit. */
+    public EndpointLoad(int running, List<Integer> waiting, double workMillis, int failurePercent) {
+        this(running, waiting, workMillis, failurePercent, 0);
+    }
+
     /** Checks the number of ranks. */
     public EndpointLoad {
         if (waiting.size() != RANK_COUNT) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointSelector.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointSelector.java
@@ -44,6 +44,13 @@
     /** Fraction by which estimates vary at random, so that nodes do not all choose the same one. */
     private static final double JITTER = 0.1;
 
+    /**
+     * Differences below this fraction of the target mean nothing to the caller and are left to
+     * chance. Without it, an endpoint whose first answer took some milliseconds longer got no
+     * further request while the others kept up, so that its estimate was never corrected.
+     */
+    private static final double RESOLUTION_FRACTION = 0.02;
+
     /**
      * Endpoints of other data centres that are considered for one request. The best of six random
      * endpoints is among the best sixth of all in two cases of three.
@@ -97,6 +104,7 @@
                     endpoint.expectedMillis(request.route(), request.rank(), defaultWork, nowNanos);
             cost *= 1 + FAILURE_WEIGHT * (endpoint.failureRate(nowNanos) - lowestFailureRate);
             cost *= 1 + JITTER * mRandom.nextDouble();
+            cost += RESOLUTION_FRACTION * request.targetMillis() * mRandom.nextDouble();
             cost += endpoint.local() ? 0 : distanceFraction * request.targetMillis();
             if (cost < bestCost) {
                 bestCost = cost;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -185,7 +185,7 @@
         double observedWork = workMillis(route);
         double work = observedWork > 0 ? observedWork : defaultWorkMillis;
         double meanWork = mLoad.workMillis() > 0 ? mLoad.workMillis() : work;
-        double slots = capacity(backend, meanWork);
+        double slots = backend == null ? 1 : Math.max(1, backend.slots());
         double reported =
                 (mLoad.running() + mLoad.waitingUpTo(rank)) * freshness(nowNanos, mReportedNanos);
         int own = sumUpTo(rank, mOwnRequests);
@@ -193,19 +193,26 @@
         double excess = Math.max(0, busy + 1 - slots);
         double crowding = Math.min(1, busy / slots);
         work *= mWarmedUpNanos - nowNanos > 0 ? COLD_FACTOR : 1;
-        return work * (1 + CROWDING_WEIGHT * crowding) + meanWork * excess / slots;
+        return work * (1 + CROWDING_WEIGHT * crowding)
+                + meanWork * excess / slots
+                + startWaitMillis(backend, nowNanos);
     }
 
-    /** Returns the number of slots that requests can keep busy within the limit of its requests. */
-    private static double capacity(@Nullable BackendRecord backend, double workMillis) {
-        if (backend == null) {
-            return 1;
+    /**
+     * Returns how long a further request waits for its turn within the limit that the backend
+     * server names. The reported wait passes with time, so that a server is asked again as soon as
+     * it takes a request; each request sent since the report takes one turn.
+     */
+    private double startWaitMillis(@Nullable BackendRecord backend, long nowNanos) {
+        if (backend == null || backend.limitPerSecond() < 0) {
+            return 0;
         }
-        int slots = Math.max(1, backend.slots());
-        double perSecond = Math.max(StartRate.MIN_PER_SECOND, backend.limitPerSecond());
-        return backend.limitPerSecond() < 0
-                ? slots
-                : Math.min(slots, perSecond * workMillis / MILLIS_PER_SECOND);
+        double period =
+                MILLIS_PER_SECOND / Math.max(StartRate.MIN_PER_SECOND, backend.limitPerSecond());
+        double ageMillis = (nowNanos - mReportedNanos) / (double) NANOS_PER_MILLI;
+        int last = EndpointLoad.RANK_COUNT - 1;
+        int sentSince = sumUpTo(last, mOwnRequests) - sumUpTo(last, mOwnRequestsAtReport);
+        return Math.max(0, mLoad.startWaitMillis() - ageMillis) + Math.max(0, sentSince) * period;
     }
 
     private static int sumUpTo(int rank, int[] counts) {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireLoad.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField WORK_MICROS_FIELD_DESC = new org.apache.thrift.protocol.TField("workMicros", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField FAILURE_PERCENT_FIELD_DESC = new org.apache.thrift.protocol.TField("failurePercent", org.apache.thrift.protocol.TType.I32, (short)4);
+  private static final org.apache.thrift.protocol.TField START_WAIT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("startWaitMillis", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireLoadTupleSchemeFactory();
@@ -28,6 +29,10 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> waiting; // required
   public int workMicros; // required
   public int failurePercent; // required
+  /**
+   * Time until one more call may start within the limit of the backend server; unset if none.
+   */
+  public int startWaitMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +42,11 @@
      */
     WAITING((short)2, "waiting"),
     WORK_MICROS((short)3, "workMicros"),
-    FAILURE_PERCENT((short)4, "failurePercent");
+    FAILURE_PERCENT((short)4, "failurePercent"),
+    /**
+     * Time until one more call may start within the limit of the backend server; unset if none.
+     */
+    START_WAIT_MILLIS((short)5, "startWaitMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -61,6 +70,8 @@
           return WORK_MICROS;
         case 4: // FAILURE_PERCENT
           return FAILURE_PERCENT;
+        case 5: // START_WAIT_MILLIS
+          return START_WAIT_MILLIS;
         default:
           return null;
       }
@@ -107,7 +118,9 @@
   private static final int __RUNNING_ISSET_ID = 0;
   private static final int __WORKMICROS_ISSET_ID = 1;
   private static final int __FAILUREPERCENT_ISSET_ID = 2;
+  private static final int __STARTWAITMILLIS_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.START_WAIT_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -120,6 +133,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.FAILURE_PERCENT, new org.apache.thrift.meta_data.FieldMetaData("failurePercent", org.apache.thrift.TFieldRequirementType.REQUIRED, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.START_WAIT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("startWaitMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireLoad.class, metaDataMap);
   }
@@ -155,6 +170,7 @@
     }
     this.workMicros = other.workMicros;
     this.failurePercent = other.failurePercent;
+    this.startWaitMillis = other.startWaitMillis;
   }
 
   @Override
@@ -171,6 +187,8 @@
     this.workMicros = 0;
     setFailurePercentIsSet(false);
     this.failurePercent = 0;
+    setStartWaitMillisIsSet(false);
+    this.startWaitMillis = 0;
   }
 
   public int getRunning() {
@@ -289,6 +307,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FAILUREPERCENT_ISSET_ID, value);
   }
 
+  /**
+   * Time until one more call may start within the limit of the backend server; unset if none.
+   */
+  public int getStartWaitMillis() {
+    return this.startWaitMillis;
+  }
+
+  /**
+   * Time until one more call may start within the limit of the backend server; unset if none.
+   */
+  public WireLoad setStartWaitMillis(int startWaitMillis) {
+    this.startWaitMillis = startWaitMillis;
+    setStartWaitMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetStartWaitMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __STARTWAITMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field startWaitMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetStartWaitMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __STARTWAITMILLIS_ISSET_ID);
+  }
+
+  public void setStartWaitMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __STARTWAITMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -324,6 +371,14 @@
       }
       break;
 
+    case START_WAIT_MILLIS:
+      if (value == null) {
+        unsetStartWaitMillis();
+      } else {
+        setStartWaitMillis((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -343,6 +398,9 @@
     case FAILURE_PERCENT:
       return getFailurePercent();
 
+    case START_WAIT_MILLIS:
+      return getStartWaitMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -363,6 +421,8 @@
       return isSetWorkMicros();
     case FAILURE_PERCENT:
       return isSetFailurePercent();
+    case START_WAIT_MILLIS:
+      return isSetStartWaitMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -416,6 +476,15 @@
         return false;
     }
 
+    boolean this_present_startWaitMillis = true && this.isSetStartWaitMillis();
+    boolean that_present_startWaitMillis = true && that.isSetStartWaitMillis();
+    if (this_present_startWaitMillis || that_present_startWaitMillis) {
+      if (!(this_present_startWaitMillis && that_present_startWaitMillis))
+        return false;
+      if (this.startWaitMillis != that.startWaitMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -433,6 +502,10 @@
 
     hashCode = hashCode * 8191 + failurePercent;
 
+    hashCode = hashCode * 8191 + ((isSetStartWaitMillis()) ? 131071 : 524287);
+    if (isSetStartWaitMillis())
+      hashCode = hashCode * 8191 + startWaitMillis;
+
     return hashCode;
   }
 
@@ -484,6 +557,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStartWaitMillis(), other.isSetStartWaitMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStartWaitMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.startWaitMillis, other.startWaitMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -527,6 +610,12 @@
     sb.append("failurePercent:");
     sb.append(this.failurePercent);
     first = false;
+    if (isSetStartWaitMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("startWaitMillis:");
+      sb.append(this.startWaitMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -622,6 +711,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // START_WAIT_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.startWaitMillis = iprot.readI32();
+              struct.setStartWaitMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -668,6 +765,11 @@
       oprot.writeFieldBegin(FAILURE_PERCENT_FIELD_DESC);
       oprot.writeI32(struct.failurePercent);
       oprot.writeFieldEnd();
+      if (struct.isSetStartWaitMillis()) {
+        oprot.writeFieldBegin(START_WAIT_MILLIS_FIELD_DESC);
+        oprot.writeI32(struct.startWaitMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -696,6 +798,14 @@
       }
       oprot.writeI32(struct.workMicros);
       oprot.writeI32(struct.failurePercent);
+      java.util.BitSet optionals = new java.util.BitSet();
+      if (struct.isSetStartWaitMillis()) {
+        optionals.set(0);
+      }
+      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetStartWaitMillis()) {
+        oprot.writeI32(struct.startWaitMillis);
+      }
     }
 
     @Override
@@ -718,6 +828,11 @@
       struct.setWorkMicrosIsSet(true);
       struct.failurePercent = iprot.readI32();
       struct.setFailurePercentIsSet(true);
+      java.util.BitSet incoming = iprot.readBitSet(1);
+      if (incoming.get(0)) {
+        struct.startWaitMillis = iprot.readI32();
+        struct.setStartWaitMillisIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -37,6 +37,8 @@
   2: required list<i32> waiting
   3: required i32 workMicros
   4: required i32 failurePercent
+  /** Time until one more call may start within the limit of the backend server; unset if none. */
+  5: optional i32 startWaitMillis
 }
 
 /** A request, sent to the destination node. */
