Link to the nodes that are needed instead of to all

Cause: every node kept a link to every other one. At 95 VMs that is 94 handshakes at each start and, as idle links are pinged every 4 s from both sides, 2,200 pings a second in the mesh, beside descriptors and memory that grow with the mesh.

Change: LinkPlan, a decision without I/O, names the wanted links of a mesh of more than 32 nodes: the own data centre, two relays of each other one, and eight backend servers elsewhere of a service whose local ones are missing or near the price of a remote one; unreachable ones are replaced, unneeded ones closed after 10 s. Calls demand such links before the first of them goes there. A node without a link counts as reachable until its record says that it leaves; a node that its data centre cannot reach for 10 minutes is recorded as leaving by its peers, and leaving nodes are forgotten after 10 minutes.

In a mesh of 95 nodes a calm one has 26 links in place of 94 (LinkPlanTest).

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
@@ -16,7 +16,8 @@
 
 /** Selection of endpoints under uneven load, distance and failures. */
 class EndpointSelectorTest {
-    private final EndpointSelector mSelector = new EndpointSelector(new SplittableRandom(1));
+    private final EndpointSelector mSelector =
+            new EndpointSelector(new SplittableRandom(1), service -> {});
     private final EndpointState mNear = endpoint("near", true);
     private final EndpointState mFar = endpoint("far", false);
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -54,7 +54,7 @@
     private final SuspectTracker mSuspects;
     private final CallLog mLog;
     private final SplittableRandom mRandom = new SplittableRandom();
-    private final EndpointSelector mSelector = new EndpointSelector(mRandom);
+    private final EndpointSelector mSelector;
     private final SplitPicker mSplitPicker = new SplitPicker();
     private final double mSplitStart = mRandom.nextDouble();
     private final Map<String, SharedRetryBudget> mRetryBudgets = new HashMap<>();
@@ -100,6 +100,7 @@
                         dialect.expectedInstance());
         mConfigs = configs;
         mDirectory = directory;
+        mSelector = new EndpointSelector(mRandom, directory::demandRemote);
         mDispatcher = dispatcher;
         mSuspects = suspects;
         mLog = log;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -126,6 +126,11 @@
         return mUp;
     }
 
+    /** Returns whether calls await their outcome. */
+    public boolean busy() {
+        return !mPending.isEmpty();
+    }
+
     /** Returns how long the link has been down, or 0 if it is up. */
     public long downNanos(long nowNanos) {
         return mUp ? 0 : nowNanos - mDownSinceNanos;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -27,23 +27,20 @@
 import org.azurearch.thrift.WireNodeRecords;
 import org.jspecify.annotations.Nullable;
 
-/** The known nodes, with a link to each. Confined to one event loop. */
+/** The known nodes and the links to those that this node needs. Confined to one event loop. */
 public final class NodeDirectory implements HopLink.Listener {
-    /**
-     * Largest mesh in which a node sends its record to all peers; in larger ones, it sends it to
-     * those in its data centre and to the relays of the other data centres.
-     */
-    private static final int MAX_DIRECT_NODES = 64;
-
-    /** Number of relays in a data centre; with two, one may fail. */
-    private static final int RELAYS = 2;
-
     /** Time after which an unreachable node is removed: 10 minutes. */
     private static final long FORGET_NANOS = 600_000_000_000L;
 
     /** Time after which a change has reached all reachable nodes: 4 seconds. */
     private static final long RECENT_CHANGE_NANOS = 4_000_000_000L;
 
+    /** Time without a connection after which another node is linked to in place of a peer. */
+    private static final long FAILED_LINK_NANOS = 1_000_000_000L;
+
+    /** Time after which a link or a demand that is not needed any more is dropped: 10 seconds. */
+    private static final long UNUSED_NANOS = 10_000_000_000L;
+
     /** Receives the frames and events of all links. */
     public interface Listener {
         /** Called for each frame that does not belong to a call. */
@@ -64,6 +61,12 @@
     private final Map<String, HopLink> mLinks = new HashMap<>();
     private final Map<String, EndpointState> mEndpoints = new HashMap<>();
     private final Listener mListener;
+    private final LinkPlan mPlan = new LinkPlan();
+    private final Map<String, Long> mDemandNanos = new HashMap<>();
+    private final Map<String, Long> mWantedNanos = new HashMap<>();
+    private boolean mLinkUpdateScheduled;
+    private boolean mClosed;
+    private long mLinksUpdatedNanos;
 
     /** Cached until a record or a link changes, as the order is needed several times a second. */
     private final Map<String, List<String>> mOrderedNodes = new HashMap<>();
@@ -146,11 +149,28 @@
     /** Returns the number of reachable nodes, including this one. */
     public int reachable() {
         if (mReachable == 0) {
-            mReachable = 1 + linksUp().size();
+            mReachable = 1;
+            for (NodeRecord record : mTable.records()) {
+                mReachable += countsAsReachable(record) ? 1 : 0;
+            }
         }
         return mReachable;
     }
 
+    /** A node without a link counts unless it is leaving, as its own data centre watches it. */
+    private boolean countsAsReachable(NodeRecord record) {
+        HopLink link = mLinks.get(record.node());
+        boolean reachable = link == null ? !record.leaving() : link.up();
+        return reachable && !record.node().equals(mSelf.node());
+    }
+
+    /** Records that this data centre is short of room for a service, so that others are called. */
+    public void demandRemote(String service) {
+        if (mDemandNanos.put(service, System.nanoTime()) == null) {
+            scheduleLinkUpdate();
+        }
+    }
+
     /** Changes the record of this node and sends it to its peers. */
     public void publish(UnaryOperator<NodeRecord> change) {
         NodeRecord changed = change.apply(mSelf);
@@ -200,7 +220,9 @@
                 backend == null ? "none" : backend.instance(),
                 backend != null && backend.ready());
         endpoint(record).record(record, System.nanoTime());
-        ensureLink(record);
+        mPlan.recordsChanged();
+        replaceMovedLink(record);
+        scheduleLinkUpdate();
         return true;
     }
 
@@ -263,20 +285,52 @@
         }
     }
 
-    /** Checks the links and removes nodes unreachable for too long; called a few times a second. */
+    /** Checks the links and removes nodes that are gone; called a few times a second. */
     public void tick(long nowNanos) {
         for (HopLink link : List.copyOf(mLinks.values())) {
             link.tick(nowNanos);
             if (link.downNanos(nowNanos) > FORGET_NANOS) {
-                link.close();
-                mLinks.remove(link.node());
-                mEndpoints.remove(link.node());
-                mTable.remove(link.node());
-                invalidateCaches();
+                declareGone(link);
+            }
+        }
+        if (nowNanos - mLinksUpdatedNanos > FAILED_LINK_NANOS) {
+            mTable.leavingSince(nowNanos - FORGET_NANOS).forEach(this::forget);
+            updateLinks();
+        }
+    }
+
+    /**
+     * Records for a peer that it is leaving, as it has been unreachable for too long. Only nodes of
+     * its data centre do so, which all link to it. A peer that is cut off supersedes the record
+     * when it is back.
+     */
+    private void declareGone(HopLink link) {
+        NodeRecord record = mTable.record(link.node());
+        if (record == null) {
+            dropLink(link);
+        } else if (!record.leaving() && record.dataCentre().equals(mSelf.dataCentre())) {
+            NodeRecord gone =
+                    record.asLeaving().withVersion(record.incarnation(), record.sequence() + 1);
+            if (merge(gone)) {
+                broadcast(List.of(gone));
             }
         }
     }
 
+    private void forget(NodeRecord record) {
+        HopLink link = mLinks.get(record.node());
+        if (link != null && link.up()) {
+            return;
+        }
+        if (link != null) {
+            dropLink(link);
+        }
+        mEndpoints.remove(record.node());
+        mTable.remove(record.node());
+        mPlan.recordsChanged();
+        invalidateCaches();
+    }
+
     /** Connects to a node of which only the address is known, unless a link to it exists. */
     public void seed(NetAddress address) {
         boolean known = address.equals(mSelf.address());
@@ -291,11 +345,15 @@
 
     /** Closes all links. */
     public void close() {
+        mClosed = true;
         mLinks.values().forEach(HopLink::close);
     }
 
     @Override
     public void usabilityChanged(HopLink link, boolean usable) {
+        if (mLinks.get(link.node()) != link) {
+            return; // dropped, and perhaps opened again since
+        }
         EventLog.log(SidecarEvent.LINK, link.node(), usable);
         EndpointState endpoint = mEndpoints.get(link.node());
         if (endpoint != null) {
@@ -425,11 +483,11 @@
     }
 
     private boolean isRelay(NodeRecord record) {
-        return rank(record, false) < RELAYS;
+        return rank(record, false) < LinkPlan.RELAYS;
     }
 
     private boolean usesRelays() {
-        return mTable.records().size() > MAX_DIRECT_NODES;
+        return mTable.records().size() > LinkPlan.MAX_DIRECT_NODES;
     }
 
     private boolean up(String node) {
@@ -461,6 +519,7 @@
 
     private void storeOwnRecord(NodeRecord self) {
         mTable.merge(self, System.nanoTime());
+        mPlan.recordsChanged();
         invalidateCaches();
         EndpointState ownEndpoint = endpoint(self);
         ownEndpoint.record(self, System.nanoTime());
@@ -472,24 +531,77 @@
         return mEndpoints.computeIfAbsent(record.node(), node -> new EndpointState(record, local));
     }
 
-    private void ensureLink(NodeRecord record) {
+    /**
+     * Closes the links to an address that a record shows to be another node's or an earlier one.
+     */
+    private void replaceMovedLink(NodeRecord record) {
         HopLink link = mLinks.get(record.node());
-        if (link != null && link.address().equals(record.address())) {
-            return;
-        }
-        invalidateCaches();
-        if (link != null) {
-            link.close();
+        if (link != null && !link.address().equals(record.address())) {
+            dropLink(link);
         }
         HopLink seed = mLinks.remove("seed " + record.address());
         if (seed != null) {
             seed.close();
         }
+    }
+
+    /** Updates the links once all records of a frame are merged. */
+    private void scheduleLinkUpdate() {
+        if (!mLinkUpdateScheduled) {
+            mLinkUpdateScheduled = true;
+            mLoop.execute(this::updateLinks);
+        }
+    }
+
+    /** Opens the links that are wanted and closes those that have not been for a while. */
+    private void updateLinks() {
+        mLinkUpdateScheduled = false;
+        if (mClosed) {
+            return;
+        }
+        long now = System.nanoTime();
+        mLinksUpdatedNanos = now;
+        mDemandNanos.values().removeIf(demanded -> now - demanded > UNUSED_NANOS);
+        for (String node :
+                mPlan.wanted(mSelf, mTable.records(), mDemandNanos.keySet(), this::failed)) {
+            mWantedNanos.put(node, now);
+            NodeRecord record = mTable.record(node);
+            if (record != null && !mLinks.containsKey(node)) {
+                open(record);
+            }
+        }
+        for (HopLink link : List.copyOf(mLinks.values())) {
+            boolean known = mTable.record(link.node()) != null;
+            long wanted = mWantedNanos.getOrDefault(link.node(), now - UNUSED_NANOS - 1);
+            if (known && !link.busy() && now - wanted > UNUSED_NANOS) {
+                dropLink(link);
+            }
+        }
+    }
+
+    private boolean failed(String node) {
+        HopLink link = mLinks.get(node);
+        return link != null && link.downNanos(System.nanoTime()) > FAILED_LINK_NANOS;
+    }
+
+    private void open(NodeRecord record) {
+        invalidateCaches();
         endpoint(record).setConnected(false);
         mLinks.put(
                 record.node(), new HopLink(mNetwork, mLoop, record.node(), record.address(), this));
     }
 
+    private void dropLink(HopLink link) {
+        mLinks.remove(link.node());
+        mWantedNanos.remove(link.node());
+        link.close();
+        EndpointState endpoint = mEndpoints.get(link.node());
+        if (endpoint != null) {
+            endpoint.setConnected(false);
+        }
+        invalidateCaches();
+    }
+
     private static HopFrame frame(List<NodeRecord> records, boolean relayed) {
         List<WireNodeRecord> wire = new ArrayList<>();
         records.forEach(record -> wire.add(HopWire.toWire(record)));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
@@ -37,6 +37,9 @@
         if (known != null && !record.newerThan(known)) {
             return false;
         }
+        if (known == null && record.leaving() && !record.node().equals(mSelf)) {
+            return false; // it would be added again by those that remove it later
+        }
         if (known != null) {
             mDigest -= hash(known);
             keepEarlierRun(known, record);
@@ -64,6 +67,17 @@
         return changed;
     }
 
+    /** Returns the other nodes that have been leaving since before a time on the steady clock. */
+    public List<NodeRecord> leavingSince(long nanos) {
+        List<NodeRecord> leaving = new ArrayList<>(mRecords.values());
+        leaving.removeIf(
+                record ->
+                        !record.leaving()
+                                || record.node().equals(mSelf)
+                                || mChangedNanos.getOrDefault(record.node(), nanos) - nanos > 0);
+        return leaving;
+    }
+
     /** Returns the record of a node, or null if there is none. */
     public @Nullable NodeRecord record(String node) {
         return mRecords.get(node);
@@ -95,7 +109,10 @@
         }
     }
 
+    /** Nodes that are leaving do not count, as they are removed at different times. */
     private static long hash(NodeRecord record) {
-        return Hashes.of(record.node(), record.incarnation(), record.sequence());
+        return record.leaving()
+                ? 0
+                : Hashes.of(record.node(), record.incarnation(), record.sequence());
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointSelector.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointSelector.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -57,15 +58,25 @@
      */
     private static final int MAX_REMOTE_CANDIDATES = 6;
 
+    /**
+     * Cost of the best local endpoint, as a fraction of that of an unloaded remote one, above which
+     * remote ones are demanded. They are linked to ahead of the first call that goes to them.
+     */
+    private static final double DEMAND_FRACTION = 0.6;
+
     private final RandomGenerator mRandom;
+    private final Consumer<String> mRemoteDemand;
 
     /**
      * Creates a selector.
      *
      * @param random the source of random numbers for the variation and for sampling
+     * @param remoteDemand receives the services for which endpoints of other data centres are or
+     *     will soon be needed
      */
-    public EndpointSelector(RandomGenerator random) {
+    public EndpointSelector(RandomGenerator random, Consumer<String> remoteDemand) {
         mRandom = random;
+        mRemoteDemand = remoteDemand;
     }
 
     /**
@@ -92,6 +103,7 @@
         List<EndpointState> candidates = candidates(endpoints, request);
         EndpointState best = null;
         double bestCost = Double.MAX_VALUE;
+        double bestLocalCost = Double.MAX_VALUE;
         double defaultWork = defaultWorkMillis(candidates, request);
         double lowestFailureRate = lowestFailureRate(candidates, nowNanos);
         double distanceFraction =
@@ -105,12 +117,20 @@
             cost *= 1 + FAILURE_WEIGHT * (endpoint.failureRate(nowNanos) - lowestFailureRate);
             cost *= 1 + JITTER * mRandom.nextDouble();
             cost += RESOLUTION_FRACTION * request.targetMillis() * mRandom.nextDouble();
-            cost += endpoint.local() ? 0 : distanceFraction * request.targetMillis();
+            if (endpoint.local()) {
+                bestLocalCost = Math.min(bestLocalCost, cost);
+            } else {
+                cost += distanceFraction * request.targetMillis();
+            }
             if (cost < bestCost) {
                 bestCost = cost;
                 best = endpoint;
             }
         }
+        double remoteCost = defaultWork + distanceFraction * request.targetMillis();
+        if (bestLocalCost > DEMAND_FRACTION * remoteCost) {
+            mRemoteDemand.accept(request.service());
+        }
         return best;
     }
 
