--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
@@ -46,6 +47,12 @@
      */
     private static final long MIN_DRAIN_MILLIS = 2_300;
 
+    /**
+     * Time for which calls are refused before the listener closes, so that a caller who sends when
+     * the drain ends is told when to come back.
+     */
+    private static final long REFUSE_MILLIS = 250;
+
     /**
      * Time after the start of a drain at which the leaving record is published. Until then peers
      * keep sending calls to the backend server behind this node, which is still healthy. The rest
@@ -80,6 +87,7 @@
     private final HopServer mHopServer;
     private final long mStartedNanos = System.nanoTime();
     private final int mPeerPort;
+    private final AtomicBoolean mCloseRequested = new AtomicBoolean();
     private Ports mPorts = new Ports(0, 0, 0, 0);
     private boolean mStopping;
     private boolean mWasReady;
@@ -215,6 +223,10 @@
      */
     @Override
     public void close() {
+        if (mCloseRequested.getAndSet(true)) {
+            mGroup.terminationFuture().awaitUninterruptibly();
+            return;
+        }
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         mLoop.execute(() -> beginStop(stopped));
         stopped.join();
@@ -311,7 +323,7 @@
             mRouter.refuseNewCalls();
             mDispatcher.refuseNewCalls();
         }
-        boolean drained = pendingCalls() == 0 && millis >= MIN_DRAIN_MILLIS;
+        boolean drained = pendingCalls() == 0 && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS;
         if (drained || millis >= mSettings.graceMillis() - STOP_MARGIN_MILLIS) {
             EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis);
             mCallServer.close();
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
@@ -279,7 +280,7 @@
         for (CallerHandler caller : List.copyOf(mCallers)) {
             long inactiveNanos = now - caller.lastActivityNanos();
             boolean slow =
-                    caller.receiving() && inactiveNanos > settings().senderTimeout().toNanos();
+                    caller.receiving() && inactiveNanos > allowedSenderNanos(caller.fromPeer());
             boolean idle = !caller.busy() && inactiveNanos > settings().idleTimeout().toNanos();
             if (slow || idle) {
                 caller.abort();
@@ -299,6 +300,16 @@
         mHopPools.values().removeIf(pool -> pool.open() == 0);
     }
 
+    /**
+     * Returns how long a sender may stall. A peer gets more time than a caller: it closes the
+     * connection of its caller first, who would otherwise be told of a failed peer.
+     */
+    private long allowedSenderNanos(boolean fromPeer) {
+        Duration margin =
+                fromPeer ? NettyCallServer.MAINTENANCE_INTERVAL.multipliedBy(2) : Duration.ZERO;
+        return settings().senderTimeout().plus(margin).toNanos();
+    }
+
     /** Closes callers' idle connections now and busy ones after their call. */
     void closeWhenIdle() {
         List.copyOf(mCallers).forEach(CallerHandler::closeWhenIdle);
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -114,6 +114,11 @@
         return mLastActivityNanos;
     }
 
+    /** Returns whether the call in progress comes from a peer. */
+    boolean fromPeer() {
+        return mCall instanceof DestinationCall;
+    }
+
     /** Returns whether a call is in progress. */
     boolean busy() {
         return mCall != null;
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
@@ -31,7 +31,7 @@
 final class NettyCallServer implements CallServer, AutoCloseable {
     private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
     private static final int TICKS_PER_SECOND = 100;
-    private static final Duration MAINTENANCE_INTERVAL = Duration.ofSeconds(1);
+    static final Duration MAINTENANCE_INTERVAL = Duration.ofSeconds(1);
     private static final int BACKLOG = 1_024;
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000L;
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MemberTable.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberTable.java
@@ -78,7 +78,7 @@
     /** Returns the reachable members of a data centre, sorted by node. */
     List<Member> reachable(DataCentreId dataCentre) {
         Map<NodeId, Member> members = mReachable.get(dataCentre);
-        return members == null ? List.of() : new ArrayList<>(members.values());
+        return members == null ? new ArrayList<>() : new ArrayList<>(members.values());
     }
 
     /** Returns the number of reachable members of a data centre. */
