--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/call/ExchangeOrderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/call/ExchangeOrderTest.java
@@ -11,14 +11,14 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import org.azurearch.sidecar.PipelineLimits;
+import org.azurearch.sidecar.CallerLimits;
 
 /**
  * Guards against answers that change places, requests that run beside one that may run once, and
  * requests that go on running behind an answer that closes their connection.
  */
 class ExchangeOrderTest {
-    private static final PipelineLimits LIMITS = new PipelineLimits(4, 100);
+    private static final CallerLimits LIMITS = new CallerLimits(4, 100, 1);
 
     private final List<Integer> mWritten = new ArrayList<>();
     private final List<FakeExchange> mExchanges = new ArrayList<>();
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/CallerLimits.java
@@ -0,0 +1,21 @@
+package org.azurearch.sidecar;
+
+/**
+ * Limits of what callers may hold. Beyond those of one connection, the connection is not read until
+ * an answer has been written; beyond that of all, calls are refused.
+ *
+ * @param maxRequests requests that are not answered yet
+ * @param maxBytes bytes of these requests and of answers that wait for their turn
+ * @param maxAnswerBytes bytes of the answers of all callers that are awaited or not read yet
+ */
+public record CallerLimits(int maxRequests, long maxBytes, long maxAnswerBytes) {
+    /** The limits if the settings name none. */
+    public static final CallerLimits DEFAULT = new CallerLimits(16, 1024 * 1024, 16 * 1024 * 1024);
+
+    /** Checks that all are positive. */
+    public CallerLimits {
+        if (maxRequests < 1 || maxBytes < 1 || maxAnswerBytes < 1) {
+            throw new IllegalArgumentException("limits of callers must be positive");
+        }
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarSettings.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarSettings.java
@@ -23,7 +23,7 @@
  * @param graceMillis the longest duration of a planned shutdown
  * @param configApplyMillis the time within which an accepted configuration has to be in force
  * @param retries the bound on retries that all nodes share
- * @param pipeline the limits of what one connection of a caller may hold
+ * @param callers the limits of what callers may hold
  */
 public record SidecarSettings(
         String node,
@@ -41,7 +41,7 @@
         long graceMillis,
         long configApplyMillis,
         RetryBound retries,
-        PipelineLimits pipeline) {
+        CallerLimits callers) {
     /**
      * The bound on retries at other backend servers, summed over all nodes.
      *
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import org.azurearch.sidecar.CallerLimits;
 import org.azurearch.sidecar.Dialect;
-import org.azurearch.sidecar.PipelineLimits;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
+import org.azurearch.sidecar.admit.AnswerMemory;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
@@ -44,6 +46,9 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** Age up to which a measurement of the held answers is used; answers since then are added. */
+    private static final long HELD_BYTES_LIFETIME_NANOS = 10_000_000L;
+
     private final EventLoop mLoop;
     private final SidecarSettings mSettings;
     private final Dialect mDialect;
@@ -61,7 +66,11 @@
     private final Map<String, Long> mLastRequestNanos = new HashMap<>();
     private final Map<String, Double> mAnswerBytes = new HashMap<>();
     private final Map<String, HedgeDelay> mHedgeDelays = new HashMap<>();
+    private final AnswerMemory mAnswerMemory;
     private final Set<String> mReplacedHeaders;
+    private LongSupplier mHeldAnswerBytes = () -> 0;
+    private long mHeldBytes;
+    private long mHeldMeasuredNanos;
     private String mCallerService;
     private long mNextId = 1;
     private int mCalls;
@@ -98,6 +107,7 @@
                         dialect.callerService(),
                         dialect.deadlineMillis(),
                         dialect.expectedInstance());
+        mAnswerMemory = new AnswerMemory(settings.callers().maxAnswerBytes());
         mConfigs = configs;
         mDirectory = directory;
         mSelector = new EndpointSelector(mRandom, directory::demandRemote);
@@ -135,8 +145,8 @@
         return mDialect;
     }
 
-    PipelineLimits pipelineLimits() {
-        return mSettings.pipeline();
+    CallerLimits callerLimits() {
+        return mSettings.callers();
     }
 
     CallMetrics metrics() {
@@ -231,7 +241,7 @@
 
     /** Chooses an endpoint for a request; returns null if no backend server accepts it. */
     @Nullable EndpointState choose(RouteRule route, String service, Set<String> tried) {
-        double bytes = mAnswerBytes.getOrDefault(route.name(), INITIAL_ANSWER_BYTES);
+        double bytes = expectedAnswerBytes(route);
         EndpointState own = mDirectory.ownEndpoint();
         long now = System.nanoTime();
         own.observeLoad(mDispatcher.load(), now);
@@ -242,6 +252,31 @@
                 now);
     }
 
+    /** Sets how the size of the answers that callers have not read yet is measured, in bytes. */
+    void measureHeldAnswers(LongSupplier heldBytes) {
+        mHeldAnswerBytes = heldBytes;
+    }
+
+    /** Returns the expected size of an answer of a route, in bytes. */
+    double expectedAnswerBytes(RouteRule route) {
+        return mAnswerBytes.getOrDefault(route.name(), INITIAL_ANSWER_BYTES);
+    }
+
+    /** Reserves memory for an answer; returns whether there is enough. */
+    boolean tryReserveAnswer(double expectedBytes) {
+        long now = System.nanoTime();
+        if (now - mHeldMeasuredNanos > HELD_BYTES_LIFETIME_NANOS) {
+            mHeldMeasuredNanos = now;
+            mHeldBytes = mHeldAnswerBytes.getAsLong();
+        }
+        return mAnswerMemory.tryReserve(expectedBytes, mHeldBytes);
+    }
+
+    /** Returns the memory that was reserved for an answer. */
+    void releaseAnswer(double expectedBytes) {
+        mAnswerMemory.release(expectedBytes);
+    }
+
     /** Returns the time without an answer after which a request of a route is hedged. */
     long hedgeMillis(RouteRule route) {
         return hedgeDelay(route).delayMillis(route.targetMillis());
@@ -249,6 +284,7 @@
 
     /** Records the size and duration of an answer. */
     void recordAnswer(RouteRule route, int bytes, long millis) {
+        mHeldBytes += bytes;
         hedgeDelay(route).observe(millis);
         mAnswerBytes.merge(
                 route.name(), (double) bytes, (old, now) -> old + ANSWER_SIZE_WEIGHT * (now - old));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -39,6 +39,7 @@
     public CallServer(EventLoop loop, CallRouter router) {
         mLoop = loop;
         mRouter = router;
+        router.measureHeldAnswers(this::heldBytes);
     }
 
     /**
@@ -80,6 +81,15 @@
         mConnections.remove(connection);
     }
 
+    /** Returns the bytes of answers that callers have not read or whose turn has not come. */
+    private long heldBytes() {
+        long bytes = 0;
+        for (CallerConnection connection : mConnections) {
+            bytes += connection.heldBytes();
+        }
+        return bytes;
+    }
+
     private void install(SocketChannel channel) {
         CallerConnection connection = new CallerConnection(mRouter, this, channel);
         channel.pipeline()
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -30,7 +30,7 @@
         mRouter = router;
         mServer = server;
         mChannel = channel;
-        mExchanges = new ExchangeOrder(router.pipelineLimits());
+        mExchanges = new ExchangeOrder(router.callerLimits());
     }
 
     @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -41,6 +41,9 @@
     /** Retry delay while this node shuts down; a restart takes about this long. */
     private static final long RESTART_RETRY_MILLIS = 600;
 
+    /** Retry delay while callers read too slowly; a large answer takes about as long. */
+    private static final long SLOW_CALLERS_RETRY_MILLIS = 500;
+
     /** Shortest retry delay after an attempt was refused or no node answered in time. */
     private static final long MIN_RETRY_MILLIS = 50;
 
@@ -80,6 +83,7 @@
     private @Nullable BackendAnswer mFailedAnswer;
     private int mAttemptCount;
     private int mBackendAttemptCount;
+    private double mReservedBytes;
     private boolean mMayHaveRun;
     private boolean mDone;
 
@@ -138,6 +142,15 @@
             refuse(contained.code(), contained.retryAfterMillis(), contained.detail());
             return;
         }
+        double answerBytes = mRouter.expectedAnswerBytes(route);
+        if (!mRouter.tryReserveAnswer(answerBytes)) {
+            refuse(
+                    ErrorCode.OVERLOADED,
+                    SLOW_CALLERS_RETRY_MILLIS,
+                    "answers that callers have not read take all memory");
+            return;
+        }
+        mReservedBytes = answerBytes;
         mService = mRouter.nextService(route);
         mRouter.recordRequest(mService);
         mTimeout = mRouter.loop().schedule(this::timedOut, remainingMillis, TimeUnit.MILLISECONDS);
@@ -399,6 +412,7 @@
     private void end() {
         mDone = true;
         mRouter.callEnded();
+        mRouter.releaseAnswer(mReservedBytes);
         if (mTimeout != null) {
             mTimeout.cancel(false);
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ExchangeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ExchangeOrder.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.azurearch.sidecar.PipelineLimits;
+import org.azurearch.sidecar.CallerLimits;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,7 +45,7 @@
         ENDED
     }
 
-    private final PipelineLimits mLimits;
+    private final CallerLimits mLimits;
     private final List<Exchange> mExchanges = new ArrayList<>();
     private long mRequestBytes;
     private long mAnswerBytes;
@@ -53,7 +53,7 @@
     private boolean mClosing;
     private boolean mAdvancing;
 
-    ExchangeOrder(PipelineLimits limits) {
+    ExchangeOrder(CallerLimits limits) {
         mLimits = limits;
     }
 
