Refuse what waited out its deadline in a pause, and foreign answers

PauseDetector compares ticks of the steady clock and of the time of day; what is read within 50 ms after a gap of 500 ms or more counts as arrived that much earlier, at the entry and on the hop. PauseTest suspends a real process for 2 s under orders with a deadline of 0.6 s on a kept and on a fresh connection: 503, and neither runs. Event 806. - An answer without the request's id on a connection used before was taken for the answer of the request under way, and the first bytes of an extra answer on an idle connection for the start of the next one. Both close the connection now; ForeignBytesTest sends a late copy, whole or in part, with or without its id, after each of 120 answers. - Broken-off answers (length, chunked, head, without length and reset) from both entries: never passed as whole; held before this change too, ForeignBytesTest keeps it so.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -18,6 +18,7 @@
 import org.azurearch.metrics.PrometheusText;
 import org.azurearch.sidecar.internal.BackendMonitor;
 import org.azurearch.sidecar.internal.CallLog;
+import org.azurearch.sidecar.internal.PauseDetector;
 import org.azurearch.sidecar.internal.PlainHttpServer;
 import org.azurearch.sidecar.internal.backend.BackendDispatcher;
 import org.azurearch.sidecar.internal.call.CallRouter;
@@ -109,6 +110,7 @@
         mConfigs = new ConfigHolder(platform.configCodec());
         mBackendMonitor = new BackendMonitor(settings, platform.heartbeatCodec(), mConfigs);
         CallLog callLog = new CallLog();
+        PauseDetector pauses = new PauseDetector(System.nanoTime(), System.currentTimeMillis());
         SuspectTracker suspects =
                 new SuspectTracker(new CallFingerprints(mDialect), settings.node(), mMetrics);
         mDispatcher =
@@ -130,6 +132,7 @@
                         CONFIG_KEY,
                         mConfigs,
                         suspects,
+                        pauses,
                         mBackendMonitor::restore);
         mBackendMonitor.attach(mDispatcher, mMesh);
         mRouter =
@@ -141,10 +144,11 @@
                         mMesh.directory(),
                         mDispatcher,
                         suspects,
+                        pauses,
                         callLog,
                         mMetrics);
         mCallServer = new CallServer(mLoop, mRouter);
-        mHopServer = new HopServer(mDispatcher, mMesh);
+        mHopServer = new HopServer(mDispatcher, pauses, mMesh);
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -17,6 +17,8 @@
     RELOAD_FAILED(804, Level.WARN, "settings unchanged: {}"),
     /** The node became ready to take calls, or is no longer ready. */
     READINESS(805, Level.INFO, "ready={} config={} members={}"),
+    /** The process was suspended or got no processor; what it reads next may be out of date. */
+    PAUSED(806, Level.WARN, "paused_ms={}"),
     /** The platform's store cannot be reached. */
     STORE_DOWN(810, Level.WARN, "what={} reason={}"),
     /** The platform's store can be reached again. */
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PauseDetector.java
@@ -0,0 +1,64 @@
+package org.azurearch.sidecar.internal;
+
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.SidecarEvent;
+
+/**
+ * Detects that the process was suspended or got no processor. What it reads right afterwards may
+ * have waited that long, so that its deadline may have passed and its sender may have given up.
+ * Confined to one thread.
+ */
+public final class PauseDetector {
+    /** Shortest gap between two ticks that counts as a pause; several times their interval. */
+    private static final long MIN_PAUSE_NANOS = 500_000_000L;
+
+    /**
+     * Time after a pause within which what is read counts as delayed: connections that were opened
+     * in the meantime are accepted first and read in a later turn.
+     */
+    private static final long SETTLE_NANOS = 50_000_000L;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private long mTickNanos;
+    private long mTickWallMillis;
+    private long mPauseNanos;
+    private long mPauseEndNanos;
+
+    /**
+     * Creates a detector.
+     *
+     * @param nowNanos the time on the steady clock
+     * @param wallMillis the time of day, which goes on while the VM is suspended
+     */
+    public PauseDetector(long nowNanos, long wallMillis) {
+        mTickNanos = nowNanos;
+        mTickWallMillis = wallMillis;
+        mPauseEndNanos = nowNanos - SETTLE_NANOS;
+    }
+
+    /** Records that the process is running; called a few times a second. */
+    public void tick(long nowNanos, long wallMillis) {
+        long gap = gapNanos(nowNanos, wallMillis);
+        if (gap >= MIN_PAUSE_NANOS) {
+            mPauseNanos = gap;
+            mPauseEndNanos = nowNanos;
+            EventLog.log(SidecarEvent.PAUSED, gap / NANOS_PER_MILLI);
+        }
+        mTickNanos = nowNanos;
+        mTickWallMillis = wallMillis;
+    }
+
+    /** Returns how long what is read now may have waited for this process, in nanoseconds. */
+    public long delayNanos(long nowNanos, long wallMillis) {
+        long gap = gapNanos(nowNanos, wallMillis);
+        if (gap >= MIN_PAUSE_NANOS) {
+            return gap;
+        }
+        return nowNanos - mPauseEndNanos < SETTLE_NANOS ? mPauseNanos : 0;
+    }
+
+    private long gapNanos(long nowNanos, long wallMillis) {
+        return Math.max(nowNanos - mTickNanos, (wallMillis - mTickWallMillis) * NANOS_PER_MILLI);
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -29,6 +29,7 @@
     private final Dialect mDialect;
     private @Nullable ResponseListener mListener;
     private String mRequestId = "";
+    private int mRequests;
     private boolean mReusable = true;
     private boolean mReleasePending;
     private long mIdleSinceNanos;
@@ -43,11 +44,20 @@
     /** Sends a request. */
     void send(FullHttpRequest request, ResponseListener listener) {
         mListener = listener;
+        mRequests++;
         String id = request.headers().get(mDialect.requestId());
         mRequestId = id == null ? "" : id;
         mChannel.writeAndFlush(request, mChannel.voidPromise());
     }
 
+    /**
+     * Returns whether bytes that arrive now belong to no request, so that the connection must not
+     * be used again: the start of an extra answer would be taken for the start of the next one.
+     */
+    boolean unexpectedBytes() {
+        return mListener == null && !mReleasePending;
+    }
+
     /** Drops the pending answer and closes the connection. */
     void abandon() {
         mListener = null;
@@ -88,6 +98,10 @@
             mReusable = false;
             return;
         }
+        if (id == null && mRequests > 1) {
+            fail("an answer without the id of its request, which may belong to an earlier one");
+            return;
+        }
         updateKeepAlive(answer);
         mListener = null;
         mReleasePending = true;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -124,6 +124,7 @@
         BackendConnection connection = new BackendConnection(channel, this, mDialect);
         HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
         channel.pipeline()
+                .addLast(new UnexpectedByteGuard(connection))
                 .addLast(new HttpClientCodec(config, false, false))
                 .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
                 .addLast(connection);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -21,6 +21,7 @@
 import org.azurearch.sidecar.config.RoutingConfig;
 import org.azurearch.sidecar.internal.CallLog;
 import org.azurearch.sidecar.internal.HeaderList;
+import org.azurearch.sidecar.internal.PauseDetector;
 import org.azurearch.sidecar.internal.backend.BackendDispatcher;
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.mesh.ConfigHolder;
@@ -57,6 +58,7 @@
     private final BackendDispatcher mDispatcher;
     private final CallMetrics mMetrics;
     private final SuspectTracker mSuspects;
+    private final PauseDetector mPauses;
     private final CallLog mLog;
     private final SplittableRandom mRandom = new SplittableRandom();
     private final EndpointSelector mSelector;
@@ -86,6 +88,7 @@
      * @param directory the known nodes
      * @param dispatcher sends calls to the backend server behind this node
      * @param suspects the requests under which backend servers crashed
+     * @param pauses detects pauses of this process
      * @param log logs calls
      * @param metrics where metrics are registered
      */
@@ -97,6 +100,7 @@
             NodeDirectory directory,
             BackendDispatcher dispatcher,
             SuspectTracker suspects,
+            PauseDetector pauses,
             CallLog log,
             MetricRegistry metrics) {
         mLoop = loop;
@@ -113,6 +117,7 @@
         mSelector = new EndpointSelector(mRandom, directory::demandRemote);
         mDispatcher = dispatcher;
         mSuspects = suspects;
+        mPauses = pauses;
         mLog = log;
         mMetrics = new CallMetrics(metrics);
         mCallerService = settings.service();
@@ -193,6 +198,15 @@
         return mConfigs.current();
     }
 
+    /**
+     * Returns when a request that is read now arrived, on the steady clock. After a pause of the
+     * process it may have waited as long as that.
+     */
+    long arrivalNanos() {
+        long now = System.nanoTime();
+        return now - mPauses.delayNanos(now, System.currentTimeMillis());
+    }
+
     void callBegun() {
         mCalls++;
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -68,7 +68,7 @@
     private final FullHttpRequest mRequest;
     private final Responder mResponder;
     private final String mId;
-    private final long mStartedNanos = System.nanoTime();
+    private final long mStartedNanos;
     private final Set<String> mTriedNodes = new HashSet<>();
     private @Nullable RouteRule mRoute;
     private long mConfigVersion = -1;
@@ -91,6 +91,7 @@
         mRouter = router;
         mRequest = request;
         mResponder = responder;
+        mStartedNanos = router.arrivalNanos();
         String id = request.headers().get(router.dialect().requestId());
         mId = id == null ? "-" : id;
         router.callBegun();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -8,6 +8,7 @@
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.internal.PauseDetector;
 import org.azurearch.sidecar.internal.backend.BackendDispatcher;
 import org.azurearch.sidecar.internal.mesh.NodeDirectory;
 import org.azurearch.thrift.HopFrame;
@@ -16,6 +17,7 @@
 /** Accepts calls from peers for the backend server behind this node. Confined to one event loop. */
 public final class HopServer implements HopConnection.Listener, AutoCloseable {
     private final BackendDispatcher mDispatcher;
+    private final PauseDetector mPauses;
     private final NodeDirectory.Listener mFallback;
     private final Map<HopConnection, Map<Long, Attempt>> mCalls = new HashMap<>();
 
@@ -23,10 +25,13 @@
      * Creates a server.
      *
      * @param dispatcher sends calls to the backend server behind this node
+     * @param pauses detects pauses of this process
      * @param fallback receives frames that do not belong to calls
      */
-    public HopServer(BackendDispatcher dispatcher, NodeDirectory.Listener fallback) {
+    public HopServer(
+            BackendDispatcher dispatcher, PauseDetector pauses, NodeDirectory.Listener fallback) {
         mDispatcher = dispatcher;
+        mPauses = pauses;
         mFallback = fallback;
     }
 
@@ -66,7 +71,9 @@
     }
 
     private void begin(HopConnection connection, WireHopCall wire) {
-        HopCall call = HopWire.fromWire(wire, System.nanoTime());
+        long now = System.nanoTime();
+        long delay = mPauses.delayNanos(now, System.currentTimeMillis());
+        HopCall call = HopWire.fromWire(wire, now - delay);
         OutcomeSender sender = new OutcomeSender(connection, call.id());
         Attempt attempt = mDispatcher.submit(call, sender);
         if (!sender.mDone) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -10,6 +10,7 @@
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
+import org.azurearch.sidecar.internal.PauseDetector;
 import org.azurearch.sidecar.internal.hop.HopConnection;
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.hop.HopNetwork;
@@ -42,6 +43,7 @@
     private final Consumer<NodeRecord> mEarlierRecordConsumer;
     private final ConfigHolder mConfigs;
     private final SuspectTracker mSuspects;
+    private final PauseDetector mPauses;
     private final NodeDirectory mDirectory;
     private final NodeRegistration mRegistration;
     private final ConfigExchange mExchange;
@@ -62,6 +64,7 @@
      * @param configKey the key of the configuration in its stream
      * @param configs the configuration in force
      * @param suspects the requests under which backend servers crashed
+     * @param pauses detects pauses of this process
      * @param earlierRecordConsumer receives records of earlier runs of this node
      */
     public MeshService(
@@ -73,8 +76,10 @@
             String configKey,
             ConfigHolder configs,
             SuspectTracker suspects,
+            PauseDetector pauses,
             Consumer<NodeRecord> earlierRecordConsumer) {
         mSuspects = suspects;
+        mPauses = pauses;
         mEarlierRecordConsumer = earlierRecordConsumer;
         mLoop = loop;
         mConfigs = configs;
@@ -210,7 +215,9 @@
         if (mClosed) {
             return;
         }
-        mDirectory.tick(System.nanoTime());
+        long now = System.nanoTime();
+        mPauses.tick(now, System.currentTimeMillis());
+        mDirectory.tick(now);
         NodeRecord self = mDirectory.self();
         int rank = self.storeReachable() ? mDirectory.rank(self, true) : Integer.MAX_VALUE;
         boolean isReader = rank < ConfigExchange.READERS;
