--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -98,7 +98,7 @@
             mReusable = false;
             return;
         }
-        if (id == null && mRequests > 1) {
+        if (id == null && !mRequestId.isEmpty() && mRequests > 1) {
             fail("an answer without the id of its request, which may belong to an earlier one");
             return;
         }
