--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -2,7 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -194,6 +196,17 @@
         }
     }
 
+    /** Returns the route of a request, or null if there is none. */
+    @Nullable RouteRule findRoute(RoutingConfig config, HttpRequest request) {
+        return config.findRoute(host(request), request.uri());
+    }
+
+    /** Returns the Host header of a request, or an empty string. */
+    static String host(HttpRequest request) {
+        String host = request.headers().get(HttpHeaderNames.HOST);
+        return host == null ? "" : host;
+    }
+
     @Nullable RoutingConfig config() {
         return mConfigs.current();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
@@ -11,9 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.ErrorCode;
-import org.azurearch.events.EventLog;
 import org.azurearch.lib.Verdict;
-import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
@@ -44,6 +41,8 @@
     /** Retry delay while callers read too slowly; a large answer takes about as long. */
     private static final long SLOW_CALLERS_RETRY_MILLIS = 500;
 
+    private static final String UNREAD_ANSWERS = "answers that callers have not read fill memory";
+
     /** Shortest retry delay after an attempt was refused or no node answered in time. */
     private static final long MIN_RETRY_MILLIS = 50;
 
@@ -68,6 +67,7 @@
     private final FullHttpRequest mRequest;
     private final Responder mResponder;
     private final String mId;
+    private final CallLines mLog;
     private final long mStartedNanos;
     private final Set<String> mTriedNodes = new HashSet<>();
     private @Nullable RouteRule mRoute;
@@ -92,17 +92,17 @@
         mRequest = request;
         mResponder = responder;
         mStartedNanos = router.arrivalNanos();
-        String id = request.headers().get(router.dialect().requestId());
-        mId = id == null ? "-" : id;
+        mId = request.headers().get(router.dialect().requestId(), "-");
+        mLog = new CallLines(router.log(), mId);
         router.callBegun();
     }
 
     /** Returns whether the request may run more than once, or cannot run at all. */
     boolean idempotent() {
+        RoutingConfig config = mRouter.config();
         RouteRule route = mRoute;
-        if (route == null) {
-            RoutingConfig config = mRouter.config();
-            route = config == null ? null : findRoute(config);
+        if (route == null && config != null) {
+            route = mRouter.findRoute(config, mRequest);
         }
         return route == null || route.idempotent();
     }
@@ -119,9 +119,12 @@
             return;
         }
         mConfigVersion = config.version();
-        RouteRule route = findRoute(config);
+        RouteRule route = mRouter.findRoute(config, mRequest);
         if (route == null) {
-            refuse(ErrorCode.NO_ROUTE, 0, "no route for " + host() + mRequest.uri());
+            refuse(
+                    ErrorCode.NO_ROUTE,
+                    0,
+                    "no route for " + CallRouter.host(mRequest) + mRequest.uri());
             return;
         }
         mRoute = route;
@@ -145,10 +148,7 @@
         }
         double answerBytes = mRouter.expectedAnswerBytes(route);
         if (!mRouter.tryReserveAnswer(answerBytes)) {
-            refuse(
-                    ErrorCode.OVERLOADED,
-                    SLOW_CALLERS_RETRY_MILLIS,
-                    "answers that callers have not read take all memory");
+            refuse(ErrorCode.OVERLOADED, SLOW_CALLERS_RETRY_MILLIS, UNREAD_ANSWERS);
             return;
         }
         mReservedBytes = answerBytes;
@@ -162,15 +162,6 @@
         }
     }
 
-    private @Nullable RouteRule findRoute(RoutingConfig config) {
-        return config.findRoute(host(), mRequest.uri());
-    }
-
-    private String host() {
-        String host = mRequest.headers().get(HttpHeaderNames.HOST);
-        return host == null ? "" : host;
-    }
-
     /** Sends the request to a second backend server as the first has not answered yet. */
     private void hedge() {
         RouteRule route = mRoute;
@@ -180,7 +171,7 @@
         EndpointAttempt pending = mOpenAttempts.get(0);
         EndpointState second = choose(route, mTriedNodes);
         if (second != null) {
-            logAttempt(pending, "SILENT", Verdict.MAY_HAVE_RUN, second.node(), "no answer yet");
+            mLog.silent(pending.mEndpoint.node(), mAttemptCount, second.node());
             mRouter.metrics().retried();
             send(route, second);
         }
@@ -193,14 +184,7 @@
         }
         end();
         mRouter.metrics().cancelled();
-        RouteRule route = mRoute;
-        mRouter.log()
-                .failure(
-                        SidecarEvent.CALL_CANCELLED,
-                        mId,
-                        route == null ? "-" : route.name(),
-                        mAttemptCount,
-                        elapsedMillis());
+        mLog.cancelled(mRoute, mAttemptCount, elapsedMillis());
     }
 
     /**
@@ -283,8 +267,9 @@
         if (!mOpenAttempts.isEmpty()) {
             return;
         }
-        logAttempt(
-                attempt,
+        mLog.attemptFailed(
+                attempt.mEndpoint.node(),
+                mAttemptCount,
                 "BACKEND_SERVER_FAILED",
                 Verdict.RAN,
                 RETRY_ANOTHER,
@@ -307,8 +292,9 @@
                         && failure.code() != ErrorCode.SUSPECT_REQUEST
                         && remainingMillis() > 0;
         boolean retry = allowed && (!failure.reachedBackend() || mayRetry(route));
-        logAttempt(
-                attempt,
+        mLog.attemptFailed(
+                attempt.mEndpoint.node(),
+                mAttemptCount,
                 failure.code().name(),
                 failure.verdict(),
                 retry ? RETRY_ANOTHER : NO_RETRY,
@@ -363,16 +349,12 @@
             mRouter.metrics()
                     .ended(route.name(), answer.status(), System.nanoTime() - mStartedNanos);
         }
-        if (mRouter.log().sampleAnswer()) {
-            EventLog.log(
-                    SidecarEvent.CALL_ANSWERED,
-                    mId,
-                    route == null ? "-" : route.name(),
-                    answer.status(),
-                    attempt == null ? "-" : attempt.mEndpoint.node(),
-                    mAttemptCount,
-                    elapsedMillis());
-        }
+        mLog.answered(
+                route,
+                answer.status(),
+                attempt == null ? "-" : attempt.mEndpoint.node(),
+                mAttemptCount,
+                elapsedMillis());
     }
 
     /** Ends a call that has not run and will not run. */
@@ -394,20 +376,18 @@
         }
         String name = route == null ? "-" : route.name();
         mRouter.metrics().ended(name, status, System.nanoTime() - mStartedNanos);
-        mRouter.log()
-                .failure(
-                        SidecarEvent.CALL_FAILED,
-                        mId,
+        mLog.failed(
+                new CallLines.Failure(
                         name,
                         mService,
                         mConfigVersion,
                         status,
-                        code.code(),
-                        (mMayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN).headerValue(),
+                        code,
+                        mMayHaveRun ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN,
                         mAttemptCount,
                         elapsedMillis(),
                         jitteredRetryMillis,
-                        detail);
+                        detail));
     }
 
     private void end() {
@@ -423,20 +403,6 @@
         List.copyOf(mOpenAttempts).forEach(EndpointAttempt::cancel);
     }
 
-    private void logAttempt(
-            EndpointAttempt attempt, String code, Verdict verdict, String next, String detail) {
-        mRouter.log()
-                .failure(
-                        SidecarEvent.ATTEMPT_FAILED,
-                        mId,
-                        attempt.mEndpoint.node(),
-                        mAttemptCount,
-                        code,
-                        verdict.headerValue(),
-                        next,
-                        detail);
-    }
-
     private HopCall call(RouteRule route) {
         return new HopCall(
                 mRouter.nextId(),
@@ -476,8 +442,7 @@
         void send(HopCall call) {
             mBackendAttemptCount++;
             mEndpoint.requestStarted(mRank);
-            Attempt attempt = mRouter.send(mEndpoint, call, this);
-            mAttempt = attempt;
+            mAttempt = mRouter.send(mEndpoint, call, this);
         }
 
         /** Counts a failure of the endpoint, which did not answer before the deadline. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -9,8 +9,6 @@
 import java.util.function.UnaryOperator;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
-import org.azurearch.lib.NodeId;
-import org.azurearch.member.Rendezvous;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
 import org.azurearch.sidecar.internal.hop.HopConnection;
@@ -35,12 +33,6 @@
     /** Time after which a change has reached all reachable nodes: 4 seconds. */
     private static final long RECENT_CHANGE_NANOS = 4_000_000_000L;
 
-    /** Time without a connection after which another node is linked to in place of a peer. */
-    private static final long FAILED_LINK_NANOS = 1_000_000_000L;
-
-    /** Time after which a link or a demand that is not needed any more is dropped: 10 seconds. */
-    private static final long UNUSED_NANOS = 10_000_000_000L;
-
     /** Receives the frames and events of all links. */
     public interface Listener {
         /** Called for each frame that does not belong to a call. */
@@ -55,23 +47,14 @@
         void earlierRecordFound(NodeRecord earlier);
     }
 
-    private final EventLoop mLoop;
-    private final HopNetwork mNetwork;
     private final NodeTable mTable;
-    private final Map<String, HopLink> mLinks = new HashMap<>();
+    private final NodeLinks mLinks;
     private final Map<String, EndpointState> mEndpoints = new HashMap<>();
     private final Listener mListener;
-    private final LinkPlan mPlan = new LinkPlan();
-    private final Map<String, Long> mDemandNanos = new HashMap<>();
-    private final Map<String, Long> mWantedNanos = new HashMap<>();
-    private boolean mLinkUpdateScheduled;
-    private boolean mClosed;
-    private long mLinksUpdatedNanos;
 
-    /** Cached until a record or a link changes, as the order is needed several times a second. */
-    private final Map<String, List<String>> mOrderedNodes = new HashMap<>();
+    private final NodeOrder mOrder;
 
-    /** Cached in the same way, as each call needs it; 0 if it has to be counted again. */
+    /** Cached until a record or a link changes; 0 if it has to be counted again. */
     private int mReachable;
 
     private NodeRecord mSelf;
@@ -93,10 +76,10 @@
             NetAddress peers,
             long incarnation,
             Listener listener) {
-        mLoop = loop;
-        mNetwork = network;
         mListener = listener;
         mTable = new NodeTable(settings.node());
+        mOrder = new NodeOrder(mTable, settings.node(), this::up);
+        mLinks = new NodeLinks(loop, network, mTable, settings.node(), this, this::linkDropped);
         mSelf =
                 new NodeRecord(
                         settings.node(),
@@ -141,9 +124,7 @@
 
     /** Returns the links that are up. */
     public List<HopLink> linksUp() {
-        List<HopLink> up = new ArrayList<>(mLinks.values());
-        up.removeIf(link -> !link.up());
-        return up;
+        return mLinks.up();
     }
 
     /** Returns the number of reachable nodes, including this one. */
@@ -166,9 +147,7 @@
 
     /** Records that this data centre is short of room for a service, so that others are called. */
     public void demandRemote(String service) {
-        if (mDemandNanos.put(service, System.nanoTime()) == null) {
-            scheduleLinkUpdate();
-        }
+        mLinks.demand(service);
     }
 
     /** Changes the record of this node and sends it to its peers. */
@@ -220,9 +199,7 @@
                 backend == null ? "none" : backend.instance(),
                 backend != null && backend.ready());
         endpoint(record).record(record, System.nanoTime());
-        mPlan.recordsChanged();
-        replaceMovedLink(record);
-        scheduleLinkUpdate();
+        mLinks.recordChanged(record);
         return true;
     }
 
@@ -287,15 +264,15 @@
 
     /** Checks the links and removes nodes that are gone; called a few times a second. */
     public void tick(long nowNanos) {
-        for (HopLink link : List.copyOf(mLinks.values())) {
+        for (HopLink link : mLinks.all()) {
             link.tick(nowNanos);
             if (link.downNanos(nowNanos) > FORGET_NANOS) {
                 declareGone(link);
             }
         }
-        if (nowNanos - mLinksUpdatedNanos > FAILED_LINK_NANOS) {
+        if (mLinks.updateDue(nowNanos)) {
             mTable.leavingSince(nowNanos - FORGET_NANOS).forEach(this::forget);
-            updateLinks();
+            mLinks.update();
         }
     }
 
@@ -307,7 +284,7 @@
     private void declareGone(HopLink link) {
         NodeRecord record = mTable.record(link.node());
         if (record == null) {
-            dropLink(link);
+            mLinks.drop(link);
         } else if (!record.leaving() && record.dataCentre().equals(mSelf.dataCentre())) {
             NodeRecord gone =
                     record.asLeaving().withVersion(record.incarnation(), record.sequence() + 1);
@@ -323,35 +300,29 @@
             return;
         }
         if (link != null) {
-            dropLink(link);
+            mLinks.drop(link);
         }
         mEndpoints.remove(record.node());
         mTable.remove(record.node());
-        mPlan.recordsChanged();
+        mLinks.recordsChanged();
         invalidateCaches();
     }
 
     /** Connects to a node of which only the address is known, unless a link to it exists. */
     public void seed(NetAddress address) {
-        boolean known = address.equals(mSelf.address());
-        for (HopLink link : mLinks.values()) {
-            known |= link.address().equals(address);
-        }
-        if (!known) {
-            String name = "seed " + address;
-            mLinks.put(name, new HopLink(mNetwork, mLoop, name, address, this));
+        if (!address.equals(mSelf.address())) {
+            mLinks.seed(address);
         }
     }
 
     /** Closes all links. */
     public void close() {
-        mClosed = true;
-        mLinks.values().forEach(HopLink::close);
+        mLinks.close();
     }
 
     @Override
     public void usabilityChanged(HopLink link, boolean usable) {
-        if (mLinks.get(link.node()) != link) {
+        if (!mLinks.contains(link)) {
             return; // dropped, and perhaps opened again since
         }
         EventLog.log(SidecarEvent.LINK, link.node(), usable);
@@ -391,7 +362,7 @@
     /** Returns the links to nodes of this data centre. */
     public List<HopLink> localLinks() {
         List<HopLink> local = new ArrayList<>();
-        for (HopLink link : mLinks.values()) {
+        for (HopLink link : mLinks.all()) {
             NodeRecord record = mTable.record(link.node());
             if (record != null && record.dataCentre().equals(mSelf.dataCentre())) {
                 local.add(link);
@@ -421,7 +392,7 @@
      * @param withStore whether to count only nodes that reach the platform's store
      */
     int rank(NodeRecord node, boolean withStore) {
-        int at = orderedNodes(node.dataCentre(), withStore).indexOf(node.node());
+        int at = mOrder.nodes(node.dataCentre(), withStore).indexOf(node.node());
         return at < 0 ? Integer.MAX_VALUE : at;
     }
 
@@ -431,11 +402,11 @@
      * @param readers the number of readers in the data centre
      */
     List<HopLink> children(int readers) {
-        List<String> withStore = orderedNodes(mSelf.dataCentre(), true);
+        List<String> withStore = mOrder.nodes(mSelf.dataCentre(), true);
         List<String> roots = withStore.subList(0, Math.min(readers, withStore.size()));
         List<HopLink> links = new ArrayList<>();
         for (String child :
-                PushTree.children(mSelf.node(), roots, orderedNodes(mSelf.dataCentre(), false))) {
+                PushTree.children(mSelf.node(), roots, mOrder.nodes(mSelf.dataCentre(), false))) {
             HopLink link = mLinks.get(child);
             if (link != null && link.up()) {
                 links.add(link);
@@ -457,28 +428,8 @@
         return links.isEmpty() ? linksUp() : links;
     }
 
-    /**
-     * Returns the reachable nodes of a data centre, in the same order at all nodes that reach them.
-     */
-    private List<String> orderedNodes(String dataCentre, boolean withStore) {
-        return mOrderedNodes.computeIfAbsent(
-                dataCentre + "/" + withStore, key -> computeOrderedNodes(dataCentre, withStore));
-    }
-
-    private List<String> computeOrderedNodes(String dataCentre, boolean withStore) {
-        List<NodeId> nodes = new ArrayList<>();
-        for (NodeRecord record : mTable.records()) {
-            boolean same = record.dataCentre().equals(dataCentre);
-            boolean usable = !record.leaving() && (!withStore || record.storeReachable());
-            if (same && usable && (record.node().equals(mSelf.node()) || up(record.node()))) {
-                nodes.add(NodeId.fromString(record.node()));
-            }
-        }
-        return Rendezvous.rank(dataCentre, nodes).stream().map(NodeId::name).toList();
-    }
-
     private void invalidateCaches() {
-        mOrderedNodes.clear();
+        mOrder.clear();
         mReachable = 0;
     }
 
@@ -519,7 +470,7 @@
 
     private void storeOwnRecord(NodeRecord self) {
         mTable.merge(self, System.nanoTime());
-        mPlan.recordsChanged();
+        mLinks.recordsChanged();
         invalidateCaches();
         EndpointState ownEndpoint = endpoint(self);
         ownEndpoint.record(self, System.nanoTime());
@@ -531,71 +482,8 @@
         return mEndpoints.computeIfAbsent(record.node(), node -> new EndpointState(record, local));
     }
 
-    /**
-     * Closes the links to an address that a record shows to be another node's or an earlier one.
-     */
-    private void replaceMovedLink(NodeRecord record) {
-        HopLink link = mLinks.get(record.node());
-        if (link != null && !link.address().equals(record.address())) {
-            dropLink(link);
-        }
-        HopLink seed = mLinks.remove("seed " + record.address());
-        if (seed != null) {
-            seed.close();
-        }
-    }
-
-    /** Updates the links once all records of a frame are merged. */
-    private void scheduleLinkUpdate() {
-        if (!mLinkUpdateScheduled) {
-            mLinkUpdateScheduled = true;
-            mLoop.execute(this::updateLinks);
-        }
-    }
-
-    /** Opens the links that are wanted and closes those that have not been for a while. */
-    private void updateLinks() {
-        mLinkUpdateScheduled = false;
-        if (mClosed) {
-            return;
-        }
-        long now = System.nanoTime();
-        mLinksUpdatedNanos = now;
-        mDemandNanos.values().removeIf(demanded -> now - demanded > UNUSED_NANOS);
-        for (String node :
-                mPlan.wanted(mSelf, mTable.records(), mDemandNanos.keySet(), this::failed)) {
-            mWantedNanos.put(node, now);
-            NodeRecord record = mTable.record(node);
-            if (record != null && !mLinks.containsKey(node)) {
-                open(record);
-            }
-        }
-        for (HopLink link : List.copyOf(mLinks.values())) {
-            boolean known = mTable.record(link.node()) != null;
-            long wanted = mWantedNanos.getOrDefault(link.node(), now - UNUSED_NANOS - 1);
-            if (known && !link.busy() && now - wanted > UNUSED_NANOS) {
-                dropLink(link);
-            }
-        }
-    }
-
-    private boolean failed(String node) {
-        HopLink link = mLinks.get(node);
-        return link != null && link.downNanos(System.nanoTime()) > FAILED_LINK_NANOS;
-    }
-
-    private void open(NodeRecord record) {
-        invalidateCaches();
-        endpoint(record).setConnected(false);
-        mLinks.put(
-                record.node(), new HopLink(mNetwork, mLoop, record.node(), record.address(), this));
-    }
-
-    private void dropLink(HopLink link) {
-        mLinks.remove(link.node());
-        mWantedNanos.remove(link.node());
-        link.close();
-        EndpointState endpoint = mEndpoints.get(link.node());
+    private void linkDropped(String node) {
+        EndpointState endpoint = mEndpoints.get(node);
         if (endpoint != null) {
             endpoint.setConnected(false);
         }
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
@@ -0,0 +1,65 @@
+package org.azurearch.sidecar.internal.mesh;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.azurearch.lib.NodeId;
+import org.azurearch.member.Rendezvous;
+import org.azurearch.sidecar.member.NodeRecord;
+import org.azurearch.sidecar.member.NodeTable;
+
+/**
+ * The reachable nodes of each data centre, in the same order at all nodes that reach them. Confined
+ * to one thread.
+ */
+final class NodeOrder {
+    private final NodeTable mTable;
+    private final String mSelf;
+    private final Predicate<String> mUp;
+
+    /** Cached until a record or a link changes, as the order is needed several times a second. */
+    private final Map<String, List<String>> mNodes = new HashMap<>();
+
+    /**
+     * Creates the order.
+     *
+     * @param table the records of all nodes
+     * @param self the name of this node
+     * @param up whether the link to a node is up
+     */
+    NodeOrder(NodeTable table, String self, Predicate<String> up) {
+        mTable = table;
+        mSelf = self;
+        mUp = up;
+    }
+
+    /** Drops what is cached, as a record or a link has changed. */
+    void clear() {
+        mNodes.clear();
+    }
+
+    /**
+     * Returns the reachable nodes of a data centre in their order.
+     *
+     * @param dataCentre the name of the data centre
+     * @param withStore whether to return only nodes that reach the platform's store
+     */
+    List<String> nodes(String dataCentre, boolean withStore) {
+        return mNodes.computeIfAbsent(
+                dataCentre + "/" + withStore, key -> compute(dataCentre, withStore));
+    }
+
+    private List<String> compute(String dataCentre, boolean withStore) {
+        List<NodeId> nodes = new ArrayList<>();
+        for (NodeRecord record : mTable.records()) {
+            boolean same = record.dataCentre().equals(dataCentre);
+            boolean usable = !record.leaving() && (!withStore || record.storeReachable());
+            if (same && usable && (record.node().equals(mSelf) || mUp.test(record.node()))) {
+                nodes.add(NodeId.fromString(record.node()));
+            }
+        }
+        return Rendezvous.rank(dataCentre, nodes).stream().map(NodeId::name).toList();
+    }
+}
