Count what becomes of tokens, and log closes with answers owed

Nothing told apart why requests were refused below the limits of their accounts: AZ0878 says once a second how many were allowed and refused and why, and how many tokens ran nothing. AZ0858 says when this node closes a caller's connection that awaits answers, AZ0802 how many bytes of answers a stopping node had not sent. No decision changes.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -375,7 +375,7 @@
         }
         boolean drained = pendingCalls() == 0 && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS;
         if (drained || millis >= mSettings.graceMillis() - STOP_MARGIN_MILLIS) {
-            EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis);
+            EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis, mCallServer.unsentBytes());
             mCallServer.close();
             mMesh.close();
             mHopServer.close();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -10,7 +10,7 @@
     /** A planned shutdown begins. */
     STOPPING(801, Level.INFO, "calls={} grace_ms={}"),
     /** A planned shutdown ends. */
-    STOPPED(802, Level.INFO, "calls={} after {} ms"),
+    STOPPED(802, Level.INFO, "calls={} after {} ms, unsent_bytes={}"),
     /** The settings were reloaded. */
     RELOADED(803, Level.INFO, "service={} backend={}"),
     /** The settings could not be reloaded; the old ones stay in use. */
@@ -78,6 +78,8 @@
     HANDLER_FAILED(856, Level.ERROR, "where={} reason={}"),
     /** A caller sends far ahead of its answers and is read slowly, or normally again. */
     CALLER_READING(857, Level.INFO, "peer={} slowly={} requests={} bytes={} ahead={}"),
+    /** This node closes the connection of a caller that awaits answers. */
+    CALLER_CLOSED(858, Level.WARN, "peer={} reason={} requests={} unsent_bytes={}"),
     /**
      * The link of this VM is limited; requests whose answers it cannot send in time are refused.
      */
@@ -104,6 +106,12 @@
             877,
             Level.INFO,
             "account={} per_second={} burst={} refused={} retry_after_ms={} coordinator={}"),
+    /** What became of requests and tokens, while any were refused; at most one line a second. */
+    QUOTA_TOKENS(
+            878,
+            Level.INFO,
+            "allowed={} at_limit={} no_answer={} waited={} returned={} unused={} coordinator={}"
+                    + " delegated={} members={}"),
     /** A request whose first attempt is slow is also sent to a second backend server. */
     HEDGED(
             890,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
@@ -177,14 +177,16 @@
 
     /**
      * Gives back the token of a request that did not run, unless it took the token too long ago: a
-     * window must not get the tokens of an earlier one.
+     * window must not get the tokens of an earlier one. Returns whether it is given back.
      */
-    public void refund(String account, long takenMillis, long nowMillis) {
+    public boolean refund(String account, long takenMillis, long nowMillis) {
         dropExpired(nowMillis);
         boolean recent = nowMillis - takenMillis <= REFUND_MILLIS;
-        if (recent && limited(account) != null && nowMillis < mTokensEndMillis) {
+        boolean given = recent && limited(account) != null && nowMillis < mTokensEndMillis;
+        if (given) {
             held(account).refund();
         }
+        return given;
     }
 
     /** Returns how long until a token for one more refused request is expected. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -68,7 +68,12 @@
         if (mSocket != null) {
             mSocket.close();
         }
-        List.copyOf(mConnections).forEach(CallerConnection::close);
+        List.copyOf(mConnections).forEach(connection -> connection.close("stop"));
+    }
+
+    /** Returns the bytes of answers that were given to connections and not sent yet. */
+    public long unsentBytes() {
+        return mConnections.stream().mapToLong(CallerConnection::unwrittenBytes).sum();
     }
 
     void opened(CallerConnection connection) {
@@ -108,8 +113,10 @@
         long now = System.nanoTime();
         for (CallerConnection connection : List.copyOf(mConnections)) {
             boolean unused = connection.idle() && connection.idleNanos(now) > allowed;
-            if (connection.stalledNanos(now) > allowed || (unused && connection.heldBytes() == 0)) {
-                connection.close();
+            if (connection.stalledNanos(now) > allowed) {
+                connection.close("answers unread");
+            } else if (unused && connection.heldBytes() == 0) {
+                connection.close("idle");
             }
         }
         mLoop.schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -103,7 +103,7 @@
         } else if (cause instanceof RuntimeException) {
             EventLog.log(SidecarEvent.HANDLER_FAILED, cause, "caller", cause.toString());
         }
-        context.close();
+        close("failed: " + cause.getClass().getSimpleName());
     }
 
     /** Gives an exchange its answer, which is written in its turn. */
@@ -154,11 +154,23 @@
         return nowNanos - mWriteProgressNanos;
     }
 
-    void close() {
+    /** Closes the connection; logs the reason if the caller awaits answers. */
+    void close(String reason) {
+        long unsentBytes = unwrittenBytes();
+        if (!mExchanges.isEmpty() || unsentBytes > 0) {
+            mRouter.log()
+                    .failure(
+                            SidecarEvent.CALLER_CLOSED,
+                            peer(),
+                            reason,
+                            mExchanges.size(),
+                            unsentBytes);
+        }
         mChannel.close();
     }
 
-    private long unwrittenBytes() {
+    /** Returns the bytes of answers that were given to the connection and not sent yet. */
+    long unwrittenBytes() {
         ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
         return buffer == null ? 0 : buffer.totalPendingWriteBytes();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
@@ -87,7 +87,7 @@
     private final CoordinatorChoice mChoice = new CoordinatorChoice();
     private final LimitedAccounts mLimited;
     private final Counter mAsks;
-    private final Counter mWaits;
+    private final TokenLedger mLedger;
     private QuotaCoordinator mCoordinator;
     private AccountDirectory mAccounts = AccountDirectory.EMPTY;
     private List<Waiting> mWaiting = new ArrayList<>();
@@ -119,7 +119,7 @@
         mCoordinator = new QuotaCoordinator(node, epoch, bound, now);
         mLimited = new LimitedAccounts(metrics);
         mAsks = metrics.counter("quota.messages");
-        mWaits = metrics.counter("quota.waited");
+        mLedger = new TokenLedger(metrics);
         metrics.gauge("quota.delegated-to-this-node", () -> (Gauge<Double>) this::fraction);
         metrics.gauge("quota.uses-base-share", () -> (Gauge<Integer>) this::usesBaseShare);
     }
@@ -145,6 +145,7 @@
         }
         poll(now);
         reportCoordinator(now);
+        mLedger.report(current(), fraction(), mMesh.members(), now);
     }
 
     /** Ends the delegations to this node, as it is stopping. */
@@ -182,7 +183,8 @@
      */
     public void refund(ClientAccount account, long takenMillis) {
         if (mActive) {
-            mQuota.refund(account.name(), takenMillis, nowMillis());
+            boolean returned = mQuota.refund(account.name(), takenMillis, nowMillis());
+            mLedger.count(returned ? TokenLedger.Outcome.RETURNED : TokenLedger.Outcome.UNUSED);
         }
     }
 
@@ -257,10 +259,11 @@
         boolean waits =
                 decision == AccountQuota.Decision.WAIT || decision == AccountQuota.Decision.UNKNOWN;
         if (decision == AccountQuota.Decision.RUN) {
+            mLedger.count(TokenLedger.Outcome.ALLOWED);
             request.listener().allowed();
         } else if (waits && nowMillis < request.untilMillis()) {
             if (nowMillis == request.sinceMillis()) {
-                mWaits.inc();
+                mLedger.count(TokenLedger.Outcome.WAITED);
             }
             mWaiting.add(request);
             scheduleWaitTick();
@@ -273,6 +276,7 @@
         ClientAccount account = request.account();
         boolean atLimit =
                 decision == AccountQuota.Decision.REFUSE || mQuota.scarceLately(account.name());
+        mLedger.count(atLimit ? TokenLedger.Outcome.AT_LIMIT : TokenLedger.Outcome.NO_ANSWER);
         if (!atLimit) {
             request.listener()
                     .refused(
