Fill the quota of an idle account from the time it is in force

A coordinator created the bucket of an account empty at its first request, and so refused what rate and burst allow.

What a bucket would have accrued is kept as one time for all accounts without one. It shrinks with the delegated fraction as the capacity of buckets does, so that an idle account never has more than an account that was used.

QuotaEfficiencyTest.servesAnIdleAccountWithinItsBurst failed before: 152 of 2974 (18 nodes, 145/s) and 7 of 135 (80 nodes, 7/s) refused where a twentieth is allowed. QuotaInvariantTest passes.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaEfficiencyTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaEfficiencyTest.java
@@ -40,6 +40,29 @@
                 time -> (time / 1_000 % 3) * third + random.nextInt(third));
     }
 
+    @ParameterizedTest
+    @CsvSource({"18,145,145", "80,7,7", "80,440,440"})
+    void servesAnIdleAccountWithinItsBurst(int nodes, double rate, double burst) {
+        ClientAccount account = new ClientAccount("a", List.of("k"), -1, rate, burst);
+        QuotaSimulation simulation = new QuotaSimulation(nodes, List.of(account), 11);
+        SplittableRandom random = new SplittableRandom(17);
+        for (int time = 0; time < WARM_UP_MILLIS; time++) {
+            simulation.step();
+        }
+        int sent = 0;
+        for (int time = 0; time < MEASURED_MILLIS; time++) {
+            double due = rate / 1_000;
+            for (; random.nextDouble() < due; due--) {
+                sent++;
+                simulation.request(random.nextInt(nodes), "a");
+            }
+            simulation.step();
+        }
+        assertTrue(
+                simulation.refused() <= sent * (1 - TARGET),
+                simulation.refused() + " refused of " + sent);
+    }
+
     private static void check(
             String where, int nodes, double rate, double burst, IntUnaryOperator place) {
         ClientAccount account = new ClientAccount("a", List.of("k"), -1, rate, burst);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
@@ -45,6 +45,15 @@
     /** The integral of the delegated fraction over time, in milliseconds. */
     private double mDelegatedMillis;
 
+    /**
+     * The time for which accounts without a bucket have accrued tokens, in milliseconds. Reduced
+     * with the delegated fraction, as buckets are.
+     */
+    private double mIdleMillis;
+
+    /** The value of {@link #mDelegatedMillis} when an account was added to those in force. */
+    private final Map<String, Double> mAddedMillis = new HashMap<>();
+
     private boolean mClosed;
 
     /**
@@ -67,12 +76,22 @@
     public void update(AccountDirectory accounts, long nowMillis) {
         advance(nowMillis);
         mBuckets.values().forEach(this::refill);
+        recordAdded(accounts);
         mAccounts = accounts;
         mBuckets.keySet().removeIf(name -> limited(name) == null);
         mBuckets.forEach((name, bucket) -> bucket.mAccount = limited(name));
         mBuckets.values().forEach(this::clamp);
     }
 
+    private void recordAdded(AccountDirectory accounts) {
+        mAddedMillis.keySet().removeIf(name -> accounts.findByName(name) == null);
+        for (ClientAccount account : accounts.accounts()) {
+            if (mDelegatedMillis > 0 && mAccounts.findByName(account.name()) == null) {
+                mAddedMillis.put(account.name(), mDelegatedMillis);
+            }
+        }
+    }
+
     /** Ends all delegations, as the node is stopping; nodes learn it with their next message. */
     public void close() {
         mClosed = true;
@@ -134,6 +153,7 @@
      * node had received: the message was sent later than that.
      */
     private void renew(QuotaDelegate delegate, @Nullable QuotaAsk ask) {
+        double before = effectiveFraction();
         mFraction -= delegate.fraction();
         boolean valid =
                 ask != null
@@ -144,6 +164,7 @@
                 valid && ask != null ? 1.0 / ask.members() : 0,
                 valid && ask != null ? ask.echoMillis() + QuotaRules.LEASE_MILLIS : 0);
         mFraction += delegate.fraction();
+        reduceIdle(before);
         if (valid) {
             mNextExpiryMillis = Math.min(mNextExpiryMillis, delegate.leaseEndMillis());
         }
@@ -155,8 +176,7 @@
             QuotaAsk.Entry entry,
             QuotaAsk ask,
             long nowMillis) {
-        Bucket bucket = mBuckets.computeIfAbsent(account.name(), name -> new Bucket());
-        bucket.mFilledMillis = bucket.mAccount == null ? mDelegatedMillis : bucket.mFilledMillis;
+        Bucket bucket = mBuckets.computeIfAbsent(account.name(), name -> new Bucket(idleFrom(name)));
         bucket.mAccount = account;
         refill(bucket);
         int before = delegate.outstanding(account.name());
@@ -175,6 +195,20 @@
         return new QuotaReply.Grant(account.name(), urgent, held, scarce ? waitMillis(bucket) : 0);
     }
 
+    /** Returns from when on an account without a bucket has accrued tokens. */
+    private double idleFrom(String account) {
+        double added = mAddedMillis.getOrDefault(account, 0.0);
+        return mDelegatedMillis - Math.min(mIdleMillis, mDelegatedMillis - added);
+    }
+
+    /** Reduces what idle accounts have accrued if the delegated fraction has decreased. */
+    private void reduceIdle(double before) {
+        double now = effectiveFraction();
+        if (now < before) {
+            mIdleMillis *= now / before;
+        }
+    }
+
     private static int heldTokens(Bucket bucket, QuotaAsk.Entry entry, double capacity) {
         double level = bucket.mLevel;
         double limit = MAX_HELD * capacity - bucket.mOutstanding;
@@ -207,13 +241,16 @@
 
     private void accrue(long untilMillis) {
         if (untilMillis > mAdvancedMillis) {
-            mDelegatedMillis += effectiveFraction() * (untilMillis - mAdvancedMillis);
+            double millis = effectiveFraction() * (untilMillis - mAdvancedMillis);
+            mDelegatedMillis += millis;
+            mIdleMillis += millis;
             mAdvancedMillis = untilMillis;
         }
     }
 
     private void expire(long atMillis) {
         mBuckets.values().forEach(this::refill);
+        double before = effectiveFraction();
         mFraction = 0;
         mNextExpiryMillis = Long.MAX_VALUE;
         Iterator<QuotaDelegate> all = mDelegates.values().iterator();
@@ -234,12 +271,15 @@
                                 Math.max(atMillis + 1, delegate.tokensEndMillis()));
             }
         }
+        reduceIdle(before);
     }
 
     private void remove(String node) {
         QuotaDelegate delegate = mDelegates.remove(node);
         if (delegate != null) {
+            double before = effectiveFraction();
             mFraction -= delegate.fraction();
+            reduceIdle(before);
             settle(delegate);
         }
     }
@@ -303,6 +343,10 @@
 
         private final Deque<Urgent> mUrgentSent = new ArrayDeque<>(0);
 
+        Bucket(double filledMillis) {
+            mFilledMillis = filledMillis;
+        }
+
         void sendUrgent(int tokens, long nowMillis) {
             if (tokens > 0) {
                 mLevel -= tokens;
