Choose relays and quota coordinators on the widest links

Nodes publish the bandwidth of their VM's link; the order of relays, readers and coordinators prefers the widest, and ranks equal ones as before.

LinkPlanTest.relaysAreOnTheVmsWithTheWidestLinks; there was no such field before.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/LinkPlanTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/LinkPlanTest.java
@@ -35,6 +35,23 @@
                 wanted(records, Set.of(), Set.of()).size());
     }
 
+    /** Guards against relays whose messages wait behind large answers on a narrow link. */
+    @Test
+    void relaysAreOnTheVmsWithTheWidestLinks() {
+        List<NodeRecord> records = new ArrayList<>(mesh(95));
+        Set<String> wide = new HashSet<>();
+        for (int i = 0; i < records.size(); i++) {
+            boolean isWide = i >= 95 - DATA_CENTRES * LinkPlan.RELAYS;
+            records.set(i, withLink(records.get(i), isWide ? 140 : 7));
+            if (isWide && records.get(i).node().contains("-r")) {
+                wide.add(records.get(i).node());
+            }
+        }
+        Set<String> remote = wanted(records, Set.of(), Set.of());
+        remote.removeIf(node -> !node.contains("-r"));
+        assertEquals(wide, remote);
+    }
+
     @Test
     void demandAddsSomeBackendServersOfTheServiceElsewhere() {
         List<NodeRecord> records = mesh(95);
@@ -82,6 +99,19 @@
         }
     }
 
+    private static NodeRecord withLink(NodeRecord record, double mbps) {
+        return new NodeRecord(
+                record.node(),
+                record.dataCentre(),
+                record.address(),
+                1,
+                1,
+                false,
+                true,
+                record.backend(),
+                mbps);
+    }
+
     private Set<String> wanted(List<NodeRecord> records, Set<String> demanded, Set<String> failed) {
         return mPlan.wanted(records.get(0), records, demanded, failed::contains);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -45,6 +45,9 @@
         if (backend != null) {
             wire.setBackend(toWire(backend));
         }
+        if (Double.isFinite(record.linkMbps())) {
+            wire.setLinkMbps(record.linkMbps());
+        }
         return wire;
     }
 
@@ -89,7 +92,8 @@
                 wire.getSequence(),
                 wire.isLeaving(),
                 wire.isStoreReachable(),
-                backend == null ? null : fromWire(backend));
+                backend == null ? null : fromWire(backend),
+                wire.isSetLinkMbps() ? wire.getLinkMbps() : Double.POSITIVE_INFINITY);
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/LinkPlan.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/LinkPlan.java
@@ -115,7 +115,10 @@
     private List<String> relayOrder(String dataCentre, List<NodeRecord> nodes) {
         return mRelayOrders.computeIfAbsent(
                 dataCentre,
-                key -> ranked(dataCentre, nodes.stream().filter(node -> !node.leaving()).toList()));
+                key ->
+                        NodeOrder.widestFirst(
+                                dataCentre,
+                                nodes.stream().filter(node -> !node.leaving()).toList()));
     }
 
     /** Differs from node to node, so that all backend servers are linked to alike. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -11,6 +11,7 @@
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
+import org.azurearch.sidecar.admit.LinkLoad;
 import org.azurearch.sidecar.internal.hop.HopConnection;
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.hop.HopNetwork;
@@ -89,7 +90,8 @@
                         0,
                         false,
                         true,
-                        null);
+                        null,
+                        new LinkLoad(settings.features().linkMbps()).mbps());
         storeOwnRecord(mSelf);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
@@ -1,6 +1,8 @@
 package org.azurearch.sidecar.internal.mesh;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,14 +54,29 @@
     }
 
     private List<String> compute(String dataCentre, boolean withStore) {
-        List<NodeId> nodes = new ArrayList<>();
+        List<NodeRecord> nodes = new ArrayList<>();
         for (NodeRecord record : mTable.records()) {
             boolean same = record.dataCentre().equals(dataCentre);
             boolean usable = !record.leaving() && (!withStore || record.storeReachable());
             if (same && usable && (record.node().equals(mSelf) || mUp.test(record.node()))) {
-                nodes.add(NodeId.fromString(record.node()));
+                nodes.add(record);
             }
         }
-        return Rendezvous.rank(dataCentre, nodes).stream().map(NodeId::name).toList();
+        return widestFirst(dataCentre, nodes);
+    }
+
+    /**
+     * Returns the names of nodes with the widest links first, since the first ones send to many
+     * others: on a link that large answers fill, their messages would wait. Nodes with equal links
+     * are ranked for a key.
+     */
+    static List<String> widestFirst(String key, Collection<NodeRecord> records) {
+        Map<String, Double> mbps = new HashMap<>();
+        records.forEach(record -> mbps.put(record.node(), record.linkMbps()));
+        List<NodeId> nodes = mbps.keySet().stream().map(NodeId::fromString).toList();
+        return Rendezvous.rank(key, nodes).stream()
+                .map(NodeId::name)
+                .sorted(Comparator.comparing(mbps::get, Comparator.reverseOrder()))
+                .toList();
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeRecord.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeRecord.java
@@ -14,6 +14,7 @@
  * @param leaving whether the node is stopping
  * @param storeReachable whether the node reaches the platform's store
  * @param backend the backend server behind it, or null
+ * @param linkMbps the bandwidth of the link of its VM, in Mbit/s; infinite if it is not limited
  */
 public record NodeRecord(
         String node,
@@ -23,7 +24,30 @@
         long sequence,
         boolean leaving,
         boolean storeReachable,
-        @Nullable BackendRecord backend) {
+        @Nullable BackendRecord backend,
+        double linkMbps) {
+    /** Creates the record of a node on a VM whose link is not limited. */
+    public NodeRecord(
+            String node,
+            String dataCentre,
+            NetAddress address,
+            long incarnation,
+            long sequence,
+            boolean leaving,
+            boolean storeReachable,
+            @Nullable BackendRecord backend) {
+        this(
+                node,
+                dataCentre,
+                address,
+                incarnation,
+                sequence,
+                leaving,
+                storeReachable,
+                backend,
+                Double.POSITIVE_INFINITY);
+    }
+
     /** Returns whether this record replaces another one of the same node. */
     public boolean newerThan(NodeRecord other) {
         return incarnation != other.incarnation
@@ -34,19 +58,43 @@
     /** Returns this record with another backend server, or none. */
     public NodeRecord withBackend(@Nullable BackendRecord other) {
         return new NodeRecord(
-                node, dataCentre, address, incarnation, sequence, leaving, storeReachable, other);
+                node,
+                dataCentre,
+                address,
+                incarnation,
+                sequence,
+                leaving,
+                storeReachable,
+                other,
+                linkMbps);
     }
 
     /** Returns this record as that of a node that is stopping. */
     public NodeRecord asLeaving() {
         return new NodeRecord(
-                node, dataCentre, address, incarnation, sequence, true, storeReachable, backend);
+                node,
+                dataCentre,
+                address,
+                incarnation,
+                sequence,
+                true,
+                storeReachable,
+                backend,
+                linkMbps);
     }
 
     /** Returns this record with the given reachability of the store. */
     public NodeRecord withStoreReachable(boolean reachable) {
         return new NodeRecord(
-                node, dataCentre, address, incarnation, sequence, leaving, reachable, backend);
+                node,
+                dataCentre,
+                address,
+                incarnation,
+                sequence,
+                leaving,
+                reachable,
+                backend,
+                linkMbps);
     }
 
     /** Returns this record with another incarnation and sequence. */
@@ -59,6 +107,7 @@
                 otherSequence,
                 leaving,
                 storeReachable,
-                backend);
+                backend,
+                linkMbps);
     }
 }
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecord.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecord.java
@@ -22,6 +22,7 @@
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.BOOL, (short)7);
   private static final org.apache.thrift.protocol.TField STORE_REACHABLE_FIELD_DESC = new org.apache.thrift.protocol.TField("storeReachable", org.apache.thrift.protocol.TType.BOOL, (short)8);
   private static final org.apache.thrift.protocol.TField BACKEND_FIELD_DESC = new org.apache.thrift.protocol.TField("backend", org.apache.thrift.protocol.TType.STRUCT, (short)9);
+  private static final org.apache.thrift.protocol.TField LINK_MBPS_FIELD_DESC = new org.apache.thrift.protocol.TField("linkMbps", org.apache.thrift.protocol.TType.DOUBLE, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireNodeRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireNodeRecordTupleSchemeFactory();
@@ -35,6 +36,10 @@
   public boolean leaving; // required
   public boolean storeReachable; // required
   public @org.apache.thrift.annotation.Nullable WireBackend backend; // optional
+  /**
+   * The bandwidth of the VM's own link in Mbit/s; absent if it is not limited.
+   */
+  public double linkMbps; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -46,7 +51,11 @@
     SEQUENCE((short)6, "sequence"),
     LEAVING((short)7, "leaving"),
     STORE_REACHABLE((short)8, "storeReachable"),
-    BACKEND((short)9, "backend");
+    BACKEND((short)9, "backend"),
+    /**
+     * The bandwidth of the VM's own link in Mbit/s; absent if it is not limited.
+     */
+    LINK_MBPS((short)10, "linkMbps");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -80,6 +89,8 @@
           return STORE_REACHABLE;
         case 9: // BACKEND
           return BACKEND;
+        case 10: // LINK_MBPS
+          return LINK_MBPS;
         default:
           return null;
       }
@@ -128,8 +139,9 @@
   private static final int __SEQUENCE_ISSET_ID = 2;
   private static final int __LEAVING_ISSET_ID = 3;
   private static final int __STOREREACHABLE_ISSET_ID = 4;
+  private static final int __LINKMBPS_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.BACKEND};
+  private static final _Fields optionals[] = {_Fields.BACKEND,_Fields.LINK_MBPS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -151,6 +163,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.BACKEND, new org.apache.thrift.meta_data.FieldMetaData("backend", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireBackend.class)));
+    tmpMap.put(_Fields.LINK_MBPS, new org.apache.thrift.meta_data.FieldMetaData("linkMbps", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireNodeRecord.class, metaDataMap);
   }
@@ -206,6 +220,7 @@
     if (other.isSetBackend()) {
       this.backend = new WireBackend(other.backend);
     }
+    this.linkMbps = other.linkMbps;
   }
 
   @Override
@@ -229,6 +244,8 @@
     setStoreReachableIsSet(false);
     this.storeReachable = false;
     this.backend = null;
+    setLinkMbpsIsSet(false);
+    this.linkMbps = 0.0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -446,6 +463,35 @@
     }
   }
 
+  /**
+   * The bandwidth of the VM's own link in Mbit/s; absent if it is not limited.
+   */
+  public double getLinkMbps() {
+    return this.linkMbps;
+  }
+
+  /**
+   * The bandwidth of the VM's own link in Mbit/s; absent if it is not limited.
+   */
+  public WireNodeRecord setLinkMbps(double linkMbps) {
+    this.linkMbps = linkMbps;
+    setLinkMbpsIsSet(true);
+    return this;
+  }
+
+  public void unsetLinkMbps() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LINKMBPS_ISSET_ID);
+  }
+
+  /** Returns true if field linkMbps is set (has been assigned a value) and false otherwise */
+  public boolean isSetLinkMbps() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LINKMBPS_ISSET_ID);
+  }
+
+  public void setLinkMbpsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LINKMBPS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -521,6 +567,14 @@
       }
       break;
 
+    case LINK_MBPS:
+      if (value == null) {
+        unsetLinkMbps();
+      } else {
+        setLinkMbps((java.lang.Double)value);
+      }
+      break;
+
     }
   }
 
@@ -555,6 +609,9 @@
     case BACKEND:
       return getBackend();
 
+    case LINK_MBPS:
+      return getLinkMbps();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -585,6 +642,8 @@
       return isSetStoreReachable();
     case BACKEND:
       return isSetBackend();
+    case LINK_MBPS:
+      return isSetLinkMbps();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -683,6 +742,15 @@
         return false;
     }
 
+    boolean this_present_linkMbps = true && this.isSetLinkMbps();
+    boolean that_present_linkMbps = true && that.isSetLinkMbps();
+    if (this_present_linkMbps || that_present_linkMbps) {
+      if (!(this_present_linkMbps && that_present_linkMbps))
+        return false;
+      if (this.linkMbps != that.linkMbps)
+        return false;
+    }
+
     return true;
   }
 
@@ -716,6 +784,10 @@
     if (isSetBackend())
       hashCode = hashCode * 8191 + backend.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLinkMbps()) ? 131071 : 524287);
+    if (isSetLinkMbps())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(linkMbps);
+
     return hashCode;
   }
 
@@ -817,6 +889,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLinkMbps(), other.isSetLinkMbps());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLinkMbps()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.linkMbps, other.linkMbps);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -894,6 +976,12 @@
       }
       first = false;
     }
+    if (isSetLinkMbps()) {
+      if (!first) sb.append(", ");
+      sb.append("linkMbps:");
+      sb.append(this.linkMbps);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1031,6 +1119,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // LINK_MBPS
+            if (schemeField.type == org.apache.thrift.protocol.TType.DOUBLE) {
+              struct.linkMbps = iprot.readDouble();
+              struct.setLinkMbpsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1099,6 +1195,11 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetLinkMbps()) {
+        oprot.writeFieldBegin(LINK_MBPS_FIELD_DESC);
+        oprot.writeDouble(struct.linkMbps);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1129,10 +1230,16 @@
       if (struct.isSetBackend()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetLinkMbps()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetBackend()) {
         struct.backend.write(oprot);
       }
+      if (struct.isSetLinkMbps()) {
+        oprot.writeDouble(struct.linkMbps);
+      }
     }
 
     @Override
@@ -1154,12 +1261,16 @@
       struct.setLeavingIsSet(true);
       struct.storeReachable = iprot.readBool();
       struct.setStoreReachableIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.backend = new WireBackend();
         struct.backend.read(iprot);
         struct.setBackendIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.linkMbps = iprot.readDouble();
+        struct.setLinkMbpsIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -33,6 +33,8 @@
   7: required bool leaving
   8: required bool storeReachable
   9: optional WireBackend backend
+  /** The bandwidth of the VM's own link in Mbit/s; absent if it is not limited. */
+  10: optional double linkMbps
 }
 
 /** The load of the backend server behind a node. */
