Keep the last tokens of an account for its most urgent requests

Callers of an account above its limit got 429 for urgent and less urgent requests alike; an urgent request that comes back after a 429 is late, while a less urgent one still meets its target.

A message reports requests of the most urgent rank and others apart. Below 0.3 of the capacity a coordinator grants tokens to the former only; nodes neither prefetch for the others nor give them held tokens then.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaEfficiencyTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaEfficiencyTest.java
@@ -63,6 +63,33 @@
                 simulation.refused() + " refused of " + sent);
     }
 
+    /** Urgent requests alone are below the limit of their account, all together far above it. */
+    @ParameterizedTest
+    @CsvSource({"18,145,145", "80,440,440", "80,7,7"})
+    void urgentRequestsGetTheTokensOfAnAccountAboveItsLimit(int nodes, double rate, double burst) {
+        ClientAccount account = new ClientAccount("a", List.of("k"), -1, rate, burst);
+        QuotaSimulation simulation = new QuotaSimulation(nodes, List.of(account), 11);
+        SplittableRandom random = new SplittableRandom(19);
+        int urgentSent = 0;
+        for (int time = 0; time < WARM_UP_MILLIS; time++) {
+            simulation.step();
+        }
+        for (int time = 0; time < MEASURED_MILLIS; time++) {
+            double due = 2.8 * rate / 1_000;
+            for (; random.nextDouble() < due; due--) {
+                boolean urgent = random.nextDouble() < 0.8 / 2.8;
+                urgentSent += urgent ? 1 : 0;
+                simulation.request(random.nextInt(nodes), "a", urgent);
+            }
+            simulation.step();
+        }
+        double urgentServed = simulation.urgentRan() / (double) urgentSent;
+        double served = simulation.ran("a") / (rate * MEASURED_MILLIS / 1_000);
+        System.out.printf("urgent served %.3f, of the allowance %.3f%n", urgentServed, served);
+        assertTrue(urgentServed >= TARGET, "urgent served " + urgentServed);
+        assertTrue(served >= TARGET, "served " + served);
+    }
+
     private static void check(
             String where, int nodes, double rate, double burst, IntUnaryOperator place) {
         ClientAccount account = new ClientAccount("a", List.of("k"), -1, rate, burst);
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.account;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +20,7 @@
     private static final int CANDIDATES = 6;
 
     /** A request that waits at a node. */
-    private record Waiting(String account, long untilMillis) {}
+    private record Waiting(String account, boolean urgent, long untilMillis) {}
 
     /** A request that will be refused after it took its token. */
     private record Refund(Node node, long epoch, String account, long takenMillis, long atMillis) {}
@@ -99,6 +100,7 @@
     private long mMaxDelay = 2;
     private double mRefunds;
     private double mMessageMillis;
+    private int mUrgentRan;
     private int mMissing;
     private final List<Refund> mOpenRefunds = new ArrayList<>();
 
@@ -170,14 +172,19 @@
 
     /** A request of an account arrives at a node. */
     void request(int index, String account) {
+        request(index, account, true);
+    }
+
+    /** A request of the most urgent rank, or another one, arrives at a node. */
+    void request(int index, String account, boolean urgent) {
         Node node = mNodes.get(index);
         if (!node.running()) {
             return;
         }
         decide(
                 node,
-                new Waiting(account, mNow + MAX_WAIT_MILLIS),
-                node.quota(account).acquire(account, node.clock()));
+                new Waiting(account, urgent, mNow + MAX_WAIT_MILLIS),
+                node.quota(account).acquire(account, urgent, node.clock()));
     }
 
     /** Moves the time on by one millisecond. */
@@ -200,6 +207,11 @@
         return mRan.getOrDefault(account, List.of()).size();
     }
 
+    /** Returns how many requests of the most urgent rank ran. */
+    int urgentRan() {
+        return mUrgentRan;
+    }
+
     /** Returns the largest number of requests of an account that ran within a window. */
     int mostInWindow(String account) {
         List<Long> times = mRan.getOrDefault(account, List.of());
@@ -236,10 +248,10 @@
     }
 
     private void poll(Node node, int partition) {
-        Map<String, Integer> waiting = new HashMap<>();
+        Map<String, AccountQuota.Waiting> waiting = new HashMap<>();
         for (Waiting request : node.mWaiting) {
             if (QuotaPartitions.of(request.account()) == partition) {
-                waiting.merge(request.account(), 1, Integer::sum);
+                AccountQuota.Waiting.add(waiting, request.account(), request.urgent());
             }
         }
         QuotaAsk ask = node.mQuotas[partition].poll(waiting, node.clock());
@@ -305,7 +317,9 @@
         }
     }
 
-    private void run(Node node, String account) {
+    private void run(Node node, Waiting request) {
+        String account = request.account();
+        mUrgentRan += request.urgent() ? 1 : 0;
         if (mRandom.nextDouble() < mRefunds) {
             long at = mNow + mRandom.nextLong(200);
             mOpenRefunds.add(new Refund(node, node.mEpoch, account, node.clock(), at));
@@ -326,16 +340,17 @@
         List<Waiting> waiting = new ArrayList<>(node.mWaiting);
         waiting.removeIf(request -> QuotaPartitions.of(request.account()) != partition);
         node.mWaiting.removeAll(waiting);
+        waiting.sort(Comparator.comparing(Waiting::urgent, Comparator.reverseOrder()));
         for (Waiting request : waiting) {
             AccountQuota quota = node.mQuotas[partition];
-            decide(node, request, quota.retry(request.account(), node.clock()));
+            decide(node, request, quota.retry(request.account(), request.urgent(), node.clock()));
         }
         node.mQuotas[partition].settle();
     }
 
     private void decide(Node node, Waiting request, AccountQuota.Decision decision) {
         switch (decision) {
-            case RUN -> run(node, request.account());
+            case RUN -> run(node, request);
             case WAIT, UNKNOWN -> node.mWaiting.add(request);
             default -> mRefused++;
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
@@ -131,20 +131,24 @@
         return !mDelegating && nowMillis >= mDelegateFromMillis;
     }
 
-    /** Decides about a request that arrives; counts it towards the demand of its account. */
-    public Decision acquire(String account, long nowMillis) {
+    /**
+     * Decides about a request that arrives; counts it towards the demand of its account.
+     *
+     * @param urgent whether it is of the most urgent rank; others get none of the last tokens
+     */
+    public Decision acquire(String account, boolean urgent, long nowMillis) {
         HeldTokens held = held(account);
-        held.arrived(nowMillis);
-        Decision decision = retry(account, nowMillis);
+        held.arrived(urgent, nowMillis);
+        Decision decision = retry(account, urgent, nowMillis);
         mShort |= held.low(LOW_MILLIS, nowMillis);
         return decision;
     }
 
     /** Decides about a request that has arrived before. */
-    public Decision retry(String account, long nowMillis) {
+    public Decision retry(String account, boolean urgent, long nowMillis) {
         dropExpired(nowMillis);
         HeldTokens held = held(account);
-        if (held.take()) {
+        if (held.take(urgent)) {
             return Decision.RUN;
         }
         ClientAccount limited = limited(account);
@@ -153,7 +157,7 @@
             boolean asks = mCoordinator != null && !held.scarce(nowMillis);
             return has ? Decision.RUN : asks ? Decision.WAIT : Decision.REFUSE;
         }
-        if (held.scarce(nowMillis + MAX_SCARCE_WAIT_MILLIS)) {
+        if (held.exhausted(urgent, nowMillis + MAX_SCARCE_WAIT_MILLIS)) {
             return Decision.REFUSE;
         }
         return mCoordinator == null ? Decision.UNKNOWN : Decision.WAIT;
@@ -162,7 +166,7 @@
     /** Takes a token that is held; returns whether there was one. */
     public boolean tryTake(String account, long nowMillis) {
         dropExpired(nowMillis);
-        return held(account).take();
+        return held(account).take(true);
     }
 
     /** Returns whether the newest answer about an account said that it has none to spare. */
@@ -196,12 +200,32 @@
         return held(account).refused(base, nowMillis);
     }
 
+    /**
+     * The requests of an account that wait for tokens.
+     *
+     * @param urgent the number of those of the most urgent rank
+     * @param others the number of all others
+     */
+    public record Waiting(int urgent, int others) {
+        private static final Waiting NONE = new Waiting(0, 0);
+
+        /** Returns this with one more request. */
+        public Waiting plus(boolean isUrgent) {
+            return isUrgent ? new Waiting(urgent + 1, others) : new Waiting(urgent, others + 1);
+        }
+
+        /** Returns the requests that wait with a further one of an account. */
+        public static void add(Map<String, Waiting> waiting, String account, boolean isUrgent) {
+            waiting.put(account, waiting.getOrDefault(account, NONE).plus(isUrgent));
+        }
+    }
+
     /**
      * Returns the next message, or null if none is due.
      *
-     * @param waiting the number of requests that wait, by account
+     * @param waiting the requests that wait, by account
      */
-    public @Nullable QuotaAsk poll(Map<String, Integer> waiting, long nowMillis) {
+    public @Nullable QuotaAsk poll(Map<String, Waiting> waiting, long nowMillis) {
         chooseCoordinator(nowMillis);
         if (mCoordinator == null || !due(waiting, nowMillis)) {
             return null;
@@ -295,7 +319,7 @@
         mCoordinator = null;
     }
 
-    private boolean due(Map<String, Integer> waiting, long nowMillis) {
+    private boolean due(Map<String, Waiting> waiting, long nowMillis) {
         long sinceMillis = nowMillis - mAskedMillis;
         boolean answered = mAcknowledged == mSequence;
         if (sinceMillis >= QuotaRules.RENEW_MILLIS) {
@@ -308,9 +332,10 @@
                         || (sinceMillis >= ASK_MILLIS && (mShort || reportsDue(nowMillis))));
     }
 
-    private boolean urgent(Map<String, Integer> waiting, long nowMillis) {
-        for (String account : waiting.keySet()) {
-            if (!held(account).scarce(nowMillis)) {
+    private boolean urgent(Map<String, Waiting> waiting, long nowMillis) {
+        for (Map.Entry<String, Waiting> requests : waiting.entrySet()) {
+            boolean urgent = requests.getValue().urgent() > 0;
+            if (!held(requests.getKey()).exhausted(urgent, nowMillis)) {
                 return true;
             }
         }
@@ -331,7 +356,7 @@
         return false;
     }
 
-    private QuotaAsk ask(Map<String, Integer> waiting, boolean release, long nowMillis) {
+    private QuotaAsk ask(Map<String, Waiting> waiting, boolean release, long nowMillis) {
         dropExpired(nowMillis);
         mAskedMillis = nowMillis;
         mShort = false;
@@ -360,7 +385,7 @@
                 mReleasing ? List.of() : entries(waiting, nowMillis));
     }
 
-    private List<QuotaAsk.Entry> entries(Map<String, Integer> waiting, long nowMillis) {
+    private List<QuotaAsk.Entry> entries(Map<String, Waiting> waiting, long nowMillis) {
         waiting.keySet().forEach(this::held);
         boolean full = mSequence % FULL_REPORT == 0;
         List<QuotaAsk.Entry> entries = new ArrayList<>();
@@ -368,9 +393,16 @@
         while (all.hasNext()) {
             Map.Entry<String, HeldTokens> next = all.next();
             HeldTokens held = next.getValue();
-            int needed = waiting.getOrDefault(next.getKey(), 0);
+            Waiting requests = waiting.getOrDefault(next.getKey(), Waiting.NONE);
             QuotaAsk.Entry entry =
-                    held.entry(next.getKey(), needed, SOON_MILLIS, AHEAD_MILLIS, full, nowMillis);
+                    held.entry(
+                            next.getKey(),
+                            requests.urgent(),
+                            requests.others(),
+                            SOON_MILLIS,
+                            AHEAD_MILLIS,
+                            full,
+                            nowMillis);
             if (entry != null) {
                 entries.add(entry);
             } else if (held.idle(nowMillis)) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/HeldTokens.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/HeldTokens.java
@@ -39,17 +39,21 @@
     private double mBacklogMillis;
     private long mBacklogAtMillis;
 
-    void arrived(long nowMillis) {
+    /** Counts a request towards the demand; a less urgent one only while tokens are plenty. */
+    void arrived(boolean urgent, long nowMillis) {
         decayDemand(nowMillis);
-        mDemandPerSecond += MILLIS_PER_SECOND / DEMAND_MILLIS;
+        if (urgent || !mScarce) {
+            mDemandPerSecond += MILLIS_PER_SECOND / DEMAND_MILLIS;
+        }
     }
 
-    boolean take() {
+    /** Takes a token; the last ones of a scarce account are kept for urgent requests. */
+    boolean take(boolean urgent) {
         if (mUrgent > 0) {
             mUrgent--;
             return true;
         }
-        if (mTokens == 0) {
+        if (mTokens == 0 || (!urgent && mScarce)) {
             return false;
         }
         mTokens--;
@@ -87,11 +91,16 @@
         return mScarce;
     }
 
-    /** Returns whether the coordinator has none until later. */
+    /** Returns whether the coordinator has none to spare until later. */
     boolean scarce(long nowMillis) {
         return mScarce && nowMillis < mScarceUntilMillis;
     }
 
+    /** Returns whether the coordinator has none until later for a request. */
+    boolean exhausted(boolean urgent, long nowMillis) {
+        return scarce(nowMillis) && (!urgent || mWaitMillis > QuotaRules.NO_WAIT_MILLIS);
+    }
+
     /** Returns whether the tokens last for less than the given time. */
     boolean low(double millis, long nowMillis) {
         return mTokens < mDemandPerSecond * millis / MILLIS_PER_SECOND && !scarce(nowMillis);
@@ -129,10 +138,16 @@
         return (long) Math.max(MIN_RETRY_MILLIS, Math.max(mBacklogMillis, mWaitMillis));
     }
 
-    /** Returns the entry of the next message, or null if there is nothing to report or to ask. */
+    /**
+     * Returns the entry of the next message, or null if there is nothing to report or to ask.
+     *
+     * @param needed the tokens for which requests of the most urgent rank wait
+     * @param others the tokens for which other requests wait
+     */
     QuotaAsk.@Nullable Entry entry(
             String account,
             int needed,
+            int others,
             double soonMillis,
             double aheadMillis,
             boolean full,
@@ -142,12 +157,12 @@
         mTokens -= returned;
         int soon = wanted(soonMillis, 0);
         int ahead = Math.max(0, wanted(aheadMillis, HALF) - soon);
-        boolean asks = needed + soon > 0 || (ahead > 0 && ahead > mTokens);
+        boolean asks = needed + others + soon > 0 || (ahead > 0 && ahead > mTokens);
         if (!asks && returned == 0 && !changed() && !(full && mTokens > 0)) {
             return null;
         }
         mReported = mTokens;
-        return new QuotaAsk.Entry(account, mTokens, needed, soon, ahead, returned);
+        return new QuotaAsk.Entry(account, mTokens, needed, others, soon, ahead, returned);
     }
 
     private int keep(double aheadMillis) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaAsk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaAsk.java
@@ -33,12 +33,14 @@
      *
      * @param account the name of the account
      * @param held the tokens that the node holds
-     * @param needed the tokens for which requests wait
+     * @param needed the tokens for which requests of the most urgent rank wait
+     * @param others the tokens for which other requests wait
      * @param soon the tokens that it expects to need until the next message
      * @param ahead the tokens that it would hold in reserve if the account has plenty
      * @param returned the tokens that it gives back
      */
-    public record Entry(String account, int held, int needed, int soon, int ahead, int returned) {}
+    public record Entry(
+            String account, int held, int needed, int others, int soon, int ahead, int returned) {}
 
     /** Copies the entries. */
     public QuotaAsk {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
@@ -20,8 +20,14 @@
  * <p>Has no clock and no I/O. Confined to one thread.
  */
 public final class QuotaCoordinator {
-    /** Part of the capacity below which an account is scarce. */
-    private static final double SCARCE = 0.15;
+    /** Part of the capacity below which an account is scarce, and kept for urgent requests. */
+    private static final double SCARCE = 0.3;
+
+    /**
+     * Part of the capacity below which nodes ask for no token for a while, so that demand far above
+     * the limit causes few messages.
+     */
+    private static final double EXHAUSTED = 0.1;
 
     /** Part of the capacity above which an account has plenty. */
     private static final double PLENTY = 0.5;
@@ -187,12 +193,14 @@
         clamp(bucket);
         boolean grants = !mClosed && !ask.release();
         int urgent = grants ? (int) Math.min(entry.needed(), bucket.mLevel) : 0;
+        double spare = Math.max(0, bucket.mLevel - urgent - reserve(account));
+        urgent += grants ? (int) Math.min(entry.others(), spare) : 0;
         bucket.sendUrgent(urgent, nowMillis);
         int held = grants ? heldTokens(bucket, entry, capacity(account)) : 0;
         bucket.mLevel -= held;
         bucket.mOutstanding += held;
         delegate.granted(account.name(), ask.sequence(), held);
-        boolean scarce = bucket.mLevel < Math.max(1, SCARCE * capacity(account));
+        boolean scarce = bucket.mLevel < Math.max(1, reserve(account));
         return new QuotaReply.Grant(account.name(), urgent, held, scarce ? waitMillis(bucket) : 0);
     }
 
@@ -222,13 +230,16 @@
     /** Returns how long until a node that asks again gets a token, in milliseconds; at least 1. */
     private int waitMillis(Bucket bucket) {
         ClientAccount account = bucket.mAccount;
-        double perSecond = account == null ? 0 : account.ratePerSecond() * effectiveFraction();
-        if (perSecond <= 0) {
+        if (account == null || mFraction <= 0) {
             return (int) QuotaRules.LEASE_MILLIS;
         }
-        double missing = Math.max(0, 1 - bucket.mLevel);
+        double perSecond = account.ratePerSecond() * effectiveFraction();
+        double missing = Math.max(1, EXHAUSTED * capacity(account)) - bucket.mLevel;
+        if (missing <= 0) {
+            return QuotaRules.NO_WAIT_MILLIS;
+        }
         double wait = missing / perSecond * MILLIS_PER_SECOND;
-        return (int) Math.max(1, Math.min(wait, Integer.MAX_VALUE));
+        return (int) Math.max(QuotaRules.NO_WAIT_MILLIS + 1, Math.min(wait, Integer.MAX_VALUE));
     }
 
     /** Moves time on: ends the delegations and forgets the tokens that are no longer valid. */
@@ -314,6 +325,11 @@
         bucket.mLevel = Math.max(0, Math.min(bucket.mLevel, limit));
     }
 
+    /** Returns the tokens that only requests of the most urgent rank get. */
+    private double reserve(ClientAccount account) {
+        return SCARCE * capacity(account);
+    }
+
     private double capacity(ClientAccount account) {
         return mRules.capacity(account) * effectiveFraction();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaRules.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaRules.java
@@ -22,6 +22,9 @@
      */
     static final long URGENT_MILLIS = 100;
 
+    /** Wait that a coordinator names for a scarce account that still has a token. */
+    static final int NO_WAIT_MILLIS = 1;
+
     /**
      * Part of the headroom for tokens that nodes hold, which are stored beside the burst. The rest
      * covers views of the number of nodes that differ, {@link #DEAD_NODES} and, where nodes spend
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/RankOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/RankOrder.java
@@ -39,6 +39,11 @@
                 : account * mRouteRanks.size() + route;
     }
 
+    /** Returns whether no route is of a more urgent rank. */
+    boolean mostUrgent(int routeRank) {
+        return mRouteRanks.isEmpty() || routeRank <= mRouteRanks.get(0);
+    }
+
     /** Keeps the ranks of routes as they are where accounts add none. */
     private int routeRank(int routeRank, int index) {
         return mAccountRanks.size() > 1 && index >= 0 ? index : routeRank;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/RoutingConfig.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/RoutingConfig.java
@@ -75,6 +75,11 @@
         return rank == route.rank() ? route : route.withRank(rank);
     }
 
+    /** Returns whether no route is of a more urgent rank than a given one. */
+    public boolean mostUrgent(RouteRule route) {
+        return mRanks.mostUrgent(route.rank());
+    }
+
     /** Returns the version. */
     public long version() {
         return mVersion;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerAccount.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerAccount.java
@@ -112,6 +112,7 @@
         }
         quota.acquire(
                 mAccount,
+                mConfig.mostUrgent(mRoute),
                 leftMillis,
                 new QuotaService.Listener() {
                     @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaPartition.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaPartition.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.quota;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -51,9 +52,18 @@
         void refused(Waiting request, @Nullable Long retryMillis);
     }
 
-    /** A request that has no token yet. */
+    /**
+     * A request that has no token yet.
+     *
+     * @param account its account
+     * @param urgent whether it is of the most urgent rank
+     * @param sinceMillis when it arrived
+     * @param untilMillis until when it waits
+     * @param listener receives the decision
+     */
     record Waiting(
             ClientAccount account,
+            boolean urgent,
             long sinceMillis,
             long untilMillis,
             QuotaService.Listener listener) {}
@@ -116,13 +126,14 @@
     /** Decides about a request, perhaps later. */
     void acquire(
             ClientAccount account,
+            boolean urgent,
             long maxWaitMillis,
             QuotaService.Listener listener,
             long nowMillis) {
-        AccountQuota.Decision decision = mQuota.acquire(account.name(), nowMillis);
+        AccountQuota.Decision decision = mQuota.acquire(account.name(), urgent, nowMillis);
         long limit = mQuota.scarceLately(account.name()) ? SCARCE_WAIT_MILLIS : MAX_WAIT_MILLIS;
         long until = nowMillis + Math.min(limit, maxWaitMillis);
-        decide(new Waiting(account, nowMillis, until, listener), decision, nowMillis);
+        decide(new Waiting(account, urgent, nowMillis, until, listener), decision, nowMillis);
         poll(nowMillis);
     }
 
@@ -149,9 +160,9 @@
 
     /** Sends the next message if one is due. */
     void poll(long nowMillis) {
-        Map<String, Integer> waiting = mWaiting.isEmpty() ? Map.of() : new HashMap<>();
+        Map<String, AccountQuota.Waiting> waiting = new HashMap<>();
         for (Waiting request : mWaiting) {
-            waiting.merge(request.account().name(), 1, Integer::sum);
+            AccountQuota.Waiting.add(waiting, request.account().name(), request.urgent());
         }
         String before = mQuota.coordinator();
         QuotaAsk ask = mQuota.poll(waiting, nowMillis);
@@ -175,9 +186,11 @@
     /** Decides again about the requests that wait; returns whether some still do. */
     boolean serveWaiting(long nowMillis) {
         List<Waiting> waiting = mWaiting;
+        waiting.sort(Comparator.comparing(Waiting::urgent, Comparator.reverseOrder()));
         mWaiting = new ArrayList<>();
         for (Waiting request : waiting) {
-            decide(request, mQuota.retry(request.account().name(), nowMillis), nowMillis);
+            String account = request.account().name();
+            decide(request, mQuota.retry(account, request.urgent(), nowMillis), nowMillis);
         }
         return !mWaiting.isEmpty();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
@@ -144,12 +144,14 @@
     /**
      * Asks for a token; the listener may be called before this method returns.
      *
+     * @param urgent whether the request is of the most urgent rank
      * @param maxWaitMillis the longest wait that the deadline of the request allows
      */
-    public void acquire(ClientAccount account, long maxWaitMillis, Listener listener) {
+    public void acquire(
+            ClientAccount account, boolean urgent, long maxWaitMillis, Listener listener) {
         QuotaPartition partition = partition(account);
         if (mActive && partition.limits(account)) {
-            partition.acquire(account, maxWaitMillis, listener, nowMillis());
+            partition.acquire(account, urgent, maxWaitMillis, listener, nowMillis());
         } else {
             listener.allowed();
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaWire.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.quota;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
@@ -21,6 +22,7 @@
     static HopFrame frame(int partition, QuotaAsk ask) {
         List<String> accounts = new ArrayList<>(ask.entries().size());
         List<Integer> figures = new ArrayList<>(ASK_FIGURES * ask.entries().size());
+        List<Integer> others = new ArrayList<>(ask.entries().size());
         for (QuotaAsk.Entry entry : ask.entries()) {
             accounts.add(entry.account());
             figures.add(entry.held());
@@ -28,6 +30,7 @@
             figures.add(entry.soon());
             figures.add(entry.ahead());
             figures.add(entry.returned());
+            others.add(entry.others());
         }
         WireQuotaAsk wire =
                 new WireQuotaAsk(
@@ -42,7 +45,9 @@
                         ask.release(),
                         accounts,
                         figures);
-        return HopFrame.quota(WireQuotaMessage.ask(wire.setPartition(partition)));
+        wire.setPartition(partition);
+        wire.setOthers(others);
+        return HopFrame.quota(WireQuotaMessage.ask(wire));
     }
 
     static HopFrame frame(int partition, QuotaReply reply) {
@@ -70,6 +75,10 @@
     static QuotaAsk fromWire(WireQuotaAsk wire) {
         List<String> accounts = wire.getAccounts();
         List<Integer> figures = checked(wire.getFigures(), accounts.size() * ASK_FIGURES);
+        List<Integer> others =
+                wire.isSetOthers()
+                        ? checked(wire.getOthers(), accounts.size())
+                        : Collections.nCopies(accounts.size(), 0);
         List<QuotaAsk.Entry> entries = new ArrayList<>(accounts.size());
         for (int i = 0; i < accounts.size(); i++) {
             int at = i * ASK_FIGURES;
@@ -78,6 +87,7 @@
                             accounts.get(i),
                             figures.get(at),
                             figures.get(at + 1),
+                            others.get(i),
                             figures.get(at + 2),
                             figures.get(at + 3),
                             figures.get(at + 4)));
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireQuotaAsk.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireQuotaAsk.java
@@ -25,6 +25,7 @@
   private static final org.apache.thrift.protocol.TField ACCOUNTS_FIELD_DESC = new org.apache.thrift.protocol.TField("accounts", org.apache.thrift.protocol.TType.LIST, (short)10);
   private static final org.apache.thrift.protocol.TField FIGURES_FIELD_DESC = new org.apache.thrift.protocol.TField("figures", org.apache.thrift.protocol.TType.LIST, (short)11);
   private static final org.apache.thrift.protocol.TField PARTITION_FIELD_DESC = new org.apache.thrift.protocol.TField("partition", org.apache.thrift.protocol.TType.I32, (short)12);
+  private static final org.apache.thrift.protocol.TField OTHERS_FIELD_DESC = new org.apache.thrift.protocol.TField("others", org.apache.thrift.protocol.TType.LIST, (short)13);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireQuotaAskStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireQuotaAskTupleSchemeFactory();
@@ -53,6 +54,10 @@
    * The partition of the accounts that the message is about; 0 if absent.
    */
   public int partition; // optional
+  /**
+   * For each account: tokens for which less urgent requests wait; none if absent.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> others; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -79,7 +84,11 @@
     /**
      * The partition of the accounts that the message is about; 0 if absent.
      */
-    PARTITION((short)12, "partition");
+    PARTITION((short)12, "partition"),
+    /**
+     * For each account: tokens for which less urgent requests wait; none if absent.
+     */
+    OTHERS((short)13, "others");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -119,6 +128,8 @@
           return FIGURES;
         case 12: // PARTITION
           return PARTITION;
+        case 13: // OTHERS
+          return OTHERS;
         default:
           return null;
       }
@@ -172,7 +183,7 @@
   private static final int __RELEASE_ISSET_ID = 7;
   private static final int __PARTITION_ISSET_ID = 8;
   private short __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.PARTITION};
+  private static final _Fields optionals[] = {_Fields.PARTITION,_Fields.OTHERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -202,6 +213,9 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     tmpMap.put(_Fields.PARTITION, new org.apache.thrift.meta_data.FieldMetaData("partition", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.OTHERS, new org.apache.thrift.meta_data.FieldMetaData("others", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireQuotaAsk.class, metaDataMap);
   }
@@ -269,6 +283,10 @@
       this.figures = __this__figures;
     }
     this.partition = other.partition;
+    if (other.isSetOthers()) {
+      java.util.List<java.lang.Integer> __this__others = new java.util.ArrayList<java.lang.Integer>(other.others);
+      this.others = __this__others;
+    }
   }
 
   @Override
@@ -299,6 +317,7 @@
     this.figures = null;
     setPartitionIsSet(false);
     this.partition = 0;
+    this.others = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -639,6 +658,53 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PARTITION_ISSET_ID, value);
   }
 
+  public int getOthersSize() {
+    return (this.others == null) ? 0 : this.others.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getOthersIterator() {
+    return (this.others == null) ? null : this.others.iterator();
+  }
+
+  public void addToOthers(int elem) {
+    if (this.others == null) {
+      this.others = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.others.add(elem);
+  }
+
+  /**
+   * For each account: tokens for which less urgent requests wait; none if absent.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getOthers() {
+    return this.others;
+  }
+
+  /**
+   * For each account: tokens for which less urgent requests wait; none if absent.
+   */
+  public WireQuotaAsk setOthers(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> others) {
+    this.others = others;
+    return this;
+  }
+
+  public void unsetOthers() {
+    this.others = null;
+  }
+
+  /** Returns true if field others is set (has been assigned a value) and false otherwise */
+  public boolean isSetOthers() {
+    return this.others != null;
+  }
+
+  public void setOthersIsSet(boolean value) {
+    if (!value) {
+      this.others = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -738,6 +804,14 @@
       }
       break;
 
+    case OTHERS:
+      if (value == null) {
+        unsetOthers();
+      } else {
+        setOthers((java.util.List<java.lang.Integer>)value);
+      }
+      break;
+
     }
   }
 
@@ -781,6 +855,9 @@
     case PARTITION:
       return getPartition();
 
+    case OTHERS:
+      return getOthers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -817,6 +894,8 @@
       return isSetFigures();
     case PARTITION:
       return isSetPartition();
+    case OTHERS:
+      return isSetOthers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -942,6 +1021,15 @@
         return false;
     }
 
+    boolean this_present_others = true && this.isSetOthers();
+    boolean that_present_others = true && that.isSetOthers();
+    if (this_present_others || that_present_others) {
+      if (!(this_present_others && that_present_others))
+        return false;
+      if (!this.others.equals(that.others))
+        return false;
+    }
+
     return true;
   }
 
@@ -981,6 +1069,10 @@
     if (isSetPartition())
       hashCode = hashCode * 8191 + partition;
 
+    hashCode = hashCode * 8191 + ((isSetOthers()) ? 131071 : 524287);
+    if (isSetOthers())
+      hashCode = hashCode * 8191 + others.hashCode();
+
     return hashCode;
   }
 
@@ -1112,6 +1204,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetOthers(), other.isSetOthers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOthers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.others, other.others);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1197,6 +1299,16 @@
       sb.append(this.partition);
       first = false;
     }
+    if (isSetOthers()) {
+      if (!first) sb.append(", ");
+      sb.append("others:");
+      if (this.others == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.others);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1377,6 +1489,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 13: // OTHERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list6 = iprot.readListBegin();
+                struct.others = new java.util.ArrayList<java.lang.Integer>(_list6.size);
+                int _elem7;
+                for (int _i8 = 0; _i8 < _list6.size; ++_i8)
+                {
+                  _elem7 = iprot.readI32();
+                  struct.others.add(_elem7);
+                }
+                iprot.readListEnd();
+              }
+              struct.setOthersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1450,9 +1580,9 @@
         oprot.writeFieldBegin(ACCOUNTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.accounts.size()));
-          for (java.lang.String _iter6 : struct.accounts)
+          for (java.lang.String _iter9 : struct.accounts)
           {
-            oprot.writeString(_iter6);
+            oprot.writeString(_iter9);
           }
           oprot.writeListEnd();
         }
@@ -1462,9 +1592,9 @@
         oprot.writeFieldBegin(FIGURES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.figures.size()));
-          for (int _iter7 : struct.figures)
+          for (int _iter10 : struct.figures)
           {
-            oprot.writeI32(_iter7);
+            oprot.writeI32(_iter10);
           }
           oprot.writeListEnd();
         }
@@ -1475,6 +1605,20 @@
         oprot.writeI32(struct.partition);
         oprot.writeFieldEnd();
       }
+      if (struct.others != null) {
+        if (struct.isSetOthers()) {
+          oprot.writeFieldBegin(OTHERS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.others.size()));
+            for (int _iter11 : struct.others)
+            {
+              oprot.writeI32(_iter11);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1504,26 +1648,38 @@
       oprot.writeBool(struct.release);
       {
         oprot.writeI32(struct.accounts.size());
-        for (java.lang.String _iter8 : struct.accounts)
+        for (java.lang.String _iter12 : struct.accounts)
         {
-          oprot.writeString(_iter8);
+          oprot.writeString(_iter12);
         }
       }
       {
         oprot.writeI32(struct.figures.size());
-        for (int _iter9 : struct.figures)
+        for (int _iter13 : struct.figures)
         {
-          oprot.writeI32(_iter9);
+          oprot.writeI32(_iter13);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetPartition()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetOthers()) {
+        optionals.set(1);
+      }
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetPartition()) {
         oprot.writeI32(struct.partition);
       }
+      if (struct.isSetOthers()) {
+        {
+          oprot.writeI32(struct.others.size());
+          for (int _iter14 : struct.others)
+          {
+            oprot.writeI32(_iter14);
+          }
+        }
+      }
     }
 
     @Override
@@ -1548,32 +1704,45 @@
       struct.release = iprot.readBool();
       struct.setReleaseIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list10 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.accounts = new java.util.ArrayList<java.lang.String>(_list10.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem11;
-        for (int _i12 = 0; _i12 < _list10.size; ++_i12)
+        org.apache.thrift.protocol.TList _list15 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.accounts = new java.util.ArrayList<java.lang.String>(_list15.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem16;
+        for (int _i17 = 0; _i17 < _list15.size; ++_i17)
         {
-          _elem11 = iprot.readString();
-          struct.accounts.add(_elem11);
+          _elem16 = iprot.readString();
+          struct.accounts.add(_elem16);
         }
       }
       struct.setAccountsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-        struct.figures = new java.util.ArrayList<java.lang.Integer>(_list13.size);
-        int _elem14;
-        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+        struct.figures = new java.util.ArrayList<java.lang.Integer>(_list18.size);
+        int _elem19;
+        for (int _i20 = 0; _i20 < _list18.size; ++_i20)
         {
-          _elem14 = iprot.readI32();
-          struct.figures.add(_elem14);
+          _elem19 = iprot.readI32();
+          struct.figures.add(_elem19);
         }
       }
       struct.setFiguresIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.partition = iprot.readI32();
         struct.setPartitionIsSet(true);
       }
+      if (incoming.get(1)) {
+        {
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.others = new java.util.ArrayList<java.lang.Integer>(_list21.size);
+          int _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          {
+            _elem22 = iprot.readI32();
+            struct.others.add(_elem22);
+          }
+        }
+        struct.setOthersIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireQuotaReply.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireQuotaReply.java
@@ -1072,13 +1072,13 @@
           case 7: // ACCOUNTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.accounts = new java.util.ArrayList<java.lang.String>(_list16.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.accounts = new java.util.ArrayList<java.lang.String>(_list24.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = iprot.readString();
-                  struct.accounts.add(_elem17);
+                  _elem25 = iprot.readString();
+                  struct.accounts.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -1090,13 +1090,13 @@
           case 8: // FIGURES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
-                struct.figures = new java.util.ArrayList<java.lang.Integer>(_list19.size);
-                int _elem20;
-                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.figures = new java.util.ArrayList<java.lang.Integer>(_list27.size);
+                int _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
                 {
-                  _elem20 = iprot.readI32();
-                  struct.figures.add(_elem20);
+                  _elem28 = iprot.readI32();
+                  struct.figures.add(_elem28);
                 }
                 iprot.readListEnd();
               }
@@ -1168,9 +1168,9 @@
         oprot.writeFieldBegin(ACCOUNTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.accounts.size()));
-          for (java.lang.String _iter22 : struct.accounts)
+          for (java.lang.String _iter30 : struct.accounts)
           {
-            oprot.writeString(_iter22);
+            oprot.writeString(_iter30);
           }
           oprot.writeListEnd();
         }
@@ -1180,9 +1180,9 @@
         oprot.writeFieldBegin(FIGURES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.figures.size()));
-          for (int _iter23 : struct.figures)
+          for (int _iter31 : struct.figures)
           {
-            oprot.writeI32(_iter23);
+            oprot.writeI32(_iter31);
           }
           oprot.writeListEnd();
         }
@@ -1219,16 +1219,16 @@
       oprot.writeBool(struct.released);
       {
         oprot.writeI32(struct.accounts.size());
-        for (java.lang.String _iter24 : struct.accounts)
+        for (java.lang.String _iter32 : struct.accounts)
         {
-          oprot.writeString(_iter24);
+          oprot.writeString(_iter32);
         }
       }
       {
         oprot.writeI32(struct.figures.size());
-        for (int _iter25 : struct.figures)
+        for (int _iter33 : struct.figures)
         {
-          oprot.writeI32(_iter25);
+          oprot.writeI32(_iter33);
         }
       }
       java.util.BitSet optionals = new java.util.BitSet();
@@ -1257,24 +1257,24 @@
       struct.released = iprot.readBool();
       struct.setReleasedIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.accounts = new java.util.ArrayList<java.lang.String>(_list26.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem27;
-        for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+        org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.accounts = new java.util.ArrayList<java.lang.String>(_list34.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem35;
+        for (int _i36 = 0; _i36 < _list34.size; ++_i36)
         {
-          _elem27 = iprot.readString();
-          struct.accounts.add(_elem27);
+          _elem35 = iprot.readString();
+          struct.accounts.add(_elem35);
         }
       }
       struct.setAccountsIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-        struct.figures = new java.util.ArrayList<java.lang.Integer>(_list29.size);
-        int _elem30;
-        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+        struct.figures = new java.util.ArrayList<java.lang.Integer>(_list37.size);
+        int _elem38;
+        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
         {
-          _elem30 = iprot.readI32();
-          struct.figures.add(_elem30);
+          _elem38 = iprot.readI32();
+          struct.figures.add(_elem38);
         }
       }
       struct.setFiguresIsSet(true);
--- a/org.azurearch.thrift/src/main/thrift/quota.thrift
+++ b/org.azurearch.thrift/src/main/thrift/quota.thrift
@@ -19,6 +19,8 @@
   11: required list<i32> figures
   /** The partition of the accounts that the message is about; 0 if absent. */
   12: optional i32 partition
+  /** For each account: tokens for which less urgent requests wait; none if absent. */
+  13: optional list<i32> others
 }
 
 /** The coordinator's answer. */
