Finish sending answers before a planned stop ends

Callers saw an answer that ends in the middle when their node was stopped while they read a large one; peers lost the answers of the node beside the backend server and told their callers 502, or ran the request again.

Cause: awaitDrained ended as soon as no calls ran. A call is over once its answer is given to the connection, and close() drops what the socket has not taken yet, to callers as well as to peers.

The stop now also waits until no connection of a caller or a peer has unsent bytes, within the same bound of the grace period. A caller that reads nothing delays the stop until then, not longer.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -235,7 +235,7 @@
 
     /**
      * Drains and shuts down: takes no new calls, lets the running ones end, and closes. Returns
-     * when all calls have ended or the grace period is nearly over.
+     * when all calls have ended and their answers are sent, or the grace period is nearly over.
      */
     @Override
     public void close() {
@@ -373,9 +373,10 @@
             mRouter.refuseNewCalls();
             mDispatcher.refuseNewCalls();
         }
-        boolean drained = pendingCalls() == 0 && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS;
+        boolean ended = pendingCalls() == 0 && unsentBytes() == 0;
+        boolean drained = ended && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS;
         if (drained || millis >= mSettings.graceMillis() - STOP_MARGIN_MILLIS) {
-            EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis, mCallServer.unsentBytes());
+            EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis, unsentBytes());
             mCallServer.close();
             mMesh.close();
             mHopServer.close();
@@ -392,6 +393,10 @@
         return mRouter.calls() + mDispatcher.running() + mDispatcher.waiting();
     }
 
+    private long unsentBytes() {
+        return mCallServer.unsentBytes() + mHopServer.unsentBytes();
+    }
+
     private long sinceStartMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartedNanos);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -14,6 +13,7 @@
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.NextPoll;
+import org.azurearch.sidecar.internal.UnsentBytes;
 
 /**
  * A connection of a caller. Answers its requests in their order; those that may run more than once
@@ -171,7 +171,6 @@
 
     /** Returns the bytes of answers that were given to the connection and not sent yet. */
     long unwrittenBytes() {
-        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        return UnsentBytes.of(mChannel);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.internal.UnsentBytes;
 import org.azurearch.thrift.HopFrame;
 import org.azurearch.thrift.WireHopPing;
 
@@ -76,6 +77,11 @@
         return mLastReadNanos;
     }
 
+    /** Returns the bytes of frames that were not sent yet. */
+    long unsentBytes() {
+        return UnsentBytes.of(mChannel);
+    }
+
     /** Closes the connection. */
     public void close() {
         mChannel.close();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -74,6 +74,11 @@
         }
     }
 
+    /** Returns the bytes of frames to peers, mostly answers, that were not sent yet. */
+    public long unsentBytes() {
+        return mCalls.keySet().stream().mapToLong(HopConnection::unsentBytes).sum();
+    }
+
     /** Closes all connections that peers opened. */
     @Override
     public void close() {
