Close callers' connections without resetting the last answer

Callers saw a connection reset, or an answer that ends early, although the backend server had answered and the node had written all of it: after a planned stop of their node, or after a request with "Connection: close", when a further request was on its way.

Cause: the connection was closed as soon as the last answer was in the buffer of the socket. Bytes that arrive at a closed socket are answered with a reset, and a reset drops what is still to be sent. Callers that pipeline send at any time; on a slow link much of the answer is still under way.

Now only the sending direction is closed. What arrives is discarded until the caller closes as well, for two seconds at most (LingeringClose).

Before the fix, BytesAfterCloseTest: lastAnswerIsCompleteAlthoughItsCallerAskedForTheClose: 4096 bytes received ==> expected: <true> but was: <false> lastAnswerIsCompleteAlthoughTheNodeStops: 4096 bytes received ==> expected: <true> but was: <false> After it, both, StopTest, StopUnsentAnswersTest, PipeliningTest and SlowReaderTest pass.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -373,7 +373,7 @@
             mRouter.refuseNewCalls();
             mDispatcher.refuseNewCalls();
         }
-        boolean ended = pendingCalls() == 0 && unsentBytes() == 0;
+        boolean ended = pendingCalls() == 0 && unsentBytes() == 0 && !mCallServer.closingAny();
         boolean drained = ended && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS;
         if (drained || millis >= mSettings.graceMillis() - STOP_MARGIN_MILLIS) {
             EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis, unsentBytes());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -71,6 +71,11 @@
         List.copyOf(mConnections).forEach(connection -> connection.close("stop"));
     }
 
+    /** Returns whether a caller is still reading its last answer. */
+    public boolean closingAny() {
+        return mConnections.stream().anyMatch(CallerConnection::closing);
+    }
+
     /** Returns the bytes of answers that were given to connections and not sent yet. */
     public long unsentBytes() {
         return mConnections.stream().mapToLong(CallerConnection::unwrittenBytes).sum();
@@ -112,7 +117,10 @@
         long allowed = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMillis());
         long now = System.nanoTime();
         for (CallerConnection connection : List.copyOf(mConnections)) {
-            boolean unused = connection.idle() && connection.idleNanos(now) > allowed;
+            boolean unused =
+                    connection.idle()
+                            && !connection.closing()
+                            && connection.idleNanos(now) > allowed;
             if (connection.stalledNanos(now) > allowed) {
                 connection.close("answers unread");
             } else if (unused && connection.heldBytes() == 0) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -1,6 +1,5 @@
 package org.azurearch.sidecar.internal.call;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -11,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.util.ReferenceCountUtil;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.LingeringClose;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.NextPoll;
 import org.azurearch.sidecar.internal.UnsentBytes;
@@ -26,6 +26,7 @@
     private final ReadAhead mReadAhead;
     private final ExchangeOrder mExchanges;
     private long mIdleSinceNanos = System.nanoTime();
+    private boolean mClosing;
     private long mUnwrittenBytes;
     private long mWriteProgressNanos = mIdleSinceNanos;
 
@@ -119,7 +120,8 @@
     void write(FullHttpResponse response, boolean last) {
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            mClosing = true;
+            LingeringClose.after(mChannel.writeAndFlush(response));
         } else {
             mChannel.writeAndFlush(response, mChannel.voidPromise());
         }
@@ -130,6 +132,11 @@
         return String.valueOf(mChannel.remoteAddress());
     }
 
+    /** Returns whether the last answer is given, so that the connection closes by itself. */
+    boolean closing() {
+        return mClosing;
+    }
+
     /** Returns whether no call is running. */
     boolean idle() {
         return mExchanges.isEmpty();
