Answer every request that was read before a stop closes its connection

Callers that send a request before the answer to the one before got a closed connection and no answer when their node was stopped: a request that the node had read, up to seconds before, was dropped.

Cause: a draining connection closed after the answers to what had started. Requests behind one that may run only once, and all that were read after SIGTERM behind a running one, had not started and were dropped, however long ago they had arrived.

A draining connection now goes on taking what is read, in order, and closes with the answer behind which nothing was read, nor held by ReadAhead.

Before the fix, StopTest.requestsThatWaitBehindAnotherAreAnsweredDuringShutdown: /order/2 ==> expected: not <null> After it StopTest, StopUnsentAnswersTest, BytesAfterCloseTest, PipeliningTest, RestartTest, LeavingCallerTest and ExchangeOrderTest pass. SoakTest was not run here, as it needs the packaged jar.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -55,7 +55,7 @@
         return socket.port();
     }
 
-    /** Closes each connection once the calls that it has started are answered. */
+    /** Closes each connection that gets a request once all that were read are answered. */
     public void drain() {
         mDraining = true;
         mRouter.stopHedging();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -35,7 +35,7 @@
         mServer = server;
         mChannel = channel;
         mReadAhead = new ReadAhead(channel, this);
-        mExchanges = new ExchangeOrder(router.callerLimits());
+        mExchanges = new ExchangeOrder(router.callerLimits(), mReadAhead::holdsBytes);
     }
 
     /** Returns the handler that passes on what is read; the first of the pipeline. */
@@ -65,7 +65,7 @@
         mServer.opened(this);
     }
 
-    /** Closes the connection once the calls that have started are answered. */
+    /** Closes the connection once all requests that were read are answered. */
     void drain() {
         mExchanges.drain();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ExchangeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ExchangeOrder.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.azurearch.sidecar.CallerLimits;
 import org.jspecify.annotations.Nullable;
 
@@ -53,6 +54,7 @@
     }
 
     private final CallerLimits mLimits;
+    private final BooleanSupplier mBytesHeld;
     private final List<Exchange> mExchanges = new ArrayList<>();
     private long mRequestBytes;
     private long mAnswerBytes;
@@ -61,8 +63,15 @@
     private boolean mAdvancing;
     private boolean mHeld;
 
-    ExchangeOrder(CallerLimits limits) {
+    /**
+     * Creates an order without exchanges.
+     *
+     * @param limits the limits of a connection
+     * @param bytesHeld returns whether bytes were read of which no request was taken yet
+     */
+    ExchangeOrder(CallerLimits limits, BooleanSupplier bytesHeld) {
         mLimits = limits;
+        mBytesHeld = bytesHeld;
     }
 
     /** Adds the exchange of a request that arrived. Drops it if the connection is closing. */
@@ -109,7 +118,7 @@
         advance();
     }
 
-    /** Closes the connection once the exchanges that have started are answered. */
+    /** Closes the connection once all requests that were read are answered. */
     void drain() {
         mDraining = true;
     }
@@ -185,7 +194,8 @@
         Exchange first = mExchanges.remove(0);
         forget(first);
         first.mState = State.ENDED;
-        boolean last = first.mCloses || (mDraining && !anyStarted());
+        boolean drained = mDraining && mExchanges.isEmpty() && !mBytesHeld.getAsBoolean();
+        boolean last = first.mCloses || drained;
         if (last) {
             mClosing = true;
             dropFrom(0);
@@ -218,11 +228,7 @@
     }
 
     private boolean mayStartBehind(Exchange exchange) {
-        return !mDraining && mAnswerBytes < mLimits.maxBytes() && exchange.concurrent();
-    }
-
-    private boolean anyStarted() {
-        return mExchanges.stream().anyMatch(exchange -> exchange.mState != State.WAITING);
+        return mAnswerBytes < mLimits.maxBytes() && exchange.concurrent();
     }
 
     private void dropBehind(Exchange exchange) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ReadAhead.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ReadAhead.java
@@ -104,6 +104,11 @@
         }
     }
 
+    /** Returns whether bytes are held. */
+    boolean holdsBytes() {
+        return mHeldBytes > 0;
+    }
+
     /** Returns the bytes that are held. */
     int heldBytes() {
         return mHeldBytes;
