--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -1,9 +1,7 @@
 package org.azurearch.sidecar.internal.call;
 
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -12,8 +10,10 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.util.ReferenceCountUtil;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.LingeringClose;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.NextPoll;
+import org.azurearch.sidecar.internal.UnsentBytes;
 
 /**
  * A connection of a caller. Answers its requests in their order; those that may run more than once
@@ -26,6 +26,7 @@
     private final ReadAhead mReadAhead;
     private final ExchangeOrder mExchanges;
     private long mIdleSinceNanos = System.nanoTime();
+    private boolean mClosing;
     private long mUnwrittenBytes;
     private long mWriteProgressNanos = mIdleSinceNanos;
 
@@ -34,7 +35,7 @@
         mServer = server;
         mChannel = channel;
         mReadAhead = new ReadAhead(channel, this);
-        mExchanges = new ExchangeOrder(router.callerLimits());
+        mExchanges = new ExchangeOrder(router.callerLimits(), mReadAhead::holdsBytes);
     }
 
     /** Returns the handler that passes on what is read; the first of the pipeline. */
@@ -64,7 +65,7 @@
         mServer.opened(this);
     }
 
-    /** Closes the connection once the calls that have started are answered. */
+    /** Closes the connection once all requests that were read are answered. */
     void drain() {
         mExchanges.drain();
     }
@@ -119,7 +120,8 @@
     void write(FullHttpResponse response, boolean last) {
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            mChannel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            mClosing = true;
+            LingeringClose.after(mChannel.writeAndFlush(response));
         } else {
             mChannel.writeAndFlush(response, mChannel.voidPromise());
         }
@@ -130,6 +132,11 @@
         return String.valueOf(mChannel.remoteAddress());
     }
 
+    /** Returns whether the last answer is given, so that the connection closes by itself. */
+    boolean closing() {
+        return mClosing;
+    }
+
     /** Returns whether no call is running. */
     boolean idle() {
         return mExchanges.isEmpty();
@@ -171,7 +178,6 @@
 
     /** Returns the bytes of answers that were given to the connection and not sent yet. */
     long unwrittenBytes() {
-        ChannelOutboundBuffer buffer = mChannel.unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        return UnsentBytes.of(mChannel);
     }
 }
