Pass the ranks of answers to the load of a link

No change of behaviour: LinkLoad takes an answer as one record with its rank, and the bytes that are handed to the link with the rank they belong to. LinkLoadTest and BackendQueueTest pass; only the calls in them change.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/DownloadSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/DownloadSimulation.java
@@ -27,6 +27,7 @@
     static final long DEADLINE_MILLIS = 2_496;
 
     private static final long MILLI = 1_000_000L;
+    private static final int RANK = 1;
     private static final long WORK_MILLIS = 124;
     private static final long HOP_NANOS = MILLI;
     private static final int SLOTS = 13;
@@ -79,7 +80,7 @@
             mRequest =
                     new QueuedRequest(
                             "download",
-                            1,
+                            RANK,
                             false,
                             call.targetNanos(),
                             call.deadlineNanos(),
@@ -125,7 +126,7 @@
         mSelector = new EndpointSelector(mRandom.split(), service -> {});
         for (int i = 0; i < SERVERS; i++) {
             mLoads.add(new LinkLoad(decidedMbps));
-            mLoads.get(i).sent("download", ANSWER_BYTES, -1_000_000 * MILLI);
+            mLoads.get(i).sent("download", RANK, ANSWER_BYTES, -1_000_000 * MILLI);
             mQueues.add(new BackendQueue<>(mLoads.get(i)));
             mQueues.get(i).setSlots(SLOTS);
             mTransfers.add(new ArrayList<>());
@@ -220,13 +221,19 @@
         if (call.mEntry < SERVERS) {
             LinkLoad load = mLoads.get(call.mEntry);
             long ready = mNow + (long) (mMeanMillis[call.mEntry] * MILLI);
-            double millis = load.answerMillis("download");
-            if (!load.admits(millis, ready, call.targetNanos(), call.deadlineNanos(), mNow)) {
+            LinkLoad.Answer answer =
+                    new LinkLoad.Answer(
+                            RANK,
+                            load.answerMillis("download"),
+                            ready,
+                            call.targetNanos(),
+                            call.deadlineNanos());
+            if (!load.admits(answer, mNow)) {
                 mRefusals.add(new Refusal(call.mEntry, mNow, ready, call.targetNanos()));
                 mRefused++;
                 return;
             }
-            call.mAwaited = load.await(millis, ready, false);
+            call.mAwaited = load.await(answer, false);
             call.mTransfer = transfer(call.mEntry);
         }
         at(call.deadlineNanos(), () -> expire(call));
@@ -324,7 +331,7 @@
             deliver(call, server);
             return;
         }
-        mLoads.get(server).sent("download", ANSWER_BYTES, mNow);
+        mLoads.get(server).sent("download", RANK, ANSWER_BYTES, mNow);
         at(send(server, attempt.mTransfer) + HOP_NANOS, () -> deliver(call, server));
     }
 
@@ -340,7 +347,7 @@
         }
         double millis = (mNow - call.mArrivedNanos) / (double) MILLI;
         mMeanMillis[call.mEntry] += 0.1 * (millis - mMeanMillis[call.mEntry]);
-        mLoads.get(call.mEntry).sent("download", ANSWER_BYTES, mNow);
+        mLoads.get(call.mEntry).sent("download", RANK, ANSWER_BYTES, mNow);
         at(send(call.mEntry, call.mTransfer), () -> answered(call));
     }
 
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/LinkLoadTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/LinkLoadTest.java
@@ -20,11 +20,11 @@
     void answersQueueInTheOrderInWhichTheyAreReady() {
         LinkLoad link = new LinkLoad(8);
         assertEquals(100, link.sendMillis(100_000), 1e-9);
-        link.sent("r", 100_000, 0);
+        link.sent("r", 0, 100_000, 0);
         assertEquals(100, link.queuedMillis(0), 1e-3);
         assertEquals(40, link.queuedMillis(60 * MILLI), 1e-3);
-        LinkLoad.Awaited early = link.await(100, 50 * MILLI, true);
-        link.await(100, 400 * MILLI, true);
+        LinkLoad.Awaited early = link.await(answer(100, 50, 500, 500), true);
+        link.await(answer(100, 400, 500, 500), true);
         assertEquals(100, link.waitMillis(100 * MILLI, 0), 1e-3, "100 sent and 100 awaited");
         assertEquals(0, link.waitMillis(300 * MILLI, 0), 1e-3, "the later one does not precede");
         assertEquals(100, link.waitMillis(400 * MILLI, 0), 1e-3);
@@ -36,18 +36,18 @@
     void wideLinkIsNotConsidered() {
         LinkLoad link = new LinkLoad(1_000);
         for (int i = 0; i < 1_000; i++) {
-            link.sent("r", 1_000_000, 0);
+            link.sent("r", 0, 1_000_000, 0);
         }
         assertFalse(link.limited());
         assertEquals(0, link.waitMillis(0, 0));
         assertEquals(0, link.answerMillis("r"));
-        assertTrue(link.admits(link.answerMillis("r"), MILLI, 2 * MILLI, 3 * MILLI, 0));
+        assertTrue(link.admits(answer(link.answerMillis("r"), 1, 2, 3), 0));
     }
 
     @Test
     void answerThatFindsTheLinkFreeIsAlwaysSent() {
         LinkLoad link = new LinkLoad(8);
-        assertTrue(link.admits(100, 150 * MILLI, 200 * MILLI, 300 * MILLI, 0));
+        assertTrue(link.admits(answer(100, 150, 200, 300), 0));
     }
 
     @Test
@@ -85,6 +85,12 @@
         }
     }
 
+    private static LinkLoad.Answer answer(
+            double millis, long readyMillis, long targetMillis, long deadlineMillis) {
+        return new LinkLoad.Answer(
+                0, millis, readyMillis * MILLI, targetMillis * MILLI, deadlineMillis * MILLI);
+    }
+
     private static DownloadSimulation simulate(long seed, double decidedMbps) {
         DownloadSimulation simulation = new DownloadSimulation(seed, decidedMbps);
         simulation.run(SECONDS);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -303,24 +303,24 @@
     /** Returns how much later than its target the link would send the answer to a request. */
     private double linkExcessMillis(QueuedRequest request, long nowNanos) {
         return request.answerMillis() > 0
-                ? mLink.excessMillis(
-                        request.answerMillis(),
-                        readyNanos(request, nowNanos),
-                        request.targetNanos(),
-                        nowNanos)
+                ? mLink.excessMillis(answer(request, nowNanos), nowNanos)
                 : 0;
     }
 
-    /** Returns when the answer to a request that arrives is expected to be ready. */
-    private long readyNanos(QueuedRequest request, long nowNanos) {
+    /** Returns the expected answer to a request that arrives. */
+    private LinkLoad.Answer answer(QueuedRequest request, long nowNanos) {
         double millis = waitMillis(request, 2 * rank(request), nowNanos) + request.workMillis();
-        return nowNanos + (long) (millis * NANOS_PER_MILLI);
+        return new LinkLoad.Answer(
+                rank(request),
+                request.answerMillis(),
+                nowNanos + (long) (millis * NANOS_PER_MILLI),
+                request.targetNanos(),
+                request.deadlineNanos());
     }
 
     private void awaitAnswer(QueuedRequest request, long nowNanos) {
         if (request.answerMillis() > 0) {
-            long readyNanos = readyNanos(request, nowNanos);
-            mAwaited.put(request, mLink.await(request.answerMillis(), readyNanos, true));
+            mAwaited.put(request, mLink.await(answer(request, nowNanos), true));
         }
     }
 
@@ -332,12 +332,7 @@
     }
 
     private boolean linkAdmits(QueuedRequest request, long nowNanos) {
-        return mLink.admits(
-                request.answerMillis(),
-                readyNanos(request, nowNanos),
-                request.targetNanos(),
-                request.deadlineNanos(),
-                nowNanos);
+        return mLink.admits(answer(request, nowNanos), nowNanos);
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
@@ -49,17 +49,31 @@
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /**
+     * The expected answer to a request.
+     *
+     * @param rank the rank of its route; a lower one is more urgent
+     * @param millis how long the link takes to send it
+     * @param readyNanos when the link is expected to get it, on the steady clock
+     * @param targetNanos when it misses its target
+     * @param deadlineNanos when the caller stops waiting
+     */
+    public record Answer(
+            int rank, double millis, long readyNanos, long targetNanos, long deadlineNanos) {}
+
     /** An answer that is expected and not yet handed to the link. */
     public static final class Awaited {
-        private final long mReadyNanos;
-        private final double mMillis;
+        private final Answer mAnswer;
         private final boolean mOwn;
 
-        private Awaited(long readyNanos, double millis, boolean own) {
-            mReadyNanos = readyNanos;
-            mMillis = millis;
+        private Awaited(Answer answer, boolean own) {
+            mAnswer = answer;
             mOwn = own;
         }
+
+        private long readyNanos() {
+            return mAnswer.readyNanos();
+        }
     }
 
     private final double mMbps;
@@ -107,8 +121,12 @@
         return limited() ? sendMillis(mBytesByRoute.getOrDefault(route, INITIAL_BYTES)) : 0;
     }
 
-    /** Adds an answer that is handed to the link. */
-    public void sent(String route, int bytes, long nowNanos) {
+    /**
+     * Adds an answer that is handed to the link.
+     *
+     * @param rank the rank of its route
+     */
+    public void sent(String route, int rank, int bytes, long nowNanos) {
         if (!limited()) {
             return;
         }
@@ -116,11 +134,11 @@
             mBytesByRoute.clear();
         }
         mBytesByRoute.merge(route, (double) bytes, (old, now) -> old + NEW_WEIGHT * (now - old));
-        sent(bytes, nowNanos);
+        sent(rank, bytes, nowNanos);
     }
 
     /** Adds bytes that are handed to the link and are not those of an answer. */
-    public void sent(int bytes, long nowNanos) {
+    public void sent(int rank, int bytes, long nowNanos) {
         if (limited()) {
             double millis = queuedMillis(nowNanos) + sendMillis(bytes);
             mSentUntilNanos = nowNanos + (long) (millis * NANOS_PER_MILLI);
@@ -138,15 +156,14 @@
     /**
      * Counts the answer of an accepted request.
      *
-     * @param answerMillis how long the link takes to send it
-     * @param readyNanos when the link is expected to get it
+     * @param answer the answer
      * @param own whether it is an answer of the own backend server
      * @return to be passed to {@link #release} when it is sent or will not come
      */
-    public Awaited await(double answerMillis, long readyNanos, boolean own) {
-        Awaited awaited = new Awaited(readyNanos, answerMillis, own);
+    public Awaited await(Answer answer, boolean own) {
+        Awaited awaited = new Awaited(answer, own);
         int at = mAwaited.size();
-        while (at > 0 && mAwaited.get(at - 1).mReadyNanos - readyNanos > 0) {
+        while (at > 0 && mAwaited.get(at - 1).readyNanos() - answer.readyNanos() > 0) {
             at--;
         }
         mAwaited.add(at, awaited);
@@ -177,12 +194,12 @@
         }
         double free = queuedMillis(nowNanos);
         for (Awaited awaited : mAwaited) {
-            if (awaited.mReadyNanos - readyNanos > 0) {
+            if (awaited.readyNanos() - readyNanos > 0) {
                 break;
             }
             if (awaited.mOwn || !ownOnly) {
-                double ready = (awaited.mReadyNanos - nowNanos) / NANOS_PER_MILLI;
-                free = Math.max(free, ready) + awaited.mMillis;
+                double ready = (awaited.readyNanos() - nowNanos) / NANOS_PER_MILLI;
+                free = Math.max(free, ready) + awaited.mAnswer.millis();
             }
         }
         return Math.max(0, free - Math.max(0, (readyNanos - nowNanos) / NANOS_PER_MILLI));
@@ -195,31 +212,21 @@
      * <p>A request is refused if it would miss its target behind what is certain to precede it, so
      * that none is refused that could be answered in time; and if it would come close to its
      * deadline behind all that is expected, so that none is accepted in vain.
-     *
-     * @param answerMillis how long the link takes to send the answer
-     * @param readyNanos when the answer is expected to be ready
-     * @param targetNanos when the answer misses its target
-     * @param deadlineNanos when the caller stops waiting
      */
-    public boolean admits(
-            double answerMillis,
-            long readyNanos,
-            long targetNanos,
-            long deadlineNanos,
-            long nowNanos) {
+    public boolean admits(Answer answer, long nowNanos) {
         if (!limited()) {
             return true;
         }
-        double load = addArrival(answerMillis, nowNanos);
-        double waitMillis = waitMillis(readyNanos, nowNanos);
-        double leastMillis = waitMillis(readyNanos, true, nowNanos) + answerMillis;
-        boolean late = lateMillis(leastMillis, readyNanos, targetNanos) > 0;
+        double load = addArrival(answer.millis(), nowNanos);
+        double waitMillis = waitMillis(answer.readyNanos(), nowNanos);
+        double leastMillis = waitMillis(answer.readyNanos(), true, nowNanos) + answer.millis();
+        boolean late = lateMillis(answer, leastMillis) > 0;
         double expectedMillis =
-                (readyNanos - nowNanos) / NANOS_PER_MILLI + waitMillis + answerMillis;
+                (answer.readyNanos() - nowNanos) / NANOS_PER_MILLI + waitMillis + answer.millis();
         double maxMillis =
                 Math.max(
-                        (targetNanos - nowNanos) / NANOS_PER_MILLI,
-                        (deadlineNanos - nowNanos) / NANOS_PER_MILLI * MAX_LATE_FRACTION);
+                        (answer.targetNanos() - nowNanos) / NANOS_PER_MILLI,
+                        (answer.deadlineNanos() - nowNanos) / NANOS_PER_MILLI * MAX_LATE_FRACTION);
         boolean admitted =
                 waitMillis == 0
                         || (expectedMillis <= maxMillis && (!late || load <= MAX_LOAD_FOR_LATE));
@@ -236,14 +243,13 @@
      * Returns how much later than its target an answer would be sent, in milliseconds; 0 if it
      * would be sent in time.
      */
-    public double excessMillis(
-            double answerMillis, long readyNanos, long targetNanos, long nowNanos) {
-        double sending = waitMillis(readyNanos, nowNanos) + answerMillis;
-        return limited() ? Math.max(0, lateMillis(sending, readyNanos, targetNanos)) : 0;
+    public double excessMillis(Answer answer, long nowNanos) {
+        double sending = waitMillis(answer.readyNanos(), nowNanos) + answer.millis();
+        return limited() ? Math.max(0, lateMillis(answer, sending)) : 0;
     }
 
-    private static double lateMillis(double sendingMillis, long readyNanos, long targetNanos) {
-        return sendingMillis - (targetNanos - readyNanos) / NANOS_PER_MILLI;
+    private static double lateMillis(Answer answer, double sendingMillis) {
+        return sendingMillis - (answer.targetNanos() - answer.readyNanos()) / NANOS_PER_MILLI;
     }
 
     /** Adds an arrival and returns the load with it, as a fraction of the bandwidth. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryLink.java
@@ -53,11 +53,13 @@
                 mMillisByRoute.getOrDefault(
                         route.name(), route.targetMillis() * INITIAL_TARGET_FRACTION);
         long readyNanos = now + (long) (workMillis * NANOS_PER_MILLI);
-        if (mLink.admits(answerMillis, readyNanos, targetNanos, deadlineNanos, now)) {
-            LinkLoad.Awaited awaited = mLink.await(answerMillis, readyNanos, false);
-            return new AnswerReservation(bytes, awaited, 0, null);
+        LinkLoad.Answer answer =
+                new LinkLoad.Answer(
+                        route.rank(), answerMillis, readyNanos, targetNanos, deadlineNanos);
+        if (mLink.admits(answer, now)) {
+            return new AnswerReservation(bytes, mLink.await(answer, false), 0, null);
         }
-        double excess = mLink.excessMillis(answerMillis, readyNanos, targetNanos, now);
+        double excess = mLink.excessMillis(answer, now);
         return AnswerReservation.refused(Math.max(MIN_RETRY_MILLIS, (long) excess), LINK_FULL);
     }
 
@@ -71,7 +73,8 @@
     /** Adds a request that is sent to a peer. */
     void requestSent(HopCall call) {
         if (mLink.limited()) {
-            mLink.sent(bytes(call.headers()) + call.body().length, System.nanoTime());
+            int bytes = bytes(call.headers()) + call.body().length;
+            mLink.sent(call.rank(), bytes, System.nanoTime());
         }
     }
 
@@ -85,7 +88,7 @@
             mMillisByRoute.merge(
                     route.name(), (double) millis, (old, now) -> old + NEW_WEIGHT * (now - old));
             int bytes = bytes(answer.headers()) + answer.body().length;
-            mLink.sent(route.name(), bytes, System.nanoTime());
+            mLink.sent(route.name(), route.rank(), bytes, System.nanoTime());
         }
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -94,7 +94,7 @@
     }
 
     private void submit(HopConnection connection, HopCall call) {
-        OutcomeSender sender = new OutcomeSender(connection, call.id(), call.route());
+        OutcomeSender sender = new OutcomeSender(connection, call);
         Attempt attempt = mDispatcher.submitForPeer(call, sender);
         if (!sender.mDone) {
             calls(connection).put(call.id(), attempt);
@@ -144,19 +144,22 @@
         private final HopConnection mConnection;
         private final long mId;
         private final String mRoute;
+        private final int mRank;
         private boolean mDone;
 
-        OutcomeSender(HopConnection connection, long id, String route) {
+        OutcomeSender(HopConnection connection, HopCall call) {
             mConnection = connection;
-            mId = id;
-            mRoute = route;
+            mId = call.id();
+            mRoute = call.route();
+            mRank = call.rank();
         }
 
         @Override
         public void answered(BackendAnswer answer) {
             end();
             HopFrame frame = HopFrame.answer(HopWire.toWire(mId, answer, load()));
-            mDispatcher.link().sent(mRoute, mConnection.send(frame), System.nanoTime());
+            int bytes = mConnection.send(frame);
+            mDispatcher.link().sent(mRoute, mRank, bytes, System.nanoTime());
         }
 
         @Override
