Refuse no urgent request for downloads that fill a link

Cause: LinkLoad knew no ranks. A request was refused if its answer would miss its target behind all answers that are handed to the link, at a load to which all arrivals counted. A less urgent kind with the longer target fills the link up to its own target, at which a more urgent kind with a shorter one is refused always.

Evidence: LinkRankTest, a link of 7 Mbit/s under 15 downloads and 60 small urgent requests a second, on a link that sends whole answers in order and on one whose packets take turns.

Why it works: only answers that are at least as urgent precede a request, in the bytes handed over (LinkBacklog), the awaited answers and the load. A less urgent one is admitted only as far as more urgent ones in demand (RankSlack: how long they may wait and still come in time) are in time even behind all of it, and its own wait is stretched by their load.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -25,7 +25,8 @@
  * <p>A backend server may limit its requests a second; then a request also waits for its turn
  * within the limit, and what does not fit is refused in the same way.
  *
- * <p>A request whose answer the link of the VM cannot send in time is refused as well.
+ * <p>A request whose answer the link of the VM cannot send in time is refused as well, less urgent
+ * ones before more urgent ones.
  *
  * <p>Confined to one thread.
  *
@@ -71,6 +72,9 @@
     /** Largest load of more urgent ranks that is assumed, so that expected waits stay finite. */
     private static final double MAX_URGENT_LOAD = 0.95;
 
+    /** Time constant of the load: covers ten requests and is short against a caller's timeout. */
+    private static final double LOAD_MILLIS = 500;
+
     /** The rank of requests from other backend servers. */
     private static final int BACKEND_RANK = -1;
 
@@ -85,7 +89,7 @@
     private record Waiting<T>(T item, QueuedRequest request, int level) {}
 
     private final List<Waiting<T>> mWaiting = new ArrayList<>();
-    private final RankLoad mLoad = new RankLoad();
+    private final RankLoad mLoad = new RankLoad(LOAD_MILLIS);
     private final Map<Integer, FairShare> mShares = new HashMap<>();
     private final StartRate mStartRate = new StartRate();
     private final LinkLoad mLink;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
@@ -15,6 +15,10 @@
  * That time is known well for an answer of the own backend server, and badly for an answer of
  * another node, which may be delayed by the link of that node.
  *
+ * <p>A request is not refused for less urgent answers: these are admitted only as far as more
+ * urgent ones still come in time behind them. Answers share the link as their connections do, so
+ * that a small one hardly waits for large ones; that limit holds even if it has to wait for all.
+ *
  * <p>Confined to one thread.
  */
 public final class LinkLoad {
@@ -30,6 +34,11 @@
     /** Load above which no request is accepted whose answer would be late, as its delay lasts. */
     private static final double MAX_LOAD_FOR_LATE = 0.9;
 
+    /** Largest load of more urgent ranks that is assumed, so that expected waits stay finite. */
+    private static final double MAX_URGENT_LOAD = 0.95;
+
+    private static final int LEAST_URGENT = Integer.MAX_VALUE;
+
     /**
      * An answer that waits must be expected within this fraction of the time left to its deadline,
      * as the time is an estimate.
@@ -80,10 +89,9 @@
     private final double mMillisPerByte;
     private final List<Awaited> mAwaited = new ArrayList<>();
     private final Map<String, Double> mBytesByRoute = new HashMap<>();
-    private long mSentUntilNanos;
-    private boolean mSending;
-    private double mArrivedMillis;
-    private long mLastArrivalNanos;
+    private final LinkBacklog mBacklog = new LinkBacklog();
+    private final RankLoad mLoad = new RankLoad(LOAD_MILLIS);
+    private final RankSlack mSlack = new RankSlack();
     private long mRefused;
 
     /**
@@ -140,17 +148,13 @@
     /** Adds bytes that are handed to the link and are not those of an answer. */
     public void sent(int rank, int bytes, long nowNanos) {
         if (limited()) {
-            double millis = queuedMillis(nowNanos) + sendMillis(bytes);
-            mSentUntilNanos = nowNanos + (long) (millis * NANOS_PER_MILLI);
-            mSending = true;
+            mBacklog.add(rank, sendMillis(bytes), nowNanos);
         }
     }
 
     /** Returns how long the link takes for what was handed to it, in milliseconds. */
     public double queuedMillis(long nowNanos) {
-        double millis = mSending ? (mSentUntilNanos - nowNanos) / NANOS_PER_MILLI : 0;
-        mSending = millis > 0;
-        return Math.max(0, millis);
+        return mBacklog.totalMillis(nowNanos);
     }
 
     /**
@@ -180,7 +184,7 @@
      * in milliseconds.
      */
     public double waitMillis(long readyNanos, long nowNanos) {
-        return waitMillis(readyNanos, false, nowNanos);
+        return waitMillis(LEAST_URGENT, readyNanos, false, nowNanos);
     }
 
     /** Does the same for an answer that is ready after a time. */
@@ -188,16 +192,16 @@
         return waitMillis(nowNanos + (long) (readyMillis * NANOS_PER_MILLI), nowNanos);
     }
 
-    private double waitMillis(long readyNanos, boolean ownOnly, long nowNanos) {
+    private double waitMillis(int rank, long readyNanos, boolean ownOnly, long nowNanos) {
         if (!limited()) {
             return 0;
         }
-        double free = queuedMillis(nowNanos);
+        double free = mBacklog.millis(rank, nowNanos);
         for (Awaited awaited : mAwaited) {
             if (awaited.readyNanos() - readyNanos > 0) {
                 break;
             }
-            if (awaited.mOwn || !ownOnly) {
+            if (awaited.mAnswer.rank() <= rank && (awaited.mOwn || !ownOnly)) {
                 double ready = (awaited.readyNanos() - nowNanos) / NANOS_PER_MILLI;
                 free = Math.max(free, ready) + awaited.mAnswer.millis();
             }
@@ -211,25 +215,24 @@
      *
      * <p>A request is refused if it would miss its target behind what is certain to precede it, so
      * that none is refused that could be answered in time; and if it would come close to its
-     * deadline behind all that is expected, so that none is accepted in vain.
+     * deadline behind all that is expected, so that none is accepted in vain. Only what is at least
+     * as urgent precedes it.
+     *
+     * <p>It is also refused if more urgent answers that are in demand could not wait for it and for
+     * what precedes it.
      */
     public boolean admits(Answer answer, long nowNanos) {
         if (!limited()) {
             return true;
         }
-        double load = addArrival(answer.millis(), nowNanos);
-        double waitMillis = waitMillis(answer.readyNanos(), nowNanos);
-        double leastMillis = waitMillis(answer.readyNanos(), true, nowNanos) + answer.millis();
-        boolean late = lateMillis(answer, leastMillis) > 0;
-        double expectedMillis =
-                (answer.readyNanos() - nowNanos) / NANOS_PER_MILLI + waitMillis + answer.millis();
-        double maxMillis =
-                Math.max(
-                        (answer.targetNanos() - nowNanos) / NANOS_PER_MILLI,
-                        (answer.deadlineNanos() - nowNanos) / NANOS_PER_MILLI * MAX_LATE_FRACTION);
+        mLoad.addArrival(answer.rank(), answer.millis(), nowNanos);
+        mSlack.addArrival(answer.rank(), -lateMillis(answer, answer.millis()), nowNanos);
+        double waitMillis = waitMillis(answer, false, nowNanos);
         boolean admitted =
                 waitMillis == 0
-                        || (expectedMillis <= maxMillis && (!late || load <= MAX_LOAD_FOR_LATE));
+                        || (expectedBeforeDeadline(answer, waitMillis, nowNanos)
+                                && !certainlyLate(answer, nowNanos)
+                                && delayMillis(answer, waitMillis, nowNanos) <= 0);
         mRefused += admitted ? 0 : 1;
         return admitted;
     }
@@ -240,23 +243,52 @@
     }
 
     /**
-     * Returns how much later than its target an answer would be sent, in milliseconds; 0 if it
-     * would be sent in time.
+     * Returns how much later than its target an answer would be sent, or how much later a more
+     * urgent one behind it, in milliseconds; 0 if both would be sent in time.
      */
     public double excessMillis(Answer answer, long nowNanos) {
-        double sending = waitMillis(answer.readyNanos(), nowNanos) + answer.millis();
-        return limited() ? Math.max(0, lateMillis(answer, sending)) : 0;
+        if (!limited()) {
+            return 0;
+        }
+        double waitMillis = waitMillis(answer, false, nowNanos);
+        double lateMillis = lateMillis(answer, sendingMillis(answer, waitMillis, nowNanos));
+        return Math.max(0, Math.max(lateMillis, delayMillis(answer, waitMillis, nowNanos)));
     }
 
-    private static double lateMillis(Answer answer, double sendingMillis) {
-        return sendingMillis - (answer.targetNanos() - answer.readyNanos()) / NANOS_PER_MILLI;
+    private boolean expectedBeforeDeadline(Answer answer, double waitMillis, long nowNanos) {
+        double expectedMillis =
+                (answer.readyNanos() - nowNanos) / NANOS_PER_MILLI
+                        + sendingMillis(answer, waitMillis, nowNanos);
+        double maxMillis =
+                Math.max(
+                        (answer.targetNanos() - nowNanos) / NANOS_PER_MILLI,
+                        (answer.deadlineNanos() - nowNanos) / NANOS_PER_MILLI * MAX_LATE_FRACTION);
+        return expectedMillis <= maxMillis;
+    }
+
+    /** Returns whether an answer would miss its target, on a link that has no time for such. */
+    private boolean certainlyLate(Answer answer, long nowNanos) {
+        return mLoad.loadUpTo(answer.rank(), 1, nowNanos) > MAX_LOAD_FOR_LATE
+                && lateMillis(answer, waitMillis(answer, true, nowNanos) + answer.millis()) > 0;
+    }
+
+    private double waitMillis(Answer answer, boolean ownOnly, long nowNanos) {
+        return waitMillis(answer.rank(), answer.readyNanos(), ownOnly, nowNanos);
+    }
+
+    /** Returns how long an answer takes to leave, beside more urgent ones that arrive meanwhile. */
+    private double sendingMillis(Answer answer, double waitMillis, long nowNanos) {
+        double urgentLoad =
+                Math.min(MAX_URGENT_LOAD, mLoad.loadUpTo(answer.rank() - 1, 1, nowNanos));
+        return waitMillis / (1 - urgentLoad) + answer.millis();
     }
 
-    /** Adds an arrival and returns the load with it, as a fraction of the bandwidth. */
-    private double addArrival(double answerMillis, long nowNanos) {
-        double millis = Math.max(0, (nowNanos - mLastArrivalNanos) / NANOS_PER_MILLI);
-        mLastArrivalNanos = nowNanos;
-        mArrivedMillis = mArrivedMillis * Math.exp(-millis / LOAD_MILLIS) + answerMillis;
-        return mArrivedMillis / LOAD_MILLIS;
+    /** Returns how much too late more urgent answers would be that wait for an answer. */
+    private double delayMillis(Answer answer, double waitMillis, long nowNanos) {
+        return waitMillis + answer.millis() - mSlack.leastAbove(answer.rank(), nowNanos);
+    }
+
+    private static double lateMillis(Answer answer, double sendingMillis) {
+        return sendingMillis - (answer.targetNanos() - answer.readyNanos()) / NANOS_PER_MILLI;
     }
 }
