Take bytes of an unfinished frame for a sign of life

What callers see (from the code; not yet seen in a log): a call whose answer is on its way fails, and all calls that await that peer with it, as the connection is closed with HOP_SILENT.

Cause: lastReadNanos changed with whole frames only. HopLink pings a peer after 300 ms without a frame while calls are pending, avoids it 200 ms later and closes after 900 ms more; the reply to the ping is behind the frame that is being sent. A frame of 90 KB takes 103 ms alone on a link of 7 Mbit/s, and more than 1.2 s if twelve connections share it, so that a sound peer under load was taken for a silent one.

Evidence: HopConnectionTest fails before: "after part 0 ==> expected: <true> but was: <false>".

Why it works: bytes are observed in front of the frame decoder, so that a connection over which bytes arrive is not silent. One over which none arrive is closed as before.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -44,12 +45,14 @@
 
     /** Installs the frame handlers in the pipeline of a channel. */
     static void install(Channel channel, FrameCodec codec, Listener listener) {
+        HopConnection connection = new HopConnection(channel, codec, listener);
         channel.pipeline()
+                .addLast(connection.new ReadObserver())
                 .addLast(
                         new LengthFieldBasedFrameDecoder(
                                 MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                .addLast(new HopConnection(channel, codec, listener));
+                .addLast(connection);
     }
 
     /**
@@ -71,7 +74,7 @@
         return bytes;
     }
 
-    /** Returns the {@link System#nanoTime()} at which the last frame arrived. */
+    /** Returns the {@link System#nanoTime()} at which bytes arrived last. */
     public long lastReadNanos() {
         return mLastReadNanos;
     }
@@ -93,7 +96,6 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
-        mLastReadNanos = System.nanoTime();
         HopFrame frame = mCodec.decode(message);
         if (frame.isSetPing()) {
             if (!frame.getPing().isReply()) {
@@ -115,4 +117,13 @@
         mFlushScheduled = false;
         mChannel.flush();
     }
+
+    /** Observes bytes before they are a whole frame, which takes seconds on a narrow link. */
+    private final class ReadObserver extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            mLastReadNanos = System.nanoTime();
+            context.fireChannelRead(message);
+        }
+    }
 }
