Send urgent answers to a peer before downloads that wait

The reply to a ping waits as well, so that the peer may be avoided or its connection closed.

Cause: two nodes share one connection, whose frames were handed to the channel as they came, without regard to the rank of the calls.

Evidence: HopConnectionTest, two downloads, an urgent answer and a ping while the socket accepts no more. Before: "expected: <[ping, 3, 1, 2]> but was: <[1, 2, 3, ping]>".

Why it works: answers are handed to the channel only while it is writable, the most urgent rank first and in order within a rank; all other frames go to it at once. Calls and their cancellations keep their order. An answer that waits when the connection closes is lost as it was before in the channel's own buffer. A frame that is being sent, and what the socket has accepted, still precedes.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopConnectionTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopConnectionTest.java
@@ -1,32 +1,35 @@
 package org.azurearch.sidecar.internal.hop;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
 import org.azurearch.junit.Await;
+import org.azurearch.sidecar.call.BackendAnswer;
+import org.azurearch.sidecar.route.EndpointLoad;
 import org.azurearch.thrift.HopFrame;
+import org.azurearch.thrift.WireHopPing;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
-/** What a connection between two nodes takes for a sign of life. */
+/** Long frames on a connection between two nodes. */
 class HopConnectionTest {
     private static final int FRAME_BYTES = 90_000;
     private static final int PART_BYTES = 1_460;
 
+    private final FrameCodec mCodec = new FrameCodec();
     private @Nullable HopConnection mConnection;
     private int mReceived;
 
     @Test
     void peerWhoseLongFrameIsStillArrivingIsNotSilent() {
         EmbeddedChannel channel = new EmbeddedChannel();
-        HopConnection.install(channel, new FrameCodec(), new RecordingListener());
-        channel.pipeline().fireChannelActive();
-        HopConnection connection = mConnection;
-        assertNotNull(connection);
+        HopConnection connection = open(channel);
         channel.writeInbound(Unpooled.buffer().writeInt(FRAME_BYTES));
         for (int part = 0; part < 3; part++) {
             long before = System.nanoTime();
@@ -39,6 +42,62 @@
         channel.close();
     }
 
+    @Test
+    void urgentAnswersAndPingsPrecedeDownloadsThatTheSocketHasNotAccepted() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        HopConnection connection = open(channel);
+        setWritable(channel, false);
+        connection.sendAnswer(answer(1, FRAME_BYTES), 1);
+        connection.sendAnswer(answer(2, FRAME_BYTES), 1);
+        connection.sendAnswer(answer(3, 400), 0);
+        connection.send(HopFrame.ping(new WireHopPing(true)));
+        setWritable(channel, true);
+        assertEquals(List.of("ping", "3", "1", "2"), sent(channel));
+        channel.close();
+    }
+
+    @Test
+    void answersOfOneRankAreSentInOrder() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        HopConnection connection = open(channel);
+        for (int id = 1; id <= 3; id++) {
+            connection.sendAnswer(answer(id, FRAME_BYTES), 1);
+        }
+        channel.runPendingTasks();
+        assertEquals(List.of("1", "2", "3"), sent(channel));
+        channel.close();
+    }
+
+    private HopConnection open(EmbeddedChannel channel) {
+        HopConnection.install(channel, mCodec, new RecordingListener());
+        channel.pipeline().fireChannelActive();
+        return Objects.requireNonNull(mConnection);
+    }
+
+    private static void setWritable(EmbeddedChannel channel, boolean writable) {
+        channel.unsafe().outboundBuffer().setUserDefinedWritability(1, writable);
+        channel.runPendingTasks();
+    }
+
+    private static HopFrame answer(long id, int bytes) {
+        BackendAnswer answer = new BackendAnswer(200, List.of(), new byte[bytes], 1);
+        return HopFrame.answer(
+                HopWire.toWire(id, answer, new EndpointLoad(0, List.of(0, 0, 0, 0), 1, 0)));
+    }
+
+    private List<String> sent(EmbeddedChannel channel) {
+        ByteBuf bytes = Unpooled.buffer();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            bytes.writeBytes(part);
+        }
+        List<String> sent = new ArrayList<>();
+        while (bytes.isReadable()) {
+            HopFrame frame = mCodec.decode(bytes.readSlice(bytes.readInt()));
+            sent.add(frame.isSetPing() ? "ping" : Long.toString(frame.getAnswer().getId()));
+        }
+        return sent;
+    }
+
     private final class RecordingListener implements HopConnection.Listener {
         @Override
         public void opened(HopConnection connection) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -7,6 +7,10 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.thrift.HopFrame;
@@ -34,6 +38,7 @@
     private final Channel mChannel;
     private final FrameCodec mCodec;
     private final Listener mListener;
+    private final NavigableMap<Integer, Deque<ByteBuf>> mAnswers = new TreeMap<>();
     private boolean mFlushScheduled;
     private long mLastReadNanos = System.nanoTime();
 
@@ -66,12 +71,44 @@
         }
         ByteBuf encoded = mCodec.encode(frame);
         int bytes = encoded.readableBytes();
+        write(encoded);
+        return bytes;
+    }
+
+    /**
+     * Sends the answer to a call, after more urgent ones that the socket has not accepted yet and
+     * after all other frames.
+     *
+     * @param rank the rank of the call; a lower one is more urgent
+     * @return the size of the frame in bytes; 0 if the connection is closed
+     */
+    public int sendAnswer(HopFrame frame, int rank) {
+        if (!mChannel.isActive()) {
+            return 0;
+        }
+        ByteBuf encoded = mCodec.encode(frame);
+        int bytes = encoded.readableBytes();
+        mAnswers.computeIfAbsent(rank, key -> new ArrayDeque<>()).add(encoded);
+        writeAnswers();
+        return bytes;
+    }
+
+    private void writeAnswers() {
+        while (mChannel.isWritable() && !mAnswers.isEmpty()) {
+            Deque<ByteBuf> first = mAnswers.firstEntry().getValue();
+            write(first.remove());
+            if (first.isEmpty()) {
+                mAnswers.pollFirstEntry();
+            }
+        }
+    }
+
+    private void write(ByteBuf encoded) {
         mChannel.write(encoded, mChannel.voidPromise());
         if (!mFlushScheduled) {
             mFlushScheduled = true;
             mChannel.eventLoop().execute(this::flush);
         }
-        return bytes;
     }
 
     /** Returns the {@link System#nanoTime()} at which bytes arrived last. */
@@ -91,9 +128,15 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        mAnswers.clear();
         mListener.closed(this);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        writeAnswers();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
         HopFrame frame = mCodec.decode(message);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -158,7 +158,7 @@
         public void answered(BackendAnswer answer) {
             end();
             HopFrame frame = HopFrame.answer(HopWire.toWire(mId, answer, load()));
-            int bytes = mConnection.send(frame);
+            int bytes = mConnection.sendAnswer(frame, mRank);
             mDispatcher.link().sent(mRoute, mRank, bytes, System.nanoTime());
         }
 
