--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
@@ -15,6 +15,10 @@
  * That time is known well for an answer of the own backend server, and badly for an answer of
  * another node, which may be delayed by the link of that node.
  *
+ * <p>A request is not refused for less urgent answers: these are admitted only as far as more
+ * urgent ones still come in time behind them. Answers share the link as their connections do, so
+ * that a small one hardly waits for large ones; that limit holds even if it has to wait for all.
+ *
  * <p>Confined to one thread.
  */
 public final class LinkLoad {
@@ -30,6 +34,11 @@
     /** Load above which no request is accepted whose answer would be late, as its delay lasts. */
     private static final double MAX_LOAD_FOR_LATE = 0.9;
 
+    /** Largest load of more urgent ranks that is assumed, so that expected waits stay finite. */
+    private static final double MAX_URGENT_LOAD = 0.95;
+
+    private static final int LEAST_URGENT = Integer.MAX_VALUE;
+
     /**
      * An answer that waits must be expected within this fraction of the time left to its deadline,
      * as the time is an estimate.
@@ -49,27 +58,40 @@
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /**
+     * The expected answer to a request.
+     *
+     * @param rank the rank of its route; a lower one is more urgent
+     * @param millis how long the link takes to send it
+     * @param readyNanos when the link is expected to get it, on the steady clock
+     * @param targetNanos when it misses its target
+     * @param deadlineNanos when the caller stops waiting
+     */
+    public record Answer(
+            int rank, double millis, long readyNanos, long targetNanos, long deadlineNanos) {}
+
     /** An answer that is expected and not yet handed to the link. */
     public static final class Awaited {
-        private final long mReadyNanos;
-        private final double mMillis;
+        private final Answer mAnswer;
         private final boolean mOwn;
 
-        private Awaited(long readyNanos, double millis, boolean own) {
-            mReadyNanos = readyNanos;
-            mMillis = millis;
+        private Awaited(Answer answer, boolean own) {
+            mAnswer = answer;
             mOwn = own;
         }
+
+        private long readyNanos() {
+            return mAnswer.readyNanos();
+        }
     }
 
     private final double mMbps;
     private final double mMillisPerByte;
     private final List<Awaited> mAwaited = new ArrayList<>();
     private final Map<String, Double> mBytesByRoute = new HashMap<>();
-    private long mSentUntilNanos;
-    private boolean mSending;
-    private double mArrivedMillis;
-    private long mLastArrivalNanos;
+    private final LinkBacklog mBacklog = new LinkBacklog();
+    private final RankLoad mLoad = new RankLoad(LOAD_MILLIS);
+    private final RankSlack mSlack = new RankSlack();
     private long mRefused;
 
     /**
@@ -107,8 +129,12 @@
         return limited() ? sendMillis(mBytesByRoute.getOrDefault(route, INITIAL_BYTES)) : 0;
     }
 
-    /** Adds an answer that is handed to the link. */
-    public void sent(String route, int bytes, long nowNanos) {
+    /**
+     * Adds an answer that is handed to the link.
+     *
+     * @param rank the rank of its route
+     */
+    public void sent(String route, int rank, int bytes, long nowNanos) {
         if (!limited()) {
             return;
         }
@@ -116,37 +142,32 @@
             mBytesByRoute.clear();
         }
         mBytesByRoute.merge(route, (double) bytes, (old, now) -> old + NEW_WEIGHT * (now - old));
-        sent(bytes, nowNanos);
+        sent(rank, bytes, nowNanos);
     }
 
     /** Adds bytes that are handed to the link and are not those of an answer. */
-    public void sent(int bytes, long nowNanos) {
+    public void sent(int rank, int bytes, long nowNanos) {
         if (limited()) {
-            double millis = queuedMillis(nowNanos) + sendMillis(bytes);
-            mSentUntilNanos = nowNanos + (long) (millis * NANOS_PER_MILLI);
-            mSending = true;
+            mBacklog.add(rank, sendMillis(bytes), nowNanos);
         }
     }
 
     /** Returns how long the link takes for what was handed to it, in milliseconds. */
     public double queuedMillis(long nowNanos) {
-        double millis = mSending ? (mSentUntilNanos - nowNanos) / NANOS_PER_MILLI : 0;
-        mSending = millis > 0;
-        return Math.max(0, millis);
+        return mBacklog.totalMillis(nowNanos);
     }
 
     /**
      * Counts the answer of an accepted request.
      *
-     * @param answerMillis how long the link takes to send it
-     * @param readyNanos when the link is expected to get it
+     * @param answer the answer
      * @param own whether it is an answer of the own backend server
      * @return to be passed to {@link #release} when it is sent or will not come
      */
-    public Awaited await(double answerMillis, long readyNanos, boolean own) {
-        Awaited awaited = new Awaited(readyNanos, answerMillis, own);
+    public Awaited await(Answer answer, boolean own) {
+        Awaited awaited = new Awaited(answer, own);
         int at = mAwaited.size();
-        while (at > 0 && mAwaited.get(at - 1).mReadyNanos - readyNanos > 0) {
+        while (at > 0 && mAwaited.get(at - 1).readyNanos() - answer.readyNanos() > 0) {
             at--;
         }
         mAwaited.add(at, awaited);
@@ -163,7 +184,7 @@
      * in milliseconds.
      */
     public double waitMillis(long readyNanos, long nowNanos) {
-        return waitMillis(readyNanos, false, nowNanos);
+        return waitMillis(LEAST_URGENT, readyNanos, false, nowNanos);
     }
 
     /** Does the same for an answer that is ready after a time. */
@@ -171,18 +192,18 @@
         return waitMillis(nowNanos + (long) (readyMillis * NANOS_PER_MILLI), nowNanos);
     }
 
-    private double waitMillis(long readyNanos, boolean ownOnly, long nowNanos) {
+    private double waitMillis(int rank, long readyNanos, boolean ownOnly, long nowNanos) {
         if (!limited()) {
             return 0;
         }
-        double free = queuedMillis(nowNanos);
+        double free = mBacklog.millis(rank, nowNanos);
         for (Awaited awaited : mAwaited) {
-            if (awaited.mReadyNanos - readyNanos > 0) {
+            if (awaited.readyNanos() - readyNanos > 0) {
                 break;
             }
-            if (awaited.mOwn || !ownOnly) {
-                double ready = (awaited.mReadyNanos - nowNanos) / NANOS_PER_MILLI;
-                free = Math.max(free, ready) + awaited.mMillis;
+            if (awaited.mAnswer.rank() <= rank && (awaited.mOwn || !ownOnly)) {
+                double ready = (awaited.readyNanos() - nowNanos) / NANOS_PER_MILLI;
+                free = Math.max(free, ready) + awaited.mAnswer.millis();
             }
         }
         return Math.max(0, free - Math.max(0, (readyNanos - nowNanos) / NANOS_PER_MILLI));
@@ -194,35 +215,24 @@
      *
      * <p>A request is refused if it would miss its target behind what is certain to precede it, so
      * that none is refused that could be answered in time; and if it would come close to its
-     * deadline behind all that is expected, so that none is accepted in vain.
+     * deadline behind all that is expected, so that none is accepted in vain. Only what is at least
+     * as urgent precedes it.
      *
-     * @param answerMillis how long the link takes to send the answer
-     * @param readyNanos when the answer is expected to be ready
-     * @param targetNanos when the answer misses its target
-     * @param deadlineNanos when the caller stops waiting
+     * <p>It is also refused if more urgent answers that are in demand could not wait for it and for
+     * what precedes it.
      */
-    public boolean admits(
-            double answerMillis,
-            long readyNanos,
-            long targetNanos,
-            long deadlineNanos,
-            long nowNanos) {
+    public boolean admits(Answer answer, long nowNanos) {
         if (!limited()) {
             return true;
         }
-        double load = addArrival(answerMillis, nowNanos);
-        double waitMillis = waitMillis(readyNanos, nowNanos);
-        double leastMillis = waitMillis(readyNanos, true, nowNanos) + answerMillis;
-        boolean late = lateMillis(leastMillis, readyNanos, targetNanos) > 0;
-        double expectedMillis =
-                (readyNanos - nowNanos) / NANOS_PER_MILLI + waitMillis + answerMillis;
-        double maxMillis =
-                Math.max(
-                        (targetNanos - nowNanos) / NANOS_PER_MILLI,
-                        (deadlineNanos - nowNanos) / NANOS_PER_MILLI * MAX_LATE_FRACTION);
+        mLoad.addArrival(answer.rank(), answer.millis(), nowNanos);
+        mSlack.addArrival(answer.rank(), -lateMillis(answer, answer.millis()), nowNanos);
+        double waitMillis = waitMillis(answer, false, nowNanos);
         boolean admitted =
                 waitMillis == 0
-                        || (expectedMillis <= maxMillis && (!late || load <= MAX_LOAD_FOR_LATE));
+                        || (expectedBeforeDeadline(answer, waitMillis, nowNanos)
+                                && !certainlyLate(answer, nowNanos)
+                                && delayMillis(answer, waitMillis, nowNanos) <= 0);
         mRefused += admitted ? 0 : 1;
         return admitted;
     }
@@ -233,24 +243,52 @@
     }
 
     /**
-     * Returns how much later than its target an answer would be sent, in milliseconds; 0 if it
-     * would be sent in time.
+     * Returns how much later than its target an answer would be sent, or how much later a more
+     * urgent one behind it, in milliseconds; 0 if both would be sent in time.
      */
-    public double excessMillis(
-            double answerMillis, long readyNanos, long targetNanos, long nowNanos) {
-        double sending = waitMillis(readyNanos, nowNanos) + answerMillis;
-        return limited() ? Math.max(0, lateMillis(sending, readyNanos, targetNanos)) : 0;
+    public double excessMillis(Answer answer, long nowNanos) {
+        if (!limited()) {
+            return 0;
+        }
+        double waitMillis = waitMillis(answer, false, nowNanos);
+        double lateMillis = lateMillis(answer, sendingMillis(answer, waitMillis, nowNanos));
+        return Math.max(0, Math.max(lateMillis, delayMillis(answer, waitMillis, nowNanos)));
+    }
+
+    private boolean expectedBeforeDeadline(Answer answer, double waitMillis, long nowNanos) {
+        double expectedMillis =
+                (answer.readyNanos() - nowNanos) / NANOS_PER_MILLI
+                        + sendingMillis(answer, waitMillis, nowNanos);
+        double maxMillis =
+                Math.max(
+                        (answer.targetNanos() - nowNanos) / NANOS_PER_MILLI,
+                        (answer.deadlineNanos() - nowNanos) / NANOS_PER_MILLI * MAX_LATE_FRACTION);
+        return expectedMillis <= maxMillis;
+    }
+
+    /** Returns whether an answer would miss its target, on a link that has no time for such. */
+    private boolean certainlyLate(Answer answer, long nowNanos) {
+        return mLoad.loadUpTo(answer.rank(), 1, nowNanos) > MAX_LOAD_FOR_LATE
+                && lateMillis(answer, waitMillis(answer, true, nowNanos) + answer.millis()) > 0;
+    }
+
+    private double waitMillis(Answer answer, boolean ownOnly, long nowNanos) {
+        return waitMillis(answer.rank(), answer.readyNanos(), ownOnly, nowNanos);
+    }
+
+    /** Returns how long an answer takes to leave, beside more urgent ones that arrive meanwhile. */
+    private double sendingMillis(Answer answer, double waitMillis, long nowNanos) {
+        double urgentLoad =
+                Math.min(MAX_URGENT_LOAD, mLoad.loadUpTo(answer.rank() - 1, 1, nowNanos));
+        return waitMillis / (1 - urgentLoad) + answer.millis();
     }
 
-    private static double lateMillis(double sendingMillis, long readyNanos, long targetNanos) {
-        return sendingMillis - (targetNanos - readyNanos) / NANOS_PER_MILLI;
+    /** Returns how much too late more urgent answers would be that wait for an answer. */
+    private double delayMillis(Answer answer, double waitMillis, long nowNanos) {
+        return waitMillis + answer.millis() - mSlack.leastAbove(answer.rank(), nowNanos);
     }
 
-    /** Adds an arrival and returns the load with it, as a fraction of the bandwidth. */
-    private double addArrival(double answerMillis, long nowNanos) {
-        double millis = Math.max(0, (nowNanos - mLastArrivalNanos) / NANOS_PER_MILLI);
-        mLastArrivalNanos = nowNanos;
-        mArrivedMillis = mArrivedMillis * Math.exp(-millis / LOAD_MILLIS) + answerMillis;
-        return mArrivedMillis / LOAD_MILLIS;
+    private static double lateMillis(Answer answer, double sendingMillis) {
+        return sendingMillis - (answer.targetNanos() - answer.readyNanos()) / NANOS_PER_MILLI;
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -3,9 +3,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.UnsentBytes;
@@ -34,6 +39,7 @@
     private final Channel mChannel;
     private final FrameCodec mCodec;
     private final Listener mListener;
+    private final NavigableMap<Integer, Deque<ByteBuf>> mAnswers = new TreeMap<>();
     private boolean mFlushScheduled;
     private long mLastReadNanos = System.nanoTime();
 
@@ -45,12 +51,14 @@
 
     /** Installs the frame handlers in the pipeline of a channel. */
     static void install(Channel channel, FrameCodec codec, Listener listener) {
+        HopConnection connection = new HopConnection(channel, codec, listener);
         channel.pipeline()
+                .addLast(connection.new ReadObserver())
                 .addLast(
                         new LengthFieldBasedFrameDecoder(
                                 MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                 .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-                .addLast(new HopConnection(channel, codec, listener));
+                .addLast(connection);
     }
 
     /**
@@ -64,15 +72,47 @@
         }
         ByteBuf encoded = mCodec.encode(frame);
         int bytes = encoded.readableBytes();
+        write(encoded);
+        return bytes;
+    }
+
+    /**
+     * Sends the answer to a call, after more urgent ones that the socket has not accepted yet and
+     * after all other frames.
+     *
+     * @param rank the rank of the call; a lower one is more urgent
+     * @return the size of the frame in bytes; 0 if the connection is closed
+     */
+    public int sendAnswer(HopFrame frame, int rank) {
+        if (!mChannel.isActive()) {
+            return 0;
+        }
+        ByteBuf encoded = mCodec.encode(frame);
+        int bytes = encoded.readableBytes();
+        mAnswers.computeIfAbsent(rank, key -> new ArrayDeque<>()).add(encoded);
+        writeAnswers();
+        return bytes;
+    }
+
+    private void writeAnswers() {
+        while (mChannel.isWritable() && !mAnswers.isEmpty()) {
+            Deque<ByteBuf> first = mAnswers.firstEntry().getValue();
+            write(first.remove());
+            if (first.isEmpty()) {
+                mAnswers.pollFirstEntry();
+            }
+        }
+    }
+
+    private void write(ByteBuf encoded) {
         mChannel.write(encoded, mChannel.voidPromise());
         if (!mFlushScheduled) {
             mFlushScheduled = true;
             mChannel.eventLoop().execute(this::flush);
         }
-        return bytes;
     }
 
-    /** Returns the {@link System#nanoTime()} at which the last frame arrived. */
+    /** Returns the {@link System#nanoTime()} at which bytes arrived last. */
     public long lastReadNanos() {
         return mLastReadNanos;
     }
@@ -94,12 +134,17 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        mAnswers.clear();
         mListener.closed(this);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        writeAnswers();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
-        mLastReadNanos = System.nanoTime();
         HopFrame frame = mCodec.decode(message);
         if (frame.isSetPing()) {
             if (!frame.getPing().isReply()) {
@@ -121,4 +166,13 @@
         mFlushScheduled = false;
         mChannel.flush();
     }
+
+    /** Observes bytes before they are a whole frame, which takes seconds on a narrow link. */
+    private final class ReadObserver extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            mLastReadNanos = System.nanoTime();
+            context.fireChannelRead(message);
+        }
+    }
 }
