Join no part of an answer with the next one

Callers saw 503 or 421, and retries ran, for requests that a backend server had run, or a 200 where the server had answered 500, after a faulty server wrote the first bytes of an earlier answer once more.

Cause: the bytes waited in the decoder of the kept connection, and the head of the next answer was appended to them: "HTTP/1.1 503 Service Una" and "HTTP/1.1 200 OK" gave status 503 with the id and the signature of the second. The users' node saw stray bytes only while the connection was idle, not those in the same read as an answer or after the next request; the product saw none unless they were a whole head.

AnswerDecoder, used on both call paths, closes the connection on bytes that no request awaits, tells whether bytes follow an answer, so that the connection is not used again, and marks a head as malformed that contains a status line. The outcome is then unknown. It replaces UnexpectedByteGuard, and knows the method of the pending request itself, where the queue of HttpClientCodec shifted with each stray answer.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import org.azurearch.internal.call.AnswerDecoder;
 import org.azurearch.sidecar.Dialect;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +28,7 @@
     private final Channel mChannel;
     private final BackendConnectionPool mPool;
     private final Dialect mDialect;
+    private final AnswerDecoder mDecoder;
     private @Nullable ResponseListener mListener;
     private String mRequestId = "";
     private int mRequests;
@@ -35,29 +37,24 @@
     private long mIdleSinceNanos;
     private long mServerIdleNanos = Long.MAX_VALUE;
 
-    BackendConnection(Channel channel, BackendConnectionPool pool, Dialect dialect) {
+    BackendConnection(
+            Channel channel, BackendConnectionPool pool, Dialect dialect, AnswerDecoder decoder) {
         mChannel = channel;
         mPool = pool;
         mDialect = dialect;
+        mDecoder = decoder;
     }
 
     /** Sends a request. */
     void send(FullHttpRequest request, ResponseListener listener) {
         mListener = listener;
+        mDecoder.awaitAnswer(request.method());
         mRequests++;
         String id = request.headers().get(mDialect.requestId());
         mRequestId = id == null ? "" : id;
         mChannel.writeAndFlush(request, mChannel.voidPromise());
     }
 
-    /**
-     * Returns whether bytes that arrive now belong to no request, so that the connection must not
-     * be used again: the start of an extra answer would be taken for the start of the next one.
-     */
-    boolean unexpectedBytes() {
-        return mListener == null && !mReleasePending;
-    }
-
     /** Drops the pending answer and closes the connection. */
     void abandon() {
         mListener = null;
@@ -103,6 +100,7 @@
             return;
         }
         updateKeepAlive(answer);
+        mReusable &= mDecoder.endAnswer();
         mListener = null;
         mReleasePending = true;
         listener.answered(answer);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -7,13 +7,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
+import org.azurearch.internal.call.AnswerDecoder;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
 import org.jspecify.annotations.Nullable;
@@ -121,11 +122,12 @@
     }
 
     private BackendConnection install(Channel channel) {
-        BackendConnection connection = new BackendConnection(channel, this, mDialect);
         HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+        AnswerDecoder decoder = new AnswerDecoder(config);
+        BackendConnection connection = new BackendConnection(channel, this, mDialect, decoder);
         channel.pipeline()
-                .addLast(new UnexpectedByteGuard(connection))
-                .addLast(new HttpClientCodec(config, false, false))
+                .addLast(decoder)
+                .addLast(new HttpRequestEncoder())
                 .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
                 .addLast(connection);
         return connection;
--- /dev/null
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/AnswerDecoder.java
@@ -0,0 +1,101 @@
+package org.azurearch.internal.call;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.ReferenceCountUtil;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Decodes the answers on a connection that carries one request at a time. It closes the connection
+ * on bytes that no request awaits, and marks a head as malformed that contains the start of another
+ * one.
+ */
+public final class AnswerDecoder extends HttpResponseDecoder {
+    private static final String PROTOCOL = "HTTP/1.";
+
+    /** A status line; its start alone may be part of a value, as in the header Via. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d +\\d{3}(?!\\d)");
+
+    private boolean mAwaiting;
+    private boolean mHeadRequest;
+
+    /** Creates a decoder for a connection without a request. */
+    public AnswerDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    /** Awaits the answer to a request with the given method. */
+    public void awaitAnswer(HttpMethod method) {
+        mAwaiting = true;
+        mHeadRequest = method.equals(HttpMethod.HEAD);
+    }
+
+    /**
+     * Awaits nothing more, as the answer is complete.
+     *
+     * @return whether the answer was the last that was received, so that the connection may be used
+     *     again
+     */
+    public boolean endAnswer() {
+        mAwaiting = false;
+        return actualReadableBytes() == 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (mAwaiting) {
+            super.channelRead(context, message);
+        } else {
+            ReferenceCountUtil.release(message);
+            context.close();
+        }
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws Exception {
+        int before = out.size();
+        super.decode(context, in, out);
+        if (out.size() == before || !(out.get(before) instanceof HttpResponse head)) {
+            return;
+        }
+        if (head.decoderResult().isSuccess() && joined(head)) {
+            head.setDecoderResult(
+                    DecoderResult.failure(
+                            new CorruptedFrameException("a head contains the start of another")));
+        }
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        HttpStatusClass status = ((HttpResponse) message).status().codeClass();
+        boolean answersHead = mHeadRequest && status != HttpStatusClass.INFORMATIONAL;
+        return answersHead || super.isContentAlwaysEmpty(message);
+    }
+
+    private static boolean joined(HttpResponse head) {
+        if (containsStatusLine(head.status().reasonPhrase())) {
+            return true;
+        }
+        for (Map.Entry<String, String> header : head.headers()) {
+            if (containsStatusLine(header.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ConnectionPool.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ConnectionPool.java
@@ -7,7 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -142,14 +143,15 @@
 
     private void onPrepared(
             Channel channel, @Nullable UpstreamExchange exchange, @Nullable String failure) {
-        if (failure != null || !channel.isActive()) {
+        AnswerDecoder decoder = channel.pipeline().get(AnswerDecoder.class);
+        if (failure != null || !channel.isActive() || !decoder.endAnswer()) {
             mOpen--;
             mLimit.release();
             channel.close();
             onConnectFailed(exchange, failure == null ? "connection closed" : failure);
             return;
         }
-        UpstreamConnection connection = new UpstreamConnection(this, channel);
+        UpstreamConnection connection = new UpstreamConnection(this, channel, decoder);
         channel.pipeline().addLast(connection);
         if (exchange == null) {
             release(connection);
@@ -169,8 +171,9 @@
         @Override
         protected void initChannel(Channel channel) {
             mSetup.addTlsHandler(channel);
-            channel.pipeline()
-                    .addLast(new HttpClientCodec(HttpLimits.answerConfig(), false, false));
+            AnswerDecoder decoder = new AnswerDecoder(HttpLimits.answerConfig());
+            decoder.awaitAnswer(HttpMethod.GET); // for a handshake
+            channel.pipeline().addLast(decoder).addLast(new HttpRequestEncoder());
         }
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -15,22 +16,31 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     private final ConnectionPool mPool;
     private final Channel mChannel;
+    private final AnswerDecoder mDecoder;
     private @Nullable UpstreamExchange mExchange;
     private boolean mSkippingInterim;
     private long mIdleSinceNanos;
 
-    UpstreamConnection(ConnectionPool pool, Channel channel) {
+    UpstreamConnection(ConnectionPool pool, Channel channel, AnswerDecoder decoder) {
         mPool = pool;
         mChannel = channel;
+        mDecoder = decoder;
     }
 
     Channel channel() {
         return mChannel;
     }
 
-    /** Assigns the connection to an exchange, or to none if null. */
-    void exchange(@Nullable UpstreamExchange exchange) {
+    /** Assigns the connection to an exchange, which sends its request next. */
+    void begin(UpstreamExchange exchange, HttpMethod method) {
         mExchange = exchange;
+        mDecoder.awaitAnswer(method);
+    }
+
+    /** Ends the exchange; returns whether the connection may be used again. */
+    boolean end() {
+        mExchange = null;
+        return mDecoder.endAnswer() && mChannel.isActive();
     }
 
     long idleSinceNanos() {
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
@@ -106,7 +106,7 @@
             return;
         }
         mConnection = connection;
-        connection.exchange(this);
+        connection.begin(this, mHead.method());
         Channel channel = connection.channel();
         channel.write(mHead).addListener(written -> mHeadSent = written.isSuccess());
         for (HttpContent next = mPending.poll(); next != null; next = mPending.poll()) {
@@ -190,8 +190,8 @@
         if (connection == null) {
             return;
         }
-        connection.exchange(null);
-        if (mRequestEnded && mKeepAlive && connection.channel().isActive()) {
+        boolean reusable = connection.end();
+        if (mRequestEnded && mKeepAlive && reusable) {
             connection.channel().config().setAutoRead(true);
             mPool.release(connection);
         } else {
@@ -203,7 +203,7 @@
         mDone = true;
         releasePending();
         if (mConnection != null) {
-            mConnection.exchange(null);
+            mConnection.end();
             mConnection.channel().close();
         }
     }
