Limit the nesting and sizes of Thrift bytes from other writers

Callers saw: after one deeply nested record among those of the nodes, a node that started read no record after it, never counted its members as known, and reached none of the backend servers behind it (OddNodeRecordTest: 'timed out after PT20S: all nodes reach all backend servers'). Cause: Thrift's skip of unknown fields recurses without a limit, so that 60,000 bytes overflow the 256 KiB stack of the users' node; the StackOverflowError ended the delivery of all records.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/FrameCodec.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/FrameCodec.java
@@ -3,23 +3,21 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.thrift.HopFrame;
 
 /** Encodes and decodes frames in Thrift's compact protocol. Confined to one event loop. */
 final class FrameCodec {
     private final TSerializer mSerializer;
-    private final TDeserializer mDeserializer;
 
     FrameCodec() {
         try {
             mSerializer = new TSerializer(new TCompactProtocol.Factory());
-            mDeserializer = new TDeserializer(new TCompactProtocol.Factory());
         } catch (TException e) {
             throw new AzurearchException(ErrorCode.INTERNAL, "cannot create the Thrift codec", e);
         }
@@ -33,13 +31,12 @@
         }
     }
 
+    /**
+     * Decodes a frame, whose field is not set if a newer node sent a frame of an unknown kind.
+     *
+     * @throws AzurearchException with {@link ErrorCode#CORRUPT} when it is malformed
+     */
     HopFrame decode(ByteBuf bytes) {
-        HopFrame frame = new HopFrame();
-        try {
-            mDeserializer.deserialize(frame, ByteBufUtil.getBytes(bytes));
-        } catch (TException e) {
-            throw new AzurearchException(ErrorCode.CORRUPT, "malformed frame", e);
-        }
-        return frame;
+        return ThriftBytes.read(new HopFrame(), ByteBufUtil.getBytes(bytes));
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/JoinRecord.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/JoinRecord.java
@@ -1,11 +1,8 @@
 package org.azurearch.internal.member;
 
-import org.apache.thrift.TDeserializer;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.lib.DataCentreId;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.lib.NodeId;
@@ -31,11 +28,7 @@
     static byte[] encode(Member member) {
         WireMember wire = MemberWire.write(member);
         wire.unsetEndpoints();
-        try {
-            return new TSerializer(new TCompactProtocol.Factory()).serialize(wire);
-        } catch (TException e) {
-            throw new AzurearchException(ErrorCode.CORRUPT, "cannot encode a join record", e);
-        }
+        return ThriftBytes.write(wire);
     }
 
     /**
@@ -47,13 +40,6 @@
         if (data.length > MAX_BYTES) {
             throw new AzurearchException(ErrorCode.CORRUPT, "join record too large");
         }
-        WireMember wire = new WireMember();
-        try {
-            new TDeserializer(new TCompactProtocol.Factory(MAX_BYTES, MAX_BYTES))
-                    .deserialize(wire, data);
-        } catch (TException e) {
-            throw new AzurearchException(ErrorCode.CORRUPT, "malformed join record", e);
-        }
-        return of(MemberWire.read(wire));
+        return of(MemberWire.read(ThriftBytes.read(new WireMember(), data)));
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/transport/ThriftCodec.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/transport/ThriftCodec.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TBase;
-import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializable;
 import org.apache.thrift.protocol.TCompactProtocol;
@@ -12,9 +11,9 @@
 import org.apache.thrift.protocol.TMessageType;
 import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.transport.TMemoryBuffer;
-import org.apache.thrift.transport.TMemoryInputTransport;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.thrift.Peer;
 import org.azurearch.thrift.PeerReply;
 import org.azurearch.thrift.PeerRequest;
@@ -26,14 +25,13 @@
     private static final String EXCHANGE = "exchange";
 
     private static final int INITIAL_BYTES = 256;
-    private static final int RECURSION_LIMIT = 16;
 
     private final int mMaxBytes;
 
     /**
      * Creates a codec.
      *
-     * @param maxBytes the maximum size of a message, string or list when decoding
+     * @param maxBytes the maximum size of a message when decoding
      */
     ThriftCodec(int maxBytes) {
         mMaxBytes = maxBytes;
@@ -60,7 +58,8 @@
 
     /** Decodes a call or a reply; an exception is accepted in place of either. */
     Envelope decode(byte[] bytes, boolean isCall) {
-        TProtocol protocol = reader(bytes);
+        checkSize(bytes);
+        TProtocol protocol = ThriftBytes.reader(bytes);
         try {
             TMessage message = protocol.readMessageBegin();
             if (!EXCHANGE.equals(message.name)) {
@@ -68,7 +67,7 @@
             }
             return new Envelope(
                     message.seqid, message.type, readContent(message, isCall, protocol));
-        } catch (TException e) {
+        } catch (TException | IndexOutOfBoundsException | NegativeArraySizeException e) {
             throw corrupt("malformed message", e);
         }
     }
@@ -109,11 +108,8 @@
     }
 
     private void read(TBase<?, ?> struct, byte[] bytes) {
-        try {
-            struct.read(reader(bytes));
-        } catch (TException e) {
-            throw corrupt("malformed content", e);
-        }
+        checkSize(bytes);
+        ThriftBytes.read(struct, bytes);
     }
 
     private static byte[] readContent(TMessage message, boolean isCall, TProtocol protocol)
@@ -149,13 +145,9 @@
         }
     }
 
-    private TProtocol reader(byte[] bytes) {
-        try {
-            TConfiguration limits = new TConfiguration(mMaxBytes, mMaxBytes, RECURSION_LIMIT);
-            return new TCompactProtocol(
-                    new TMemoryInputTransport(limits, bytes), mMaxBytes, mMaxBytes);
-        } catch (TException e) {
-            throw corrupt("message too large", e);
+    private void checkSize(byte[] bytes) {
+        if (bytes.length > mMaxBytes) {
+            throw corrupt("message too large", null);
         }
     }
 
