Ignore a node record out of range, and only that one

Callers saw: after a record under another node's key, with a larger incarnation and an address where nobody listens, the nodes did not find that node's backend server (OddNodeRecordTest). A record from a peer with a port out of range closed the connection with all its pending calls, and the records after it in the frame were lost. Cause: values of records were checked where they were used, if at all. The key of a stored record was not compared with the node that it names; node names and incarnations were not checked; a host name would have been looked up on the event loop; an exception ended the whole frame. Names that are none fail later in LinkPlan and NodeOrder, which in a large mesh ends the tick (read from the code; not shown by a test). Evidence, before: OddNodeRecordTest.recordUnderAnotherKeyIsPassedOver: timed out after PT20S: all nodes reach all backend servers NodeDirectoryTest: AzurearchException: port out of range: 65536 Fix: HopWire checks name, address, incarnation, sequence and backend server of a record at one place for both sources. NodeDirectory ignores the record at fault and merges the others, with AZ0844; a stored record holds only under the key of its node. Incarnations are at most 2^53, so that a node can always supersede a record of itself. After: both tests pass, and RestartTest, StoreFaultTest, RolloutFailuresTest and NodeTableTest.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -57,6 +57,8 @@
     HOP_SILENT(842, Level.WARN, "node={} silent_ms={}"),
     /** The record of a peer changed. */
     MEMBER(843, Level.INFO, "node={} dc={} incarnation={} leaving={} backend={} ready={}"),
+    /** A record that a peer sent has a value out of range and is ignored. */
+    MEMBER_RECORD_IGNORED(844, Level.WARN, "node={} reason={}"),
     /** A call ended without an answer of a backend server. */
     CALL_FAILED(
             850,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -1,11 +1,14 @@
 package org.azurearch.sidecar.internal.hop;
 
+import io.netty.util.NetUtil;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.azurearch.call.SuspectTable.Strike;
+import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.NodeId;
 import org.azurearch.lib.Verdict;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
@@ -27,6 +30,9 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double MICROS_PER_MILLI = 1_000.0;
 
+    /** The largest incarnation or sequence; leaves room for a node to supersede a record. */
+    private static final long MAX_VERSION = 1L << 53;
+
     private HopWire() {}
 
     /** Returns the Thrift form of a node record. */
@@ -78,13 +84,25 @@
                 wire.isSetSoftwareVersion() ? wire.getSoftwareVersion() : "");
     }
 
-    /** Returns the node record of its Thrift form. */
+    /**
+     * Returns the node record of its Thrift form.
+     *
+     * @throws RuntimeException if a value is outside its range; the record is of no use then
+     */
     public static NodeRecord fromWire(WireNodeRecord wire) {
         WireBackend backend = wire.getBackend();
+        if (!isVersion(wire.getIncarnation()) || !isVersion(wire.getSequence())) {
+            throw new AzurearchException(
+                    ErrorCode.CORRUPT,
+                    "incarnation or sequence out of range: "
+                            + wire.getIncarnation()
+                            + ", "
+                            + wire.getSequence());
+        }
         return new NodeRecord(
-                wire.getNode(),
+                NodeId.fromString(wire.getNode()).name(),
                 wire.getDataCentre(),
-                new NetAddress(wire.getHost(), wire.getPort()),
+                peerAddress(wire.getHost(), wire.getPort()),
                 wire.getIncarnation(),
                 wire.getSequence(),
                 wire.isLeaving(),
@@ -92,6 +110,18 @@
                 backend == null ? null : fromWire(backend));
     }
 
+    private static boolean isVersion(long number) {
+        return number >= 0 && number <= MAX_VERSION;
+    }
+
+    /** Returns the address of a peer, whose host must not need a lookup on the event loop. */
+    private static NetAddress peerAddress(String host, int port) {
+        if (!NetUtil.isValidIpV4Address(host) && !NetUtil.isValidIpV6Address(host)) {
+            throw new AzurearchException(ErrorCode.BAD_NAME, "not an IP address: " + host);
+        }
+        return new NetAddress(host, port);
+    }
+
     /**
      * Returns the Thrift form of strikes, with ages in place of times.
      *
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -203,12 +203,15 @@
         return true;
     }
 
-    /** Merges records that a peer sent and, as a relay, forwards the newer ones. */
+    /**
+     * Merges records that a peer sent and, as a relay, forwards the newer ones. A record with a
+     * value out of range is ignored; the others hold.
+     */
     public void merge(WireNodeRecords records) {
         List<NodeRecord> newer = new ArrayList<>();
         for (WireNodeRecord wire : records.getRecords()) {
-            NodeRecord record = HopWire.fromWire(wire);
-            if (merge(record)) {
+            NodeRecord record = readRecord(wire);
+            if (record != null && merge(record)) {
                 newer.add(record);
             }
         }
@@ -217,6 +220,15 @@
         }
     }
 
+    private static @Nullable NodeRecord readRecord(WireNodeRecord wire) {
+        try {
+            return HopWire.fromWire(wire);
+        } catch (RuntimeException e) {
+            EventLog.log(SidecarEvent.MEMBER_RECORD_IGNORED, wire.getNode(), e.toString());
+            return null;
+        }
+    }
+
     /** Forwards a frame in this data centre if this node is a relay of a large mesh. */
     public void relay(HopFrame frame) {
         if (usesRelays() && isRelay(ownEndpoint().record())) {
@@ -244,7 +256,11 @@
      * before, over its own link or from others.
      */
     public void handleHello(HopConnection connection, WireNodeRecord hello) {
-        NodeRecord record = HopWire.fromWire(hello);
+        NodeRecord record = readRecord(hello);
+        if (record == null) {
+            connection.close();
+            return;
+        }
         merge(record);
         List<NodeRecord> reply = new ArrayList<>(List.of(mSelf));
         NodeRecord newest = mTable.record(record.node());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.Completions;
+import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.sidecar.SidecarEvent;
@@ -158,8 +160,14 @@
         if (record.key().endsWith(STRIKES_KEY)) {
             deliverStrikes(record.key(), ThriftBytes.read(new WireSavedStrikes(), record.value()));
         } else {
-            mRecordConsumer.accept(
-                    HopWire.fromWire(ThriftBytes.read(new WireNodeRecord(), record.value())));
+            NodeRecord node =
+                    HopWire.fromWire(ThriftBytes.read(new WireNodeRecord(), record.value()));
+            if (!record.key().equals(node.node())
+                    && !record.key().equals(node.node() + BACKEND_KEY)) {
+                throw new AzurearchException(
+                        ErrorCode.CORRUPT, "the key is not that of node " + node.node());
+            }
+            mRecordConsumer.accept(node);
         }
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
@@ -32,6 +32,10 @@
         if (slots <= 0) {
             throw new IllegalArgumentException("slots must be positive: " + slots);
         }
+        if (warmingMillis < 0 || Double.isNaN(limitPerSecond)) {
+            throw new IllegalArgumentException(
+                    "negative warm-up time or no limit: " + warmingMillis + ", " + limitPerSecond);
+        }
     }
 
     /** Creates a record of a backend server that names no version. */
