--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -7,9 +7,11 @@
 import org.azurearch.call.SuspectTable.Strike;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.lib.NodeId;
 import org.azurearch.lib.Verdict;
+import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
@@ -24,6 +26,7 @@
 import org.azurearch.thrift.WireLoad;
 import org.azurearch.thrift.WireNodeRecord;
 import org.azurearch.thrift.WireStrike;
+import org.jspecify.annotations.Nullable;
 
 /** Converts between the node's own types and the Thrift types of the frames. */
 public final class HopWire {
@@ -110,6 +113,16 @@
                 backend == null ? null : fromWire(backend));
     }
 
+    /** Returns the node record of its Thrift form; null, and logs it, if it is of no use. */
+    public static @Nullable NodeRecord fromWireOrNull(WireNodeRecord wire) {
+        try {
+            return fromWire(wire);
+        } catch (RuntimeException e) {
+            EventLog.log(SidecarEvent.MEMBER_RECORD_IGNORED, wire.getNode(), e.toString());
+            return null;
+        }
+    }
+
     private static boolean isVersion(long number) {
         return number >= 0 && number <= MAX_VERSION;
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -203,14 +203,11 @@
         return true;
     }
 
-    /**
-     * Merges records that a peer sent and, as a relay, forwards the newer ones. A record with a
-     * value out of range is ignored; the others hold.
-     */
+    /** Merges the records of a peer that can be read and, as a relay, forwards the newer ones. */
     public void merge(WireNodeRecords records) {
         List<NodeRecord> newer = new ArrayList<>();
         for (WireNodeRecord wire : records.getRecords()) {
-            NodeRecord record = readRecord(wire);
+            NodeRecord record = HopWire.fromWireOrNull(wire);
             if (record != null && merge(record)) {
                 newer.add(record);
             }
@@ -220,15 +217,6 @@
         }
     }
 
-    private static @Nullable NodeRecord readRecord(WireNodeRecord wire) {
-        try {
-            return HopWire.fromWire(wire);
-        } catch (RuntimeException e) {
-            EventLog.log(SidecarEvent.MEMBER_RECORD_IGNORED, wire.getNode(), e.toString());
-            return null;
-        }
-    }
-
     /** Forwards a frame in this data centre if this node is a relay of a large mesh. */
     public void relay(HopFrame frame) {
         if (usesRelays() && isRelay(ownEndpoint().record())) {
@@ -256,11 +244,7 @@
      * before, over its own link or from others.
      */
     public void handleHello(HopConnection connection, WireNodeRecord hello) {
-        NodeRecord record = readRecord(hello);
-        if (record == null) {
-            connection.close();
-            return;
-        }
+        NodeRecord record = HopWire.fromWire(hello);
         merge(record);
         List<NodeRecord> reply = new ArrayList<>(List.of(mSelf));
         NodeRecord newest = mTable.record(record.node());
