End calls whose outcome a peer reports in unknown terms

Callers saw: a call never ended, until its deadline, if its peer named a reason for a failure that this node does not know; an answer was lost, with all other calls of the connection, if the peer reported its load in more ranks. Both may happen between two versions of the program. Evidence, before (HopLinkTest): callEndsWithAnUnknownOutcome...: timed out after PT20S: the call has ended answerWithMoreRanks...: expected: <false> but was: <true> (link down) Fix: an unknown verdict or code gives an unknown outcome, so that only an idempotent request is sent again; ranks beyond the last known one count as it. Both tests pass.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -10,11 +11,13 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.azurearch.errors.ErrorCode;
 import org.azurearch.junit.Await;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.lib.Verdict;
@@ -24,6 +27,9 @@
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.route.EndpointLoad;
 import org.azurearch.thrift.HopFrame;
+import org.azurearch.thrift.WireHopAnswer;
+import org.azurearch.thrift.WireHopFailure;
+import org.azurearch.thrift.WireLoad;
 import org.azurearch.thrift.WireNodeRecords;
 import org.azurearch.thrift.WirePulse;
 import org.junit.jupiter.api.AfterEach;
@@ -60,13 +66,56 @@
 
     @Test
     void linkIsUpOnceThePeerHasAnswered() throws Exception {
-        int port = mNetwork.listen(new NetAddress("127.0.0.1", 0), new AnsweringPeer());
+        int port =
+                mNetwork.listen(
+                        new NetAddress("127.0.0.1", 0),
+                        new AnsweringPeer(HopFrame.failure(failure())));
         HopLink link = open(new NetAddress("127.0.0.1", port));
         Await.until("the link is up", () -> mEvents.contains("up"));
         assertEquals(List.of("connected", "up"), mEvents.subList(0, 2));
         onLoop(() -> close(link));
     }
 
+    /** Guards against a call that never ends, as a newer peer names a reason unknown here. */
+    @Test
+    void callEndsWithAnUnknownOutcomeIfItsFailureCannotBeRead() throws Exception {
+        for (WireHopFailure odd :
+                List.of(
+                        failure().setVerdict(99),
+                        failure().setVerdict(-1),
+                        failure().setCode("?"))) {
+            assertEquals(List.of(Verdict.MAY_HAVE_RUN), verdictsOf(HopFrame.failure(odd)));
+        }
+    }
+
+    /** Guards against an answer that is lost, as a newer peer reports its load in more ranks. */
+    @Test
+    void answerWithMoreRanksThanAreKnownReachesItsCall() throws Exception {
+        WireLoad load = new WireLoad(1, Collections.nCopies(9, 2), 0, 0);
+        WireHopAnswer answer =
+                new WireHopAnswer(1, 200, List.of(), ByteBuffer.allocate(0), load, 0);
+        assertEquals(List.of(Verdict.RAN), verdictsOf(HopFrame.answer(answer)));
+    }
+
+    private static WireHopFailure failure() {
+        WireLoad load = new WireLoad(0, List.of(), 0, 0);
+        return new WireHopFailure(1, 0, ErrorCode.INTERNAL.name(), true, 0, "", load);
+    }
+
+    /** Returns how a call ends to which a peer replies with a frame. */
+    private List<Verdict> verdictsOf(HopFrame reply) throws Exception {
+        mEvents.clear();
+        int port = mNetwork.listen(new NetAddress("127.0.0.1", 0), new AnsweringPeer(reply));
+        HopLink link = open(new NetAddress("127.0.0.1", port));
+        Await.until("the link is up", () -> mEvents.contains("up"));
+        List<Verdict> verdicts = Collections.synchronizedList(new ArrayList<>());
+        onLoop(() -> link.call(call(), new VerdictListener(verdicts)));
+        Await.until("the call has ended", () -> !verdicts.isEmpty());
+        assertTrue(onLoop(link::up));
+        onLoop(() -> close(link));
+        return verdicts;
+    }
+
     private HopLink open(NetAddress address) throws Exception {
         return onLoop(() -> new HopLink(mNetwork, mLoop, "peer", address, new RecordingListener()));
     }
@@ -84,14 +133,23 @@
         return new HopCall(1, "GET", "/", List.of(), new byte[0], 0, 0, 1, "s", "r", false);
     }
 
-    /** Answers each frame as a running node does. */
+    /** Answers each frame as a running node does, and calls with a given frame. */
     private static final class AnsweringPeer implements HopConnection.Listener {
+        private final HopFrame mReply;
+
+        AnsweringPeer(HopFrame reply) {
+            mReply = reply;
+        }
+
         @Override
         public void opened(HopConnection connection) {}
 
         @Override
         public void received(HopConnection connection, HopFrame frame) {
-            connection.send(HopFrame.records(new WireNodeRecords(List.of(), true)));
+            connection.send(
+                    frame.isSetCall()
+                            ? mReply
+                            : HopFrame.records(new WireNodeRecords(List.of(), true)));
         }
 
         @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -246,19 +246,44 @@
                 wire.getWorkMicros() / MICROS_PER_MILLI);
     }
 
+    /**
+     * Returns the failure of its Thrift form. The outcome of one with a verdict or code that this
+     * node does not know is unknown.
+     */
     static AttemptFailure fromWire(WireHopFailure wire) {
+        Verdict verdict = verdict(wire.getVerdict());
+        ErrorCode code = code(wire.getCode());
+        if (verdict == null || code == null) {
+            return AttemptFailure.unknown(
+                    ErrorCode.CORRUPT,
+                    "unknown verdict or code: " + wire.getVerdict() + ", " + wire.getCode());
+        }
         return new AttemptFailure(
-                Verdict.values()[wire.getVerdict()],
-                ErrorCode.valueOf(wire.getCode()),
+                verdict,
+                code,
                 wire.isReachedBackend(),
                 wire.getRetryAfterMillis(),
                 wire.getDetail());
     }
 
+    private static @Nullable Verdict verdict(int ordinal) {
+        Verdict[] verdicts = Verdict.values();
+        return ordinal >= 0 && ordinal < verdicts.length ? verdicts[ordinal] : null;
+    }
+
+    private static @Nullable ErrorCode code(String name) {
+        try {
+            return ErrorCode.valueOf(name);
+        } catch (IllegalArgumentException e) {
+            return null; // the caller reports the name
+        }
+    }
+
+    /** Returns the load of its Thrift form; ranks that this node does not know count as last. */
     static EndpointLoad fromWire(WireLoad wire) {
         return new EndpointLoad(
                 wire.getRunning(),
-                wire.getWaiting(),
+                knownRanks(wire.getWaiting()),
                 wire.getWorkMicros() / MICROS_PER_MILLI,
                 wire.getFailurePercent(),
                 wire.isSetStartWaitMillis() ? wire.getStartWaitMillis() : 0,
@@ -266,6 +291,16 @@
                 wire.isSetLinkMbps() ? wire.getLinkMbps() : Double.POSITIVE_INFINITY);
     }
 
+    private static List<Integer> knownRanks(List<Integer> waiting) {
+        int last = EndpointLoad.RANK_COUNT - 1;
+        if (waiting.size() <= EndpointLoad.RANK_COUNT) {
+            return waiting;
+        }
+        List<Integer> known = new ArrayList<>(waiting.subList(0, last));
+        known.add(waiting.subList(last, waiting.size()).stream().mapToInt(n -> n).sum());
+        return known;
+    }
+
     /** Omits the ranks after the last one with a waiting request, which most reports lack. */
     private static List<Integer> usedRanks(List<Integer> waiting) {
         int used = waiting.size();
