Keep following the store after records that cannot be processed

Callers would see: no later configuration comes into force at a reader of a data centre, and none reaches the nodes that it pushes to. Cause: an exception of a listener left StoreReader between two reads: the next one was started only by a change of this node's role. Evidence, before: StoreReaderTest: 'no read is under way ==> expected: <true> but was: <false>'. No record of another writer that makes a listener fail was found: ConfigHolder and RolloutService catch what their codecs throw. The test's listener throws by itself. Fix: StoreReader logs the failure (AZ0813) and reads on. The test passes.

--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreReaderTest.java
@@ -0,0 +1,102 @@
+package org.azurearch.sidecar.internal.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.DefaultEventLoop;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.azurearch.sidecar.store.KeyedLog;
+import org.azurearch.sidecar.store.KeyedRecord;
+import org.azurearch.sidecar.store.KeyedRecords;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a reader that stops following after records that cannot be processed. */
+class StoreReaderTest {
+    private final DefaultEventLoop mLoop = new DefaultEventLoop();
+    private final Deque<CompletableFuture<KeyedRecords>> mReads = new ArrayDeque<>();
+    private final List<String> mConfigs = new ArrayList<>();
+    private final List<Boolean> mReachable = new ArrayList<>();
+
+    @AfterEach
+    void stop() {
+        mLoop.shutdownGracefully();
+    }
+
+    @Test
+    void readsOnAfterRecordsThatCannotBeProcessed() {
+        StoreReader reader = new StoreReader(new ManualLog(), mLoop, "config", new Listener());
+        reader.setActive(true);
+        complete("odd");
+        complete("good");
+        complete("odd");
+        complete("better");
+        assertEquals(List.of("good", "better"), mConfigs);
+        assertEquals(List.of(true, true, true, true), mReachable);
+    }
+
+    private void complete(String value) {
+        CompletableFuture<KeyedRecords> read = mReads.poll();
+        assertTrue(read != null, "no read is under way");
+        KeyedRecord record = new KeyedRecord("config", value.getBytes(), 0);
+        read.complete(new KeyedRecords(List.of(record), 1));
+    }
+
+    /** Fails to process odd records. */
+    private final class Listener implements StoreReader.Listener {
+        @Override
+        public void configRead(byte[] content) {
+            String text = new String(content);
+            if (text.equals("odd")) {
+                throw new IllegalArgumentException(text);
+            }
+            mConfigs.add(text);
+        }
+
+        @Override
+        public void recordsRead(List<KeyedRecord> records, long newestEnd) {
+            if (new String(records.get(0).value()).equals("odd")) {
+                throw new IllegalStateException();
+            }
+        }
+
+        @Override
+        public void reachable(boolean reachable) {
+            mReachable.add(reachable);
+        }
+    }
+
+    /** Leaves reads to be completed by the test. */
+    private final class ManualLog implements KeyedLog {
+        @Override
+        public CompletableFuture<KeyedRecords> newest(Stream stream) {
+            CompletableFuture<KeyedRecords> read = new CompletableFuture<>();
+            mReads.add(read);
+            return read;
+        }
+
+        @Override
+        public CompletableFuture<KeyedRecords> read(Stream stream, long offset, Duration wait) {
+            return newest(stream);
+        }
+
+        @Override
+        public CompletableFuture<Void> append(Stream stream, String key, byte[] value) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public CompletableFuture<Void> appendAt(
+                Stream stream, String key, byte[] value, long endOffset) {
+            return append(stream, key, value);
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -123,8 +123,9 @@
         }
         mBackoff.reset();
         mNextOffset = records.endOffset();
-        deliverNewest(records.records());
-        mListener.recordsRead(records.records(), mReadsNewest ? records.endOffset() : -1);
+        deliver(() -> deliverNewest(records.records()));
+        long newestEnd = mReadsNewest ? records.endOffset() : -1;
+        deliver(() -> mListener.recordsRead(records.records(), newestEnd));
         mListener.reachable(true);
         if (mActive) {
             readNext();
@@ -139,6 +140,20 @@
         mActive = false;
     }
 
+    /** Delivers what was read; if that fails, the next records are read all the same. */
+    private void deliver(Runnable delivery) {
+        try {
+            delivery.run();
+        } catch (RuntimeException e) {
+            EventLog.log(
+                    SidecarEvent.STORE_RECORD_UNREADABLE,
+                    KeyedLog.Stream.CONFIG,
+                    mKey,
+                    mNextOffset,
+                    e.toString());
+        }
+    }
+
     /** Delivers the last record of the key, which supersedes the earlier ones. */
     private void deliverNewest(List<KeyedRecord> records) {
         for (int i = records.size() - 1; i >= 0; i--) {
