Pass on answers whose Keep-Alive time-out is out of range

Callers saw 502 for a request that had run and been answered in full, if the answer named a time-out of more digits than a long has; one of 10,000,000,000 s was taken for a negative time, and the connection was not used again. Cause: Long.parseLong threw in the handler of the answer, which counts as a failed connection; the product with nanoseconds overflowed. Evidence, before (OddKeepAliveTest): timeout=: expected: <200> but was: <502> connectionWithAVeryLongIdleTimeoutIsUsedAgain: expected: <1> but was: <2> Fix: a time of more than nine digits is longer than any that matters here. OddKeepAliveTest and ForeignBytesTest pass.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -22,6 +22,10 @@
 
     private static final String KEEP_ALIVE = "keep-alive";
     private static final String TIMEOUT = "timeout=";
+
+    /** Digits of a time-out in seconds that is shorter than the longest time in nanoseconds. */
+    private static final int MAX_TIMEOUT_DIGITS = 9;
+
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
     private final Channel mChannel;
@@ -154,7 +158,10 @@
         if (value != null && at >= 0) {
             String digits = value.substring(at + TIMEOUT.length()).replaceAll("[^0-9].*", "");
             if (!digits.isEmpty()) {
-                mServerIdleNanos = Long.parseLong(digits) * NANOS_PER_SECOND;
+                mServerIdleNanos =
+                        digits.length() > MAX_TIMEOUT_DIGITS
+                                ? Long.MAX_VALUE
+                                : Long.parseLong(digits) * NANOS_PER_SECOND;
             }
         }
     }
