Write roll-outs over a state or status that cannot be read

Operators would see no final status of a roll-out if another writer's record stood under its key. Cause: RolloutStore.publish read the known status and the saved state without the catch that load and save have; each attempt failed alike.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutStore.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutStore.java
@@ -114,7 +114,8 @@
     /** Appends a status unless the state has moved on since, as after a pause of this process. */
     private CompletableFuture<Boolean> publish(
             RolloutState state, String key, byte[] status, int attempts) {
-        if (SavedStates.isLater(mStates.mNewest.get(key), state)) {
+        RolloutState saved = decode(state.service());
+        if (saved != null && saved.supersedes(state)) {
             return CompletableFuture.completedFuture(true);
         }
         return append(KeyedLog.Stream.STATUS, mStatus, key, status)
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/SavedStates.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/SavedStates.java
@@ -3,7 +3,6 @@
 import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.sidecar.rollout.RolloutState;
 import org.azurearch.thrift.WireRolloutState;
-import org.jspecify.annotations.Nullable;
 
 /** Decodes states that were saved in the store. */
 final class SavedStates {
@@ -20,9 +19,4 @@
         long added = Math.max(0, Math.min(age, state.durationMillis()));
         return state.at(state.elapsedMillis() + added, state.slowMillis());
     }
-
-    /** Returns whether a saved state replaces another one. */
-    static boolean isLater(byte @Nullable [] value, RolloutState state) {
-        return value != null && value.length > 0 && decode(value).supersedes(state);
-    }
 }
