--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/RouteRule.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/RouteRule.java
@@ -87,6 +87,13 @@
             throw new IllegalArgumentException(
                     "route " + name + " needs positive times and attempts, and a service");
         }
+        long weights = 0;
+        for (WeightedService part : split) {
+            weights += part.weight();
+        }
+        if (weights > Integer.MAX_VALUE) {
+            throw new IllegalArgumentException("route " + name + " has weights out of range");
+        }
         split = List.copyOf(split);
     }
 }
