Ignore only the member out of range in gossip of the product

Callers would see backend servers that other nodes learn of late: one member with a port or state out of range made a node ignore all members in the same gossip, and refuse the ping that carried it. Cause: MemberWire.read converted gossip as a whole. Fix: a member at fault is ignored with AZ0459, the others hold. MemberWireTest, MemberSessionTest, MemberPluginTest and the tests of join records pass.

--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MemberEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberEvent.java
@@ -22,7 +22,9 @@
     /** A join record is malformed and is skipped. */
     JOIN_RECORD_MALFORMED(457, Level.WARN, "malformed join record at offset {} skipped: {}"),
     /** An authenticated reply holds values outside their range and is ignored. */
-    REPLY_MALFORMED(458, Level.WARN, "malformed reply ignored: {}");
+    REPLY_MALFORMED(458, Level.WARN, "malformed reply ignored: {}"),
+    /** A member in gossip holds values outside their range and is ignored. */
+    MEMBER_MALFORMED(459, Level.WARN, "malformed member {} ignored: {}");
 
     private final EventInfo mInfo;
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/MemberWire.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/MemberWire.java
@@ -5,9 +5,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
 import org.azurearch.lib.DataCentreId;
 import org.azurearch.lib.FirmId;
 import org.azurearch.lib.NetAddress;
@@ -33,7 +35,7 @@
  * Converts the membership's messages to and from Thrift.
  *
  * <p>Reading throws {@link AzurearchException} with {@code CORRUPT} or {@code BAD_NAME} when a
- * value is outside its range.
+ * value is outside its range; among the members of gossip, only the one with it is ignored.
  */
 final class MemberWire {
     private MemberWire() {}
@@ -55,7 +57,9 @@
         }
         List<Member> members = new ArrayList<>();
         if (wire.isSetMembers()) {
-            wire.getMembers().forEach(member -> members.add(read(member)));
+            for (WireMember member : wire.getMembers()) {
+                readOrIgnore(member).ifPresent(members::add);
+            }
         }
         List<Board.Entry> board = new ArrayList<>();
         if (wire.isSetBoard()) {
@@ -64,6 +68,17 @@
         return new Gossip(members, board);
     }
 
+    /** Reads a member, or logs why it cannot be read; the others hold. */
+    private static Optional<Member> readOrIgnore(WireMember wire) {
+        try {
+            return Optional.of(read(wire));
+        } catch (AzurearchException e) {
+            EventLog.log(
+                    MemberEvent.MEMBER_MALFORMED, wire.getNode(), String.valueOf(e.getMessage()));
+            return Optional.empty();
+        }
+    }
+
     static WireMember write(Member member) {
         WireMember wire =
                 new WireMember(
