Check the lengths in patches of configurations

A peer's patch with a negative length ended the connection to it with an untyped error, in place of a pull of the whole configuration; one of some hundred bytes could copy the older content until the memory was used up, as only the size of a single literal was limited. Evidence, before (OddPatchTest): lengthsBelowZero... and anySteps...: but was: <java.lang.IllegalArgumentException>; contentBeyondTheLimit...: expected: <content of the patch exceeds the size limit> but was: <patch is damaged> (the content had been built up first). Fix: each length is checked against what is left of the limit. OddPatchTest (with 2,000 random inputs) and ContentPatchTest pass.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/ContentPatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/config/ContentPatch.java
@@ -29,7 +29,7 @@
     private static final int LITERAL = 1;
     private static final int END = 2;
 
-    /** The largest content accepted; a patch with a longer literal is damaged. */
+    /** The largest content accepted; a patch that gives more is damaged. */
     private static final int MAX_CONTENT_BYTES = 64 * 1024 * 1024;
 
     private final byte[] mOld;
@@ -69,14 +69,10 @@
                 new DataInputStream(new InflaterInputStream(new ByteArrayInputStream(patch)))) {
             for (int step = in.readByte(); step != END; step = in.readByte()) {
                 if (step == COPY) {
-                    content.write(oldContent, in.readInt(), in.readInt());
+                    int from = in.readInt();
+                    content.write(oldContent, from, checkedLength(content, in.readInt()));
                 } else {
-                    int length = in.readInt();
-                    if (length > MAX_CONTENT_BYTES) {
-                        throw new AzurearchException(
-                                ErrorCode.CORRUPT, "literal in the patch exceeds the size limit");
-                    }
-                    content.write(in.readNBytes(length));
+                    content.write(in.readNBytes(checkedLength(content, in.readInt())));
                 }
             }
             byte[] whole = content.toByteArray();
@@ -90,6 +86,14 @@
         }
     }
 
+    private static int checkedLength(ByteArrayOutputStream content, int length) {
+        if (length < 0 || length > MAX_CONTENT_BYTES - content.size()) {
+            throw new AzurearchException(
+                    ErrorCode.CORRUPT, "content of the patch exceeds the size limit");
+        }
+        return length;
+    }
+
     private byte[] encode() throws IOException {
         Map<ByteBuffer, Integer> oldPieces = indexOldPieces();
         int copyFrom = 0;
