Pass over frames of a kind that this node does not know

A frame of a newer node ended the connection to it, with all pending calls: MeshService failed with a NullPointerException on a frame without a field (read from the code; the test shows that such a frame reaches the listeners). The test passes; its others, that a malformed or too long frame ends only its connection, passed before.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -95,6 +95,13 @@
     protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
         mLastReadNanos = System.nanoTime();
         HopFrame frame = mCodec.decode(message);
+        if (!frame.isSet()) {
+            EventLog.log(
+                    SidecarEvent.HOP_CONNECTION_FAILED,
+                    mChannel.remoteAddress(),
+                    "a frame of unknown kind is ignored");
+            return;
+        }
         if (frame.isSetPing()) {
             if (!frame.getPing().isReply()) {
                 send(HopFrame.ping(new WireHopPing(true)));
