Ignore only the state of a roll-out that cannot be read

A state with a verdict that this node does not know ended the connection to the peer that sent it, with all pending calls, and hid the other states of the message. Evidence, before: OddRolloutMessageTest.stateWithUnknownVerdict...: but was: <java.lang.ArrayIndexOutOfBoundsException>. Its other test uses the new function and could not run before. Fix: the typed error, and AZ0871 for the state at fault; the others hold. OddRolloutMessageTest and RolloutStoreTest pass.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -99,6 +99,8 @@
     ROLLOUT_NOT_SAVED(869, Level.WARN, "service={} verdict={} reason={}"),
     /** An operator's order cannot be decoded and is ignored. */
     ROLLOUT_ORDER_UNREADABLE(870, Level.ERROR, "key={} reason={}"),
+    /** A state of a roll-out that a peer sent cannot be read and is ignored. */
+    ROLLOUT_STATE_IGNORED(871, Level.WARN, "service={} reason={}"),
     /** A configuration with client accounts came into force; withdrawn keys are refused now. */
     ACCOUNTS_IN_FORCE(875, Level.INFO, "version={} accounts={} keys={} added={} withdrawn={}"),
     /** Another node coordinates the quotas, or none, so that this node spends its base shares. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutService.java
@@ -153,8 +153,8 @@
             }
         }
         if (message.isSetStates()) {
-            for (WireRolloutState wire : message.getStates()) {
-                changed |= mergeState(RolloutWire.fromWire(wire), message, now);
+            for (RolloutState state : RolloutWire.readable(message.getStates())) {
+                changed |= mergeState(state, message, now);
             }
         }
         if (message.isSetEvidence()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutWire.java
@@ -5,6 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.rollout.NodeEvidence;
 import org.azurearch.sidecar.rollout.NodeEvidence.Outcomes;
 import org.azurearch.sidecar.rollout.NodeEvidence.RouteVersion;
@@ -52,13 +56,37 @@
         return wire.setRouteShares(state.routeShares());
     }
 
+    /** Returns the states that can be read, and logs the others. */
+    static List<RolloutState> readable(List<WireRolloutState> states) {
+        List<RolloutState> readable = new ArrayList<>();
+        for (WireRolloutState wire : states) {
+            try {
+                readable.add(fromWire(wire));
+            } catch (AzurearchException e) {
+                EventLog.log(
+                        SidecarEvent.ROLLOUT_STATE_IGNORED, wire.getServiceName(), e.toString());
+            }
+        }
+        return readable;
+    }
+
+    /**
+     * Returns the state of its Thrift form.
+     *
+     * @throws AzurearchException with {@link ErrorCode#CORRUPT} if its verdict is unknown
+     */
     static RolloutState fromWire(WireRolloutState wire) {
+        Verdict[] verdicts = Verdict.values();
+        if (wire.getVerdict() < 0 || wire.getVerdict() >= verdicts.length) {
+            throw new AzurearchException(
+                    ErrorCode.CORRUPT, "unknown verdict: " + wire.getVerdict());
+        }
         return new RolloutState(
                 wire.getServiceName(),
                 wire.getOrderId(),
                 wire.getTargetVersion(),
                 wire.getBaseVersion(),
-                Verdict.values()[wire.getVerdict()],
+                verdicts[wire.getVerdict()],
                 wire.getStep(),
                 wire.getShare(),
                 wire.getDurationMillis(),
