Take a batch of claims without content for a malformed one

One record of another writer in the claims stream, a null in JSON, left the claims behind it in the same read unread until the next claim: callers with idempotency keys would get 'the log did not answer in time'. Cause: ClaimBatch.fromBytes failed with a NullPointerException, which ended ClaimService's handling of the read before it read on. Evidence, before: OddClaimTest.malformedBatchOfClaimsIsEmpty: NullPointer Cannot invoke "ClaimBatch.claims()" because "batch" is null Fix: such a batch is malformed, as others that lack fields are. The test passes.

--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimBatch.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ClaimBatch.java
@@ -36,9 +36,14 @@
         try {
             ClaimBatch batch = JSON.readValue(bytes, ClaimBatch.class);
             boolean complete =
-                    batch.claims() != null
+                    batch != null
+                            && batch.claims() != null
                             && batch.claims().stream()
-                                    .allMatch(c -> c.key() != null && c.ticket() != null);
+                                    .allMatch(
+                                            c ->
+                                                    c != null
+                                                            && c.key() != null
+                                                            && c.ticket() != null);
             return complete ? Optional.of(batch) : Optional.empty();
         } catch (IOException e) {
             return Optional.empty();
