--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -57,6 +57,8 @@
     HOP_SILENT(842, Level.WARN, "node={} silent_ms={}"),
     /** The record of a peer changed. */
     MEMBER(843, Level.INFO, "node={} dc={} incarnation={} leaving={} backend={} ready={}"),
+    /** A record that a peer sent has a value out of range and is ignored. */
+    MEMBER_RECORD_IGNORED(844, Level.WARN, "node={} reason={}"),
     /** A call ended without an answer of a backend server. */
     CALL_FAILED(
             850,
@@ -97,6 +99,8 @@
     ROLLOUT_NOT_SAVED(869, Level.WARN, "service={} verdict={} reason={}"),
     /** An operator's order cannot be decoded and is ignored. */
     ROLLOUT_ORDER_UNREADABLE(870, Level.ERROR, "key={} reason={}"),
+    /** A state of a roll-out that a peer sent cannot be read and is ignored. */
+    ROLLOUT_STATE_IGNORED(871, Level.WARN, "service={} reason={}"),
     /** A configuration with client accounts came into force; withdrawn keys are refused now. */
     ACCOUNTS_IN_FORCE(875, Level.INFO, "version={} accounts={} keys={} added={} withdrawn={}"),
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -1,12 +1,17 @@
 package org.azurearch.sidecar.internal.hop;
 
+import io.netty.util.NetUtil;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.azurearch.call.SuspectTable.Strike;
+import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.NodeId;
 import org.azurearch.lib.Verdict;
+import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
@@ -21,12 +26,16 @@
 import org.azurearch.thrift.WireLoad;
 import org.azurearch.thrift.WireNodeRecord;
 import org.azurearch.thrift.WireStrike;
+import org.jspecify.annotations.Nullable;
 
 /** Converts between the node's own types and the Thrift types of the frames. */
 public final class HopWire {
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double MICROS_PER_MILLI = 1_000.0;
 
+    /** The largest incarnation or sequence; leaves room for a node to supersede a record. */
+    private static final long MAX_VERSION = 1L << 53;
+
     private HopWire() {}
 
     /** Returns the Thrift form of a node record. */
@@ -81,13 +90,25 @@
                 wire.isSetSoftwareVersion() ? wire.getSoftwareVersion() : "");
     }
 
-    /** Returns the node record of its Thrift form. */
+    /**
+     * Returns the node record of its Thrift form.
+     *
+     * @throws RuntimeException if a value is outside its range; the record is of no use then
+     */
     public static NodeRecord fromWire(WireNodeRecord wire) {
         WireBackend backend = wire.getBackend();
+        if (!isVersion(wire.getIncarnation()) || !isVersion(wire.getSequence())) {
+            throw new AzurearchException(
+                    ErrorCode.CORRUPT,
+                    "incarnation or sequence out of range: "
+                            + wire.getIncarnation()
+                            + ", "
+                            + wire.getSequence());
+        }
         return new NodeRecord(
-                wire.getNode(),
+                NodeId.fromString(wire.getNode()).name(),
                 wire.getDataCentre(),
-                new NetAddress(wire.getHost(), wire.getPort()),
+                peerAddress(wire.getHost(), wire.getPort()),
                 wire.getIncarnation(),
                 wire.getSequence(),
                 wire.isLeaving(),
@@ -96,6 +117,28 @@
                 wire.isSetLinkMbps() ? wire.getLinkMbps() : Double.POSITIVE_INFINITY);
     }
 
+    /** Returns the node record of its Thrift form; null, and logs it, if it is of no use. */
+    public static @Nullable NodeRecord fromWireOrNull(WireNodeRecord wire) {
+        try {
+            return fromWire(wire);
+        } catch (RuntimeException e) {
+            EventLog.log(SidecarEvent.MEMBER_RECORD_IGNORED, wire.getNode(), e.toString());
+            return null;
+        }
+    }
+
+    private static boolean isVersion(long number) {
+        return number >= 0 && number <= MAX_VERSION;
+    }
+
+    /** Returns the address of a peer, whose host must not need a lookup on the event loop. */
+    private static NetAddress peerAddress(String host, int port) {
+        if (!NetUtil.isValidIpV4Address(host) && !NetUtil.isValidIpV6Address(host)) {
+            throw new AzurearchException(ErrorCode.BAD_NAME, "not an IP address: " + host);
+        }
+        return new NetAddress(host, port);
+    }
+
     /**
      * Returns the Thrift form of strikes, with ages in place of times.
      *
@@ -207,19 +250,44 @@
                 wire.getWorkMicros() / MICROS_PER_MILLI);
     }
 
+    /**
+     * Returns the failure of its Thrift form. The outcome of one with a verdict or code that this
+     * node does not know is unknown.
+     */
     static AttemptFailure fromWire(WireHopFailure wire) {
+        Verdict verdict = verdict(wire.getVerdict());
+        ErrorCode code = code(wire.getCode());
+        if (verdict == null || code == null) {
+            return AttemptFailure.unknown(
+                    ErrorCode.CORRUPT,
+                    "unknown verdict or code: " + wire.getVerdict() + ", " + wire.getCode());
+        }
         return new AttemptFailure(
-                Verdict.values()[wire.getVerdict()],
-                ErrorCode.valueOf(wire.getCode()),
+                verdict,
+                code,
                 wire.isReachedBackend(),
                 wire.getRetryAfterMillis(),
                 wire.getDetail());
     }
 
+    private static @Nullable Verdict verdict(int ordinal) {
+        Verdict[] verdicts = Verdict.values();
+        return ordinal >= 0 && ordinal < verdicts.length ? verdicts[ordinal] : null;
+    }
+
+    private static @Nullable ErrorCode code(String name) {
+        try {
+            return ErrorCode.valueOf(name);
+        } catch (IllegalArgumentException e) {
+            return null; // the caller reports the name
+        }
+    }
+
+    /** Returns the load of its Thrift form; ranks that this node does not know count as last. */
     static EndpointLoad fromWire(WireLoad wire) {
         return new EndpointLoad(
                 wire.getRunning(),
-                wire.getWaiting(),
+                knownRanks(wire.getWaiting()),
                 wire.getWorkMicros() / MICROS_PER_MILLI,
                 wire.getFailurePercent(),
                 wire.isSetStartWaitMillis() ? wire.getStartWaitMillis() : 0,
@@ -227,6 +295,16 @@
                 wire.isSetLinkMbps() ? wire.getLinkMbps() : Double.POSITIVE_INFINITY);
     }
 
+    private static List<Integer> knownRanks(List<Integer> waiting) {
+        int last = EndpointLoad.RANK_COUNT - 1;
+        if (waiting.size() <= EndpointLoad.RANK_COUNT) {
+            return waiting;
+        }
+        List<Integer> known = new ArrayList<>(waiting.subList(0, last));
+        known.add(waiting.subList(last, waiting.size()).stream().mapToInt(n -> n).sum());
+        return known;
+    }
+
     /** Omits the ranks after the last one with a waiting request, which most reports lack. */
     private static List<Integer> usedRanks(List<Integer> waiting) {
         int used = waiting.size();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -205,12 +205,12 @@
         return true;
     }
 
-    /** Merges records that a peer sent and, as a relay, forwards the newer ones. */
+    /** Merges the records of a peer that can be read and, as a relay, forwards the newer ones. */
     public void merge(WireNodeRecords records) {
         List<NodeRecord> newer = new ArrayList<>();
         for (WireNodeRecord wire : records.getRecords()) {
-            NodeRecord record = HopWire.fromWire(wire);
-            if (merge(record)) {
+            NodeRecord record = HopWire.fromWireOrNull(wire);
+            if (record != null && merge(record)) {
                 newer.add(record);
             }
         }
