Give a coordinator's buckets no tokens beyond the delegated part

Found in review of the fill of idle accounts: the time that accounts without a bucket had accrued was not limited while only a part of the rates was delegated. After a change of coordinators, an account unused at the new one got its whole capacity, though the old one had handed out its burst.

A coordinator creates the buckets of all its limited accounts with its first delegation, so that they are filled and limited alike whether used or not.

QuotaInvariantTest freezes a coordinator of its accounts again, not the first node, and mixes ranks; the efficiency tests cover accounts without urgent requests.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaEfficiencyTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaEfficiencyTest.java
@@ -29,20 +29,29 @@
     })
     void servesTheAllowance(int nodes, double rate, double burst) {
         SplittableRandom random = new SplittableRandom(7);
-        check("one node", nodes, rate, burst, time -> 3);
-        check("all nodes", nodes, rate, burst, time -> random.nextInt(nodes));
+        check("one node", nodes, rate, burst, true, time -> 3);
+        check("all nodes", nodes, rate, burst, true, time -> random.nextInt(nodes));
         int third = nodes / 3;
         check(
                 "moving between data centres",
                 nodes,
                 rate,
                 burst,
+                true,
                 time -> (time / 1_000 % 3) * third + random.nextInt(third));
     }
 
     @ParameterizedTest
-    @CsvSource({"18,145,145", "80,7,7", "80,440,440"})
-    void servesAnIdleAccountWithinItsBurst(int nodes, double rate, double burst) {
+    @CsvSource({"80,5,10", "80,440,0", "80,440,440"})
+    void servesTheAllowanceOfAnAccountWithoutUrgentRequests(int nodes, double rate, double burst) {
+        SplittableRandom random = new SplittableRandom(7);
+        check("one node", nodes, rate, burst, false, time -> 3);
+        check("all nodes", nodes, rate, burst, false, time -> random.nextInt(nodes));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"18,145,145,true", "80,7,7,true", "80,440,440,true", "80,440,440,false"})
+    void servesAnIdleAccountWithinItsBurst(int nodes, double rate, double burst, boolean urgent) {
         ClientAccount account = new ClientAccount("a", List.of("k"), -1, rate, burst);
         QuotaSimulation simulation = new QuotaSimulation(nodes, List.of(account), 11);
         SplittableRandom random = new SplittableRandom(17);
@@ -54,7 +63,7 @@
             double due = rate / 1_000;
             for (; random.nextDouble() < due; due--) {
                 sent++;
-                simulation.request(random.nextInt(nodes), "a");
+                simulation.request(random.nextInt(nodes), "a", urgent);
             }
             simulation.step();
         }
@@ -91,7 +100,12 @@
     }
 
     private static void check(
-            String where, int nodes, double rate, double burst, IntUnaryOperator place) {
+            String where,
+            int nodes,
+            double rate,
+            double burst,
+            boolean urgent,
+            IntUnaryOperator place) {
         ClientAccount account = new ClientAccount("a", List.of("k"), -1, rate, burst);
         QuotaSimulation simulation = new QuotaSimulation(nodes, List.of(account), 11);
         SplittableRandom random = new SplittableRandom(13);
@@ -105,7 +119,7 @@
             }
             double due = demandPerMilli;
             for (; random.nextDouble() < due; due--) {
-                simulation.request(place.applyAsInt(time), "a");
+                simulation.request(place.applyAsInt(time), "a", urgent);
             }
             simulation.step();
         }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaInvariantTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaInvariantTest.java
@@ -48,6 +48,7 @@
         simulation.refunds(refunds);
         simulation.missingMembers(nodes / 40);
         Demand demand = new Demand(1, nodes);
+        SplittableRandom ranks = new SplittableRandom(seed + 1_000);
         for (int time = 0; time < MILLIS; time++) {
             if (random.nextInt(700) == 0) {
                 fault(simulation, random, nodes);
@@ -58,7 +59,8 @@
             for (ClientAccount account : ACCOUNTS) {
                 double due = account.ratePerSecond() / 1_000 * demand.perMilli();
                 for (; random.nextDouble() < due; due--) {
-                    simulation.request(random.nextInt(demand.nodes()), account.name());
+                    simulation.request(
+                            random.nextInt(demand.nodes()), account.name(), ranks.nextBoolean());
                 }
             }
             simulation.step();
@@ -89,7 +91,10 @@
             case 0 -> simulation.kill(random.nextInt(nodes));
             case 1 -> simulation.restart(random.nextInt(nodes));
             case 2 -> simulation.freeze(random.nextInt(nodes), 100 + random.nextInt(4_000));
-            case 3 -> simulation.freeze(0, 100 + random.nextInt(4_000));
+            case 3 ->
+                    simulation.freezeCoordinator(
+                            ACCOUNTS[random.nextInt(ACCOUNTS.length)].name(),
+                            100 + random.nextInt(4_000));
             case 4 -> {
                 for (int node = 0; node < nodes; node++) {
                     simulation.cut(node, node % 3 == 0 ? 1 : 0);
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
@@ -160,6 +160,14 @@
         mNodes.get(node).mFrozenUntil = mNow + millis;
     }
 
+    /** Freezes the node that the first node prefers as the coordinator of an account. */
+    void freezeCoordinator(String account, long millis) {
+        List<String> preferred = preferred(mNodes.get(0));
+        if (!preferred.isEmpty()) {
+            freeze(mIndex.get(preferred.get(QuotaPartitions.of(account))), millis);
+        }
+    }
+
     /** Puts a node on a side of a cut; nodes reach only those on their side. */
     void cut(int node, int side) {
         mNodes.get(node).mCut = side;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
@@ -148,7 +148,7 @@
     public Decision retry(String account, boolean urgent, long nowMillis) {
         dropExpired(nowMillis);
         HeldTokens held = held(account);
-        if (held.take(urgent)) {
+        if (held.take(urgent, nowMillis)) {
             return Decision.RUN;
         }
         ClientAccount limited = limited(account);
@@ -166,7 +166,7 @@
     /** Takes a token that is held; returns whether there was one. */
     public boolean tryTake(String account, long nowMillis) {
         dropExpired(nowMillis);
-        return held(account).take(true);
+        return held(account).take(true, nowMillis);
     }
 
     /** Returns whether the newest answer about an account said that it has none to spare. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/HeldTokens.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/HeldTokens.java
@@ -29,6 +29,7 @@
     private int mTokens;
     private int mUrgent;
     private int mReported;
+    private long mUrgentAtMillis = Long.MIN_VALUE / 2;
     private double mDemandPerSecond;
     private double mGrantedPerSecond;
     private long mDemandAtMillis;
@@ -42,24 +43,29 @@
     /** Counts a request towards the demand; a less urgent one only while tokens are plenty. */
     void arrived(boolean urgent, long nowMillis) {
         decayDemand(nowMillis);
-        if (urgent || !mScarce) {
+        mUrgentAtMillis = urgent ? nowMillis : mUrgentAtMillis;
+        if (urgent || !keptForUrgent(nowMillis)) {
             mDemandPerSecond += MILLIS_PER_SECOND / DEMAND_MILLIS;
         }
     }
 
     /** Takes a token; the last ones of a scarce account are kept for urgent requests. */
-    boolean take(boolean urgent) {
+    boolean take(boolean urgent, long nowMillis) {
         if (mUrgent > 0) {
             mUrgent--;
             return true;
         }
-        if (mTokens == 0 || (!urgent && mScarce)) {
+        if (mTokens == 0 || (!urgent && keptForUrgent(nowMillis))) {
             return false;
         }
         mTokens--;
         return true;
     }
 
+    private boolean keptForUrgent(long nowMillis) {
+        return mScarce && nowMillis - mUrgentAtMillis < QuotaRules.RESERVE_MILLIS;
+    }
+
     void refund() {
         mTokens++;
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
@@ -20,8 +20,11 @@
  * <p>Has no clock and no I/O. Confined to one thread.
  */
 public final class QuotaCoordinator {
-    /** Part of the capacity below which an account is scarce, and kept for urgent requests. */
-    private static final double SCARCE = 0.3;
+    /** Part of the capacity below which an account is scarce. */
+    private static final double SCARCE = 0.15;
+
+    /** Part of the capacity that is kept for requests of the most urgent rank. */
+    private static final double RESERVED = 0.3;
 
     /**
      * Part of the capacity below which nodes ask for no token for a while, so that demand far above
@@ -51,15 +54,6 @@
     /** The integral of the delegated fraction over time, in milliseconds. */
     private double mDelegatedMillis;
 
-    /**
-     * The time for which accounts without a bucket have accrued tokens, in milliseconds. Reduced
-     * with the delegated fraction, as buckets are.
-     */
-    private double mIdleMillis;
-
-    /** The value of {@link #mDelegatedMillis} when an account was added to those in force. */
-    private final Map<String, Double> mAddedMillis = new HashMap<>();
-
     private boolean mClosed;
 
     /**
@@ -82,22 +76,32 @@
     public void update(AccountDirectory accounts, long nowMillis) {
         advance(nowMillis);
         mBuckets.values().forEach(this::refill);
-        recordAdded(accounts);
         mAccounts = accounts;
         mBuckets.keySet().removeIf(name -> limited(name) == null);
         mBuckets.forEach((name, bucket) -> bucket.mAccount = limited(name));
         mBuckets.values().forEach(this::clamp);
+        if (mFraction > 0) {
+            createBuckets();
+        }
     }
 
-    private void recordAdded(AccountDirectory accounts) {
-        mAddedMillis.keySet().removeIf(name -> accounts.findByName(name) == null);
-        for (ClientAccount account : accounts.accounts()) {
-            if (mDelegatedMillis > 0 && mAccounts.findByName(account.name()) == null) {
-                mAddedMillis.put(account.name(), mDelegatedMillis);
+    /**
+     * Creates the buckets of all limited accounts, which are filled from now on whether or not
+     * requests arrive. Only coordinators have them.
+     */
+    private void createBuckets() {
+        for (ClientAccount account : mAccounts.accounts()) {
+            if (account.limited()) {
+                bucket(account);
             }
         }
     }
 
+    private Bucket bucket(ClientAccount account) {
+        return mBuckets.computeIfAbsent(
+                account.name(), name -> new Bucket(account, mDelegatedMillis));
+    }
+
     /** Ends all delegations, as the node is stopping; nodes learn it with their next message. */
     public void close() {
         mClosed = true;
@@ -159,7 +163,6 @@
      * node had received: the message was sent later than that.
      */
     private void renew(QuotaDelegate delegate, @Nullable QuotaAsk ask) {
-        double before = effectiveFraction();
         mFraction -= delegate.fraction();
         boolean valid =
                 ask != null
@@ -169,8 +172,10 @@
         delegate.delegate(
                 valid && ask != null ? 1.0 / ask.members() : 0,
                 valid && ask != null ? ask.echoMillis() + QuotaRules.LEASE_MILLIS : 0);
+        if (mFraction <= 0 && delegate.fraction() > 0) {
+            createBuckets();
+        }
         mFraction += delegate.fraction();
-        reduceIdle(before);
         if (valid) {
             mNextExpiryMillis = Math.min(mNextExpiryMillis, delegate.leaseEndMillis());
         }
@@ -182,9 +187,7 @@
             QuotaAsk.Entry entry,
             QuotaAsk ask,
             long nowMillis) {
-        Bucket bucket =
-                mBuckets.computeIfAbsent(account.name(), name -> new Bucket(idleFrom(name)));
-        bucket.mAccount = account;
+        Bucket bucket = bucket(account);
         refill(bucket);
         int before = delegate.outstanding(account.name());
         int after = delegate.report(entry, ask.acknowledged());
@@ -192,32 +195,22 @@
         bucket.mLevel += Math.min(entry.returned(), Math.max(0, before - after));
         clamp(bucket);
         boolean grants = !mClosed && !ask.release();
+        if (entry.needed() > 0) {
+            bucket.mUrgentMillis = nowMillis;
+        }
+        double reserve = reserve(account, bucket, nowMillis);
         int urgent = grants ? (int) Math.min(entry.needed(), bucket.mLevel) : 0;
-        double spare = Math.max(0, bucket.mLevel - urgent - reserve(account));
+        double spare = Math.max(0, bucket.mLevel - urgent - reserve);
         urgent += grants ? (int) Math.min(entry.others(), spare) : 0;
         bucket.sendUrgent(urgent, nowMillis);
         int held = grants ? heldTokens(bucket, entry, capacity(account)) : 0;
         bucket.mLevel -= held;
         bucket.mOutstanding += held;
         delegate.granted(account.name(), ask.sequence(), held);
-        boolean scarce = bucket.mLevel < Math.max(1, reserve(account));
+        boolean scarce = bucket.mLevel < Math.max(1, Math.max(reserve, SCARCE * capacity(account)));
         return new QuotaReply.Grant(account.name(), urgent, held, scarce ? waitMillis(bucket) : 0);
     }
 
-    /** Returns from when on an account without a bucket has accrued tokens. */
-    private double idleFrom(String account) {
-        double added = mAddedMillis.getOrDefault(account, 0.0);
-        return mDelegatedMillis - Math.min(mIdleMillis, mDelegatedMillis - added);
-    }
-
-    /** Reduces what idle accounts have accrued if the delegated fraction has decreased. */
-    private void reduceIdle(double before) {
-        double now = effectiveFraction();
-        if (now < before) {
-            mIdleMillis *= now / before;
-        }
-    }
-
     private static int heldTokens(Bucket bucket, QuotaAsk.Entry entry, double capacity) {
         double level = bucket.mLevel;
         double limit = MAX_HELD * capacity - bucket.mOutstanding;
@@ -253,16 +246,13 @@
 
     private void accrue(long untilMillis) {
         if (untilMillis > mAdvancedMillis) {
-            double millis = effectiveFraction() * (untilMillis - mAdvancedMillis);
-            mDelegatedMillis += millis;
-            mIdleMillis += millis;
+            mDelegatedMillis += effectiveFraction() * (untilMillis - mAdvancedMillis);
             mAdvancedMillis = untilMillis;
         }
     }
 
     private void expire(long atMillis) {
         mBuckets.values().forEach(this::refill);
-        double before = effectiveFraction();
         mFraction = 0;
         mNextExpiryMillis = Long.MAX_VALUE;
         Iterator<QuotaDelegate> all = mDelegates.values().iterator();
@@ -283,15 +273,12 @@
                                 Math.max(atMillis + 1, delegate.tokensEndMillis()));
             }
         }
-        reduceIdle(before);
     }
 
     private void remove(String node) {
         QuotaDelegate delegate = mDelegates.remove(node);
         if (delegate != null) {
-            double before = effectiveFraction();
             mFraction -= delegate.fraction();
-            reduceIdle(before);
             settle(delegate);
         }
     }
@@ -326,8 +313,9 @@
     }
 
     /** Returns the tokens that only requests of the most urgent rank get. */
-    private double reserve(ClientAccount account) {
-        return SCARCE * capacity(account);
+    private double reserve(ClientAccount account, Bucket bucket, long nowMillis) {
+        boolean kept = nowMillis - bucket.mUrgentMillis < QuotaRules.RESERVE_MILLIS;
+        return kept ? RESERVED * capacity(account) : 0;
     }
 
     private double capacity(ClientAccount account) {
@@ -349,6 +337,10 @@
     /** The tokens of one account. */
     private static final class Bucket {
         private @Nullable ClientAccount mAccount;
+
+        /** When a request of the most urgent rank was last asked for. */
+        private long mUrgentMillis = Long.MIN_VALUE / 2;
+
         private double mLevel;
         private double mFilledMillis;
 
@@ -360,7 +352,8 @@
 
         private final Deque<Urgent> mUrgentSent = new ArrayDeque<>(0);
 
-        Bucket(double filledMillis) {
+        Bucket(ClientAccount account, double filledMillis) {
+            mAccount = account;
             mFilledMillis = filledMillis;
         }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaRules.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaRules.java
@@ -22,6 +22,9 @@
      */
     static final long URGENT_MILLIS = 100;
 
+    /** Time without requests of the most urgent rank after which no token is kept for them. */
+    static final long RESERVE_MILLIS = 2_000;
+
     /** Wait that a coordinator names for a scarce account that still has a token. */
     static final int NO_WAIT_MILLIS = 1;
 
