--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
@@ -1,7 +1,6 @@
 package org.azurearch.sidecar.internal;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.time.Duration;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.HeartbeatCodec;
 import org.azurearch.sidecar.SidecarEvent;
@@ -22,12 +21,6 @@
  * dispatcher and to the peers. Confined to one event loop.
  */
 public final class BackendMonitor implements BackendDispatcher.Listener {
-    /**
-     * How far in the future a run may have started by this node's clock. Reports of earlier runs
-     * are outdated, so that one with a start in the far future would hide all that follow.
-     */
-    private static final Duration MAX_CLOCK_LEAD = Duration.ofDays(1);
-
     private final SidecarSettings mSettings;
     private final HeartbeatCodec mCodec;
     private final ConfigHolder mConfigs;
@@ -97,14 +90,6 @@
         if (message == null) {
             return PlainHttpServer.Reply.of(HttpResponseStatus.NOT_FOUND.code());
         }
-        if (message.startedMillis() > System.currentTimeMillis() + MAX_CLOCK_LEAD.toMillis()) {
-            EventLog.log(
-                    SidecarEvent.BACKEND_REPORT_IGNORED,
-                    message.instance(),
-                    "-",
-                    "started in the future: " + message.startedMillis());
-            return PlainHttpServer.Reply.of(HttpResponseStatus.BAD_REQUEST.code());
-        }
         Heartbeat heartbeat = message.heartbeat();
         if (heartbeat == null) {
             applyChange(recordDeparture(message), "departed");
