Skip interim answers of backend servers on both call paths

Callers of the users' node saw 502 where the backend server had sent 100 Continue or 103 Early Hints ahead of its answer, though it had run the request: the interim answer was taken for the answer. The product skipped them in UpstreamConnection; AnswerDecoder now does so for both.

Before the change: RepeatedRefusalTest.interimAnswersAreNotTakenForTheAnswer: expected: <200 /order/0> but was: <502 {"error":"backend-server-failed"}> After it, the 9 tests of RepeatedRefusalTest pass, and of the product's path StrayAnswerTest, CallPathTest and VerdictTest.

--- a/org.azurearch/src/main/java/org/azurearch/internal/call/AnswerDecoder.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/AnswerDecoder.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
@@ -16,9 +17,9 @@
 import java.util.regex.Pattern;
 
 /**
- * Decodes the answers on a connection that carries one request at a time. It closes the connection
- * on bytes that no request awaits, and marks a head as malformed that contains the start of another
- * one.
+ * Decodes the answers on a connection that carries one request at a time. It drops interim answers,
+ * closes the connection on bytes that no request awaits, and marks a head as malformed that
+ * contains the start of another one.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
     private static final String PROTOCOL = "HTTP/1.";
@@ -73,16 +74,22 @@
             head.setDecoderResult(
                     DecoderResult.failure(
                             new CorruptedFrameException("a head contains the start of another")));
+        } else if (head.decoderResult().isSuccess() && interim(head)) {
+            out.subList(before, out.size()).clear();
         }
     }
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        HttpStatusClass status = ((HttpResponse) message).status().codeClass();
-        boolean answersHead = mHeadRequest && status != HttpStatusClass.INFORMATIONAL;
+        boolean answersHead = mHeadRequest && !interim((HttpResponse) message);
         return answersHead || super.isContentAlwaysEmpty(message);
     }
 
+    private static boolean interim(HttpResponse head) {
+        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                && head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+    }
+
     private static boolean joined(HttpResponse head) {
         if (containsStatusLine(head.status().reasonPhrase())) {
             return true;
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
@@ -6,9 +6,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
@@ -18,7 +15,6 @@
     private final Channel mChannel;
     private final AnswerDecoder mDecoder;
     private @Nullable UpstreamExchange mExchange;
-    private boolean mSkippingInterim;
     private long mIdleSinceNanos;
 
     UpstreamConnection(ConnectionPool pool, Channel channel, AnswerDecoder decoder) {
@@ -99,8 +95,6 @@
         if (head.decoderResult().isFailure()) {
             ReferenceCountUtil.release(head);
             exchange.onMalformed("malformed answer: " + head.decoderResult().cause().getMessage());
-        } else if (isInterim(head)) {
-            mSkippingInterim = true;
         } else {
             exchange.onHead(head);
         }
@@ -110,16 +104,8 @@
         if (content.decoderResult().isFailure()) {
             content.release();
             exchange.onMalformed("malformed body of an answer");
-        } else if (mSkippingInterim) {
-            mSkippingInterim = !(content instanceof LastHttpContent);
-            content.release();
         } else {
             exchange.onContent(content);
         }
     }
-
-    private static boolean isInterim(HttpResponse head) {
-        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                && head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
-    }
 }
