Believe a refusal only if it belongs to its request for certain

Callers saw 503, the promise that a request did not run, for requests that ran, when a faulty backend server wrote an earlier refusal once more on a kept connection: - on the users' node, if the copy named the id of a request that was sent again after its refusal, or if the request had no id; - on the product's path, if the copy named no id. There, any copy without an id was passed on as the next answer, even of a server that names ids.

AnswerAttribution, a pure type that both paths use, decides whether an answer belongs to the pending request: for certain, to another one, or unknown. A connection on which the id was refused carries it no more, and a request without an id is sent on a fresh connection. In the product, a refusal without an id counts only as the first answer on a connection, and a server that has named an id there must name all; else the outcome is may-have-run. After 64 refusals a connection of the users' node is closed, as a bound on the ids that it keeps.

Left open: a copy of a success that names the id of a later request (callers give each attempt its own id), and, in the product, a copy of an answer of a server that never names ids.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -61,7 +61,14 @@
     void start(Heartbeat backend) {
         mState = State.STARTED;
         mBackend = backend;
-        mDispatcher.pool().acquire(!mCall.idempotent(), System.nanoTime(), this::connected);
+        String id = mCall.header(mDispatcher.dialect().requestId());
+        mDispatcher
+                .pool()
+                .acquire(
+                        idle -> idle.mayCarry(id),
+                        !mCall.idempotent(),
+                        System.nanoTime(),
+                        this::connected);
     }
 
     /** Ends a waiting attempt, which has not been sent. */
@@ -96,8 +103,7 @@
         Dialect dialect = mDispatcher.dialect();
         noteLimit(answer);
         noteLeaving(answer);
-        if (answer.headers().contains(dialect.notRun())
-                || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
+        if (BackendConnection.refuses(dialect, answer)) {
             rejected(status);
         } else if (!answer.headers().contains(dialect.responseSignature())
                 || answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -5,7 +5,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import org.azurearch.internal.call.AnswerAttribution;
 import org.azurearch.internal.call.AnswerDecoder;
 import org.azurearch.sidecar.Dialect;
 import org.jspecify.annotations.Nullable;
@@ -29,9 +31,8 @@
     private final BackendConnectionPool mPool;
     private final Dialect mDialect;
     private final AnswerDecoder mDecoder;
+    private final AnswerAttribution mAttribution = AnswerAttribution.byCallerIds();
     private @Nullable ResponseListener mListener;
-    private String mRequestId = "";
-    private int mRequests;
     private boolean mReusable = true;
     private boolean mReleasePending;
     private long mIdleSinceNanos;
@@ -49,12 +50,25 @@
     void send(FullHttpRequest request, ResponseListener listener) {
         mListener = listener;
         mDecoder.awaitAnswer(request.method());
-        mRequests++;
-        String id = request.headers().get(mDialect.requestId());
-        mRequestId = id == null ? "" : id;
+        mAttribution.sent(request.headers().get(mDialect.requestId()));
         mChannel.writeAndFlush(request, mChannel.voidPromise());
     }
 
+    /**
+     * Returns whether the answer to a request could be told from copies of earlier answers.
+     *
+     * @param id the request's id, or null if it has none
+     */
+    boolean mayCarry(@Nullable String id) {
+        return mAttribution.mayCarry(id);
+    }
+
+    /** Returns whether an answer states that the request was not run. */
+    static boolean refuses(Dialect dialect, FullHttpResponse answer) {
+        return answer.headers().contains(dialect.notRun())
+                || answer.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    }
+
     /** Drops the pending answer and closes the connection. */
     void abandon() {
         mListener = null;
@@ -90,20 +104,17 @@
             fail("malformed answer");
             return;
         }
-        String id = answer.headers().get(mDialect.requestId());
-        if (id != null && !id.equals(mRequestId)) {
-            mReusable = false;
-            return;
-        }
-        if (id == null && !mRequestId.isEmpty() && mRequests > 1) {
-            fail("an answer without the id of its request, which may belong to an earlier one");
-            return;
+        switch (owner(answer)) {
+            case PENDING -> {
+                updateKeepAlive(answer);
+                mReusable &= mDecoder.endAnswer() && mAttribution.reusable();
+                mListener = null;
+                mReleasePending = true;
+                listener.answered(answer);
+            }
+            case UNKNOWN -> fail("an answer that may belong to another request");
+            default -> mReusable = false;
         }
-        updateKeepAlive(answer);
-        mReusable &= mDecoder.endAnswer();
-        mListener = null;
-        mReleasePending = true;
-        listener.answered(answer);
     }
 
     @Override
@@ -131,6 +142,11 @@
         fail("connection closed");
     }
 
+    private AnswerAttribution.Owner owner(FullHttpResponse answer) {
+        return mAttribution.owner(
+                answer.headers().getAll(mDialect.requestId()), refuses(mDialect, answer));
+    }
+
     private void fail(String reason) {
         ResponseListener listener = mListener;
         mListener = null;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -12,8 +12,10 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.azurearch.internal.call.AnswerDecoder;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
@@ -63,24 +65,43 @@
     /**
      * Passes an idle connection to the callback immediately, or a new one when it is open.
      *
+     * @param usable whether an idle connection may be used
      * @param nonIdempotent whether the request must not run twice
      * @param nowNanos the current time
      * @param callback receives the connection, or null if none can be opened
      */
     void acquire(
-            boolean nonIdempotent, long nowNanos, Consumer<@Nullable BackendConnection> callback) {
-        for (BackendConnection idle = mIdle.pollFirst(); idle != null; idle = mIdle.pollFirst()) {
-            long limit =
-                    Math.min(
-                            MAX_IDLE_NANOS, (long) (idle.serverIdleNanos() * SERVER_IDLE_FRACTION));
-            long allowed = nonIdempotent ? Math.min(NON_IDEMPOTENT_MAX_IDLE_NANOS, limit) : limit;
-            if (idle.active() && idle.idleNanos(nowNanos) < allowed) {
-                callback.accept(idle);
-                return;
+            Predicate<BackendConnection> usable,
+            boolean nonIdempotent,
+            long nowNanos,
+            Consumer<@Nullable BackendConnection> callback) {
+        BackendConnection idle = takeIdle(usable, nonIdempotent, nowNanos);
+        if (idle == null) {
+            open(callback);
+        } else {
+            callback.accept(idle);
+        }
+    }
+
+    private @Nullable BackendConnection takeIdle(
+            Predicate<BackendConnection> usable, boolean nonIdempotent, long nowNanos) {
+        for (Iterator<BackendConnection> all = mIdle.iterator(); all.hasNext(); ) {
+            BackendConnection idle = all.next();
+            if (!idle.active() || idle.idleNanos(nowNanos) >= maxIdleNanos(idle, nonIdempotent)) {
+                all.remove();
+                idle.close();
+            } else if (usable.test(idle)) {
+                all.remove();
+                return idle;
             }
-            idle.close();
         }
-        open(callback);
+        return null;
+    }
+
+    private static long maxIdleNanos(BackendConnection idle, boolean nonIdempotent) {
+        long limit =
+                Math.min(MAX_IDLE_NANOS, (long) (idle.serverIdleNanos() * SERVER_IDLE_FRACTION));
+        return nonIdempotent ? Math.min(NON_IDEMPOTENT_MAX_IDLE_NANOS, limit) : limit;
     }
 
     void release(BackendConnection connection) {
@@ -121,7 +142,7 @@
                         });
     }
 
-    private BackendConnection install(Channel channel) {
+    BackendConnection install(Channel channel) {
         HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
         AnswerDecoder decoder = new AnswerDecoder(config);
         BackendConnection connection = new BackendConnection(channel, this, mDialect, decoder);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendProbe.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendProbe.java
@@ -66,7 +66,11 @@
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
         request.headers().set(HttpHeaderNames.HOST, address.name());
-        pool.acquire(false, System.nanoTime(), connection -> probe.connected(connection, request));
+        pool.acquire(
+                idle -> true,
+                false,
+                System.nanoTime(),
+                connection -> probe.connected(connection, request));
     }
 
     @Override
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/StrayAnswerTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/StrayAnswerTest.java
@@ -1,9 +1,13 @@
 package org.azurearch.internal.call;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.azurearch.internal.call.RawClient.Answer;
 import org.junit.jupiter.api.AfterEach;
@@ -16,8 +20,15 @@
 class StrayAnswerTest {
     private static final int CALLS = 8;
 
+    /** More than the nodes have event loops, each of which has connections of its own. */
+    private static final int REUSING_CALLS = 64;
+
+    private static final String REFUSAL =
+            "HTTP/1.1 503 x\r\nazurearch-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
+
     private final FakeMesh mMesh = new FakeMesh();
     private final AtomicInteger mCalls = new AtomicInteger();
+    private final Set<Socket> mUsed = ConcurrentHashMap.newKeySet();
     private RawServer mServer;
     private FakeMesh.Node mEntry;
 
@@ -70,6 +81,43 @@
         }
     }
 
+    @Test
+    void copyOfRefusalWithoutIdNeverRefusesTheNextRequest() throws IOException {
+        mServer.script(
+                (request, connection) -> {
+                    boolean first = mUsed.add(connection);
+                    mCalls.addAndGet(first ? 0 : 1);
+                    RawServer.send(connection, REFUSAL);
+                    if (!first) {
+                        RawServer.sendOk(connection, request.path());
+                    }
+                });
+        for (int i = 0; i < REUSING_CALLS; i++) {
+            int ran = mCalls.get();
+            Answer answer = order("k" + i);
+            String verdict = mCalls.get() > ran ? "may-have-run" : "not-run";
+            assertEquals(verdict, answer.verdict(), answer.toString());
+        }
+        assertTrue(mCalls.get() > 0, "no connection was used again");
+    }
+
+    @Test
+    void copyWithoutIdIsNeverTakenForTheAnswerOfServerThatNamesIds() throws IOException {
+        mServer.script(
+                (request, connection) -> {
+                    if (!mUsed.add(connection)) {
+                        mCalls.incrementAndGet();
+                        RawServer.sendOk(connection, "earlier");
+                    }
+                    sendNamed(request, connection);
+                });
+        for (int i = 0; i < REUSING_CALLS; i++) {
+            Answer answer = order("k" + i);
+            assertNotEquals("earlier", answer.body(), answer.toString());
+        }
+        assertTrue(mCalls.get() > 0, "no connection was used again");
+    }
+
     @Test
     void copyBehindAnAnswerIsNeverTakenForTheNextAnswer() throws IOException {
         mServer.script(
@@ -114,6 +162,14 @@
         }
     }
 
+    private static void sendNamed(RawServer.Request request, Socket connection) throws IOException {
+        RawServer.send(
+                connection,
+                "HTTP/1.1 200 OK\r\nazurearch-call-id: "
+                        + request.header("azurearch-call-id")
+                        + "\r\ncontent-length: 0\r\n\r\n");
+    }
+
     private Answer order(String key) throws IOException {
         return RawClient.call(
                 mEntry.address(), RawClient.post("/orders", "pallet", "run-key: " + key));
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -151,16 +151,10 @@
 
     @Override
     public void answerHead(HttpResponse head) {
-        String callId = head.headers().get(CallHeaders.CALL_ID);
-        if (callId != null && !callId.equals(Long.toString(mHop.callId()))) {
-            failMismatchedAnswer();
-            return;
-        }
-        boolean unavailable = head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
-        String verdict = head.headers().get(CallHeaders.VERDICT);
+        boolean refused = refuses(head);
         HeaderRules.removeAzurearch(head.headers());
-        mUnavailable = unavailable;
-        if (unavailable && Verdict.NOT_RUN.headerValue().equals(verdict)) {
+        mUnavailable = unavailable(head);
+        if (refused) {
             mState = State.SHEDDING;
             mShedRetryAfterMillis = RetryAfter.millis(head.headers());
             return;
@@ -217,15 +211,14 @@
         mSink.requestWritable();
     }
 
-    private void failMismatchedAnswer() {
-        if (mUpstream != null) {
-            mUpstream.cancel();
-        }
-        failed(
-                CallFailure.of(
-                        Verdict.MAY_HAVE_RUN,
-                        ErrorCode.BACKEND_SERVER_FAILED,
-                        "the answer belongs to another request"));
+    /** Returns whether an answer states that the request was not run. */
+    static boolean refuses(HttpResponse head) {
+        return unavailable(head)
+                && Verdict.NOT_RUN.headerValue().equals(head.headers().get(CallHeaders.VERDICT));
+    }
+
+    private static boolean unavailable(HttpResponse head) {
+        return head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
 
     private void begin() {
@@ -244,6 +237,7 @@
                 new UpstreamExchange(
                         mWorker.backendPool(announcement),
                         mHead,
+                        mHop.callId(),
                         this,
                         ErrorCode.BACKEND_SERVER_FAILED);
         mUpstream = upstream;
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HopExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopExchange.java
@@ -53,7 +53,11 @@
         mCallId = Long.toString(callId);
         mUpstream =
                 new UpstreamExchange(
-                        worker.hopPool(address, node), head, this, ErrorCode.PEER_UNAVAILABLE);
+                        worker.hopPool(address, node),
+                        head,
+                        callId,
+                        this,
+                        ErrorCode.PEER_UNAVAILABLE);
     }
 
     @Override
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.ReferenceCountUtil;
+import org.azurearch.call.CallHeaders;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to a backend server or to a peer. It carries one exchange at a time. */
@@ -14,6 +15,7 @@
     private final ConnectionPool mPool;
     private final Channel mChannel;
     private final AnswerDecoder mDecoder;
+    private final AnswerAttribution mAttribution = AnswerAttribution.byUniqueIds();
     private @Nullable UpstreamExchange mExchange;
     private long mIdleSinceNanos;
 
@@ -27,16 +29,21 @@
         return mChannel;
     }
 
-    /** Assigns the connection to an exchange, which sends its request next. */
-    void begin(UpstreamExchange exchange, HttpMethod method) {
+    /**
+     * Assigns the connection to an exchange, which sends its request next.
+     *
+     * @param callId the id that an answer to the request names, if any
+     */
+    void begin(UpstreamExchange exchange, HttpMethod method, String callId) {
         mExchange = exchange;
         mDecoder.awaitAnswer(method);
+        mAttribution.sent(callId);
     }
 
     /** Ends the exchange; returns whether the connection may be used again. */
     boolean end() {
         mExchange = null;
-        return mDecoder.endAnswer() && mChannel.isActive();
+        return mDecoder.endAnswer() && mAttribution.reusable() && mChannel.isActive();
     }
 
     long idleSinceNanos() {
@@ -95,6 +102,9 @@
         if (head.decoderResult().isFailure()) {
             ReferenceCountUtil.release(head);
             exchange.onMalformed("malformed answer: " + head.decoderResult().cause().getMessage());
+        } else if (owner(head) != AnswerAttribution.Owner.PENDING) {
+            ReferenceCountUtil.release(head);
+            exchange.onMalformed("an answer that may belong to another request");
         } else {
             exchange.onHead(head);
         }
@@ -108,4 +118,9 @@
             exchange.onContent(content);
         }
     }
+
+    private AnswerAttribution.Owner owner(HttpResponse head) {
+        return mAttribution.owner(
+                head.headers().getAll(CallHeaders.CALL_ID), BackendExchange.refuses(head));
+    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamExchange.java
@@ -26,6 +26,7 @@
 final class UpstreamExchange implements Exchange {
     private final ConnectionPool mPool;
     private final HttpRequest mHead;
+    private final String mCallId;
     private final AnswerSink mSink;
     private final ErrorCode mFailureCode;
     private final Deque<HttpContent> mPending = new ArrayDeque<>();
@@ -42,13 +43,19 @@
      *
      * @param pool provides the connection
      * @param head the request's head
+     * @param callId the id that an answer to the request names, if any
      * @param sink receives the answer
      * @param failureCode the code reported when the connection fails
      */
     UpstreamExchange(
-            ConnectionPool pool, HttpRequest head, AnswerSink sink, ErrorCode failureCode) {
+            ConnectionPool pool,
+            HttpRequest head,
+            long callId,
+            AnswerSink sink,
+            ErrorCode failureCode) {
         mPool = pool;
         mHead = head;
+        mCallId = Long.toString(callId);
         mSink = sink;
         mFailureCode = failureCode;
     }
@@ -106,7 +113,7 @@
             return;
         }
         mConnection = connection;
-        connection.begin(this, mHead.method());
+        connection.begin(this, mHead.method(), mCallId);
         Channel channel = connection.channel();
         channel.write(mHead).addListener(written -> mHeadSent = written.isSuccess());
         for (HttpContent next = mPending.poll(); next != null; next = mPending.poll()) {
