Treat a success that also says not run as an unknown outcome

Callers of the users' node saw 503 for a request that ran when a faulty backend server put the header that states "not run" on a success: the header counted with any status. An answer that contradicts itself proves neither; the outcome is now unknown, and the caller gets 502.

Before the change: RepeatedRefusalTest.successThatAlsoSaysNotRunIsNotRefusal: expected: <502> but was: <503> After it, RepeatedRefusalTest (12), BackendConnectionTest (3) and SoakTest (2) pass.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -106,6 +106,7 @@
         if (BackendConnection.refuses(dialect, answer)) {
             rejected(status);
         } else if (!answer.headers().contains(dialect.responseSignature())
+                || answer.headers().contains(dialect.notRun())
                 || answer.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
             end(true, 0);
             mListener.failed(
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import org.azurearch.internal.call.AnswerAttribution;
 import org.azurearch.internal.call.AnswerDecoder;
@@ -65,8 +66,10 @@
 
     /** Returns whether an answer states that the request was not run. */
     static boolean refuses(Dialect dialect, FullHttpResponse answer) {
-        return answer.headers().contains(dialect.notRun())
-                || answer.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+        HttpResponseStatus status = answer.status();
+        return status.codeClass() != HttpStatusClass.SUCCESS
+                && (answer.headers().contains(dialect.notRun())
+                        || status.code() == HttpResponseStatus.MISDIRECTED_REQUEST.code());
     }
 
     /** Drops the pending answer and closes the connection. */
