--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
@@ -6,10 +6,8 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.azurearch.call.CallHeaders;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to a backend server or to a peer. It carries one exchange at a time. */
@@ -17,8 +15,8 @@
     private final ConnectionPool mPool;
     private final Channel mChannel;
     private final AnswerDecoder mDecoder;
+    private final AnswerAttribution mAttribution = AnswerAttribution.byUniqueIds();
     private @Nullable UpstreamExchange mExchange;
-    private boolean mSkippingInterim;
     private long mIdleSinceNanos;
 
     UpstreamConnection(ConnectionPool pool, Channel channel, AnswerDecoder decoder) {
@@ -31,16 +29,21 @@
         return mChannel;
     }
 
-    /** Assigns the connection to an exchange, which sends its request next. */
-    void begin(UpstreamExchange exchange, HttpMethod method) {
+    /**
+     * Assigns the connection to an exchange, which sends its request next.
+     *
+     * @param callId the id that an answer to the request names, if any
+     */
+    void begin(UpstreamExchange exchange, HttpMethod method, String callId) {
         mExchange = exchange;
         mDecoder.awaitAnswer(method);
+        mAttribution.sent(callId);
     }
 
     /** Ends the exchange; returns whether the connection may be used again. */
     boolean end() {
         mExchange = null;
-        return mDecoder.endAnswer() && mChannel.isActive();
+        return mDecoder.endAnswer() && mAttribution.reusable() && mChannel.isActive();
     }
 
     long idleSinceNanos() {
@@ -99,8 +102,9 @@
         if (head.decoderResult().isFailure()) {
             ReferenceCountUtil.release(head);
             exchange.onMalformed("malformed answer: " + head.decoderResult().cause().getMessage());
-        } else if (isInterim(head)) {
-            mSkippingInterim = true;
+        } else if (owner(head) != AnswerAttribution.Owner.PENDING) {
+            ReferenceCountUtil.release(head);
+            exchange.onMalformed("an answer that may belong to another request");
         } else {
             exchange.onHead(head);
         }
@@ -110,16 +114,13 @@
         if (content.decoderResult().isFailure()) {
             content.release();
             exchange.onMalformed("malformed body of an answer");
-        } else if (mSkippingInterim) {
-            mSkippingInterim = !(content instanceof LastHttpContent);
-            content.release();
         } else {
             exchange.onContent(content);
         }
     }
 
-    private static boolean isInterim(HttpResponse head) {
-        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                && head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+    private AnswerAttribution.Owner owner(HttpResponse head) {
+        return mAttribution.owner(
+                head.headers().getAll(CallHeaders.CALL_ID), BackendExchange.refuses(head));
     }
 }
