Keep a margin for urgent answers behind downloads

What callers see: on a link that sends answers in order, the most urgent kind is served a smaller share than a small, less urgent kind with more time: downloads are admitted to the last millisecond for which the urgent answers may wait, and those that are ready later than expected are late.

Cause: the bound of less urgent answers took the time at which an answer is ready for certain; it is an estimate, as in the bounds beside it.

On tests: downloadsGetWhatUrgentAnswersLeaveOfTheLink compared with the nominal arrival rate. It now compares with what the link can send of the requests that arrived, with the same bound of 0.95.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/LinkRankSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/LinkRankSimulation.java
@@ -38,8 +38,9 @@
             long workMillis,
             long targetMillis,
             long deadlineMillis) {
-        double linkLoad() {
-            return perSecond * bytes * 8 / (LINK_MBPS * 1e6);
+        /** Returns how long the link takes for the answers to a number of requests. */
+        double linkSeconds(int requests) {
+            return requests * (double) bytes * 8 / (LINK_MBPS * 1e6);
         }
     }
 
@@ -49,6 +50,14 @@
         private int mAdmitted;
         private int mInTime;
 
+        int arrived() {
+            return mArrived;
+        }
+
+        int inTime() {
+            return mInTime;
+        }
+
         int refused() {
             return mArrived - mAdmitted;
         }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/LinkRankTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/LinkRankTest.java
@@ -18,13 +18,15 @@
     private static final long SECONDS = 40;
     private static final long SEEDS = 8;
     private static final double MAX_DIFFERENCE = 0.05;
-    private static final int PACKET_BYTES = 1_460;
+    private static final List<Integer> PACKETS = List.of(1_460);
+    private static final List<Integer> WHOLE_ANSWERS = List.of(LinkRankSimulation.WHOLE_ANSWERS);
     private static final List<Integer> WINDOWS =
-            List.of(PACKET_BYTES, LinkRankSimulation.WHOLE_ANSWERS);
+            List.of(PACKETS.get(0), LinkRankSimulation.WHOLE_ANSWERS);
 
     private static final Kind SMALL = new Kind("small", 0, 60, 400, 392, 1_087, 6_269);
     private static final Kind LARGE_URGENT = new Kind("large", 0, 25, 20_000, 392, 1_087, 6_269);
-    private static final Kind DOWNLOAD = new Kind("download", 1, 15, 90_000, 320, 1_372, 8_901);
+    private static final Kind PATIENT = new Kind("patient", 1, 20, 400, 516, 3_100, 10_154);
+    private static final Kind DOWNLOAD = new Kind("download", 2, 15, 90_000, 320, 1_372, 8_901);
 
     @Test
     void smallUrgentAnswersAreNotRefusedForDownloadsThatFillTheLink() {
@@ -35,61 +37,77 @@
     }
 
     @Test
-    void urgentKindsAreServedNoSmallerShareThanDownloads() {
-        for (Kind urgent : List.of(SMALL, LARGE_URGENT)) {
+    void urgentKindsAreServedNoSmallerShareThanLessUrgentOnes() {
+        for (List<Kind> kinds :
+                List.of(
+                        List.of(SMALL, DOWNLOAD),
+                        List.of(LARGE_URGENT, DOWNLOAD),
+                        List.of(SMALL, PATIENT, DOWNLOAD))) {
             forAll(
                     WINDOWS,
-                    List.of(urgent, DOWNLOAD),
-                    (outcomes, seen) ->
-                            assertTrue(
-                                    outcomes.get(0).servedShare()
-                                            >= outcomes.get(1).servedShare() - MAX_DIFFERENCE,
-                                    seen));
+                    kinds,
+                    (outcomes, seen) -> {
+                        for (int i = 1; i < outcomes.size(); i++) {
+                            double urgent = outcomes.get(i - 1).servedShare();
+                            double other = outcomes.get(i).servedShare();
+                            assertTrue(urgent >= other - MAX_DIFFERENCE, seen);
+                        }
+                    });
         }
     }
 
     @Test
     void admittedDownloadsComeInTimeBesideUrgentAnswers() {
-        forDownloads(LinkRankSimulation.WHOLE_ANSWERS, (admitted, share) -> admitted);
+        assertDownloadsServed(WINDOWS, SMALL, (admitted, ofCarried) -> admitted);
+        assertDownloadsServed(WHOLE_ANSWERS, LARGE_URGENT, (admitted, ofCarried) -> admitted);
     }
 
     @Test
     void downloadsGetWhatUrgentAnswersLeaveOfTheLink() {
-        forDownloads(LinkRankSimulation.WHOLE_ANSWERS, (admitted, share) -> share);
+        assertDownloadsServed(WINDOWS, SMALL, (admitted, ofCarried) -> ofCarried);
+        assertDownloadsServed(WHOLE_ANSWERS, LARGE_URGENT, (admitted, ofCarried) -> ofCarried);
     }
 
     @Tag("known-red")
     @Test
     void admittedDownloadsComeInTimeWhereConnectionsShareTheLink() {
-        forDownloads(PACKET_BYTES, (admitted, share) -> admitted);
+        assertDownloadsServed(PACKETS, LARGE_URGENT, (admitted, ofCarried) -> admitted);
     }
 
     @Tag("known-red")
     @Test
     void downloadsGetWhatIsLeftWhereConnectionsShareTheLink() {
-        forDownloads(PACKET_BYTES, (admitted, share) -> share);
+        assertDownloadsServed(PACKETS, LARGE_URGENT, (admitted, ofCarried) -> ofCarried);
+    }
+
+    @Tag("known-red")
+    @Test
+    void admittedDownloadsAloneComeInTimeWhereConnectionsShareTheLink() {
+        forAll(
+                PACKETS,
+                List.of(DOWNLOAD),
+                (outcomes, seen) ->
+                        assertTrue(outcomes.get(0).inTimeOfAdmitted() >= 1 - MAX_DIFFERENCE, seen));
     }
 
     private interface Served {
         /** Selects one of two fractions of what it should be at least. */
-        double of(double inTimeOfAdmitted, double shareOfWhatIsLeft);
+        double of(double inTimeOfAdmitted, double inTimeOfCarried);
     }
 
-    private static void forDownloads(int window, Served served) {
-        for (Kind urgent : List.of(SMALL, LARGE_URGENT)) {
-            double left = Math.min(1, (1 - urgent.linkLoad()) / DOWNLOAD.linkLoad());
-            forAll(
-                    List.of(window),
-                    List.of(urgent, DOWNLOAD),
-                    (outcomes, seen) -> {
-                        Outcome downloads = outcomes.get(1);
-                        double fraction =
-                                served.of(
-                                        downloads.inTimeOfAdmitted(),
-                                        downloads.servedShare() / left);
-                        assertTrue(fraction >= 1 - MAX_DIFFERENCE, fraction + " at " + seen);
-                    });
-        }
+    private static void assertDownloadsServed(List<Integer> windows, Kind urgent, Served served) {
+        forAll(
+                windows,
+                List.of(urgent, DOWNLOAD),
+                (outcomes, seen) -> {
+                    Outcome downloads = outcomes.get(1);
+                    double leftSeconds = SECONDS - urgent.linkSeconds(outcomes.get(0).arrived());
+                    double carried =
+                            Math.min(downloads.arrived(), leftSeconds / DOWNLOAD.linkSeconds(1));
+                    double fraction =
+                            served.of(downloads.inTimeOfAdmitted(), downloads.inTime() / carried);
+                    assertTrue(fraction >= 1 - MAX_DIFFERENCE, fraction + " at " + seen);
+                });
     }
 
     private interface Check {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/LinkLoad.java
@@ -37,6 +37,12 @@
     /** Largest load of more urgent ranks that is assumed, so that expected waits stay finite. */
     private static final double MAX_URGENT_LOAD = 0.95;
 
+    /**
+     * Fraction of the time for which more urgent answers may wait that less urgent ones may take,
+     * as the times are estimates.
+     */
+    private static final double MAX_DELAY_FRACTION = 0.6;
+
     private static final int LEAST_URGENT = Integer.MAX_VALUE;
 
     /**
@@ -285,7 +291,8 @@
 
     /** Returns how much too late more urgent answers would be that wait for an answer. */
     private double delayMillis(Answer answer, double waitMillis, long nowNanos) {
-        return waitMillis + answer.millis() - mSlack.leastAbove(answer.rank(), nowNanos);
+        double maxMillis = mSlack.leastAbove(answer.rank(), nowNanos) * MAX_DELAY_FRACTION;
+        return waitMillis + answer.millis() - maxMillis;
     }
 
     private static double lateMillis(Answer answer, double sendingMillis) {
