Refuse what still waits before a planned stop ends

Callers got a closed connection without an answer when their node stopped while their request waited for a slot, in the queue of their node or of another one; and 502, which promises nothing, when it waited at a node that stopped. None of these requests had run, and none may be sent again by its caller if it may run only once.

Cause: at the end of the drain all connections closed, whatever a call was doing. An entry node could not refuse a call in the queue of a peer: only the peer knows whether it has started, and a cancellation is not confirmed.

600 ms before the end of the drain the node now withdraws its calls. A call without an open attempt is refused with 503 and Retry-After. Otherwise a new frame, WireHopWithdrawal, asks the peer to fail the attempt as not run if its request was not sent to the backend server; that failure is the confirmation, and the entry node refuses the call. A call that a backend server runs is left alone. The calls of peers that wait in the node's own queue are failed as not run as well, so that the peers send them elsewhere or refuse them.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -17,6 +17,7 @@
 import org.azurearch.metrics.MetricsReport;
 import org.azurearch.metrics.PrometheusText;
 import org.azurearch.sidecar.admit.LinkLoad;
+import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.internal.BackendMonitor;
 import org.azurearch.sidecar.internal.CallLog;
 import org.azurearch.sidecar.internal.PauseDetector;
@@ -69,6 +70,12 @@
     /** Calls that are still running this long before the end of the grace period are cut off. */
     private static final long STOP_MARGIN_MILLIS = 350;
 
+    /**
+     * Time before the end of a drain at which calls that still wait are refused: they could not end
+     * any more, and their refusals have to come back from peers and reach the callers.
+     */
+    private static final long WITHDRAW_BEFORE_MILLIS = 600;
+
     private static final long DRAIN_POLL_MILLIS = 50;
 
     /**
@@ -373,9 +380,14 @@
             mRouter.refuseNewCalls();
             mDispatcher.refuseNewCalls();
         }
+        long endMillis = mSettings.graceMillis() - STOP_MARGIN_MILLIS;
+        if (millis >= endMillis - WITHDRAW_BEFORE_MILLIS) {
+            mCallServer.withdraw();
+            mDispatcher.refuseWaiting(AttemptFailure.stopping());
+        }
         boolean ended = pendingCalls() == 0 && unsentBytes() == 0 && !mCallServer.closingAny();
         boolean drained = ended && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS;
-        if (drained || millis >= mSettings.graceMillis() - STOP_MARGIN_MILLIS) {
+        if (drained || millis >= endMillis) {
             EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis, unsentBytes());
             mCallServer.close();
             mMesh.close();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/Attempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/Attempt.java
@@ -9,6 +9,9 @@
      */
     boolean cancel();
 
+    /** Fails the attempt as not run, unless its request was sent to the backend server. */
+    void withdraw();
+
     /** Receives the outcome of an attempt: one method is called once, unless it is cancelled. */
     interface Listener {
         /** The backend server answered. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/AttemptFailure.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/AttemptFailure.java
@@ -18,6 +18,9 @@
         boolean reachedBackend,
         long retryAfterMillis,
         String detail) {
+    /** Retry delay while a node shuts down; a restart takes about this long. */
+    private static final long RESTART_RETRY_MILLIS = 600;
+
     /** A failure before the request reached a backend server. */
     public static AttemptFailure notSent(ErrorCode code, String detail) {
         return new AttemptFailure(Verdict.NOT_RUN, code, false, 0, detail);
@@ -29,6 +32,16 @@
                 Verdict.NOT_RUN, ErrorCode.OVERLOADED, false, retryAfterMillis, detail);
     }
 
+    /** A refusal because a node shuts down before the request could be run. */
+    public static AttemptFailure stopping() {
+        return new AttemptFailure(
+                Verdict.NOT_RUN,
+                ErrorCode.NOT_READY,
+                false,
+                RESTART_RETRY_MILLIS,
+                "the node shuts down");
+    }
+
     /** A refusal because backend servers crashed under requests like this one. */
     public static AttemptFailure suspect(long retryAfterMillis) {
         return new AttemptFailure(
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -89,6 +89,14 @@
         return mConnection == null;
     }
 
+    @Override
+    public void withdraw() {
+        if (mState == State.WAITING) {
+            mDispatcher.cancelWaiting(this);
+            refuse(AttemptFailure.stopping());
+        }
+    }
+
     @Override
     public void answered(FullHttpResponse answer) {
         double millis = (System.nanoTime() - mSentNanos) / NANOS_PER_MILLI_EXACT;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -148,11 +148,9 @@
         Heartbeat before = mBackend;
         mBackend = backend;
         if (backend == null) {
-            for (BackendAttempt waiting : mQueue.removeAll()) {
-                waiting.refuse(
-                        AttemptFailure.notSent(
-                                ErrorCode.NO_BACKEND_SERVER, "the backend server is leaving"));
-            }
+            refuseWaiting(
+                    AttemptFailure.notSent(
+                            ErrorCode.NO_BACKEND_SERVER, "the backend server is leaving"));
             return;
         }
         mQueue.setSlots(backend.slots());
@@ -219,6 +217,11 @@
         mStopping = true;
     }
 
+    /** Refuses all calls that wait for a slot. */
+    public void refuseWaiting(AttemptFailure failure) {
+        mQueue.removeAll().forEach(waiting -> waiting.refuse(failure));
+    }
+
     /**
      * Sets whether the backend server gets no requests, as its version was rolled back. Those that
      * wait are refused, so that they are sent to other backend servers.
@@ -226,9 +229,7 @@
     public void withhold(boolean withheld) {
         mWithheld = withheld;
         if (withheld) {
-            for (BackendAttempt waiting : mQueue.removeAll()) {
-                waiting.refuse(rolledBack());
-            }
+            refuseWaiting(rolledBack());
         }
     }
 
@@ -455,8 +456,7 @@
     }
 
     private void refuseExpired(long nowNanos) {
-        List<BackendAttempt> expired = mQueue.removeExpired(nowNanos);
-        for (BackendAttempt attempt : expired) {
+        for (BackendAttempt attempt : mQueue.removeExpired(nowNanos)) {
             attempt.refuse(
                     AttemptFailure.refused(
                             (long) mQueue.backlogMillis(nowNanos), "no time left after waiting"));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallAttempts.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallAttempts.java
@@ -19,6 +19,7 @@
     private @Nullable EndpointAttempt mLast;
     private int mCount;
     private int mBackendCount;
+    private boolean mWithdrawn;
 
     /** Adds and sends an attempt. */
     void send(EndpointAttempt attempt) {
@@ -40,6 +41,14 @@
         mBackendCount--;
     }
 
+    /** Allows no further attempt, and fails those whose request is not at a backend server. */
+    void withdraw() {
+        if (!mWithdrawn) {
+            mWithdrawn = true;
+            open().forEach(EndpointAttempt::withdraw);
+        }
+    }
+
     /** Returns the number of attempts. */
     int count() {
         return mCount;
@@ -47,12 +56,12 @@
 
     /** Returns whether the limit of all attempts allows a further one. */
     boolean mayAdd() {
-        return mCount < MAX_ATTEMPTS;
+        return !mWithdrawn && mCount < MAX_ATTEMPTS;
     }
 
     /** Returns whether fewer attempts than a limit have reached a backend server. */
     boolean backendsBelow(int limit) {
-        return mBackendCount < limit;
+        return !mWithdrawn && mBackendCount < limit;
     }
 
     /** Returns the names of the nodes that the request was sent to. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallLines.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallLines.java
@@ -36,6 +36,11 @@
             long retryAfterMillis,
             String detail) {}
 
+    /** Values of the log field {@code next} after a failed attempt: a retry follows, or none. */
+    static final String RETRY_ANOTHER = "another";
+
+    static final String NO_RETRY = "none";
+
     private final CallLog mLog;
     private final String mId;
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -62,6 +62,11 @@
         mConnections.forEach(CallerConnection::drain);
     }
 
+    /** Refuses the calls that no backend server has been sent, also those that peers hold. */
+    public void withdraw() {
+        List.copyOf(mConnections).forEach(CallerConnection::withdraw);
+    }
+
     /** Stops listening and closes all connections. */
     @Override
     public void close() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -70,6 +70,11 @@
         mExchanges.drain();
     }
 
+    /** Refuses the calls that no backend server has been sent. */
+    void withdraw() {
+        mExchanges.withdraw();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!(message instanceof FullHttpRequest request)) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerExchange.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerExchange.java
@@ -82,6 +82,13 @@
         }
     }
 
+    @Override
+    void withdraw() {
+        if (mCall != null) {
+            mCall.withdraw();
+        }
+    }
+
     @Override
     void cancel() {
         if (mCall != null) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EndpointAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EndpointAttempt.java
@@ -107,6 +107,13 @@
         return mAttempt == null || !mAttempt.cancel();
     }
 
+    /** Fails the attempt as not run, unless its request was sent to the backend server. */
+    void withdraw() {
+        if (mAttempt != null) {
+            mAttempt.withdraw();
+        }
+    }
+
     @Override
     public void answered(BackendAnswer answer) {
         mEndpoint.observeWork(mCall.route(), answer.workMillis());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -23,9 +23,6 @@
     /** Retry delay if no backend server is known; one may send a heartbeat within this time. */
     private static final long NO_BACKEND_RETRY_MILLIS = 400;
 
-    /** Retry delay while this node shuts down; a restart takes about this long. */
-    private static final long RESTART_RETRY_MILLIS = 600;
-
     /** Shortest retry delay after an attempt was refused or no node answered in time. */
     private static final long MIN_RETRY_MILLIS = 50;
 
@@ -40,11 +37,6 @@
 
     private static final int TOO_LARGE = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code();
 
-    /** Values of the log field {@code next} after a failed attempt: a retry follows, or none. */
-    private static final String RETRY_ANOTHER = "another";
-
-    private static final String NO_RETRY = "none";
-
     private final CallRouter mRouter;
     private final CallRequest mRequest;
     private final CallResponder mResponder;
@@ -86,7 +78,7 @@
     void start() {
         RoutingConfig config = mRouter.config();
         if (mRouter.stopping()) {
-            refuse(ErrorCode.NOT_READY, RESTART_RETRY_MILLIS, "this node is about to end");
+            refuse(AttemptFailure.stopping());
             return;
         }
         if (config == null) {
@@ -179,6 +171,14 @@
         return send(route, second);
     }
 
+    /** Makes no further attempt, and refuses the call unless it was sent to a backend server. */
+    void withdraw() {
+        if (mAttempts.noneOpen()) {
+            giveUp(AttemptFailure.stopping());
+        }
+        mAttempts.withdraw();
+    }
+
     /** Cancels all attempts, as the caller has disconnected. */
     void cancel() {
         if (mDone) {
@@ -307,7 +307,7 @@
                 mAttempts.count(),
                 "BACKEND_SERVER_FAILED",
                 Verdict.RAN,
-                RETRY_ANOTHER,
+                CallLines.RETRY_ANOTHER,
                 "status " + answer.status());
         mRouter.metrics().retried();
         sendAgain(null, true);
@@ -342,7 +342,7 @@
                 mAttempts.count(),
                 failure.code().name(),
                 failure.verdict(),
-                retry ? RETRY_ANOTHER : NO_RETRY,
+                retry ? CallLines.RETRY_ANOTHER : CallLines.NO_RETRY,
                 failure.detail());
         if (!retry) {
             giveUp(failure);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ExchangeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ExchangeOrder.java
@@ -39,6 +39,9 @@
          */
         void delaysOthers(int waiting) {}
 
+        /** Answers it with a refusal, unless its request was sent to a backend server. */
+        void withdraw() {}
+
         /** Drops the exchange, which is not answered. Called at most once, also if not started. */
         abstract void cancel();
 
@@ -123,6 +126,15 @@
         mDraining = true;
     }
 
+    /** Withdraws all exchanges that have started. */
+    void withdraw() {
+        for (Exchange exchange : List.copyOf(mExchanges)) {
+            if (exchange.mState == State.RUNNING) {
+                exchange.withdraw();
+            }
+        }
+    }
+
     /** Drops all exchanges, as the connection is closed. */
     void closed() {
         mClosing = true;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -22,6 +22,7 @@
 import org.azurearch.thrift.WireHopCancel;
 import org.azurearch.thrift.WireHopFailure;
 import org.azurearch.thrift.WireHopPing;
+import org.azurearch.thrift.WireHopWithdrawal;
 import org.azurearch.time.Backoff;
 import org.jspecify.annotations.Nullable;
 
@@ -153,11 +154,11 @@
         if (connection == null || !mUp) {
             listener.failed(
                     AttemptFailure.notSent(ErrorCode.PEER_UNAVAILABLE, "no link to " + mNode));
-            return () -> true;
+            return new PeerCall(call.id(), false);
         }
         mPending.put(call.id(), listener);
         connection.send(HopFrame.call(HopWire.toWire(call, System.nanoTime())));
-        return () -> cancel(call.id());
+        return new PeerCall(call.id(), true);
     }
 
     /** Reconnects without waiting for the backoff delay, as the peer is known to be up. */
@@ -254,14 +255,6 @@
         reconnectLater();
     }
 
-    /** Returns false, as only the peer knows how far the call has got. */
-    private boolean cancel(long id) {
-        if (mPending.remove(id) != null) {
-            send(HopFrame.cancel(new WireHopCancel(id)));
-        }
-        return false;
-    }
-
     private void complete(long id, Consumer<Attempt.Listener> outcome) {
         Attempt.Listener listener = mPending.remove(id);
         if (listener != null) {
@@ -289,4 +282,30 @@
             mLoop.schedule(this::connect, mBackoff.nextDelay().toMillis(), TimeUnit.MILLISECONDS);
         }
     }
+
+    private final class PeerCall implements Attempt {
+        private final long mId;
+        private final boolean mSent;
+
+        PeerCall(long id, boolean sent) {
+            mId = id;
+            mSent = sent;
+        }
+
+        /** Returns false for a call that was sent, as only the peer knows how far it has got. */
+        @Override
+        public boolean cancel() {
+            if (mPending.remove(mId) != null) {
+                send(HopFrame.cancel(new WireHopCancel(mId)));
+            }
+            return !mSent;
+        }
+
+        @Override
+        public void withdraw() {
+            if (mPending.containsKey(mId)) {
+                send(HopFrame.withdrawal(new WireHopWithdrawal(mId)));
+            }
+        }
+    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -59,6 +59,11 @@
             if (attempt != null) {
                 attempt.cancel();
             }
+        } else if (frame.isSetWithdrawal()) {
+            Attempt attempt = calls(connection).get(frame.getWithdrawal().getId());
+            if (attempt != null) {
+                attempt.withdraw();
+            }
         } else {
             mFallback.received(connection, frame);
         }
@@ -111,6 +116,7 @@
         private final HopConnection mConnection;
         private final HopCall mCall;
         private boolean mCancelled;
+        private boolean mWithdrawn;
 
         LateCall(HopConnection connection, HopCall call) {
             mConnection = connection;
@@ -123,10 +129,19 @@
             return true;
         }
 
+        @Override
+        public void withdraw() {
+            mWithdrawn = true;
+        }
+
         void submit() {
             if (!mCancelled) {
                 calls(mConnection).remove(mCall.id());
                 HopServer.this.submit(mConnection, mCall);
+                Attempt submitted = calls(mConnection).get(mCall.id());
+                if (mWithdrawn && submitted != null) {
+                    submitted.withdraw();
+                }
             }
         }
     }
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
@@ -24,6 +24,7 @@
   private static final org.apache.thrift.protocol.TField PING_FIELD_DESC = new org.apache.thrift.protocol.TField("ping", org.apache.thrift.protocol.TType.STRUCT, (short)10);
   private static final org.apache.thrift.protocol.TField QUOTA_FIELD_DESC = new org.apache.thrift.protocol.TField("quota", org.apache.thrift.protocol.TType.STRUCT, (short)11);
   private static final org.apache.thrift.protocol.TField ROLLOUT_FIELD_DESC = new org.apache.thrift.protocol.TField("rollout", org.apache.thrift.protocol.TType.STRUCT, (short)12);
+  private static final org.apache.thrift.protocol.TField WITHDRAWAL_FIELD_DESC = new org.apache.thrift.protocol.TField("withdrawal", org.apache.thrift.protocol.TType.STRUCT, (short)13);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -38,7 +39,8 @@
     CONFIG_WANTED((short)9, "configWanted"),
     PING((short)10, "ping"),
     QUOTA((short)11, "quota"),
-    ROLLOUT((short)12, "rollout");
+    ROLLOUT((short)12, "rollout"),
+    WITHDRAWAL((short)13, "withdrawal");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -78,6 +80,8 @@
           return QUOTA;
         case 12: // ROLLOUT
           return ROLLOUT;
+        case 13: // WITHDRAWAL
+          return WITHDRAWAL;
         default:
           return null;
       }
@@ -147,6 +151,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.azurearch.thrift.WireQuotaMessage.class)));
     tmpMap.put(_Fields.ROLLOUT, new org.apache.thrift.meta_data.FieldMetaData("rollout", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.azurearch.thrift.WireRolloutMessage.class)));
+    tmpMap.put(_Fields.WITHDRAWAL, new org.apache.thrift.meta_data.FieldMetaData("withdrawal", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireHopWithdrawal.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HopFrame.class, metaDataMap);
   }
@@ -239,6 +245,12 @@
     return x;
   }
 
+  public static HopFrame withdrawal(WireHopWithdrawal value) {
+    HopFrame x = new HopFrame();
+    x.setWithdrawal(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -303,6 +315,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type org.azurearch.thrift.WireRolloutMessage for field 'rollout', but got " + value.getClass().getSimpleName());
+      case WITHDRAWAL:
+        if (value instanceof WireHopWithdrawal) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireHopWithdrawal for field 'withdrawal', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -433,6 +450,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case WITHDRAWAL:
+          if (field.type == WITHDRAWAL_FIELD_DESC.type) {
+            WireHopWithdrawal withdrawal;
+            withdrawal = new WireHopWithdrawal();
+            withdrawal.read(iprot);
+            return withdrawal;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -493,6 +520,10 @@
         org.azurearch.thrift.WireRolloutMessage rollout = (org.azurearch.thrift.WireRolloutMessage)value_;
         rollout.write(oprot);
         return;
+      case WITHDRAWAL:
+        WireHopWithdrawal withdrawal = (WireHopWithdrawal)value_;
+        withdrawal.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -563,6 +594,11 @@
           rollout = new org.azurearch.thrift.WireRolloutMessage();
           rollout.read(iprot);
           return rollout;
+        case WITHDRAWAL:
+          WireHopWithdrawal withdrawal;
+          withdrawal = new WireHopWithdrawal();
+          withdrawal.read(iprot);
+          return withdrawal;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -622,6 +658,10 @@
         org.azurearch.thrift.WireRolloutMessage rollout = (org.azurearch.thrift.WireRolloutMessage)value_;
         rollout.write(oprot);
         return;
+      case WITHDRAWAL:
+        WireHopWithdrawal withdrawal = (WireHopWithdrawal)value_;
+        withdrawal.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -654,6 +694,8 @@
         return QUOTA_FIELD_DESC;
       case ROLLOUT:
         return ROLLOUT_FIELD_DESC;
+      case WITHDRAWAL:
+        return WITHDRAWAL_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -832,6 +874,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.ROLLOUT");
   }
 
+  public WireHopWithdrawal getWithdrawal() {
+    if (getSetField() == _Fields.WITHDRAWAL) {
+      return (WireHopWithdrawal)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'withdrawal' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setWithdrawal(WireHopWithdrawal value) {
+    setField_ = _Fields.WITHDRAWAL;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.WITHDRAWAL");
+  }
+
   public boolean isSetHello() {
     return setField_ == _Fields.HELLO;
   }
@@ -892,6 +947,11 @@
   }
 
 
+  public boolean isSetWithdrawal() {
+    return setField_ == _Fields.WITHDRAWAL;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof HopFrame) {
       return equals((HopFrame)other);
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -97,6 +97,11 @@
   1: required i64 id
 }
 
+/** Fails a call, unless it was sent to the backend server; its outcome is still needed. */
+struct WireHopWithdrawal {
+  1: required i64 id
+}
+
 /** A request that was in flight at a crash of a backend server, under one of its fingerprints. */
 struct WireStrike {
   1: required string fingerprint
@@ -168,4 +173,5 @@
   10: WireHopPing ping
   11: quota.WireQuotaMessage quota
   12: rollout.WireRolloutMessage rollout
+  13: WireHopWithdrawal withdrawal
 }
