Pass on answers whose Keep-Alive timeout is too large for a number

Callers got 502 for a request that the backend server had answered, if the answer's Keep-Alive header had a timeout of 20 digits.

Cause: BackendConnection read the timeout with Long.parseLong before it passed the answer on; the exception ended the connection, and with it the call. A smaller number overflowed in the conversion to nanoseconds, and its connection was never used again.

A timeout of more than nine digits now counts as none.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -22,6 +22,10 @@
 
     private static final String KEEP_ALIVE = "keep-alive";
     private static final String TIMEOUT = "timeout=";
+
+    /** A timeout with more digits is longer than any connection stays idle. */
+    private static final int MAX_TIMEOUT_DIGITS = 9;
+
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
     private final Channel mChannel;
@@ -153,7 +157,7 @@
         int at = value == null ? -1 : value.indexOf(TIMEOUT);
         if (value != null && at >= 0) {
             String digits = value.substring(at + TIMEOUT.length()).replaceAll("[^0-9].*", "");
-            if (!digits.isEmpty()) {
+            if (!digits.isEmpty() && digits.length() <= MAX_TIMEOUT_DIGITS) {
                 mServerIdleNanos = Long.parseLong(digits) * NANOS_PER_SECOND;
             }
         }
