Close the product's call connections without resetting the last answer

The data path of the node daemon lost last answers in the same way as the sidecar: it closed a connection as soon as the last part of the answer was written, and a request that arrived then reset it. Idle connections were closed likewise at the end of a drain's linger, with what was still unsent.

These closes now use LingeringClose as well, after close_notify where the connection uses TLS. A drain is complete when the connections are closed too, within drainTimeout as before.

--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderException;
@@ -46,6 +45,7 @@
     private boolean mRequestEnded = true;
     private boolean mAnswerEnded = true;
     private boolean mCloseAfterCall;
+    private boolean mClosing;
     private int mDiscardedBytes;
     private long mLastActivityNanos;
 
@@ -138,7 +138,17 @@
     void closeWhenIdle() {
         mCloseAfterCall = true;
         if (mCall == null) {
-            mChannel.close();
+            closeAfter(Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    /** Closes the connection once what is written, and the last message, are sent. */
+    private void closeAfter(Object last) {
+        if (mClosing) {
+            ReferenceCountUtil.release(last);
+        } else {
+            mClosing = true;
+            LingeringClose.after(mChannel.writeAndFlush(last));
         }
     }
 
@@ -162,7 +172,7 @@
             mAnswerEnded = true;
             if (mRequestEnded && mCloseAfterCall) {
                 mCall = null;
-                mChannel.writeAndFlush(content).addListener(ChannelFutureListener.CLOSE);
+                closeAfter(content);
                 return;
             }
             mChannel.writeAndFlush(content, mChannel.voidPromise());
@@ -281,7 +291,7 @@
         }
         mCall = null;
         if (mCloseAfterCall) {
-            mChannel.close();
+            closeAfter(Unpooled.EMPTY_BUFFER);
             return;
         }
         if (mBacklog.isEmpty()) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/DataPath.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/DataPath.java
@@ -197,6 +197,11 @@
         return mConnections.incrementAndGet() <= mSettings.maxConnections();
     }
 
+    /** Returns the number of open connections of callers and peers. */
+    int connections() {
+        return mConnections.get();
+    }
+
     void connectionClosed() {
         mConnections.decrementAndGet();
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/LingeringClose.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/LingeringClose.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
 
@@ -33,7 +34,12 @@
     private static void begin(DuplexChannel channel) {
         channel.pipeline().addFirst(new LingeringClose());
         channel.config().setAutoRead(true);
-        channel.shutdownOutput();
+        SslHandler tls = channel.pipeline().get(SslHandler.class);
+        if (tls == null) {
+            channel.shutdownOutput();
+        } else {
+            tls.closeOutbound().addListener(notified -> channel.shutdownOutput());
+        }
         channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
@@ -133,7 +133,7 @@
     }
 
     private void completeDrain() {
-        if (mPath.callsInFlight() == 0) {
+        if (mPath.callsInFlight() == 0 && mPath.connections() == 0) {
             mDrained.complete(null);
         }
     }
