Close peers' connections without resetting the last answers

Found in review: a node that stops closed the connections of its peers as soon as the kernel had taken all answers. Peers go on sending pings and messages, and a frame that arrives after the close resets the connection, which drops what the kernel had not sent; the entry node then answered 502 or tried once more.

StopUnsentAnswersTest.answerIsCompletedThoughItsPeerGoesOnSendingDuringTheStop failed before with a connection reset. StopTest, StopWithQueuedRequestsTest and RestartTest pass.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -104,6 +104,7 @@
     private final AtomicBoolean mCloseRequested = new AtomicBoolean();
     private Ports mPorts = new Ports(0, 0, 0, 0);
     private boolean mStopping;
+    private boolean mPeersClosing;
     private boolean mWasReady;
 
     private Sidecar(
@@ -386,8 +387,10 @@
             mDispatcher.refuseWaiting(AttemptFailure.stopping());
         }
         boolean ended = pendingCalls() == 0 && unsentBytes() == 0 && !mCallServer.closingAny();
-        boolean drained = ended && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS;
-        if (drained || millis >= endMillis) {
+        if (ended && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS) {
+            closePeers();
+        }
+        if ((mPeersClosing && mHopServer.closed()) || millis >= endMillis) {
             EventLog.log(SidecarEvent.STOPPED, pendingCalls(), millis, unsentBytes());
             mCallServer.close();
             mMesh.close();
@@ -401,6 +404,14 @@
                 () -> awaitDrained(sinceNanos, stopped), DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void closePeers() {
+        if (!mPeersClosing) {
+            mPeersClosing = true;
+            mNetwork.close();
+            mHopServer.closeAfterSending();
+        }
+    }
+
     private int pendingCalls() {
         return mRouter.calls() + mDispatcher.running() + mDispatcher.waiting();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -12,6 +12,7 @@
 import java.util.NavigableMap;
 import java.util.TreeMap;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.LingeringClose;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.UnsentBytes;
 import org.azurearch.thrift.HopFrame;
@@ -122,6 +123,11 @@
         return UnsentBytes.of(mChannel);
     }
 
+    /** Closes the connection, on which nothing is left to send, once the peer has read it all. */
+    void closeAfterSending() {
+        LingeringClose.now(mChannel);
+    }
+
     /** Closes the connection. */
     public void close() {
         mChannel.close();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -84,6 +84,16 @@
         return mCalls.keySet().stream().mapToLong(HopConnection::unsentBytes).sum();
     }
 
+    /** Closes all connections that peers opened, once the peers have read what was sent. */
+    public void closeAfterSending() {
+        List.copyOf(mCalls.keySet()).forEach(HopConnection::closeAfterSending);
+    }
+
+    /** Returns whether no connection of a peer is open. */
+    public boolean closed() {
+        return mCalls.isEmpty();
+    }
+
     /** Closes all connections that peers opened. */
     @Override
     public void close() {
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/LingeringClose.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/LingeringClose.java
@@ -1,5 +1,6 @@
 package org.azurearch.internal.call;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -23,14 +24,23 @@
     public static void after(ChannelFuture written) {
         written.addListener(
                 sent -> {
-                    if (sent.isSuccess() && written.channel() instanceof DuplexChannel channel) {
-                        begin(channel);
+                    if (sent.isSuccess()) {
+                        now(written.channel());
                     } else {
                         written.channel().close();
                     }
                 });
     }
 
+    /** Closes a channel that has nothing left to write. */
+    public static void now(Channel channel) {
+        if (channel instanceof DuplexChannel duplex) {
+            begin(duplex);
+        } else {
+            channel.close();
+        }
+    }
+
     private static void begin(DuplexChannel channel) {
         channel.pipeline().addFirst(new LingeringClose());
         channel.config().setAutoRead(true);
