--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaPartition.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaPartition.java
@@ -57,14 +57,12 @@
      *
      * @param account its account
      * @param urgent whether it is of the most urgent rank
-     * @param sinceMillis when it arrived
      * @param untilMillis until when it waits
      * @param listener receives the decision
      */
     record Waiting(
             ClientAccount account,
             boolean urgent,
-            long sinceMillis,
             long untilMillis,
             QuotaService.Listener listener) {}
 
@@ -133,7 +131,10 @@
         AccountQuota.Decision decision = mQuota.acquire(account.name(), urgent, nowMillis);
         long limit = mQuota.scarceLately(account.name()) ? SCARCE_WAIT_MILLIS : MAX_WAIT_MILLIS;
         long until = nowMillis + Math.min(limit, maxWaitMillis);
-        decide(new Waiting(account, urgent, nowMillis, until, listener), decision, nowMillis);
+        Waiting request = new Waiting(account, urgent, until, listener);
+        if (decide(request, decision, nowMillis)) {
+            mOwner.waits(request);
+        }
         poll(nowMillis);
     }
 
@@ -215,21 +216,22 @@
         return mCoordinator.fraction(nowMillis);
     }
 
-    private void decide(Waiting request, AccountQuota.Decision decision, long nowMillis) {
+    /** Carries out a decision; returns whether the request waits for a further one. */
+    private boolean decide(Waiting request, AccountQuota.Decision decision, long nowMillis) {
         boolean waits =
                 decision == AccountQuota.Decision.WAIT || decision == AccountQuota.Decision.UNKNOWN;
         String account = request.account().name();
+        if (waits && nowMillis < request.untilMillis()) {
+            mWaiting.add(request);
+            return true;
+        }
         if (decision == AccountQuota.Decision.RUN) {
             mOwner.allowed(request);
-        } else if (waits && nowMillis < request.untilMillis()) {
-            mWaiting.add(request);
-            if (nowMillis == request.sinceMillis()) {
-                mOwner.waits(request);
-            }
         } else if (decision == AccountQuota.Decision.REFUSE || mQuota.scarceLately(account)) {
             mOwner.refused(request, mQuota.retryAfterMillis(account, nowMillis));
         } else {
             mOwner.refused(request, null);
         }
+        return false;
     }
 }
