--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -15,8 +15,6 @@
 import org.azurearch.sidecar.admit.BackendQueue;
 import org.azurearch.sidecar.admit.LinkLoad;
 import org.azurearch.sidecar.admit.QueuedRequest;
-import org.azurearch.sidecar.admit.RunningAges;
-import org.azurearch.sidecar.admit.WorkEstimate;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.HopCall;
@@ -41,25 +39,12 @@
      */
     private static final long SWEEP_MILLIS = 25;
 
-    /**
-     * Converts the mean age of running requests to an estimate of the current work time. In steady
-     * state, running requests are on average a little over half done. A mean age of three times
-     * that cannot be chance: the backend server has become slow, which this estimate shows before
-     * any answer arrives. A lower threshold diverted calls to other data centres at normal load.
-     */
-    private static final double AGE_FACTOR = 0.6;
-
-    private static final double PERCENT = 100.0;
-
     /**
      * The platform does not distinguish calls made by backend servers from those of other callers;
      * the rank of their routes gives them priority.
      */
     private static final boolean FROM_BACKEND = false;
 
-    /** Weight of a new outcome in the failure rate, which covers about the last 20 outcomes. */
-    private static final double FAILURE_RATE_WEIGHT = 0.05;
-
     /** Receives what requests show of the backend server. */
     public interface Listener {
         /** Called if no connection to the backend server could be opened. */
@@ -91,11 +76,9 @@
     private final Counter mSent;
     private final LinkLoad mLink;
     private final BackendQueue<BackendAttempt> mQueue;
-    private final WorkEstimate mWorkEstimate = new WorkEstimate();
-    private final RunningAges mRunningAges = new RunningAges();
+    private final BackendPerformance mPerformance = new BackendPerformance();
     private @Nullable Heartbeat mBackend;
     private boolean mSweepScheduled;
-    private double mFailureRate;
     private boolean mStopping;
     private boolean mWithheld;
     private double mNamedLimit = BackendRecord.NO_LIMIT;
@@ -157,7 +140,7 @@
         if (before == null || !before.instance().equals(backend.instance())) {
             applyLimit(limitPerSecond);
             mPool.switchTo(backend.address());
-            mFailureRate = 0;
+            mPerformance.serverChanged();
         }
         startWaiting();
     }
@@ -295,21 +278,14 @@
         return new EndpointLoad(
                 mQueue.running(),
                 mQueue.waitingByRank(EndpointLoad.RANK_COUNT),
-                mWorkEstimate.meanMillis() * slowdownFactor(),
-                (int) (mFailureRate * PERCENT),
+                mPerformance.meanMillis(),
+                mPerformance.failurePercent(),
                 mQueue.startWaitMillis(System.nanoTime()));
     }
 
     /** Returns the current work time of calls of the same route, in milliseconds. */
     double workMillis(HopCall call) {
-        return expectedMillis(call) * slowdownFactor();
-    }
-
-    /** Returns the ratio of the current work time to that of past answers, at least 1. */
-    private double slowdownFactor() {
-        double mean = mWorkEstimate.meanMillis();
-        double now = AGE_FACTOR * mRunningAges.meanMillis(System.nanoTime());
-        return mean > 0 ? Math.max(1, now / mean) : 1;
+        return mPerformance.workMillis(call);
     }
 
     /** Returns the number of calls that the backend server is running. */
@@ -341,7 +317,7 @@
     /** Records that an attempt has been sent to the backend server. */
     void attemptSent(HopCall call, long nowNanos) {
         mSent.inc();
-        mRunningAges.started(nowNanos);
+        mPerformance.sent(nowNanos);
         mSilence.sent(call);
     }
 
@@ -351,17 +327,14 @@
      * @param responded whether the backend server sent an answer or closed the connection
      */
     void attemptReturned(HopCall call, long sentNanos, boolean responded) {
-        mRunningAges.ended(sentNanos);
+        mPerformance.returned(sentNanos);
         mSilence.ended(call, responded);
     }
 
     /** Frees the slot of a started attempt, records its outcome and starts waiting attempts. */
     void attemptEnded(BackendAttempt attempt, boolean failed, double workMillis) {
         mQueue.release(attempt.queued());
-        mFailureRate += FAILURE_RATE_WEIGHT * ((failed ? 1 : 0) - mFailureRate);
-        if (workMillis > 0) {
-            mWorkEstimate.observe(attempt.call().route(), workMillis);
-        }
+        mPerformance.ended(attempt.call(), failed, workMillis);
         startWaiting();
     }
 
@@ -486,15 +459,9 @@
                 FROM_BACKEND,
                 call.targetNanos(),
                 call.deadlineNanos(),
-                expectedMillis(call),
+                mPerformance.expectedMillis(call),
                 call.account(),
                 call.accountWeight(),
                 answerMillis);
     }
-
-    private double expectedMillis(HopCall call) {
-        long targetMillis =
-                Math.max(1, TimeUnit.NANOSECONDS.toMillis(call.targetNanos() - System.nanoTime()));
-        return mWorkEstimate.expectedMillis(call.route(), targetMillis);
-    }
 }
