--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -168,7 +168,7 @@
         attachRollouts();
         mQuota = startQuota(settings);
         mCallServer = new CallServer(mLoop, mRouter);
-        mHopServer = new HopServer(mLoop, mDispatcher, pauses, mMesh);
+        mHopServer = new HopServer(mLoop, mDispatcher, pauses, mMesh, mMetrics);
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -19,6 +19,8 @@
     READINESS(805, Level.INFO, "ready={} config={} members={}"),
     /** The process was suspended or got no processor; what it reads next may be out of date. */
     PAUSED(806, Level.WARN, "paused_ms={}"),
+    /** The event loop ran late, by less than counts as a pause. */
+    LATE(807, Level.INFO, "late_ms={}"),
     /** The platform's store cannot be reached. */
     STORE_DOWN(810, Level.WARN, "what={} reason={}"),
     /** The platform's store can be reached again. */
@@ -49,6 +51,8 @@
     BACKEND_LIMIT(835, Level.INFO, "instance={} per_second={} before={}"),
     /** A suspect has completed, so that its earlier crashes no longer count against it. */
     SUSPECT_CLEARED(836, Level.INFO, "id={} fingerprint={} crashes={}"),
+    /** An attempt at the backend server behind this node ended long after its deadline. */
+    ATTEMPT_OVERDUE(837, Level.INFO, "id={} route={} overdue_ms={} answered={}"),
     /** The link to a peer came up or went down. */
     LINK(840, Level.INFO, "node={} up={}"),
     /** A connection to a peer failed. */
@@ -59,6 +63,8 @@
     MEMBER(843, Level.INFO, "node={} dc={} incarnation={} leaving={} backend={} ready={}"),
     /** A record that a peer sent has a value out of range and is ignored. */
     MEMBER_RECORD_IGNORED(844, Level.WARN, "node={} reason={}"),
+    /** The connection of a peer closed while calls of it were under way; they are cancelled. */
+    PEER_CALLS_LOST(845, Level.INFO, "peer={} calls={} silent_ms={}"),
     /** A call ended without an answer of a backend server. */
     CALL_FAILED(
             850,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PauseDetector.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PauseDetector.java
@@ -57,6 +57,9 @@
             EventLog.log(SidecarEvent.PAUSED, gap / NANOS_PER_MILLI);
         }
         if (gap >= MIN_LATE_NANOS) {
+            if (gap < MIN_PAUSE_NANOS) {
+                EventLog.log(SidecarEvent.LATE, gap / NANOS_PER_MILLI);
+            }
             mLateEndNanos = nowNanos;
         }
         mTickNanos = nowNanos;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -39,6 +39,9 @@
      */
     private static final long SWEEP_MILLIS = 25;
 
+    /** Time beyond its deadline from which on an attempt is logged. */
+    private static final long LONG_OVERDUE_MILLIS = 500;
+
     /**
      * The platform does not distinguish calls made by backend servers from those of other callers;
      * the rank of their routes gives them priority.
@@ -74,6 +77,7 @@
     private final SilenceDetector mSilence;
     private final Counter mConnectionsLost;
     private final Counter mSent;
+    private final Counter mOverdue;
     private final LinkLoad mLink;
     private final BackendQueue<BackendAttempt> mQueue;
     private final BackendPerformance mPerformance = new BackendPerformance();
@@ -117,6 +121,7 @@
         mLog = log;
         mConnectionsLost = metrics.counter("backend.connections-lost");
         mSent = metrics.counter("backend.sent");
+        mOverdue = metrics.counter("backend.overdue");
         metrics.gauge("backend.limit", () -> (Gauge<Double>) () -> mNamedLimit);
         mPool = new BackendConnectionPool(loop, dialect);
         mListener = listener;
@@ -329,6 +334,18 @@
     void attemptReturned(HopCall call, long sentNanos, boolean responded) {
         mPerformance.returned(sentNanos);
         mSilence.ended(call, responded);
+        recordOverdue(call, responded);
+    }
+
+    private void recordOverdue(HopCall call, boolean responded) {
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - call.deadlineNanos());
+        if (millis > 0) {
+            mOverdue.inc();
+        }
+        if (millis >= LONG_OVERDUE_MILLIS) {
+            mLog.failure(
+                    SidecarEvent.ATTEMPT_OVERDUE, id(call), call.route(), millis, responded);
+        }
     }
 
     /** Frees the slot of a started attempt, records its outcome and starts waiting attempts. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.LingeringClose;
 import org.azurearch.sidecar.SidecarEvent;
@@ -118,6 +119,16 @@
         return mLastReadNanos;
     }
 
+    /** Returns for how long nothing has arrived, in milliseconds. */
+    long silentMillis(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastReadNanos);
+    }
+
+    /** Returns the address of the peer, for log lines. */
+    String peer() {
+        return String.valueOf(mChannel.remoteAddress());
+    }
+
     /** Returns the bytes of frames that were not sent yet. */
     long unsentBytes() {
         return UnsentBytes.of(mChannel);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -1,10 +1,14 @@
 package org.azurearch.sidecar.internal.hop;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.azurearch.events.EventLog;
+import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.admit.LinkLoad;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.AttemptFailure;
@@ -24,6 +28,8 @@
     private final BackendDispatcher mDispatcher;
     private final PauseDetector mPauses;
     private final NodeDirectory.Listener mFallback;
+    private final Counter mCallsCancelled;
+    private final Counter mCallsLost;
     private final Map<HopConnection, Map<Long, Attempt>> mCalls = new HashMap<>();
 
     /**
@@ -33,16 +39,20 @@
      * @param dispatcher sends calls to the backend server behind this node
      * @param pauses detects pauses of this process
      * @param fallback receives frames that do not belong to calls
+     * @param metrics where metrics are registered
      */
     public HopServer(
             EventLoop loop,
             BackendDispatcher dispatcher,
             PauseDetector pauses,
-            NodeDirectory.Listener fallback) {
+            NodeDirectory.Listener fallback,
+            MetricRegistry metrics) {
         mLoop = loop;
         mDispatcher = dispatcher;
         mPauses = pauses;
         mFallback = fallback;
+        mCallsCancelled = metrics.counter("peers.calls-cancelled");
+        mCallsLost = metrics.counter("peers.calls-lost");
     }
 
     @Override
@@ -57,6 +67,7 @@
         } else if (frame.isSetCancel()) {
             Attempt attempt = calls(connection).remove(frame.getCancel().getId());
             if (attempt != null) {
+                mCallsCancelled.inc();
                 attempt.cancel();
             }
         } else if (frame.isSetWithdrawal()) {
@@ -73,7 +84,13 @@
     @Override
     public void closed(HopConnection connection) {
         Map<Long, Attempt> calls = mCalls.remove(connection);
-        if (calls != null) {
+        if (calls != null && !calls.isEmpty()) {
+            EventLog.log(
+                    SidecarEvent.PEER_CALLS_LOST,
+                    connection.peer(),
+                    calls.size(),
+                    connection.silentMillis(System.nanoTime()));
+            mCallsLost.inc(calls.size());
             List<Attempt> open = new ArrayList<>(calls.values());
             open.forEach(Attempt::cancel);
         }
