--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
@@ -0,0 +1,134 @@
+package org.azurearch.sidecar.internal.backend;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.azurearch.junit.Await;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.lib.Verdict;
+import org.azurearch.sidecar.call.Attempt;
+import org.azurearch.sidecar.call.AttemptFailure;
+import org.azurearch.sidecar.call.BackendAnswer;
+import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.member.BackendRecord;
+import org.azurearch.sidecar.member.Heartbeat;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Attempts that end without an answer, and what is sent to the backend server afterwards. */
+class BackendDispatcherTest {
+    private static final String SERVICE = "stock";
+    private final EventLoopGroup mGroup =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop mLoop = mGroup.next();
+    private final BackendDispatcher mDispatcher = TestDispatchers.create(mLoop);
+    private final List<Verdict> mVerdicts = Collections.synchronizedList(new ArrayList<>());
+    private RecordingServer mServer;
+
+    @BeforeEach
+    void start() throws Exception {
+        mServer = new RecordingServer();
+        updateSlots(2);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mServer.close();
+        mGroup.shutdownGracefully();
+    }
+
+    /** Guards against slots held for ever, as the node that sent the call is gone. */
+    @Test
+    @Tag("known-red")
+    void attemptEndsByItselfOnceItsDeadlineHasPassed() throws Exception {
+        onLoop(() -> submit("r", 200));
+        Await.until("the attempt has ended", () -> !mVerdicts.isEmpty());
+        assertEquals(List.of(Verdict.MAY_HAVE_RUN), mVerdicts);
+        Await.untilEquals(0, mDispatcher::running);
+        Await.untilEquals(List.of("r"), mServer::cancelled);
+    }
+
+    @Test
+    void answerThatComesBeforeTheDeadlineIsPassedOn() throws Exception {
+        mServer.release();
+        onLoop(() -> submit("r", 60_000));
+        Await.until("the attempt has ended", () -> !mVerdicts.isEmpty());
+        assertEquals(List.of(Verdict.RAN), mVerdicts);
+    }
+
+    /** Guards against requests sent for callers that are gone, as one of them frees a slot. */
+    @Test
+    @Tag("known-red")
+    void waitingRequestIsNotSentWhileAllCallsOfItsPeerAreCancelled() throws Exception {
+        mServer.release();
+        onLoop(
+                () -> {
+                    submit("a", 60_000);
+                    submit("b", 60_000);
+                });
+        Await.until("two connections are open", () -> mVerdicts.size() == 2);
+        mServer.hold();
+        updateSlots(1);
+        List<Attempt> attempts = new ArrayList<>();
+        onLoop(() -> attempts.add(submit("running", 60_000)));
+        Await.until("one runs", () -> mServer.received().contains("running"));
+        onLoop(() -> attempts.add(submit("waiting", 60_000)));
+        onLoop(() -> attempts.forEach(Attempt::cancel));
+        Await.untilEquals(List.of("running"), mServer::cancelled);
+        mServer.release();
+        onLoop(() -> submit("next", 60_000));
+        Await.until("the next one has its answer", () -> mVerdicts.size() == 3);
+        assertEquals(List.of("running", "next"), mServer.received().subList(2, 4));
+        assertEquals(4, mServer.received().size());
+    }
+
+    private void updateSlots(int slots) throws Exception {
+        NetAddress address = new NetAddress("127.0.0.1", mServer.port());
+        Heartbeat backend = new Heartbeat("i", 1, 1, SERVICE, address, slots, false, 0);
+        onLoop(() -> mDispatcher.updateBackend(backend, BackendRecord.NO_LIMIT));
+    }
+
+    private Attempt submit(String id, long deadlineMillis) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis);
+        return mDispatcher.submit(
+                new HopCall(
+                        1,
+                        "GET",
+                        "/" + id,
+                        List.of("id", id),
+                        new byte[0],
+                        deadline,
+                        deadline,
+                        1,
+                        SERVICE,
+                        "route",
+                        true),
+                new VerdictListener());
+    }
+
+    private void onLoop(Runnable task) throws Exception {
+        CompletableFuture.runAsync(task, mLoop).get();
+    }
+
+    private final class VerdictListener implements Attempt.Listener {
+        @Override
+        public void answered(BackendAnswer answer) {
+            mVerdicts.add(Verdict.RAN);
+        }
+
+        @Override
+        public void failed(AttemptFailure failure) {
+            mVerdicts.add(failure.verdict());
+        }
+    }
+}
