Notice silent peers at the accepting end of a link too

Callers saw: nothing, they had left; backend servers worked on for them, and a sound server was full for callers of its own data centre.

Cause: only HopLink, the opening end, pings a silent peer and closes the link. HopServer, the accepting end, waits for the kernel to report a close, which cannot arrive while the link is cut, after a connection has gone silent, or from a node that is frozen or lost. The cancellation of a call takes the same way. The class of fault: an end of work that is only ever reported by a node that may be out of reach.

SilenceWatch, the decision of HopLink as a type of its own, now serves both ends. The accepting one pings after 500 ms with calls under way and gives up 700 ms later, in the 1.2 s of the opening end, which pings first, so that a peer that runs gets no further message.

Evidence: the three cases of LostLinkTest fail before (no cancellation within 20 s) and pass now.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -169,6 +169,7 @@
         mQuota = startQuota(settings);
         mCallServer = new CallServer(mLoop, mRouter);
         mHopServer = new HopServer(mLoop, mDispatcher, pauses, mMesh, mMetrics);
+        mMesh.onTick(mHopServer::tick);
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -124,6 +124,11 @@
         return TimeUnit.NANOSECONDS.toMillis(nowNanos - mLastReadNanos);
     }
 
+    /** Sends a ping, which the peer replies to. */
+    void ping() {
+        send(HopFrame.ping(new WireHopPing(false)));
+    }
+
     /** Returns the address of the peer, for log lines. */
     String peer() {
         return String.valueOf(mChannel.remoteAddress());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -21,7 +21,6 @@
 import org.azurearch.thrift.WireHopAnswer;
 import org.azurearch.thrift.WireHopCancel;
 import org.azurearch.thrift.WireHopFailure;
-import org.azurearch.thrift.WireHopPing;
 import org.azurearch.thrift.WireHopWithdrawal;
 import org.azurearch.time.Backoff;
 import org.jspecify.annotations.Nullable;
@@ -32,24 +31,25 @@
  * loop.
  */
 public final class HopLink implements HopConnection.Listener {
-    /** Silence before a ping while calls are pending: a few times the usual answer time. */
+    /** A ping follows a silence of a few times the usual answer time. */
     private static final long PING_AFTER_NANOS = 300_000_000L;
 
-    /**
-     * Silence before a ping without pending calls, so that a dead connection is found before a call
-     * needs it.
-     */
     private static final long IDLE_PING_AFTER_NANOS = 4_000_000_000L;
-
-    /** Wait for a ping's reply, normally one round trip, before new calls avoid the peer. */
     private static final long SUSPECT_AFTER_NANOS = 200_000_000L;
 
     /**
-     * Wait for a ping's reply before the connection is closed. A lossy link may need one or two
-     * retransmissions, and closing fails the pending calls: non-idempotent ones cannot be retried.
+     * A lossy link may need one or two retransmissions, and closing fails the pending calls:
+     * non-idempotent ones cannot be retried.
      */
     private static final long PING_TIMEOUT_NANOS = 900_000_000L;
 
+    private static final SilenceWatch.Limits LIMITS =
+            new SilenceWatch.Limits(
+                    PING_AFTER_NANOS,
+                    IDLE_PING_AFTER_NANOS,
+                    SUSPECT_AFTER_NANOS,
+                    PING_TIMEOUT_NANOS);
+
     /** Longest delay between connection attempts to an unreachable peer. */
     private static final Duration RECONNECT_MAX = Duration.ofMillis(2_000);
 
@@ -85,7 +85,7 @@
     private boolean mUp;
     private boolean mClosed;
     private boolean mSuspected;
-    private long mPingedNanos;
+    private SilenceWatch mWatch = new SilenceWatch(LIMITS, System.nanoTime());
     private long mDownSinceNanos = System.nanoTime();
 
     /**
@@ -175,21 +175,14 @@
         if (connection == null) {
             return;
         }
-        long silentNanos = nowNanos - connection.lastReadNanos();
         boolean awaited = !mUp || !mPending.isEmpty();
-        long allowedNanos = awaited ? PING_AFTER_NANOS : IDLE_PING_AFTER_NANOS;
-        if (silentNanos < allowedNanos) {
-            mPingedNanos = 0;
-            updateSuspected(false);
-        } else if (mPingedNanos == 0) {
-            mPingedNanos = nowNanos;
-            connection.send(HopFrame.ping(new WireHopPing(false)));
-        } else if (nowNanos - mPingedNanos > PING_TIMEOUT_NANOS) {
-            EventLog.log(
-                    SidecarEvent.HOP_SILENT, mNode, TimeUnit.NANOSECONDS.toMillis(silentNanos));
-            connection.close();
-        } else if (nowNanos - mPingedNanos > SUSPECT_AFTER_NANOS) {
-            updateSuspected(true);
+        switch (mWatch.tick(nowNanos, connection.lastReadNanos(), awaited)) {
+            case PING -> connection.ping();
+            case GIVE_UP -> {
+                EventLog.log(SidecarEvent.HOP_SILENT, mNode, connection.silentMillis(nowNanos));
+                connection.close();
+            }
+            default -> updateSuspected(mWatch.suspected());
         }
     }
 
@@ -211,7 +204,7 @@
     @Override
     public void opened(HopConnection connection) {
         mConnection = connection;
-        mPingedNanos = 0;
+        mWatch = new SilenceWatch(LIMITS, System.nanoTime());
         mSuspected = false;
         mListener.connected(this);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -24,13 +24,38 @@
 
 /** Accepts calls from peers for the backend server behind this node. Confined to one event loop. */
 public final class HopServer implements HopConnection.Listener, AutoCloseable {
+    /**
+     * Silence of a peer with calls under way before it is pinged. Longer than that after which
+     * {@link HopLink} pings at the other end, so that a peer that runs is not pinged from both.
+     */
+    private static final long PING_AFTER_NANOS = 500_000_000L;
+
+    /** The same without calls under way. */
+    private static final long IDLE_PING_AFTER_NANOS = 6_000_000_000L;
+
+    /** Wait for a ping's reply; a lossy link may need one or two retransmissions. */
+    private static final long PING_TIMEOUT_NANOS = 700_000_000L;
+
+    private static final SilenceWatch.Limits LIMITS =
+            new SilenceWatch.Limits(
+                    PING_AFTER_NANOS,
+                    IDLE_PING_AFTER_NANOS,
+                    PING_TIMEOUT_NANOS,
+                    PING_TIMEOUT_NANOS);
+
+    /** A peer that opened a connection. */
+    private static final class Peer {
+        private final Map<Long, Attempt> mCalls = new HashMap<>();
+        private final SilenceWatch mWatch = new SilenceWatch(LIMITS, System.nanoTime());
+    }
+
     private final EventLoop mLoop;
     private final BackendDispatcher mDispatcher;
     private final PauseDetector mPauses;
     private final NodeDirectory.Listener mFallback;
     private final Counter mCallsCancelled;
     private final Counter mCallsLost;
-    private final Map<HopConnection, Map<Long, Attempt>> mCalls = new HashMap<>();
+    private final Map<HopConnection, Peer> mPeers = new HashMap<>();
 
     /**
      * Creates a server.
@@ -57,7 +82,7 @@
 
     @Override
     public void opened(HopConnection connection) {
-        mCalls.put(connection, new HashMap<>());
+        mPeers.put(connection, new Peer());
     }
 
     @Override
@@ -83,38 +108,61 @@
     /** Cancels the calls of a closed connection, as their outcomes can no longer be sent. */
     @Override
     public void closed(HopConnection connection) {
-        Map<Long, Attempt> calls = mCalls.remove(connection);
-        if (calls != null && !calls.isEmpty()) {
+        Peer peer = mPeers.remove(connection);
+        if (peer != null && !peer.mCalls.isEmpty()) {
+            List<Attempt> open = new ArrayList<>(peer.mCalls.values());
             EventLog.log(
                     SidecarEvent.PEER_CALLS_LOST,
                     connection.peer(),
-                    calls.size(),
+                    open.size(),
                     connection.silentMillis(System.nanoTime()));
-            mCallsLost.inc(calls.size());
-            List<Attempt> open = new ArrayList<>(calls.values());
+            mCallsLost.inc(open.size());
             open.forEach(Attempt::cancel);
         }
     }
 
+    /**
+     * Pings peers that are silent and closes the connections of those that do not reply, so that
+     * their calls end; called a few times a second.
+     */
+    public void tick(long nowNanos) {
+        for (Map.Entry<HopConnection, Peer> entry : List.copyOf(mPeers.entrySet())) {
+            HopConnection connection = entry.getKey();
+            Peer peer = entry.getValue();
+            boolean awaited = !peer.mCalls.isEmpty();
+            switch (peer.mWatch.tick(nowNanos, connection.lastReadNanos(), awaited)) {
+                case PING -> connection.ping();
+                case GIVE_UP -> {
+                    EventLog.log(
+                            SidecarEvent.HOP_SILENT,
+                            connection.peer(),
+                            connection.silentMillis(nowNanos));
+                    connection.close();
+                }
+                default -> {}
+            }
+        }
+    }
+
     /** Returns the bytes of frames to peers, mostly answers, that were not sent yet. */
     public long unsentBytes() {
-        return mCalls.keySet().stream().mapToLong(HopConnection::unsentBytes).sum();
+        return mPeers.keySet().stream().mapToLong(HopConnection::unsentBytes).sum();
     }
 
     /** Closes all connections that peers opened, once the peers have read what was sent. */
     public void closeAfterSending() {
-        List.copyOf(mCalls.keySet()).forEach(HopConnection::closeAfterSending);
+        List.copyOf(mPeers.keySet()).forEach(HopConnection::closeAfterSending);
     }
 
     /** Returns whether no connection of a peer is open. */
     public boolean closed() {
-        return mCalls.isEmpty();
+        return mPeers.isEmpty();
     }
 
     /** Closes all connections that peers opened. */
     @Override
     public void close() {
-        List.copyOf(mCalls.keySet()).forEach(HopConnection::close);
+        List.copyOf(mPeers.keySet()).forEach(HopConnection::close);
     }
 
     private void begin(HopConnection connection, WireHopCall wire) {
@@ -183,7 +231,7 @@
     }
 
     private Map<Long, Attempt> calls(HopConnection connection) {
-        return mCalls.computeIfAbsent(connection, c -> new HashMap<>());
+        return mPeers.computeIfAbsent(connection, key -> new Peer()).mCalls;
     }
 
     /** Sends the outcome of a call over the connection on which it arrived. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.FeatureSettings;
@@ -60,6 +61,7 @@
     private final PeerLosses.Peers mPeers = new KnownPeers();
     private final SplittableRandom mRandom = new SplittableRandom();
     private QuotaPeer mQuota = QuotaPeer.NONE;
+    private LongConsumer mTickListener = now -> {};
     private boolean mIsReader;
     private int mStartupPulsesSent;
     private boolean mClosed;
@@ -137,6 +139,11 @@
         mQuota = quota;
     }
 
+    /** Sets what is called several times a second with the time on the steady clock. */
+    public void onTick(LongConsumer listener) {
+        mTickListener = listener;
+    }
+
     /** Saves the backend server behind this node in the store, for its next run. */
     public void saveBackend() {
         mRegistration.saveBackend(mDirectory.self());
@@ -263,6 +270,7 @@
         long now = System.nanoTime();
         mPauses.tick(now, System.currentTimeMillis());
         mDirectory.tick(now);
+        mTickListener.accept(now);
         mQuota.tick();
         mSuspects.decidePeerLosses(mPeers);
         NodeRecord self = mDirectory.self();
