Send nothing in a planned stop that is likely to outlast it

StopLimit decides at both: a request is sent only if almost all like it end before the node does, or its deadline comes before that. Otherwise the caller is told at once that it has not run and when to come back, or it goes to another node.

BackendDispatcherTest.requestThatWouldOutlastStopIsRefused covers the node of the server; its method is new.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
@@ -89,6 +89,18 @@
         assertEquals(4, mServer.received().size());
     }
 
+    /** Guards against requests that are cut off at the end of a planned stop. */
+    @Test
+    void requestThatWouldOutlastStopIsRefused() throws Exception {
+        onLoop(() -> mDispatcher.stopAt(System.nanoTime() + TimeUnit.SECONDS.toNanos(5)));
+        onLoop(() -> submit("long", 60_000));
+        Await.until("the long one is refused", () -> !mVerdicts.isEmpty());
+        assertEquals(List.of(Verdict.NOT_RUN), mVerdicts);
+        mServer.release();
+        onLoop(() -> submit("short", 3_000));
+        Await.untilEquals(List.of("short"), mServer::received);
+    }
+
     private void updateSlots(int slots) throws Exception {
         NetAddress address = new NetAddress("127.0.0.1", mServer.port());
         Heartbeat backend = new Heartbeat("i", 1, 1, SERVICE, address, slots, false, 0);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -353,6 +353,13 @@
 
     private void beginStop(CompletableFuture<Void> stopped) {
         mStopping = true;
+        long sinceNanos = System.nanoTime();
+        long endNanos =
+                sinceNanos
+                        + TimeUnit.MILLISECONDS.toNanos(
+                                mSettings.graceMillis() - STOP_MARGIN_MILLIS);
+        mRouter.stopAt(endNanos);
+        mDispatcher.stopAt(endNanos);
         mCallServer.drain();
         if (mBackendMonitor.departed()) {
             mMesh.unregister()
@@ -367,7 +374,7 @@
                             });
         }
         EventLog.log(SidecarEvent.STOPPING, pendingCalls(), mSettings.graceMillis());
-        awaitDrained(System.nanoTime(), stopped);
+        awaitDrained(sinceNanos, stopped);
     }
 
     private void awaitDrained(long sinceNanos, CompletableFuture<Void> stopped) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -1,6 +1,5 @@
 package org.azurearch.sidecar.internal.backend;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
@@ -15,6 +14,7 @@
 import org.azurearch.sidecar.admit.BackendQueue;
 import org.azurearch.sidecar.admit.LinkLoad;
 import org.azurearch.sidecar.admit.QueuedRequest;
+import org.azurearch.sidecar.admit.StopLimit;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.HopCall;
@@ -39,8 +39,8 @@
      */
     private static final long SWEEP_MILLIS = 25;
 
-    /** Time beyond its deadline from which on an attempt is logged. */
-    private static final long LONG_OVERDUE_MILLIS = 500;
+    /** Ratio of the work of almost all requests to the mean of their route. */
+    private static final double LONG_WORK_FACTOR = 2;
 
     /**
      * The platform does not distinguish calls made by backend servers from those of other callers;
@@ -75,11 +75,10 @@
     private final SuspectTracker mSuspects;
     private final CrashDetector mCrashes;
     private final SilenceDetector mSilence;
-    private final Counter mConnectionsLost;
-    private final Counter mSent;
-    private final Counter mOverdue;
+    private final AttemptLog mAttemptLog;
     private final LinkLoad mLink;
     private final BackendQueue<BackendAttempt> mQueue;
+    private final StopLimit mStopLimit = new StopLimit();
     private final BackendPerformance mPerformance = new BackendPerformance();
     private @Nullable Heartbeat mBackend;
     private boolean mSweepScheduled;
@@ -120,9 +119,7 @@
         mQueue = new BackendQueue<>(link);
         mSilence = new SilenceDetector(loop, heartbeatMillis, this);
         mLog = log;
-        mConnectionsLost = metrics.counter("backend.connections-lost");
-        mSent = metrics.counter("backend.sent");
-        mOverdue = metrics.counter("backend.overdue");
+        mAttemptLog = new AttemptLog(log, dialect, metrics);
         metrics.gauge("backend.limit", () -> (Gauge<Double>) () -> mNamedLimit);
         mPool = new BackendConnectionPool(loop, dialect);
         mListener = listener;
@@ -206,6 +203,16 @@
         mStopping = true;
     }
 
+    /**
+     * Records that a planned stop has begun, in which no request is started that is likely to
+     * outlast it.
+     *
+     * @param endNanos when the node ends, on the steady clock
+     */
+    public void stopAt(long endNanos) {
+        mStopLimit.stopAt(endNanos);
+    }
+
     /** Refuses all calls that wait for a slot. */
     public void refuseWaiting(AttemptFailure failure) {
         mQueue.removeAll().forEach(waiting -> waiting.refuse(failure));
@@ -256,9 +263,9 @@
             attempt.refuse(rolledBack());
             return attempt;
         }
-        AttemptFailure contained = mSuspects.containment(call);
-        if (contained != null) {
-            attempt.refuse(contained);
+        AttemptFailure refusal = refusal(call);
+        if (refusal != null) {
+            attempt.refuse(refusal);
             return attempt;
         }
         long now = System.nanoTime();
@@ -322,7 +329,7 @@
 
     /** Records that an attempt has been sent to the backend server. */
     void attemptSent(HopCall call, long nowNanos) {
-        mSent.inc();
+        mAttemptLog.sent();
         mPerformance.sent(nowNanos);
         mSilence.sent(call);
     }
@@ -335,18 +342,7 @@
     void attemptReturned(HopCall call, long sentNanos, boolean responded) {
         mPerformance.returned(sentNanos);
         mSilence.ended(call, responded);
-        recordOverdue(call, responded);
-    }
-
-    private void recordOverdue(HopCall call, boolean responded) {
-        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - call.deadlineNanos());
-        if (millis > 0) {
-            mOverdue.inc();
-        }
-        if (millis >= LONG_OVERDUE_MILLIS) {
-            mLog.failure(
-                    SidecarEvent.ATTEMPT_OVERDUE, id(call), call.route(), millis, responded);
-        }
+        mAttemptLog.returned(call, responded);
     }
 
     /**
@@ -374,13 +370,7 @@
      */
     void connectionLost(HopCall call, Heartbeat backend, String reason, Runnable decided) {
         RequestFingerprint fingerprint = mFingerprints.of(call);
-        mConnectionsLost.inc();
-        mLog.failure(
-                SidecarEvent.REQUEST_LOST,
-                id(call),
-                fingerprint.fingerprints().get(0),
-                backend.instance(),
-                reason);
+        mAttemptLog.lost(call, fingerprint, backend, reason);
         mCrashes.connectionLost(fingerprint, backend, decided);
     }
 
@@ -417,12 +407,7 @@
 
     /** Records that the backend server answered a call without failing it. */
     void completed(HopCall call) {
-        mSuspects.completed(call, id(call));
-    }
-
-    private String id(HopCall call) {
-        String id = call.header(mDialect.requestId());
-        return id == null ? "-" : id;
+        mSuspects.completed(call, mAttemptLog.id(call));
     }
 
     void reportUnreachable(Heartbeat backend) {
@@ -446,17 +431,30 @@
             if (next == null) {
                 return;
             }
-            AttemptFailure contained = mSuspects.containment(next.call());
-            if (contained == null) {
+            AttemptFailure refusal = refusal(next.call());
+            if (refusal == null) {
                 next.start(backend);
             } else {
                 mQueue.release(next.queued());
-                next.refuse(contained);
+                next.refuse(refusal);
             }
             backend = mBackend;
         }
     }
 
+    /** Returns why a call may not be started now, or null if it may. */
+    private @Nullable AttemptFailure refusal(HopCall call) {
+        AttemptFailure contained = mSuspects.containment(call);
+        if (contained != null || !mStopLimit.stopping()) {
+            return contained;
+        }
+        long now = System.nanoTime();
+        double leftMillis = (double) TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - now);
+        boolean endsInTime =
+                mStopLimit.allows(LONG_WORK_FACTOR * workMillis(call), leftMillis, now);
+        return endsInTime ? null : AttemptFailure.stopping();
+    }
+
     private void refuseExpired(long nowNanos) {
         for (BackendAttempt attempt : mQueue.removeExpired(nowNanos)) {
             attempt.refuse(
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -18,6 +18,7 @@
 import org.azurearch.sidecar.FeatureSettings.HedgeLimit;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.SidecarSettings;
+import org.azurearch.sidecar.admit.StopLimit;
 import org.azurearch.sidecar.call.Attempt;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
@@ -72,6 +73,7 @@
     private final Set<String> mReplacedHeaders;
     private final Set<String> mReplacedWithAccounts;
     private final @Nullable Hedges mHedges;
+    private final StopLimit mStopLimit = new StopLimit();
     private String mCallerService;
     private long mNextId = 1;
     private int mCalls;
@@ -155,6 +157,22 @@
         mStopping = true;
     }
 
+    /**
+     * Records that a planned stop has begun, in which no request is sent that is likely to outlast
+     * it.
+     *
+     * @param endNanos when the node ends, on the steady clock
+     */
+    public void stopAt(long endNanos) {
+        mStopLimit.stopAt(endNanos);
+    }
+
+    /** Returns whether a request may be sent, which a planned stop limits. */
+    boolean maySend(RouteRule route, long leftMillis) {
+        return !mStopLimit.stopping()
+                || mStopLimit.allows(hedgeMillis(route, 0), leftMillis, System.nanoTime());
+    }
+
     /** Hedges no further requests, as a planned stop begins. */
     void stopHedging() {
         if (mHedges != null) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -203,9 +203,13 @@
             refuse(mAccount.withdrawal());
             return;
         }
-        EndpointState endpoint = mAttempts.mayAdd() ? choose(route, mAttempts.triedNodes()) : null;
+        if (!mRouter.maySend(route, remainingMillis())) {
+            giveUp(last == null ? AttemptFailure.stopping() : last);
+            return;
+        }
+        EndpointState endpoint = mAttempts.mayAdd() ? choose(mRouter.endpoints()) : null;
         if (endpoint == null && mMayHaveRun && mayReuseEndpoint(route)) {
-            endpoint = choose(route, Set.of());
+            endpoint = choose(route, Set.of(), mRouter.endpoints());
         }
         if (endpoint == null) {
             giveUp(last);
@@ -214,10 +218,6 @@
         send(route, endpoint);
     }
 
-    private @Nullable EndpointState choose(RouteRule route, Set<String> tried) {
-        return choose(route, tried, mRouter.endpoints());
-    }
-
     private @Nullable EndpointState choose(
             RouteRule route, Set<String> tried, Collection<EndpointState> endpoints) {
         return mRouter.choose(endpoints, route, mService, tried, mVersions);
