Count the grace period of a stop from its signal

Cause: the grace period was counted from the start of the drain. The main thread of a node that is busy, or still starting, begins to drain seconds after SIGTERM, and is killed before the drain ends.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -248,15 +248,24 @@
      */
     @Override
     public void close() {
+        stop(System.nanoTime());
+    }
+
+    /**
+     * Does the same for a stop that was requested earlier, as while the node was starting.
+     *
+     * @param requestedNanos when the grace period began, as {@link System#nanoTime()}
+     */
+    public void stop(long requestedNanos) {
         if (mCloseRequested.getAndSet(true)) {
             mGroup.terminationFuture().awaitUninterruptibly();
             return;
         }
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        mLoop.execute(() -> beginStop(stopped));
+        mLoop.execute(() -> beginStop(requestedNanos, stopped));
         stopped.join();
         mGroup.shutdownGracefully(0, STOP_MARGIN_MILLIS / 2, TimeUnit.MILLISECONDS)
-                .awaitUninterruptibly(STOP_MARGIN_MILLIS);
+                .awaitUninterruptibly(STOP_MARGIN_MILLIS / 2);
     }
 
     private void listen() {
@@ -351,9 +360,8 @@
                 text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private void beginStop(CompletableFuture<Void> stopped) {
+    private void beginStop(long sinceNanos, CompletableFuture<Void> stopped) {
         mStopping = true;
-        long sinceNanos = System.nanoTime();
         long endNanos =
                 sinceNanos
                         + TimeUnit.MILLISECONDS.toNanos(
