--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/CancellationTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/CancellationTest.java
@@ -10,6 +10,8 @@
 import org.azurearch.call.CallServer;
 import org.azurearch.internal.call.RawClient.Answer;
 import org.azurearch.junit.Await;
+import org.azurearch.standin.proxy.FaultProxy;
+import org.azurearch.standin.proxy.ProxyFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -59,6 +61,20 @@
         assertEquals(1, mServer.mRequestCount.get());
     }
 
+    /** Guards against slots held for callers whose node cannot be reached any more. */
+    @Test
+    void callBehindLostLinkEndsAtItsDeadline() throws IOException {
+        try (FaultProxy link = FaultProxy.start(mDestination.address())) {
+            mDestination.advertise(link.address());
+            try (RawClient caller = new RawClient(mEntry.address())) {
+                caller.send(RawClient.get("/stock/held", "azurearch-deadline-millis: 1000"));
+                Await.until("the call runs", () -> mServer.mRequestCount.get() == 1);
+                link.setFault(ProxyFault.HALF_OPEN);
+            }
+            Await.until("the slot is free", () -> gauge("calls.slots.free") == 1);
+        }
+    }
+
     @Test
     void fullQueueRefusesAtOnceWithRetryAfter() throws IOException {
         try (RawClient running = new RawClient(mEntry.address());
@@ -101,6 +117,28 @@
         }
     }
 
+    /** Guards against requests that are taken late in a planned stop and cut off at its end. */
+    @Test
+    void requestTakenDuringDrainIsAnswered() throws Exception {
+        mDestination.announceBackend(mServer.address(), 2);
+        try (RawClient reader = new RawClient(mEntry.address());
+                RawClient buyer = new RawClient(mEntry.address())) {
+            reader.send(RawClient.get("/stock"));
+            buyer.send(RawClient.get("/stock"));
+            assertEquals(200, reader.read().status());
+            assertEquals(200, buyer.read().status());
+            CompletableFuture<Void> drained = drain(mEntry);
+            reader.send(RawClient.get("/stock/held"));
+            buyer.send(RawClient.post("/orders/held", "x"));
+            Await.until("both run", () -> mServer.mRequestCount.get() == 4);
+            assertFalse(drained.isDone());
+            mMayAnswer.countDown();
+            assertEquals(200, reader.read().status());
+            assertEquals(200, buyer.read().status());
+            drained.get();
+        }
+    }
+
     @Test
     void callThatReturnsToNodeOfItsChainIsRefused() throws IOException {
         mDestination.announceBackend(mServer.address(), 100);
