--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendConnectionTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendConnectionTest.java
@@ -31,21 +31,7 @@
 
 /** Guards against answers given to another request, or as whole though they broke off. */
 class BackendConnectionTest {
-    private static final Dialect DIALECT =
-            new Dialect(
-                    "id",
-                    "deadline",
-                    "caller",
-                    "expected",
-                    "instance",
-                    "not-run",
-                    "signature",
-                    "limit",
-                    "leaving",
-                    "retry-after",
-                    "key",
-                    "account",
-                    "/ready");
+    private static final Dialect DIALECT = TestDispatchers.DIALECT;
 
     private static final String[] HEADS = {
         "HTTP/1.1 200 OK\r\nsignature: s\r\n",
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/TestDispatchers.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/TestDispatchers.java
@@ -10,9 +10,10 @@
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.jspecify.annotations.Nullable;
 
-/** Creates dispatchers that report to nobody. */
+/** Creates dispatchers whose events are ignored. */
 public final class TestDispatchers {
-    private static final Dialect DIALECT =
+    /** Header names of the tests. */
+    static final Dialect DIALECT =
             new Dialect(
                     "id",
                     "deadline",
