Let non-idempotent calls of a silent peer go on until their deadline

Cause: with the watch at the accepting end, the node of a server closed the connection of an entry that was only suspended, or heard in one direction, and cancelled orders that nobody may repeat; before, they ran on and their answers waited in the socket.

A silent peer's idempotent calls are cancelled and its waiting ones refused. One that was sent and may run only once goes on, bounded by its deadline, and the connection stays open for its answer.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/RecordingServer.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/RecordingServer.java
@@ -13,7 +13,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** A backend server that records the ids of its requests and answers them, or holds them. */
-final class RecordingServer implements AutoCloseable {
+public final class RecordingServer implements AutoCloseable {
     private static final int BACKLOG = 50;
 
     private final ServerSocket mSocket =
@@ -23,31 +23,33 @@
     private final List<String> mCancelled = new CopyOnWriteArrayList<>();
     private volatile boolean mHolding = true;
 
-    RecordingServer() throws IOException {
+    /** Starts a server that holds its requests. */
+    public RecordingServer() throws IOException {
         startThread(this::accept);
     }
 
-    int port() {
+    /** Returns the port that it listens on. */
+    public int port() {
         return mSocket.getLocalPort();
     }
 
     /** Answers no request that arrives from now on. */
-    void hold() {
+    public void hold() {
         mHolding = true;
     }
 
     /** Answers each request that arrives from now on. */
-    void release() {
+    public void release() {
         mHolding = false;
     }
 
     /** Returns the ids of all requests, in the order of their arrival. */
-    List<String> received() {
+    public List<String> received() {
         return new ArrayList<>(mReceived);
     }
 
     /** Returns the ids of the held requests whose connection was closed. */
-    List<String> cancelled() {
+    public List<String> cancelled() {
         return new ArrayList<>(mCancelled);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -63,7 +63,7 @@
     MEMBER(843, Level.INFO, "node={} dc={} incarnation={} leaving={} backend={} ready={}"),
     /** A record that a peer sent has a value out of range and is ignored. */
     MEMBER_RECORD_IGNORED(844, Level.WARN, "node={} reason={}"),
-    /** The connection of a peer closed while calls of it were under way; they are cancelled. */
+    /** Calls of a peer are cancelled, as its connection has closed or it has fallen silent. */
     PEER_CALLS_LOST(845, Level.INFO, "peer={} calls={} silent_ms={}"),
     /** A call ended without an answer of a backend server. */
     CALL_FAILED(
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.admit.LinkLoad;
@@ -43,9 +44,12 @@
                     PING_TIMEOUT_NANOS,
                     PING_TIMEOUT_NANOS);
 
+    /** A call under way. */
+    private record Call(Attempt attempt, boolean idempotent) {}
+
     /** A peer that opened a connection. */
     private static final class Peer {
-        private final Map<Long, Attempt> mCalls = new HashMap<>();
+        private final Map<Long, Call> mCalls = new HashMap<>();
         private final SilenceWatch mWatch = new SilenceWatch(LIMITS, System.nanoTime());
     }
 
@@ -90,15 +94,15 @@
         if (frame.isSetCall()) {
             begin(connection, frame.getCall());
         } else if (frame.isSetCancel()) {
-            Attempt attempt = calls(connection).remove(frame.getCancel().getId());
-            if (attempt != null) {
+            Call call = calls(connection).remove(frame.getCancel().getId());
+            if (call != null) {
                 mCallsCancelled.inc();
-                attempt.cancel();
+                call.attempt().cancel();
             }
         } else if (frame.isSetWithdrawal()) {
-            Attempt attempt = calls(connection).get(frame.getWithdrawal().getId());
-            if (attempt != null) {
-                attempt.withdraw();
+            Call call = calls(connection).get(frame.getWithdrawal().getId());
+            if (call != null) {
+                call.attempt().withdraw();
             }
         } else {
             mFallback.received(connection, frame);
@@ -110,20 +114,23 @@
     public void closed(HopConnection connection) {
         Peer peer = mPeers.remove(connection);
         if (peer != null && !peer.mCalls.isEmpty()) {
-            List<Attempt> open = new ArrayList<>(peer.mCalls.values());
-            EventLog.log(
-                    SidecarEvent.PEER_CALLS_LOST,
-                    connection.peer(),
-                    open.size(),
-                    connection.silentMillis(System.nanoTime()));
-            mCallsLost.inc(open.size());
-            open.forEach(Attempt::cancel);
+            recordLost(connection, peer.mCalls.size());
+            List.copyOf(peer.mCalls.values()).forEach(call -> call.attempt().cancel());
         }
     }
 
+    private void recordLost(HopConnection connection, int calls) {
+        mCallsLost.inc(calls);
+        EventLog.log(
+                SidecarEvent.PEER_CALLS_LOST,
+                connection.peer(),
+                calls,
+                connection.silentMillis(System.nanoTime()));
+    }
+
     /**
-     * Pings peers that are silent and closes the connections of those that do not reply, so that
-     * their calls end; called a few times a second.
+     * Pings peers that are silent and gives up those that do not reply; called a few times a
+     * second.
      */
     public void tick(long nowNanos) {
         for (Map.Entry<HopConnection, Peer> entry : List.copyOf(mPeers.entrySet())) {
@@ -132,18 +139,47 @@
             boolean awaited = !peer.mCalls.isEmpty();
             switch (peer.mWatch.tick(nowNanos, connection.lastReadNanos(), awaited)) {
                 case PING -> connection.ping();
-                case GIVE_UP -> {
-                    EventLog.log(
-                            SidecarEvent.HOP_SILENT,
-                            connection.peer(),
-                            connection.silentMillis(nowNanos));
-                    connection.close();
-                }
+                case GIVE_UP -> giveUp(connection, peer);
                 default -> {}
             }
         }
     }
 
+    /**
+     * Ends the calls of a silent peer and closes its connection. A non-idempotent call that was
+     * sent to the backend server goes on until its deadline, and the connection stays open for its
+     * answer: the peer may only be suspended, and nobody may repeat the call.
+     */
+    private void giveUp(HopConnection connection, Peer peer) {
+        List<Long> idempotent = new ArrayList<>();
+        peer.mCalls.forEach(
+                (id, call) -> {
+                    if (call.idempotent()) {
+                        idempotent.add(id);
+                    } else {
+                        call.attempt().withdraw();
+                    }
+                });
+        if (idempotent.size() == peer.mCalls.size()) {
+            long silentMillis = connection.silentMillis(System.nanoTime());
+            EventLog.log(SidecarEvent.HOP_SILENT, connection.peer(), silentMillis);
+            connection.close();
+        } else if (!idempotent.isEmpty()) {
+            recordLost(connection, idempotent.size());
+            idempotent.forEach(id -> abandon(connection, peer, id));
+        }
+    }
+
+    private void abandon(HopConnection connection, Peer peer, long id) {
+        Call call = peer.mCalls.remove(id);
+        if (call != null) {
+            call.attempt().cancel();
+            AttemptFailure failure =
+                    AttemptFailure.unknown(ErrorCode.PEER_UNAVAILABLE, "this node was silent");
+            connection.send(HopFrame.failure(HopWire.toWire(id, failure, load())));
+        }
+    }
+
     /** Returns the bytes of frames to peers, mostly answers, that were not sent yet. */
     public long unsentBytes() {
         return mPeers.keySet().stream().mapToLong(HopConnection::unsentBytes).sum();
@@ -171,7 +207,7 @@
         HopCall call = HopWire.fromWire(wire, now - mPauses.delayNanos(now, wallMillis));
         if (mPauses.late(now, wallMillis)) {
             LateCall late = new LateCall(connection, call);
-            calls(connection).put(call.id(), late);
+            calls(connection).put(call.id(), new Call(late, call.idempotent()));
             NextPoll.runAfter(mLoop, late::submit);
         } else {
             submit(connection, call);
@@ -182,7 +218,7 @@
         OutcomeSender sender = new OutcomeSender(connection, call);
         Attempt attempt = mDispatcher.submitForPeer(call, sender);
         if (!sender.mDone) {
-            calls(connection).put(call.id(), attempt);
+            calls(connection).put(call.id(), new Call(attempt, call.idempotent()));
         }
     }
 
@@ -213,9 +249,9 @@
             if (!mCancelled) {
                 calls(mConnection).remove(mCall.id());
                 HopServer.this.submit(mConnection, mCall);
-                Attempt submitted = calls(mConnection).get(mCall.id());
+                Call submitted = calls(mConnection).get(mCall.id());
                 if (mWithdrawn && submitted != null) {
-                    submitted.withdraw();
+                    submitted.attempt().withdraw();
                 }
             }
         }
@@ -231,7 +267,7 @@
     }
 
     /** Returns the calls under way of a connection; none if it has closed. */
-    private Map<Long, Attempt> calls(HopConnection connection) {
+    private Map<Long, Call> calls(HopConnection connection) {
         Peer peer = mPeers.get(connection);
         return peer == null ? new HashMap<>() : peer.mCalls;
     }
