Count the time that a call was held up on its way

Cause: a call carries the time that is left when it is sent, and the node of the server counted it from the arrival. After a data centre is cut off and comes back, links of 10 Mbit/s are full for seconds. A call with 810 ms left arrived 2 s after it was sent, and was started as if it had 810 ms more; its cancellation came behind it.

A call now says when it was sent, on both clocks of its sender. Nodes of an earlier version send no times and are treated as before.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.NavigableMap;
@@ -134,6 +135,13 @@
         return String.valueOf(mChannel.remoteAddress());
     }
 
+    /** Returns the IP address of the peer. */
+    String peerHost() {
+        return mChannel.remoteAddress() instanceof InetSocketAddress address
+                ? address.getHostString()
+                : peer();
+    }
+
     /** Returns the bytes of frames that were not sent yet. */
     long unsentBytes() {
         return UnsentBytes.of(mChannel);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -157,7 +157,12 @@
             return new PeerCall(call.id(), false);
         }
         mPending.put(call.id(), listener);
-        connection.send(HopFrame.call(HopWire.toWire(call, System.nanoTime())));
+        long now = System.nanoTime();
+        connection.send(
+                HopFrame.call(
+                        HopWire.toWire(call, now)
+                                .setSentMillis(TimeUnit.NANOSECONDS.toMillis(now))
+                                .setSentAtMillis(System.currentTimeMillis())));
         return new PeerCall(call.id(), true);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -5,8 +5,10 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
@@ -44,6 +46,15 @@
                     PING_TIMEOUT_NANOS,
                     PING_TIMEOUT_NANOS);
 
+    /**
+     * Delay on its way from which on the cancellation of a call may already be in the socket behind
+     * it.
+     */
+    private static final long LATE_TRANSIT_MILLIS = 200;
+
+    /** Limit of the hosts whose usual transit is known; those seen least recently are dropped. */
+    private static final int MAX_HOSTS = 4_096;
+
     /** A call under way. */
     private record Call(Attempt attempt, boolean idempotent) {}
 
@@ -61,6 +72,17 @@
     private final Counter mCallsLost;
     private final Map<HopConnection, Peer> mPeers = new HashMap<>();
 
+    /** By host, as the usual transit outlives a connection that is lost. */
+    private final Map<String, TransitDelay> mTransits =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, TransitDelay> eldest) {
+                    return size() > MAX_HOSTS;
+                }
+            };
+
     /**
      * Creates a server.
      *
@@ -204,8 +226,10 @@
     private void begin(HopConnection connection, WireHopCall wire) {
         long now = System.nanoTime();
         long wallMillis = System.currentTimeMillis();
-        HopCall call = HopWire.fromWire(wire, now - mPauses.delayNanos(now, wallMillis));
-        if (mPauses.late(now, wallMillis)) {
+        long transitMillis = transitMillis(connection, wire, now, wallMillis);
+        long sentNanos = now - TimeUnit.MILLISECONDS.toNanos(transitMillis);
+        HopCall call = HopWire.fromWire(wire, sentNanos - mPauses.delayNanos(now, wallMillis));
+        if (mPauses.late(now, wallMillis) || transitMillis >= LATE_TRANSIT_MILLIS) {
             LateCall late = new LateCall(connection, call);
             calls(connection).put(call.id(), new Call(late, call.idempotent()));
             NextPoll.runAfter(mLoop, late::submit);
@@ -214,6 +238,18 @@
         }
     }
 
+    /** Returns how much longer than usual a call was under way, in milliseconds. */
+    private long transitMillis(
+            HopConnection connection, WireHopCall wire, long nowNanos, long wallMillis) {
+        if (!wire.isSetSentMillis() || !wire.isSetSentAtMillis()) {
+            return 0;
+        }
+        long nowMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos);
+        return mTransits
+                .computeIfAbsent(connection.peerHost(), host -> new TransitDelay(nowMillis))
+                .observe(wire.getSentMillis(), wire.getSentAtMillis(), nowMillis, wallMillis);
+    }
+
     private void submit(HopConnection connection, HopCall call) {
         OutcomeSender sender = new OutcomeSender(connection, call);
         Attempt attempt = mDispatcher.submitForPeer(call, sender);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
@@ -26,6 +26,8 @@
   private static final org.apache.thrift.protocol.TField IDEMPOTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("idempotent", org.apache.thrift.protocol.TType.BOOL, (short)11);
   private static final org.apache.thrift.protocol.TField ACCOUNT_FIELD_DESC = new org.apache.thrift.protocol.TField("account", org.apache.thrift.protocol.TType.STRING, (short)12);
   private static final org.apache.thrift.protocol.TField ACCOUNT_WEIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("accountWeight", org.apache.thrift.protocol.TType.DOUBLE, (short)13);
+  private static final org.apache.thrift.protocol.TField SENT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentMillis", org.apache.thrift.protocol.TType.I64, (short)14);
+  private static final org.apache.thrift.protocol.TField SENT_AT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentAtMillis", org.apache.thrift.protocol.TType.I64, (short)15);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireHopCallStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireHopCallTupleSchemeFactory();
@@ -52,6 +54,14 @@
    * The weight of the account relative to others; 1 if unset.
    */
   public double accountWeight; // optional
+  /**
+   * When it was sent, on the steady clock of the sender, in milliseconds.
+   */
+  public long sentMillis; // optional
+  /**
+   * When it was sent, by the sender's time of day, in milliseconds since the epoch.
+   */
+  public long sentAtMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -76,7 +86,15 @@
     /**
      * The weight of the account relative to others; 1 if unset.
      */
-    ACCOUNT_WEIGHT((short)13, "accountWeight");
+    ACCOUNT_WEIGHT((short)13, "accountWeight"),
+    /**
+     * When it was sent, on the steady clock of the sender, in milliseconds.
+     */
+    SENT_MILLIS((short)14, "sentMillis"),
+    /**
+     * When it was sent, by the sender's time of day, in milliseconds since the epoch.
+     */
+    SENT_AT_MILLIS((short)15, "sentAtMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -118,6 +136,10 @@
           return ACCOUNT;
         case 13: // ACCOUNT_WEIGHT
           return ACCOUNT_WEIGHT;
+        case 14: // SENT_MILLIS
+          return SENT_MILLIS;
+        case 15: // SENT_AT_MILLIS
+          return SENT_AT_MILLIS;
         default:
           return null;
       }
@@ -167,8 +189,10 @@
   private static final int __RANK_ISSET_ID = 3;
   private static final int __IDEMPOTENT_ISSET_ID = 4;
   private static final int __ACCOUNTWEIGHT_ISSET_ID = 5;
+  private static final int __SENTMILLIS_ISSET_ID = 6;
+  private static final int __SENTATMILLIS_ISSET_ID = 7;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.ACCOUNT,_Fields.ACCOUNT_WEIGHT};
+  private static final _Fields optionals[] = {_Fields.ACCOUNT,_Fields.ACCOUNT_WEIGHT,_Fields.SENT_MILLIS,_Fields.SENT_AT_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -199,6 +223,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.ACCOUNT_WEIGHT, new org.apache.thrift.meta_data.FieldMetaData("accountWeight", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+    tmpMap.put(_Fields.SENT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sentMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SENT_AT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sentAtMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireHopCall.class, metaDataMap);
   }
@@ -271,6 +299,8 @@
       this.account = other.account;
     }
     this.accountWeight = other.accountWeight;
+    this.sentMillis = other.sentMillis;
+    this.sentAtMillis = other.sentAtMillis;
   }
 
   @Override
@@ -299,6 +329,10 @@
     this.account = null;
     setAccountWeightIsSet(false);
     this.accountWeight = 0.0;
+    setSentMillisIsSet(false);
+    this.sentMillis = 0;
+    setSentAtMillisIsSet(false);
+    this.sentAtMillis = 0;
   }
 
   public long getId() {
@@ -657,6 +691,64 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ACCOUNTWEIGHT_ISSET_ID, value);
   }
 
+  /**
+   * When it was sent, on the steady clock of the sender, in milliseconds.
+   */
+  public long getSentMillis() {
+    return this.sentMillis;
+  }
+
+  /**
+   * When it was sent, on the steady clock of the sender, in milliseconds.
+   */
+  public WireHopCall setSentMillis(long sentMillis) {
+    this.sentMillis = sentMillis;
+    setSentMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetSentMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field sentMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTMILLIS_ISSET_ID);
+  }
+
+  public void setSentMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTMILLIS_ISSET_ID, value);
+  }
+
+  /**
+   * When it was sent, by the sender's time of day, in milliseconds since the epoch.
+   */
+  public long getSentAtMillis() {
+    return this.sentAtMillis;
+  }
+
+  /**
+   * When it was sent, by the sender's time of day, in milliseconds since the epoch.
+   */
+  public WireHopCall setSentAtMillis(long sentAtMillis) {
+    this.sentAtMillis = sentAtMillis;
+    setSentAtMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetSentAtMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTATMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field sentAtMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentAtMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTATMILLIS_ISSET_ID);
+  }
+
+  public void setSentAtMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTATMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -768,6 +860,22 @@
       }
       break;
 
+    case SENT_MILLIS:
+      if (value == null) {
+        unsetSentMillis();
+      } else {
+        setSentMillis((java.lang.Long)value);
+      }
+      break;
+
+    case SENT_AT_MILLIS:
+      if (value == null) {
+        unsetSentAtMillis();
+      } else {
+        setSentAtMillis((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -814,6 +922,12 @@
     case ACCOUNT_WEIGHT:
       return getAccountWeight();
 
+    case SENT_MILLIS:
+      return getSentMillis();
+
+    case SENT_AT_MILLIS:
+      return getSentAtMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -852,6 +966,10 @@
       return isSetAccount();
     case ACCOUNT_WEIGHT:
       return isSetAccountWeight();
+    case SENT_MILLIS:
+      return isSetSentMillis();
+    case SENT_AT_MILLIS:
+      return isSetSentAtMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -986,6 +1104,24 @@
         return false;
     }
 
+    boolean this_present_sentMillis = true && this.isSetSentMillis();
+    boolean that_present_sentMillis = true && that.isSetSentMillis();
+    if (this_present_sentMillis || that_present_sentMillis) {
+      if (!(this_present_sentMillis && that_present_sentMillis))
+        return false;
+      if (this.sentMillis != that.sentMillis)
+        return false;
+    }
+
+    boolean this_present_sentAtMillis = true && this.isSetSentAtMillis();
+    boolean that_present_sentAtMillis = true && that.isSetSentAtMillis();
+    if (this_present_sentAtMillis || that_present_sentAtMillis) {
+      if (!(this_present_sentAtMillis && that_present_sentAtMillis))
+        return false;
+      if (this.sentAtMillis != that.sentAtMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -1035,6 +1171,14 @@
     if (isSetAccountWeight())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(accountWeight);
 
+    hashCode = hashCode * 8191 + ((isSetSentMillis()) ? 131071 : 524287);
+    if (isSetSentMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentMillis);
+
+    hashCode = hashCode * 8191 + ((isSetSentAtMillis()) ? 131071 : 524287);
+    if (isSetSentAtMillis())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentAtMillis);
+
     return hashCode;
   }
 
@@ -1176,6 +1320,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetSentMillis(), other.isSetSentMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSentMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentMillis, other.sentMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSentAtMillis(), other.isSetSentAtMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSentAtMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentAtMillis, other.sentAtMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1283,6 +1447,18 @@
       sb.append(this.accountWeight);
       first = false;
     }
+    if (isSetSentMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("sentMillis:");
+      sb.append(this.sentMillis);
+      first = false;
+    }
+    if (isSetSentAtMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("sentAtMillis:");
+      sb.append(this.sentAtMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1467,6 +1643,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 14: // SENT_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentMillis = iprot.readI64();
+              struct.setSentMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 15: // SENT_AT_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentAtMillis = iprot.readI64();
+              struct.setSentAtMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1562,6 +1754,16 @@
         oprot.writeDouble(struct.accountWeight);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetSentMillis()) {
+        oprot.writeFieldBegin(SENT_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.sentMillis);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetSentAtMillis()) {
+        oprot.writeFieldBegin(SENT_AT_MILLIS_FIELD_DESC);
+        oprot.writeI64(struct.sentAtMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1604,13 +1806,25 @@
       if (struct.isSetAccountWeight()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetSentMillis()) {
+        optionals.set(2);
+      }
+      if (struct.isSetSentAtMillis()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetAccount()) {
         oprot.writeString(struct.account);
       }
       if (struct.isSetAccountWeight()) {
         oprot.writeDouble(struct.accountWeight);
       }
+      if (struct.isSetSentMillis()) {
+        oprot.writeI64(struct.sentMillis);
+      }
+      if (struct.isSetSentAtMillis()) {
+        oprot.writeI64(struct.sentAtMillis);
+      }
     }
 
     @Override
@@ -1647,7 +1861,7 @@
       struct.setRouteIsSet(true);
       struct.idempotent = iprot.readBool();
       struct.setIdempotentIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.account = iprot.readString();
         struct.setAccountIsSet(true);
@@ -1656,6 +1870,14 @@
         struct.accountWeight = iprot.readDouble();
         struct.setAccountWeightIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.sentMillis = iprot.readI64();
+        struct.setSentMillisIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.sentAtMillis = iprot.readI64();
+        struct.setSentAtMillisIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -70,6 +70,10 @@
   12: optional string account
   /** The weight of the account relative to others; 1 if unset. */
   13: optional double accountWeight
+  /** When it was sent, on the steady clock of the sender, in milliseconds. */
+  14: optional i64 sentMillis
+  /** When it was sent, by the sender's time of day, in milliseconds since the epoch. */
+  15: optional i64 sentAtMillis
 }
 
 /** The backend server's complete answer. */
