Count a pause of a node once towards the deadlines of its calls

Cause: with the time of sending in a call, a pause of the receiving process shows in the transit of what it reads afterwards, and PauseDetector adds the same pause. Calls with time left were refused as not run.

The longer of both counts. Where the steady clock stood still, only PauseDetector shows the pause.

Evidence: HopServerTest.pauseOfThisNodeCountsOnceTowardsTheDeadlineOfIts- Calls fails before (the second call is refused) and passes now.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopServerTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopServerTest.java
@@ -100,6 +100,39 @@
         }
     }
 
+    /** Guards against calls refused after a pause of their node, as the pause is counted twice. */
+    @Test
+    void pauseOfThisNodeCountsOnceTowardsTheDeadlineOfItsCalls() throws Exception {
+        long pausedMillis = 1_000;
+        long now = System.nanoTime();
+        long wallMillis = System.currentTimeMillis();
+        PauseDetector pauses =
+                new PauseDetector(
+                        now - TimeUnit.MILLISECONDS.toNanos(pausedMillis),
+                        wallMillis - pausedMillis);
+        HopServer paused =
+                new HopServer(
+                        mLoop, mDispatcher, pauses, new UnexpectedFrames(), new MetricRegistry());
+        try (RecordingServer backend = startBackend()) {
+            HopConnection connection = open(new EmbeddedChannel());
+            onLoop(() -> paused.opened(connection));
+            HopFrame first = call(1, "first", true);
+            sentAt(first, now, wallMillis, 0);
+            HopFrame second = call(2, "second", true);
+            second.getCall().setTargetLeftMillis(1_500).setLeftMillis(1_900);
+            sentAt(second, now, wallMillis, pausedMillis);
+            onLoop(() -> paused.received(connection, first));
+            onLoop(() -> paused.received(connection, second));
+            Await.until("both are sent", () -> backend.received().size() == 2);
+        }
+    }
+
+    private static void sentAt(HopFrame frame, long nowNanos, long wallMillis, long agoMillis) {
+        frame.getCall()
+                .setSentMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos) - agoMillis)
+                .setSentAtMillis(wallMillis - agoMillis);
+    }
+
     private RecordingServer startBackend() throws Exception {
         RecordingServer backend = new RecordingServer();
         NetAddress address = new NetAddress("127.0.0.1", backend.port());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -227,8 +227,12 @@
         long now = System.nanoTime();
         long wallMillis = System.currentTimeMillis();
         long transitMillis = transitMillis(connection, wire, now, wallMillis);
-        long sentNanos = now - TimeUnit.MILLISECONDS.toNanos(transitMillis);
-        HopCall call = HopWire.fromWire(wire, sentNanos - mPauses.delayNanos(now, wallMillis));
+        // A pause of this process shows in both, unless the steady clock stood still meanwhile.
+        long delayNanos =
+                Math.max(
+                        TimeUnit.MILLISECONDS.toNanos(transitMillis),
+                        mPauses.delayNanos(now, wallMillis));
+        HopCall call = HopWire.fromWire(wire, now - delayNanos);
         if (mPauses.late(now, wallMillis) || transitMillis >= LATE_TRANSIT_MILLIS) {
             LateCall late = new LateCall(connection, call);
             calls(connection).put(call.id(), new Call(late, call.idempotent()));
