--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -30,6 +31,10 @@
                         return thread;
                     });
     private final Map<String, Topic> mTopics = new HashMap<>();
+    private final SplittableRandom mRandom = new SplittableRandom();
+    private volatile double mLostShare;
+    private volatile int mLost;
+    private volatile int mAnswered;
 
     Store() throws IOException {
         mServer = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 64);
@@ -42,6 +47,19 @@
         return "127.0.0.1:" + mServer.getAddress().getPort();
     }
 
+    /**
+     * Loses a share of the answers to nodes from now on: a call is carried out, and its connection
+     * stays open and returns nothing further. New connections work.
+     */
+    void loseAnswers(double share) {
+        mLostShare = share;
+    }
+
+    /** Returns how many answers were lost, and how many were given. */
+    String lost() {
+        return mLost + " of " + (mLost + mAnswered);
+    }
+
     /** Writes as the operator does. */
     synchronized void write(String topic, String key, String value) {
         byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
@@ -168,7 +186,16 @@
         return mTopics.computeIfAbsent(name, key -> new Topic());
     }
 
-    private static void answer(HttpExchange exchange, int status, byte[] body) throws IOException {
+    private void answer(HttpExchange exchange, int status, byte[] body) throws IOException {
+        synchronized (mRandom) {
+            if (mLostShare > 0) {
+                if (mRandom.nextDouble() < mLostShare) {
+                    mLost++;
+                    return; // without an answer, the connection stays open
+                }
+                mAnswered++;
+            }
+        }
         exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
         exchange.getResponseBody().write(body);
         exchange.close();
