--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -37,6 +37,7 @@
             hosts[i] = host(i);
         }
         mPorts = Node.freePorts(6, hosts);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         mRecord.line("trouble=%s machines=%d heartbeat=%dms", mTrouble, machines, beatMillis);
     }
 
@@ -149,6 +150,13 @@
         }
     }
 
+    /** Ends the nodes, also if this process is ended by a signal. */
+    private void endProcesses() {
+        for (Node node : List.copyOf(mNodes)) {
+            node.kill();
+        }
+    }
+
     @Override
     public void close() throws Exception {
         for (AutoCloseable part : mParts) {
--- a/review/standin/Node.java
+++ b/review/standin/Node.java
@@ -168,10 +168,17 @@
         return Client.simple(mHost + ":" + mPorts[1], "GET", "/readyz", "") == 200;
     }
 
+    /** Kills the process if it runs. */
+    void kill() {
+        if (mProcess != null) {
+            mProcess.destroyForcibly();
+        }
+    }
+
     @Override
     public void close() throws InterruptedException {
+        kill();
         if (mProcess != null) {
-            mProcess.destroyForcibly();
             mProcess.waitFor(5, TimeUnit.SECONDS);
         }
     }
