Review case 4: silent connections to the store in place of lost answers

The connections to the store that are open go silent, and new ones work; a route is moved 0.3 s later. The long polls of all readers wait 12.5 s for an answer, and the next read takes an idle connection that is silent too, so that all nodes keep the old version for eleven seconds after they are in touch again.

--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -8,10 +8,11 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -31,10 +32,8 @@
                         return thread;
                     });
     private final Map<String, Topic> mTopics = new HashMap<>();
-    private final SplittableRandom mRandom = new SplittableRandom();
-    private volatile double mLostShare;
-    private volatile int mLost;
-    private volatile int mAnswered;
+    private final Set<InetSocketAddress> mOpen = new HashSet<>();
+    private final Set<InetSocketAddress> mSilent = new HashSet<>();
 
     Store() throws IOException {
         mServer = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 64);
@@ -48,16 +47,12 @@
     }
 
     /**
-     * Loses answers to nodes at random from now on, never more than a share of them: a call is
-     * carried out, and its connection stays open and returns nothing further. New connections work.
+     * From now on, the connections that are open go silent for good, without a reset: what comes on
+     * them is not answered any more. New ones work.
      */
-    void loseAnswers(double share) {
-        mLostShare = share;
-    }
-
-    /** Returns how many answers were lost, and how many were given. */
-    String lost() {
-        return mLost + " of " + (mLost + mAnswered);
+    synchronized int silenceOpenConnections() {
+        mSilent.addAll(mOpen);
+        return mSilent.size();
     }
 
     /** Writes as the operator does. */
@@ -76,6 +71,9 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
+        synchronized (this) {
+            mOpen.add(exchange.getRemoteAddress());
+        }
         try {
             Map<String, String> query = new HashMap<>();
             String text = exchange.getRequestURI().getQuery();
@@ -187,14 +185,9 @@
     }
 
     private void answer(HttpExchange exchange, int status, byte[] body) throws IOException {
-        synchronized (mRandom) {
-            if (mLostShare > 0) {
-                boolean within = mLost + 1 <= mLostShare * (mLost + mAnswered + 1);
-                if (within && mRandom.nextDouble() < 2 * mLostShare) {
-                    mLost++;
-                    return; // without an answer, the connection stays open
-                }
-                mAnswered++;
+        synchronized (this) {
+            if (mSilent.contains(exchange.getRemoteAddress())) {
+                return;
             }
         }
         exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
