--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -12,6 +12,9 @@
 final class Deployment implements AutoCloseable {
     static final String HOST = "shop.example";
 
+    /** The exit status of a process that saw the rule broken; run.sh turns it into 1. */
+    static final int BROKEN = 10;
+
     final Record mRecord;
     final Store mStore = new Store();
     final boolean mTrouble = !"0".equals(System.getenv("TROUBLE"));
