End what belongs to a run of a backend server when another takes its place

Only submit compared the services. Ruled out: a stale configuration (one version is in force throughout) and the reload, which comes 1.4 s later.

The slots, connections, silence detector, crash detector, failures, ages and limit of the earlier server went over to the new one in the same way. BackendRun now holds them for one run, told by instance and start, and ends them together: attempts under way end with the verdict that is true once the answers that have arrived are read, requests that wait go on only for the same service, and a pending check or a late answer reaches its own run only. A run that ends unannounced under requests counts as a crash, as one that falls silent does. A limit or a leaving that is named in an answer is no longer dropped when a heartbeat changed the slots meanwhile.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendConnectionTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendConnectionTest.java
@@ -27,6 +27,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
+import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
 
 /** Guards against answers given to another request, or as whole though they broke off. */
@@ -87,7 +88,8 @@
     /** Connections to one backend server, with what it has written on each. */
     private static final class Server implements AutoCloseable {
         private final BackendConnectionPool mPool =
-                new BackendConnectionPool(new EmbeddedChannel().eventLoop(), DIALECT);
+                new BackendConnectionPool(
+                        new EmbeddedChannel().eventLoop(), DIALECT, new NetAddress("127.0.0.1", 1));
         private final Map<BackendConnection, EmbeddedChannel> mChannels = new HashMap<>();
         private final Map<BackendConnection, List<Written>> mWritten = new HashMap<>();
 
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.backend;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.junit.Await;
@@ -23,6 +25,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Attempts that end without an answer, and what is sent to the backend server afterwards. */
 class BackendDispatcherTest {
@@ -101,10 +105,68 @@
         Await.untilEquals(List.of("short"), mServer::received);
     }
 
+    /** Guards against requests of one service that run at a server of another one. */
+    @Test
+    void waitingRequestIsRefusedWhenServerOfAnotherServiceTakesThePlace() throws Exception {
+        runOneAndQueueOne();
+        replace("j", 2, "web", BackendRecord.NO_LIMIT);
+        Await.until("both have ended", () -> mVerdicts.size() == 2);
+        assertEquals(Set.of(Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN), Set.copyOf(mVerdicts));
+        assertEquals(List.of("running"), mServer.received());
+    }
+
+    /** Guards against slots of a new server that are held by requests at the one before it. */
+    @ParameterizedTest
+    @CsvSource({"j, 2", "i, 2"})
+    void waitingRequestRunsAtOnceAtTheNextServerOfItsService(String instance, long started)
+            throws Exception {
+        runOneAndQueueOne();
+        mServer.release();
+        replace(instance, started, SERVICE, BackendRecord.NO_LIMIT);
+        Await.until("both have ended", () -> mVerdicts.size() == 2);
+        assertEquals(List.of(Verdict.MAY_HAVE_RUN, Verdict.RAN), mVerdicts);
+        Await.untilEquals(List.of("running"), mServer::cancelled);
+        Await.untilEquals(0, mDispatcher::running);
+    }
+
+    /** Guards against limits and failures of an earlier run that count for a restarted server. */
+    @Test
+    void restartedServerHasNeitherLimitNorFailuresOfItsEarlierRun() throws Exception {
+        replace("j", 2, SERVICE, 0.5);
+        onLoop(() -> submit("lost", 60_000));
+        Await.untilEquals(List.of("lost"), mServer::received);
+        mServer.closeConnections();
+        Await.until("it has failed", () -> mVerdicts.size() == 1);
+        onLoop(() -> assertTrue(mDispatcher.load().failurePercent() > 0));
+        mServer.release();
+        replace("j", 3, SERVICE, BackendRecord.NO_LIMIT);
+        onLoop(() -> assertEquals(0, mDispatcher.load().failurePercent()));
+        onLoop(() -> assertEquals(0, mDispatcher.load().startWaitMillis()));
+    }
+
+    private void runOneAndQueueOne() throws Exception {
+        updateSlots(1);
+        onLoop(() -> submit("running", 60_000));
+        Await.untilEquals(List.of("running"), mServer::received);
+        onLoop(() -> submit("waiting", 60_000));
+        assertEquals(1, mDispatcher.waiting());
+    }
+
     private void updateSlots(int slots) throws Exception {
-        NetAddress address = new NetAddress("127.0.0.1", mServer.port());
-        Heartbeat backend = new Heartbeat("i", 1, 1, SERVICE, address, slots, false, 0);
-        onLoop(() -> mDispatcher.updateBackend(backend, BackendRecord.NO_LIMIT));
+        updateBackend("i", 1, SERVICE, mServer.port(), slots, BackendRecord.NO_LIMIT);
+    }
+
+    private void replace(String instance, long started, String service, double limit)
+            throws Exception {
+        updateBackend(instance, started, service, mServer.port(), 1, limit);
+    }
+
+    private void updateBackend(
+            String instance, long started, String service, int port, int slots, double limit)
+            throws Exception {
+        NetAddress address = new NetAddress("127.0.0.1", port);
+        Heartbeat backend = new Heartbeat(instance, started, 1, service, address, slots, false, 0);
+        onLoop(() -> mDispatcher.updateBackend(backend, limit));
     }
 
     private Attempt submit(String id, long deadlineMillis) {
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/RecordingServer.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/RecordingServer.java
@@ -53,14 +53,19 @@
         return new ArrayList<>(mCancelled);
     }
 
-    @Override
-    public void close() throws IOException {
-        mSocket.close();
+    /** Closes all connections. */
+    void closeConnections() throws IOException {
         for (Socket socket : mAccepted) {
             socket.close();
         }
     }
 
+    @Override
+    public void close() throws IOException {
+        mSocket.close();
+        closeConnections();
+    }
+
     private void accept() {
         while (!mSocket.isClosed()) {
             try {
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/TestDispatchers.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/TestDispatchers.java
@@ -6,7 +6,6 @@
 import org.azurearch.sidecar.admit.LinkLoad;
 import org.azurearch.sidecar.internal.CallLog;
 import org.azurearch.sidecar.internal.suspect.CallFingerprints;
-import org.azurearch.sidecar.internal.suspect.CrashDetector;
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.jspecify.annotations.Nullable;
 
@@ -43,7 +42,6 @@
                 new IgnoringListener(),
                 new CallLog(),
                 suspects,
-                new CrashDetector(loop, suspects),
                 LinkLoad.unlimited(),
                 metrics);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -34,7 +34,6 @@
 import org.azurearch.sidecar.internal.quota.QuotaService;
 import org.azurearch.sidecar.internal.rollout.RolloutService;
 import org.azurearch.sidecar.internal.suspect.CallFingerprints;
-import org.azurearch.sidecar.internal.suspect.CrashDetector;
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.route.EndpointState;
 import org.azurearch.sidecar.store.KeyedLog;
@@ -135,7 +134,6 @@
                         mBackendMonitor,
                         callLog,
                         suspects,
-                        new CrashDetector(mLoop, suspects),
                         new LinkLoad(settings.features().linkMbps()),
                         mMetrics);
         mMesh =
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -53,6 +53,8 @@
     SUSPECT_CLEARED(836, Level.INFO, "id={} fingerprint={} crashes={}"),
     /** An attempt at the backend server behind this node ended long after its deadline. */
     ATTEMPT_OVERDUE(837, Level.INFO, "id={} route={} overdue_ms={} answered={}"),
+    /** Another run of a backend server took the place of one, whose attempts under way end. */
+    BACKEND_REPLACED(838, Level.INFO, "instance={} by={} under_way={} waiting={}"),
     /** The link to a peer came up or went down. */
     LINK(840, Level.INFO, "node={} up={}"),
     /** A connection to a peer failed. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -91,7 +92,7 @@
     private final List<Waiting<T>> mWaiting = new ArrayList<>();
     private final RankLoad mLoad = new RankLoad(LOAD_MILLIS);
     private final Map<Integer, FairShare> mShares = new HashMap<>();
-    private final StartRate mStartRate = new StartRate();
+    private StartRate mStartRate = new StartRate();
     private final LinkLoad mLink;
     private final Map<QueuedRequest, LinkLoad.Awaited> mAwaited = new IdentityHashMap<>();
     private double mRunningMillis;
@@ -240,13 +241,25 @@
         return false;
     }
 
-    /** Removes and returns all waiting requests. */
-    public List<T> removeAll() {
-        List<T> items = new ArrayList<>();
-        mWaiting.forEach(waiting -> items.add(waiting.item()));
-        mWaiting.forEach(waiting -> releaseAnswer(waiting.request()));
-        mWaiting.clear();
-        return items;
+    /** Ends the limit, as another backend server has taken the place of the one that named it. */
+    public void endLimit() {
+        mStartRate = new StartRate();
+    }
+
+    /** Removes and returns the waiting requests that match. */
+    public List<T> removeIf(Predicate<T> matches) {
+        List<T> removed = new ArrayList<>();
+        Iterator<Waiting<T>> all = mWaiting.iterator();
+        while (all.hasNext()) {
+            Waiting<T> waiting = all.next();
+            if (matches.test(waiting.item())) {
+                all.remove();
+                dropped(waiting.request());
+                releaseAnswer(waiting.request());
+                removed.add(waiting.item());
+            }
+        }
+        return removed;
     }
 
     /** Frees the slot of a request that has ended or whose connection is lost. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/BackendMonitor.java
@@ -98,7 +98,7 @@
         } else {
             BackendTracker.Change change = mTracker.onHeartbeat(heartbeat);
             if (change != BackendTracker.Change.STALE && mDispatcher != null) {
-                mDispatcher.heartbeatReceived();
+                mDispatcher.heartbeatReceived(heartbeat);
             }
             if (change == BackendTracker.Change.STALE) {
                 EventLog.log(
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -45,10 +45,11 @@
     private final Listener mListener;
     private final QueuedRequest mQueued;
     private State mState = State.WAITING;
-    private @Nullable Heartbeat mBackend;
+    private @Nullable BackendRun mRun;
     private @Nullable BackendConnection mConnection;
     private @Nullable ScheduledFuture<?> mDeadlineTimer;
     private long mSentNanos;
+    private boolean mHoldsSlot;
 
     BackendAttempt(
             BackendDispatcher dispatcher, HopCall call, Listener listener, QueuedRequest queued) {
@@ -67,9 +68,11 @@
     }
 
     /** Starts the attempt in the slot that the queue assigned. */
-    void start(Heartbeat backend) {
+    void start(BackendRun run) {
         mState = State.STARTED;
-        mBackend = backend;
+        mRun = run;
+        mHoldsSlot = true;
+        run.attemptStarted(this);
         long leftMillis = (mCall.deadlineNanos() - System.nanoTime()) / NANOS_PER_MILLI;
         mDeadlineTimer =
                 mDispatcher
@@ -79,13 +82,12 @@
                                 Math.max(0, leftMillis) + DEADLINE_SLACK_MILLIS,
                                 TimeUnit.MILLISECONDS);
         String id = mCall.header(mDispatcher.dialect().requestId());
-        mDispatcher
-                .pool()
+        run.pool()
                 .acquire(
                         idle -> idle.mayCarry(id),
                         !mCall.idempotent(),
                         System.nanoTime(),
-                        this::connected);
+                        connection -> connected(run, connection));
     }
 
     /** Ends a waiting attempt, which has not been sent. */
@@ -119,11 +121,30 @@
         }
         mState = State.DONE;
         abandon();
-        String detail = "no answer by the deadline";
+        failUnanswered(ErrorCode.DEADLINE_EXCEEDED, "no answer by the deadline");
+    }
+
+    /**
+     * Ends a started attempt, as another run has taken the place of its backend server. The slot is
+     * free even if a connection to the earlier run is still being opened.
+     */
+    void serverReplaced() {
+        boolean pending = mState == State.STARTED;
+        mState = State.DONE;
+        if (pending) {
+            abandon();
+        }
+        releaseSlot(false, 0);
+        if (pending) {
+            failUnanswered(ErrorCode.BACKEND_SERVER_FAILED, "the backend server was replaced");
+        }
+    }
+
+    private void failUnanswered(ErrorCode code, String detail) {
         mListener.failed(
                 mConnection == null
-                        ? AttemptFailure.notSent(ErrorCode.DEADLINE_EXCEEDED, detail)
-                        : AttemptFailure.unknown(ErrorCode.DEADLINE_EXCEEDED, detail));
+                        ? AttemptFailure.notSent(code, detail)
+                        : AttemptFailure.unknown(code, detail));
     }
 
     /** Gives up the connection; one that is still being opened frees the slot once it is open. */
@@ -131,8 +152,24 @@
         cancelDeadlineTimer();
         if (mConnection != null) {
             mConnection.abandon();
-            mDispatcher.attemptReturned(mCall, mSentNanos, false);
-            mDispatcher.attemptEnded(this, false, 0);
+            returned(false);
+            releaseSlot(false, 0);
+        }
+    }
+
+    private void returned(boolean responded) {
+        if (mRun != null) {
+            mRun.requestReturned(mCall, mSentNanos, responded);
+        }
+        mDispatcher.requestReturned(mCall, responded);
+    }
+
+    /** Gives back the slot, once, and records the outcome. */
+    private void releaseSlot(boolean failed, double workMillis) {
+        if (mHoldsSlot && mRun != null) {
+            mHoldsSlot = false;
+            mRun.attemptEnded(this, failed, workMillis);
+            mDispatcher.slotReleased(this);
         }
     }
 
@@ -177,18 +214,22 @@
                             status,
                             HeaderList.endToEnd(answer.headers(), Set.of()),
                             ByteBufUtil.getBytes(answer.content()),
-                            mDispatcher.workMillis(mCall)));
+                            workMillis()));
         }
     }
 
+    private double workMillis() {
+        return mRun == null ? 0 : mRun.performance().workMillis(mCall);
+    }
+
     @Override
     public void failed(String reason) {
-        Heartbeat backend = mBackend;
-        if (mState == State.STARTED && backend != null) {
+        BackendRun run = mRun;
+        if (mState == State.STARTED && run != null) {
             end(true, 0);
             AttemptFailure failure =
                     AttemptFailure.unknown(ErrorCode.BACKEND_SERVER_FAILED, reason);
-            mDispatcher.connectionLost(mCall, backend, reason, () -> mListener.failed(failure));
+            mDispatcher.connectionLost(mCall, run, reason, () -> mListener.failed(failure));
         }
     }
 
@@ -197,28 +238,25 @@
      * limit, as a rejection may come from a part that does not know it.
      */
     private void noteLimit(FullHttpResponse answer) {
-        Heartbeat backend = mBackend;
         String value = answer.headers().get(mDispatcher.dialect().requestLimit());
         boolean signed = answer.headers().contains(mDispatcher.dialect().responseSignature());
-        if (backend != null && (value != null || signed)) {
-            mDispatcher.limitNamed(backend, value);
+        if (mRun != null && (value != null || signed)) {
+            mDispatcher.limitNamed(mRun, value);
         }
     }
 
     private void noteLeaving(FullHttpResponse answer) {
-        Heartbeat backend = mBackend;
-        if (backend != null
+        if (mRun != null
                 && BackendAnswer.LEAVING.equals(
                         answer.headers().get(mDispatcher.dialect().leaving()))) {
-            mDispatcher.leavingAnnounced(backend);
+            mDispatcher.leavingAnnounced(mRun);
         }
     }
 
     private void rejected(int status) {
         end(true, 0);
-        Heartbeat backend = mBackend;
-        if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code() && backend != null) {
-            mDispatcher.reportReplaced(backend);
+        if (status == HttpResponseStatus.MISDIRECTED_REQUEST.code() && mRun != null) {
+            mDispatcher.reportReplaced(mRun);
         }
         mListener.failed(
                 AttemptFailure.rejected(
@@ -226,18 +264,24 @@
                         "the backend server rejected the request with status " + status));
     }
 
-    private void connected(@Nullable BackendConnection connection) {
-        Heartbeat backend = mBackend;
-        if (mState == State.DONE || backend == null) {
+    private void connected(BackendRun run, @Nullable BackendConnection connection) {
+        if (mState == State.DONE) {
+            if (connection != null) {
+                connection.close();
+            }
+            releaseSlot(false, 0);
+            return;
+        }
+        if (run.ended()) {
             if (connection != null) {
                 connection.close();
             }
-            mDispatcher.attemptEnded(this, false, 0);
+            serverReplaced();
             return;
         }
         if (connection == null) {
             end(true, 0);
-            mDispatcher.reportUnreachable(backend);
+            mDispatcher.reportUnreachable(run);
             mListener.failed(
                     AttemptFailure.notSent(
                             ErrorCode.NO_BACKEND_SERVER, "the backend server cannot be reached"));
@@ -245,8 +289,9 @@
         }
         mConnection = connection;
         mSentNanos = System.nanoTime();
-        mDispatcher.attemptSent(mCall, mSentNanos);
-        connection.send(request(backend), this);
+        run.requestSent(mCall, mSentNanos);
+        mDispatcher.requestSent();
+        connection.send(request(run.heartbeat()), this);
     }
 
     private FullHttpRequest request(Heartbeat backend) {
@@ -271,8 +316,8 @@
         mState = State.DONE;
         cancelDeadlineTimer();
         if (mConnection != null) {
-            mDispatcher.attemptReturned(mCall, mSentNanos, true);
+            returned(true);
         }
-        mDispatcher.attemptEnded(this, failed, workMillis);
+        releaseSlot(failed, workMillis);
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -21,7 +21,7 @@
 import org.azurearch.sidecar.Dialect;
 import org.jspecify.annotations.Nullable;
 
-/** Pool of connections to the backend server. Confined to one event loop. */
+/** Pool of connections to one run of the backend server. Confined to one event loop. */
 final class BackendConnectionPool {
     /** The backend server runs on the same VM and accepts within milliseconds or not at all. */
     private static final int CONNECT_TIMEOUT_MILLIS = 900;
@@ -48,20 +48,32 @@
     private final EventLoop mLoop;
     private final Dialect mDialect;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
-    private @Nullable NetAddress mAddress;
+    private final NetAddress mAddress;
+    private boolean mClosed;
 
-    BackendConnectionPool(EventLoop loop, Dialect dialect) {
+    BackendConnectionPool(EventLoop loop, Dialect dialect, NetAddress address) {
         mLoop = loop;
         mDialect = dialect;
+        mAddress = address;
     }
 
-    /** Switches to another backend server and closes the idle connections to the previous one. */
-    void switchTo(NetAddress address) {
-        mAddress = address;
+    /** Returns the address of the backend server. */
+    NetAddress address() {
+        return mAddress;
+    }
+
+    /** Closes the idle connections. */
+    void closeIdle() {
         List.copyOf(mIdle).forEach(BackendConnection::close);
         mIdle.clear();
     }
 
+    /** Closes the idle connections now and those in use after use; no more are opened. */
+    void close() {
+        mClosed = true;
+        closeIdle();
+    }
+
     /**
      * Passes an idle connection to the callback immediately, or a new one when it is open.
      *
@@ -105,7 +117,11 @@
     }
 
     void release(BackendConnection connection) {
-        mIdle.addFirst(connection);
+        if (mClosed) {
+            connection.close();
+        } else {
+            mIdle.addFirst(connection);
+        }
     }
 
     void remove(BackendConnection connection) {
@@ -113,8 +129,7 @@
     }
 
     private void open(Consumer<@Nullable BackendConnection> callback) {
-        NetAddress address = mAddress;
-        if (address == null) {
+        if (mClosed) {
             callback.accept(null);
             return;
         }
@@ -131,7 +146,7 @@
                                 opened[0] = install(channel);
                             }
                         })
-                .connect(address.socketAddress())
+                .connect(mAddress.socketAddress())
                 .addListener(
                         connected -> {
                             if (connected.isSuccess()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.RequestFingerprint;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
@@ -21,7 +22,6 @@
 import org.azurearch.sidecar.internal.CallLog;
 import org.azurearch.sidecar.internal.suspect.CallFingerprints;
 import org.azurearch.sidecar.internal.suspect.CrashDetector;
-import org.azurearch.sidecar.internal.suspect.SilenceDetector;
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.Heartbeat;
@@ -32,7 +32,7 @@
  * Sends all calls, from this node and from peers, to the backend server behind this node. Calls
  * wait in a queue until a slot is free. Confined to one event loop.
  */
-public final class BackendDispatcher implements SilenceDetector.Listener {
+public final class BackendDispatcher implements BackendRun.Listener {
     /**
      * Interval at which waiting requests without remaining time are refused, and those are started
      * for which a limit allows it.
@@ -68,19 +68,18 @@
 
     private final EventLoop mLoop;
     private final Dialect mDialect;
-    private final BackendConnectionPool mPool;
+    private final long mHeartbeatMillis;
     private final Listener mListener;
     private final CallFingerprints mFingerprints;
     private final CallLog mLog;
     private final SuspectTracker mSuspects;
-    private final CrashDetector mCrashes;
-    private final SilenceDetector mSilence;
     private final AttemptLog mAttemptLog;
     private final LinkLoad mLink;
     private final BackendQueue<BackendAttempt> mQueue;
     private final StopLimit mStopLimit = new StopLimit();
-    private final BackendPerformance mPerformance = new BackendPerformance();
-    private @Nullable Heartbeat mBackend;
+    private BackendPerformance mPerformance = new BackendPerformance();
+    private @Nullable BackendRun mRun;
+    private boolean mAccepting;
     private boolean mSweepScheduled;
     private boolean mStartScheduled;
     private boolean mStopping;
@@ -96,7 +95,6 @@
      * @param listener receives failures to reach the backend server
      * @param log logs calls
      * @param suspects the requests under which backend servers crashed
-     * @param crashes finds out whether a lost connection means a crash
      * @param link the link over which answers leave this VM
      * @param metrics where metrics are registered
      */
@@ -107,47 +105,79 @@
             Listener listener,
             CallLog log,
             SuspectTracker suspects,
-            CrashDetector crashes,
             LinkLoad link,
             MetricRegistry metrics) {
         mLoop = loop;
         mDialect = dialect;
         mFingerprints = new CallFingerprints(dialect);
         mSuspects = suspects;
-        mCrashes = crashes;
         mLink = link;
         mQueue = new BackendQueue<>(link);
-        mSilence = new SilenceDetector(loop, heartbeatMillis, this);
+        mHeartbeatMillis = heartbeatMillis;
         mLog = log;
         mAttemptLog = new AttemptLog(log, dialect, metrics);
         metrics.gauge("backend.limit", () -> (Gauge<Double>) () -> mNamedLimit);
-        mPool = new BackendConnectionPool(loop, dialect);
         mListener = listener;
     }
 
     /**
-     * Sets the backend server that accepts requests; null refuses all waiting requests.
+     * Sets the backend server that accepts requests; null refuses all waiting requests. If it is
+     * another run than before, the attempts at that one end, and of the waiting requests those go
+     * on that are for its service.
      *
-     * @param limitPerSecond the limit that is known of it, if it differs from the previous one
+     * @param limitPerSecond the limit that is known of it, if it is another run
      */
     public void updateBackend(@Nullable Heartbeat backend, double limitPerSecond) {
-        Heartbeat before = mBackend;
-        mBackend = backend;
+        boolean accepted = mAccepting;
+        mAccepting = backend != null;
         if (backend == null) {
             refuseWaiting(
                     AttemptFailure.notSent(
                             ErrorCode.NO_BACKEND_SERVER, "the backend server is leaving"));
             return;
         }
-        mQueue.setSlots(backend.slots());
-        if (before == null || !before.instance().equals(backend.instance())) {
+        BackendRun run = mRun;
+        if (run == null || !run.sent(backend)) {
+            begin(backend, run, accepted);
             applyLimit(limitPerSecond);
-            mPool.switchTo(backend.address());
-            mPerformance.serverChanged();
+        } else {
+            run.update(backend);
+            if (!accepted) {
+                run.backInReach();
+                applyLimit(limitPerSecond);
+            }
         }
+        mQueue.setSlots(backend.slots());
+        mQueue.removeIf(waiting -> !waiting.call().service().equals(backend.service()))
+                .forEach(waiting -> waiting.refuse(notOfService()));
         startWaiting();
     }
 
+    private void begin(Heartbeat backend, @Nullable BackendRun before, boolean accepted) {
+        boolean sameService =
+                before != null && before.heartbeat().service().equals(backend.service());
+        mPerformance = sameService ? mPerformance.ofNextRun() : new BackendPerformance();
+        mRun =
+                new BackendRun(
+                        mLoop,
+                        mHeartbeatMillis,
+                        mDialect,
+                        backend,
+                        new CrashDetector(mLoop, mSuspects),
+                        mPerformance,
+                        this);
+        if (before != null) {
+            EventLog.log(
+                    SidecarEvent.BACKEND_REPLACED,
+                    before.heartbeat().instance(),
+                    backend.instance(),
+                    mQueue.running(),
+                    mQueue.waiting());
+            mQueue.endLimit();
+            before.end(!accepted);
+        }
+    }
+
     /**
      * Probes an address once for a backend server; called only while none is known.
      *
@@ -157,47 +187,43 @@
      *     none
      */
     public void probe(NetAddress address, String path, Consumer<@Nullable String> callback) {
-        mPool.switchTo(address);
+        BackendConnectionPool pool = new BackendConnectionPool(mLoop, mDialect, address);
         BackendProbe.send(
                 mLoop,
                 mDialect,
-                mPool,
-                address,
+                pool,
                 path,
-                (answered, instance) -> callback.accept(instance));
+                (answered, instance) -> {
+                    pool.close();
+                    callback.accept(instance);
+                });
     }
 
-    /** Records that a heartbeat of the backend server has arrived. */
-    public void heartbeatReceived() {
-        mSilence.signOfLife();
+    /** Records that a heartbeat has arrived, of the present run or of another one. */
+    public void heartbeatReceived(Heartbeat heartbeat) {
+        if (mRun != null && mRun.sent(heartbeat)) {
+            mRun.heartbeatReceived(heartbeat);
+        }
     }
 
     @Override
-    public void check(Consumer<Boolean> answered) {
-        Heartbeat backend = mBackend;
-        String path = backend == null ? null : mListener.healthPath(backend.service());
-        if (backend == null || path == null) {
-            answered.accept(true);
-            return;
-        }
-        BackendProbe.send(
-                mLoop,
-                mDialect,
-                mPool,
-                backend.address(),
-                path,
-                (any, instance) -> answered.accept(any));
+    public @Nullable String healthPath(BackendRun run) {
+        return accepting(run) ? mListener.healthPath(run.heartbeat().service()) : null;
     }
 
     @Override
-    public void fellSilent(List<HopCall> requests) {
-        Heartbeat backend = mBackend;
-        if (backend != null) {
-            mCrashes.fellSilent(requests.stream().map(mFingerprints::of).toList(), backend);
+    public void fellSilent(BackendRun run, List<HopCall> requests) {
+        if (accepting(run)) {
+            run.crashedUnder(requests);
             mListener.unreachable();
         }
     }
 
+    /** Returns whether a run is the present one and accepts requests. */
+    private boolean accepting(BackendRun run) {
+        return mAccepting && run == mRun;
+    }
+
     /** Refuses all calls that arrive from now on, as the node is shutting down. */
     public void refuseNewCalls() {
         mStopping = true;
@@ -215,7 +241,7 @@
 
     /** Refuses all calls that wait for a slot. */
     public void refuseWaiting(AttemptFailure failure) {
-        mQueue.removeAll().forEach(waiting -> waiting.refuse(failure));
+        mQueue.removeIf(waiting -> true).forEach(waiting -> waiting.refuse(failure));
     }
 
     /**
@@ -251,12 +277,9 @@
     private Attempt submit(HopCall call, Attempt.Listener listener, double answerMillis) {
         BackendAttempt attempt =
                 new BackendAttempt(this, call, listener, queuedRequest(call, answerMillis));
-        Heartbeat backend = mBackend;
-        if (mStopping || backend == null || !backend.service().equals(call.service())) {
-            attempt.refuse(
-                    AttemptFailure.notSent(
-                            ErrorCode.NO_BACKEND_SERVER,
-                            "this node has no backend server of the service"));
+        BackendRun run = mAccepting ? mRun : null;
+        if (mStopping || run == null || !run.heartbeat().service().equals(call.service())) {
+            attempt.refuse(notOfService());
             return attempt;
         }
         if (mWithheld) {
@@ -270,7 +293,7 @@
         }
         long now = System.nanoTime();
         switch (mQueue.offer(attempt, attempt.queued(), now)) {
-            case START -> attempt.start(backend);
+            case START -> attempt.start(run);
             case WAIT -> scheduleSweep();
             default ->
                     attempt.refuse(
@@ -281,6 +304,11 @@
         return attempt;
     }
 
+    private static AttemptFailure notOfService() {
+        return AttemptFailure.notSent(
+                ErrorCode.NO_BACKEND_SERVER, "this node has no backend server of the service");
+    }
+
     /** Returns the link over which answers leave this VM. */
     public LinkLoad link() {
         return mLink;
@@ -296,11 +324,6 @@
                 mQueue.startWaitMillis(System.nanoTime()));
     }
 
-    /** Returns the current work time of calls of the same route, in milliseconds. */
-    double workMillis(HopCall call) {
-        return mPerformance.workMillis(call);
-    }
-
     /** Returns the number of calls that the backend server is running. */
     public int running() {
         return mQueue.running();
@@ -311,10 +334,6 @@
         return mQueue.waiting();
     }
 
-    BackendConnectionPool pool() {
-        return mPool;
-    }
-
     Dialect dialect() {
         return mDialect;
     }
@@ -327,32 +346,26 @@
         mQueue.cancel(attempt);
     }
 
-    /** Records that an attempt has been sent to the backend server. */
-    void attemptSent(HopCall call, long nowNanos) {
+    /** Records that the request of an attempt has been sent to the backend server. */
+    void requestSent() {
         mAttemptLog.sent();
-        mPerformance.sent(nowNanos);
-        mSilence.sent(call);
     }
 
     /**
-     * Records the end of an attempt that was sent.
+     * Records that the end of a request that was sent is not awaited any more.
      *
      * @param responded whether the backend server sent an answer or closed the connection
      */
-    void attemptReturned(HopCall call, long sentNanos, boolean responded) {
-        mPerformance.returned(sentNanos);
-        mSilence.ended(call, responded);
+    void requestReturned(HopCall call, boolean responded) {
         mAttemptLog.returned(call, responded);
     }
 
     /**
-     * Frees the slot of a started attempt and records its outcome. Waiting attempts start later in
-     * this turn of the event loop, so that those are cancelled first whose cancellation was read
-     * together with this end.
+     * Frees the slot of a started attempt. Waiting attempts start later in this turn of the event
+     * loop, so that those are cancelled first whose cancellation was read together with this end.
      */
-    void attemptEnded(BackendAttempt attempt, boolean failed, double workMillis) {
+    void slotReleased(BackendAttempt attempt) {
         mQueue.release(attempt.queued());
-        mPerformance.ended(attempt.call(), failed, workMillis);
         if (!mStartScheduled && mQueue.waiting() > 0) {
             mStartScheduled = true;
             mLoop.execute(
@@ -368,24 +381,25 @@
      *
      * @param decided runs once it is known whether the backend server has crashed
      */
-    void connectionLost(HopCall call, Heartbeat backend, String reason, Runnable decided) {
+    void connectionLost(HopCall call, BackendRun run, String reason, Runnable decided) {
         RequestFingerprint fingerprint = mFingerprints.of(call);
-        mAttemptLog.lost(call, fingerprint, backend, reason);
-        mCrashes.connectionLost(fingerprint, backend, decided);
+        mAttemptLog.lost(call, fingerprint, run.heartbeat(), reason);
+        run.connectionLost(fingerprint, decided);
     }
 
     /**
      * Records the limit that an answer names.
      *
-     * @param backend the backend server that answered
+     * @param run the run that answered
      * @param value the limit, in requests a second as a decimal number, or null if it names none
      */
-    void limitNamed(Heartbeat backend, @Nullable String value) {
+    void limitNamed(BackendRun run, @Nullable String value) {
+        Heartbeat backend = run.heartbeat();
         double perSecond =
                 value == null
                         ? BackendRecord.NO_LIMIT
                         : NamedLimit.parse(backend, value, mNamedLimit, mLog);
-        if (backend != mBackend || perSecond == mNamedLimit) {
+        if (!accepting(run) || perSecond == mNamedLimit) {
             return;
         }
         mLog.failure(SidecarEvent.BACKEND_LIMIT, backend.instance(), perSecond, mNamedLimit);
@@ -394,8 +408,8 @@
     }
 
     /** Records that an answer announces that the backend server is leaving. */
-    void leavingAnnounced(Heartbeat backend) {
-        if (backend == mBackend) {
+    void leavingAnnounced(BackendRun run) {
+        if (accepting(run)) {
             mListener.leavingAnnounced();
         }
     }
@@ -410,21 +424,21 @@
         mSuspects.completed(call, mAttemptLog.id(call));
     }
 
-    void reportUnreachable(Heartbeat backend) {
-        if (backend == mBackend) {
+    void reportUnreachable(BackendRun run) {
+        if (accepting(run)) {
             mListener.unreachable();
         }
     }
 
-    void reportReplaced(Heartbeat backend) {
-        if (backend == mBackend) {
+    void reportReplaced(BackendRun run) {
+        if (accepting(run)) {
             mListener.replaced();
         }
     }
 
     private void startWaiting() {
-        Heartbeat backend = mBackend;
-        while (backend != null) {
+        BackendRun run = mRun;
+        while (mAccepting && run != null) {
             long now = System.nanoTime();
             refuseExpired(now);
             BackendAttempt next = mQueue.startNext(now);
@@ -433,12 +447,12 @@
             }
             AttemptFailure refusal = refusal(next.call());
             if (refusal == null) {
-                next.start(backend);
+                next.start(run);
             } else {
                 mQueue.release(next.queued());
                 next.refuse(refusal);
             }
-            backend = mBackend;
+            run = mRun;
         }
     }
 
@@ -451,7 +465,8 @@
         long now = System.nanoTime();
         double leftMillis = (double) TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - now);
         boolean endsInTime =
-                mStopLimit.allows(LONG_WORK_FACTOR * workMillis(call), leftMillis, now);
+                mStopLimit.allows(
+                        LONG_WORK_FACTOR * mPerformance.workMillis(call), leftMillis, now);
         return endsInTime ? null : AttemptFailure.stopping();
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendPerformance.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendPerformance.java
@@ -6,8 +6,8 @@
 import org.azurearch.sidecar.call.HopCall;
 
 /**
- * How long the backend server works on requests and how many it fails, as attempts show it.
- * Confined to one event loop.
+ * How long a run of the backend server works on requests and how many it fails, as attempts show
+ * it. Confined to one event loop.
  */
 final class BackendPerformance {
     /**
@@ -23,12 +23,28 @@
 
     private static final double PERCENT = 100.0;
 
-    private final WorkEstimate mWorkEstimate = new WorkEstimate();
+    private final WorkEstimate mWorkEstimate;
     private final RunningAges mRunningAges = new RunningAges();
     private double mFailureRate;
 
-    /** Forgets the failures, as another backend server has taken the place. */
-    void serverChanged() {
+    BackendPerformance() {
+        this(new WorkEstimate());
+    }
+
+    private BackendPerformance(WorkEstimate workEstimate) {
+        mWorkEstimate = workEstimate;
+    }
+
+    /**
+     * Returns the performance of a run that has not run a request yet. It is expected to work as
+     * long on a request as this one, which is of the same service.
+     */
+    BackendPerformance ofNextRun() {
+        return new BackendPerformance(mWorkEstimate);
+    }
+
+    /** Forgets the failures, as the backend server was out of reach and is back. */
+    void forgetFailures() {
         mFailureRate = 0;
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendProbe.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendProbe.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
 import org.jspecify.annotations.Nullable;
 
@@ -49,8 +48,7 @@
      *
      * @param loop the event loop of the timeout
      * @param dialect the header names
-     * @param pool opens connections to the address
-     * @param address the address
+     * @param pool opens connections to the backend server
      * @param path the health check path
      * @param callback receives the outcome
      */
@@ -58,14 +56,13 @@
             EventLoop loop,
             Dialect dialect,
             BackendConnectionPool pool,
-            NetAddress address,
             String path,
             Callback callback) {
         BackendProbe probe = new BackendProbe(loop, dialect, callback);
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, address.name());
+        request.headers().set(HttpHeaderNames.HOST, pool.address().name());
         pool.acquire(
                 idle -> true,
                 false,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SilenceDetector.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SilenceDetector.java
@@ -10,9 +10,9 @@
 import org.azurearch.sidecar.call.HopCall;
 
 /**
- * Detects that the backend server has fallen silent under the requests that it runs, without
- * closing their connections: it sends neither answers nor heartbeats, and does not answer a health
- * check. Confined to one event loop.
+ * Detects that a run of the backend server has fallen silent under its requests, without closing
+ * their connections: it sends neither answers nor heartbeats, and does not answer a health check.
+ * Confined to one event loop.
  */
 public final class SilenceDetector {
     /** Checks the backend server and acts on its silence. */
@@ -43,6 +43,7 @@
     private long mLastSignNanos = System.nanoTime();
     private boolean mScheduled;
     private boolean mChecking;
+    private boolean mStopped;
 
     /**
      * Creates a detector.
@@ -87,8 +88,27 @@
         mAbandoned.clear();
     }
 
+    /**
+     * Stops for good, as another run of the backend server has taken the place of this one; the
+     * outcome of a pending check is ignored.
+     *
+     * @return the requests without an answer since the last sign of life
+     */
+    public List<HopCall> stop() {
+        mStopped = true;
+        return takeUnanswered();
+    }
+
+    private List<HopCall> takeUnanswered() {
+        List<HopCall> requests = new ArrayList<>(mAbandoned);
+        requests.addAll(mRunning.keySet());
+        mRunning.clear();
+        mAbandoned.clear();
+        return requests;
+    }
+
     private void schedule() {
-        if (!mScheduled) {
+        if (!mScheduled && !mStopped) {
             mScheduled = true;
             mLoop.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -96,7 +116,7 @@
 
     private void check() {
         mScheduled = false;
-        if (mRunning.isEmpty() && mAbandoned.isEmpty()) {
+        if (mStopped || (mRunning.isEmpty() && mAbandoned.isEmpty())) {
             return;
         }
         schedule();
@@ -108,15 +128,14 @@
 
     private void checked(boolean answered) {
         mChecking = false;
+        if (mStopped) {
+            return;
+        }
         boolean silent = System.nanoTime() - mLastSignNanos >= mSilenceNanos;
         if (answered || !silent) {
             signOfLife();
             return;
         }
-        List<HopCall> requests = new ArrayList<>(mAbandoned);
-        requests.addAll(mRunning.keySet());
-        mRunning.clear();
-        mAbandoned.clear();
-        mListener.fellSilent(requests);
+        mListener.fellSilent(takeUnanswered());
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendTracker.java
@@ -58,7 +58,7 @@
         if (current != null && !supersedes(heartbeat, current)) {
             return Change.STALE;
         }
-        boolean sameRun = current != null && sameRun(heartbeat, current);
+        boolean sameRun = current != null && heartbeat.sameRun(current);
         boolean leaving = heartbeat.leaving() || (sameRun && current != null && current.leaving());
         boolean changed =
                 current == null
@@ -196,10 +196,4 @@
         return !heartbeat.instance().equals(current.instance())
                 || heartbeat.sequence() > current.sequence();
     }
-
-    private static boolean sameRun(Heartbeat heartbeat, Heartbeat current) {
-        return heartbeat.instance().equals(current.instance())
-                && (heartbeat.startedMillis() == current.startedMillis()
-                        || current.sequence() == Heartbeat.ASSUMED_SEQUENCE);
-    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/Heartbeat.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/Heartbeat.java
@@ -77,6 +77,15 @@
                 backend.version());
     }
 
+    /**
+     * Returns whether this and another heartbeat are of the same run of a backend server. An
+     * assumed heartbeat, which names no start, is taken for one of any run of its instance.
+     */
+    public boolean sameRun(Heartbeat other) {
+        boolean assumed = sequence == ASSUMED_SEQUENCE || other.sequence == ASSUMED_SEQUENCE;
+        return instance.equals(other.instance) && (assumed || startedMillis == other.startedMillis);
+    }
+
     /** Returns this heartbeat as that of a backend server that is about to stop. */
     public Heartbeat asLeaving() {
         return new Heartbeat(
