Keep what an entry node observes of a backend server to one run of it

A server that restarted under its id went on being avoided for the failures of its earlier run, and outcomes that came late counted for the run after it: EndpointState compared ids only, and took the outcome of every attempt for one of the present run. Runs are now told by id and start, and an outcome or a work time is recorded for the run that its attempt was sent to. A record without a start, as of a run that its node remembers from before its own restart, is taken for the same run.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/EndpointSelectorTest.java
@@ -48,7 +48,7 @@
     @Test
     void avoidsEndpointThatFailsHalfOfItsRequests() {
         for (int i = 0; i < 20; i++) {
-            mNear.observeOutcome(i % 2 == 0, 1);
+            mNear.observeOutcome(mNear.record().backend(), i % 2 == 0, 1);
         }
         assertEquals(mFar, choose(Set.of()));
     }
@@ -74,8 +74,8 @@
     void shortRequestStaysInDataCentreIfOnlyLongRequestsAreSlowerThere() {
         mNear.observeLoad(new EndpointLoad(3, List.of(0, 0, 0, 0), 180, 0), 0);
         mFar.observeLoad(new EndpointLoad(3, List.of(0, 0, 0, 0), 60, 0), 0);
-        mNear.observeWork("short", 33);
-        mFar.observeWork("short", 11);
+        mNear.observeWork(mNear.record().backend(), "short", 33);
+        mFar.observeWork(mFar.record().backend(), "short", 11);
         EndpointSelector.Request request =
                 new EndpointSelector.Request("stock", "short", 0, 100, 500, Set.of());
         assertEquals(mNear, mSelector.choose(List.of(mNear, mFar), request, 1));
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/HedgeSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/HedgeSimulation.java
@@ -127,7 +127,7 @@
             worked(work);
             mServer.mMeanWork += (mServer.mMeanWork == 0 ? 1 : 0.1) * (work - mServer.mMeanWork);
             mView.requestEnded(0);
-            mView.observeWork(SERVICE, mServer.mMeanWork);
+            mView.observeWork(mView.record().backend(), SERVICE, mServer.mMeanWork);
             mServer.startNext();
             mCall.answered(this);
         }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/UnevenLoadModel.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/UnevenLoadModel.java
@@ -410,7 +410,8 @@
             return;
         }
         mPolicy.ended(entry, call, false, nanos());
-        state.observeWork(call.mKind.name(), call.mKind.mWork * server.mMeanWork);
+        state.observeWork(
+                state.record().backend(), call.mKind.name(), call.mKind.mWork * server.mMeanWork);
         done(call, mNow - call.mFirst <= call.mKind.mTarget ? 1 : 0.5, server.mDataCentre);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EndpointAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EndpointAttempt.java
@@ -88,7 +88,7 @@
     boolean timedOut() {
         boolean mayHaveRun = cancel();
         if (mayHaveRun) {
-            mEndpoint.observeOutcome(true, System.nanoTime());
+            mEndpoint.observeOutcome(mBackend, true, System.nanoTime());
         }
         return mayHaveRun;
     }
@@ -116,7 +116,7 @@
 
     @Override
     public void answered(BackendAnswer answer) {
-        mEndpoint.observeWork(mCall.route(), answer.workMillis());
+        mEndpoint.observeWork(mBackend, mCall.route(), answer.workMillis());
         if (mObservation != null) {
             mObservation.answered(answer.failed(), nowMillis());
         }
@@ -163,7 +163,7 @@
             return false;
         }
         mEndpoint.requestEnded(mCall.rank());
-        mEndpoint.observeOutcome(failure, System.nanoTime());
+        mEndpoint.observeOutcome(mBackend, failure, System.nanoTime());
         return !mOwner.over();
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
@@ -60,6 +60,16 @@
                 "");
     }
 
+    /**
+     * Returns whether this and another record are of the same run of a backend server. A record
+     * without a start time, as of a run that its node has not heard from yet, is taken for one of
+     * any run of its instance.
+     */
+    public boolean sameRun(BackendRecord other) {
+        boolean unknown = startedMillis == 0 || other.startedMillis == 0;
+        return instance.equals(other.instance) && (unknown || startedMillis == other.startedMillis);
+    }
+
     /** Creates a record of a backend server that names no limit and is not leaving. */
     public BackendRecord(
             String service, String instance, int slots, boolean ready, int warmingMillis) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -88,7 +88,7 @@
         if (now != null && now.leaving()) {
             excludeRun(now);
         }
-        if (now != null && (before == null || !before.instance().equals(now.instance()))) {
+        if (now != null && (before == null || !before.sameRun(now))) {
             mFailureRate = 0;
             mLoad = EndpointLoad.UNKNOWN;
             mWorkMillisByRoute.clear();
@@ -164,8 +164,20 @@
         mLink.answerExpected(bytes);
     }
 
-    /** Stores how long the backend server works on a request of a route. */
-    public void observeWork(String route, double workMillis) {
+    /** Returns whether a run of the backend server is still the present one. */
+    private boolean present(@Nullable BackendRecord run) {
+        BackendRecord backend = mRecord.backend();
+        return run != null && backend != null && run.sameRun(backend);
+    }
+
+    /**
+     * Stores how long a run of the backend server works on a request of a route; ignored if another
+     * run has taken its place.
+     */
+    public void observeWork(@Nullable BackendRecord run, String route, double workMillis) {
+        if (!present(run)) {
+            return;
+        }
         if (mWorkMillisByRoute.size() >= MAX_ROUTES) {
             mWorkMillisByRoute.clear();
         }
@@ -186,8 +198,14 @@
         mDelayedNanos = nowNanos;
     }
 
-    /** Adds the outcome of a request to the failure rate. */
-    public void observeOutcome(boolean failed, long nowNanos) {
+    /**
+     * Adds the outcome of a request at a run of the backend server to the failure rate; ignored if
+     * another run has taken its place.
+     */
+    public void observeOutcome(@Nullable BackendRecord run, boolean failed, long nowNanos) {
+        if (!present(run)) {
+            return;
+        }
         mFailureRate += NEW_WEIGHT * ((failed ? 1 : 0) - mFailureRate);
         if (failed) {
             mLastFailureNanos = nowNanos;
