Refuse calls that wait for a replaced server on the product's path

DestinationCall compares the services on arrival, and BackendExchange.begin took whatever server was announced later.

A slot now belongs to one server. BackendAdmission tells by address, firm and service that another server is announced, refuses the calls that wait, and starts with all slots free and a new limit; a release of an earlier slot has no effect. Each event loop closes its connections to the earlier server; where the new one uses its address, calls under way there end as "may have run" once the answers that have arrived are read. A call that fails at a replaced server, and a probe of it, no longer count against the new one.

BackendService also did not publish a server of another service that was announced in the same state as the one before: peers went on sending it calls of the earlier service and none of its own.

Evidence: CancellationTest, two new tests, and BackendServiceTest, one; before the change all three fail: the waiting call has run; the second one waits for the slot until its queue time is over; one publication in place of two.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -11,8 +11,8 @@
 import io.netty.util.ReferenceCountUtil;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.LingeringClose;
+import org.azurearch.internal.call.NextPoll;
 import org.azurearch.sidecar.SidecarEvent;
-import org.azurearch.sidecar.internal.NextPoll;
 import org.azurearch.sidecar.internal.UnsentBytes;
 
 /**
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/CancellationTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/CancellationTest.java
@@ -10,6 +10,7 @@
 import org.azurearch.call.CallServer;
 import org.azurearch.internal.call.RawClient.Answer;
 import org.azurearch.junit.Await;
+import org.azurearch.lib.ServiceId;
 import org.azurearch.standin.proxy.FaultProxy;
 import org.azurearch.standin.proxy.ProxyFault;
 import org.junit.jupiter.api.AfterEach;
@@ -75,6 +76,40 @@
         }
     }
 
+    /** Guards against calls of one service that run at a server of another one. */
+    @Test
+    void queuedCallNeverRunsAtServerOfAnotherService() throws IOException {
+        try (RawClient running = new RawClient(mEntry.address());
+                RawClient waiting = new RawClient(mEntry.address())) {
+            running.send(RawClient.get("/stock/held"));
+            Await.until("the first call runs", () -> mServer.mRequestCount.get() == 1);
+            waiting.send(RawClient.get("/stock"));
+            Await.until("the second call waits", () -> gauge("calls.queue.depth") == 1);
+            mDestination.announceBackend(ServiceId.fromString("web"), mServer.address(), 1);
+            mMayAnswer.countDown();
+            assertEquals("not-run", waiting.read().verdict());
+        }
+        assertEquals(1, mServer.mRequestCount.get());
+    }
+
+    /** Guards against slots of a new server that are held by calls at the one before it. */
+    @Test
+    void callsEndWhenServerOfAnotherServiceTakesTheAddress() throws IOException {
+        try (RawClient running = new RawClient(mEntry.address());
+                RawClient waiting = new RawClient(mEntry.address())) {
+            running.send(RawClient.post("/orders/held", "x"));
+            Await.until("the first call runs", () -> mServer.mRequestCount.get() == 1);
+            waiting.send(RawClient.post("/orders/next", "x"));
+            Await.until("the second call waits", () -> gauge("calls.queue.depth") == 1);
+            mDestination.announceBackend(ServiceId.fromString("web"), mServer.address(), 1);
+            assertEquals("may-have-run", running.read().verdict());
+            Answer refused = waiting.read();
+            assertEquals("no-backend-server not-run", refused.code() + " " + refused.verdict());
+            Await.until("the slot is free", () -> gauge("calls.slots.free") == 1);
+        }
+        assertEquals(1, mServer.mRequestCount.get());
+    }
+
     @Test
     void fullQueueRefusesAtOnceWithRetryAfter() throws IOException {
         try (RawClient running = new RawClient(mEntry.address());
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/FakeMesh.java
@@ -218,9 +218,19 @@
         }
 
         void announceBackend(NetAddress address, int slots) {
+            announceBackend(STOCK, address, slots);
+        }
+
+        /** Announces a backend server; the peers take it for one of the service stock. */
+        void announceBackend(ServiceId service, NetAddress address, int slots) {
             mAnnouncement =
                     new Announcement(
-                            FIRM, STOCK, address, BackendState.READY, slots, Duration.ofSeconds(5));
+                            FIRM,
+                            service,
+                            address,
+                            BackendState.READY,
+                            slots,
+                            Duration.ofSeconds(5));
             setBackendState(BackendState.READY);
         }
 
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/member/BackendServiceTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/member/BackendServiceTest.java
@@ -84,6 +84,15 @@
         assertEquals(List.of(), mPublished.get(1));
     }
 
+    /** Guards against peers that go on taking a server for that of the service before it. */
+    @Test
+    void serverOfAnotherServiceIsPublishedThoughTheStateIsTheSame() {
+        announce();
+        announce(ServiceId.fromString("other"));
+        assertEquals(2, mPublished.size());
+        assertEquals("other", mPublished.get(1).get(0).service().name());
+    }
+
     @Test
     void failingHealthEndpointMakesTheServerAbsentUntilItRecovers() {
         announce();
@@ -121,10 +130,14 @@
     }
 
     private void announce() {
+        announce(SERVICE);
+    }
+
+    private void announce(ServiceId service) {
         mBackend.announce(
                 new Announcement(
                         FIRM,
-                        SERVICE,
+                        service,
                         new NetAddress("127.0.0.1", mServer.getAddress().getPort()),
                         BackendState.READY,
                         20,
--- a/org.azurearch/src/main/java/org/azurearch/admit/Admission.java
+++ b/org.azurearch/src/main/java/org/azurearch/admit/Admission.java
@@ -22,7 +22,7 @@
     private static final long CLOSED_RETRY_MILLIS = 1_000L;
     private static final int MAX_FIRMS = 64;
 
-    private final ConcurrencyLimit mLimit = new ConcurrencyLimit();
+    private ConcurrencyLimit mLimit = new ConcurrencyLimit();
     private final AdmissionQueue<T> mQueue = new AdmissionQueue<>();
     private final Map<String, RateLimit> mRateLimits = new HashMap<>();
     private final List<AdmissionEffect<T>> mEffects = new ArrayList<>();
@@ -41,15 +41,30 @@
         mOpen = open;
         mLimit.slots(slots);
         if (!open) {
-            QueuedCall<T> queued = mQueue.poll();
-            while (queued != null) {
-                mEffects.add(new AdmissionEffect<>(queued.call(), closedRefusal()));
-                queued = mQueue.poll();
-            }
+            refuseQueued();
         }
         dispatch(nowNanos);
     }
 
+    /**
+     * Starts anew for another backend server, which has taken the place of the previous one: all
+     * slots are free, and all queued calls are refused. Slots of the previous one must not be
+     * released any more.
+     */
+    public void replaceServer() {
+        mLimit = new ConcurrencyLimit();
+        mInUse = 0;
+        refuseQueued();
+    }
+
+    private void refuseQueued() {
+        QueuedCall<T> queued = mQueue.poll();
+        while (queued != null) {
+            mEffects.add(new AdmissionEffect<>(queued.call(), closedRefusal()));
+            queued = mQueue.poll();
+        }
+    }
+
     /**
      * Decides on a new call.
      *
--- a/org.azurearch/src/main/java/org/azurearch/internal/admit/BackendAdmission.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/admit/BackendAdmission.java
@@ -2,7 +2,10 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.azurearch.admit.Admission;
 import org.azurearch.admit.AdmissionDecision;
 import org.azurearch.admit.AdmissionEffect;
@@ -22,18 +25,53 @@
     /** Receives the decision on a call's request for a slot. */
     public interface SlotCallback {
         /** Called when the call has got a slot, possibly on another thread. */
-        void admitted();
+        void admitted(Slot slot);
 
         /** Called when the call is refused, possibly on another thread. */
         void refused(Refusal refusal);
     }
 
+    /** A slot of a backend server that a call holds. Thread-safe. */
+    public final class Slot {
+        private final Announcement mSlotServer;
+        private final int mSlotGeneration;
+
+        private Slot(Announcement server, int generation) {
+            mSlotServer = server;
+            mSlotGeneration = generation;
+        }
+
+        /** Returns the backend server. */
+        public Announcement server() {
+            return mSlotServer;
+        }
+
+        /** Returns whether no other backend server has taken its place. */
+        public boolean current() {
+            return mSlotGeneration == mGeneration;
+        }
+
+        /**
+         * Releases the slot; without effect if another backend server has taken the place.
+         *
+         * @param shed whether the backend server refused the call because of overload
+         * @param serviceNanos how long the call held the slot; negative if that is no measure of
+         *     the backend server's speed
+         */
+        public void release(boolean shed, long serviceNanos) {
+            releaseSlot(this, shed, serviceNanos);
+        }
+    }
+
     private final LocalBackend mBackend;
     private final TimeSource mTime;
     private final Object mLock = new Object();
     private final Admission<SlotCallback> mAdmission = new Admission<>();
     private volatile int mFreeSlots;
     private volatile @Nullable Announcement mAnnouncement;
+    private volatile int mGeneration;
+    private final List<Runnable> mReplacementListeners = new CopyOnWriteArrayList<>();
+    private @Nullable Announcement mServer;
 
     /** Creates the admission and registers a listener for the backend server's state. */
     public BackendAdmission(LocalBackend backend, TimeSource time, MetricRegistry metrics) {
@@ -56,37 +94,37 @@
         return mFreeSlots;
     }
 
+    /** Adds a listener that is called when another backend server has taken the place of one. */
+    public void addReplacementListener(Runnable listener) {
+        mReplacementListeners.add(listener);
+    }
+
     /** Requests a slot. Calls back on this thread before it returns, unless the call is queued. */
     public void requestSlot(SlotCallback callback, AdmissionRequest request) {
-        AdmissionDecision decision;
-        List<AdmissionEffect<SlotCallback>> effects;
+        List<Runnable> callbacks;
         synchronized (mLock) {
-            decision = mAdmission.offer(callback, request, mTime.nanos());
-            effects = collectEffects();
-        }
-        notifyCallbacks(effects);
-        Refusal refusal = decision.refusal();
-        if (refusal != null) {
-            callback.refused(refusal);
-        } else if (decision.status() == AdmissionDecision.Status.ADMITTED) {
-            callback.admitted();
+            AdmissionDecision decision = mAdmission.offer(callback, request, mTime.nanos());
+            callbacks = collectCallbacks();
+            Refusal refusal = decision.refusal();
+            if (refusal != null) {
+                callbacks.add(() -> callback.refused(refusal));
+            } else if (decision.status() == AdmissionDecision.Status.ADMITTED) {
+                callbacks.add(admission(callback));
+            }
         }
+        callbacks.forEach(Runnable::run);
     }
 
-    /**
-     * Releases a slot.
-     *
-     * @param shed whether the backend server refused the call because of overload
-     * @param serviceNanos how long the call held the slot; negative if that is no measure of the
-     *     backend server's speed
-     */
-    public void releaseSlot(boolean shed, long serviceNanos) {
-        List<AdmissionEffect<SlotCallback>> effects;
+    private void releaseSlot(Slot slot, boolean shed, long serviceNanos) {
+        List<Runnable> callbacks;
         synchronized (mLock) {
+            if (!slot.current()) {
+                return;
+            }
             mAdmission.releaseSlot(shed, serviceNanos, mTime.nanos());
-            effects = collectEffects();
+            callbacks = collectCallbacks();
         }
-        notifyCallbacks(effects);
+        callbacks.forEach(Runnable::run);
     }
 
     /** Removes a call from the queue; returns false if it was not queued. */
@@ -101,26 +139,36 @@
     /** Applies the current announcement and refuses the queued calls that have waited too long. */
     public void tick() {
         refresh();
-        List<AdmissionEffect<SlotCallback>> effects;
+        List<Runnable> callbacks;
         synchronized (mLock) {
             mAdmission.expire(mTime.nanos());
-            effects = collectEffects();
+            callbacks = collectCallbacks();
         }
-        notifyCallbacks(effects);
+        callbacks.forEach(Runnable::run);
     }
 
     private void refresh() {
         Announcement announcement = mBackend.announcement();
         BackendState state = mBackend.state();
         boolean open = announcement != null && state == BackendState.READY;
-        List<AdmissionEffect<SlotCallback>> effects;
+        List<Runnable> callbacks;
         synchronized (mLock) {
+            boolean replaced =
+                    announcement != null && mServer != null && !mServer.sameServer(announcement);
             mAnnouncement = announcement;
+            mServer = announcement == null ? mServer : announcement;
+            if (replaced) {
+                mGeneration++;
+                mAdmission.replaceServer();
+            }
             int slots = announcement == null ? 0 : announcement.slots();
             mAdmission.configure(open, slots, mTime.nanos());
-            effects = collectEffects();
+            callbacks = collectCallbacks();
+            if (replaced) {
+                callbacks.addAll(mReplacementListeners);
+            }
         }
-        notifyCallbacks(effects);
+        callbacks.forEach(Runnable::run);
     }
 
     private int limit() {
@@ -135,19 +183,22 @@
         }
     }
 
-    private List<AdmissionEffect<SlotCallback>> collectEffects() {
+    /** Returns what is to be called for the decisions on queued calls, outside of the lock. */
+    private List<Runnable> collectCallbacks() {
         mFreeSlots = mAdmission.freeSlots();
-        return mAdmission.takeEffects();
-    }
-
-    private static void notifyCallbacks(List<AdmissionEffect<SlotCallback>> effects) {
-        for (AdmissionEffect<SlotCallback> effect : effects) {
+        List<Runnable> callbacks = new ArrayList<>();
+        for (AdmissionEffect<SlotCallback> effect : mAdmission.takeEffects()) {
             Refusal refusal = effect.refusal();
-            if (refusal == null) {
-                effect.call().admitted();
-            } else {
-                effect.call().refused(refusal);
-            }
+            callbacks.add(
+                    refusal == null
+                            ? admission(effect.call())
+                            : () -> effect.call().refused(refusal));
         }
+        return callbacks;
+    }
+
+    private Runnable admission(SlotCallback callback) {
+        Slot slot = new Slot(Objects.requireNonNull(mServer), mGeneration);
+        return () -> callback.admitted(slot);
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -14,7 +14,6 @@
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.internal.admit.BackendAdmission;
 import org.azurearch.lib.Verdict;
-import org.azurearch.member.Announcement;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -40,6 +39,7 @@
     private boolean mSubmitting;
     private State mState = State.WAITING;
     private @Nullable UpstreamExchange mUpstream;
+    private BackendAdmission.@Nullable Slot mSlot;
     private long mStartedNanos;
     private boolean mUnavailable;
     private long mShedRetryAfterMillis;
@@ -86,8 +86,8 @@
     }
 
     @Override
-    public void admitted() {
-        mWorker.run(this::begin);
+    public void admitted(BackendAdmission.Slot slot) {
+        mWorker.run(() -> begin(slot));
     }
 
     @Override
@@ -144,11 +144,17 @@
         }
         Verdict verdict = mUpstream == null ? Verdict.NOT_RUN : mUpstream.cancel();
         if (before != State.DONE) {
-            mWorker.admission().releaseSlot(false, -1);
+            releaseSlot(false, -1);
         }
         return verdict;
     }
 
+    private void releaseSlot(boolean shed, long serviceNanos) {
+        if (mSlot != null) {
+            mSlot.release(shed, serviceNanos);
+        }
+    }
+
     @Override
     public void answerHead(HttpResponse head) {
         boolean refused = refuses(head);
@@ -168,7 +174,7 @@
         boolean shedding = mState == State.SHEDDING;
         if (last) {
             mState = State.DONE;
-            mWorker.admission().releaseSlot(mUnavailable, mWorker.nanos() - mStartedNanos);
+            releaseSlot(mUnavailable, mWorker.nanos() - mStartedNanos);
         }
         if (!shedding) {
             if (last) {
@@ -197,7 +203,11 @@
     public void failed(CallFailure failure) {
         mState = State.DONE;
         releasePending();
-        mWorker.admission().releaseSlot(false, -1);
+        releaseSlot(false, -1);
+        if (mSlot == null || !mSlot.current()) {
+            mSink.failed(failure);
+            return;
+        }
         if (failure.verdict() == Verdict.NOT_RUN) {
             mWorker.backendUnreachable();
         } else {
@@ -221,21 +231,22 @@
         return head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
 
-    private void begin() {
-        Announcement announcement = mWorker.admission().announcement();
+    private void begin(BackendAdmission.Slot slot) {
         if (mState == State.DONE) {
-            mWorker.admission().releaseSlot(false, -1);
+            slot.release(false, -1);
             return;
         }
-        if (announcement == null) {
+        if (!slot.current() || !mHop.servedBy(slot.server())) {
+            slot.release(false, -1);
             failed(CallFailure.notRun(ErrorCode.NO_BACKEND_SERVER, "the backend server has left"));
             return;
         }
+        mSlot = slot;
         mState = State.RUNNING;
         mStartedNanos = mWorker.nanos();
         UpstreamExchange upstream =
                 new UpstreamExchange(
-                        mWorker.backendPool(announcement),
+                        mWorker.backendPool(slot.server()),
                         mHead,
                         mHop.callId(),
                         this,
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
@@ -40,6 +40,13 @@
 
     private record ServiceKey(FirmId firm, ServiceId service) {}
 
+    /** A backend server; another one may use the address of one that has ended. */
+    private record ServerKey(NetAddress address, FirmId firm, ServiceId service) {
+        static ServerKey of(Announcement server) {
+            return new ServerKey(server.address(), server.firm(), server.service());
+        }
+    }
+
     private record HopKey(NetAddress address, NodeId node) {}
 
     private final EventLoop mEventLoop;
@@ -47,7 +54,7 @@
     private final SplittableRandom mRandom;
     private final SecureRandom mSecureRandom = new SecureRandom();
     private final MeshKeys.Signer mSigner;
-    private final Map<NetAddress, ConnectionPool> mBackendPools = new HashMap<>();
+    private final Map<ServerKey, ConnectionPool> mBackendPools = new HashMap<>();
     private final Map<HopKey, ConnectionPool> mHopPools = new HashMap<>();
     private final Map<ServiceKey, ServiceLoads> mServices = new HashMap<>();
     private final Set<CallerHandler> mCallers = new HashSet<>();
@@ -156,9 +163,7 @@
     /** Returns whether the backend server behind this node provides the service of a call. */
     boolean servesLocally(HopRequest hop) {
         Announcement announcement = admission().announcement();
-        return announcement != null
-                && announcement.firm().name().equals(hop.firm())
-                && announcement.service().name().equals(hop.service());
+        return announcement != null && hop.servedBy(announcement);
     }
 
     /** Chooses an endpoint, or returns null when there is none. */
@@ -193,16 +198,37 @@
     /** Returns the connection pool of the backend server. */
     ConnectionPool backendPool(Announcement announcement) {
         return mBackendPools.computeIfAbsent(
-                announcement.address(),
-                address ->
+                ServerKey.of(announcement),
+                key ->
                         new ConnectionPool(
-                                address,
+                                key.address(),
                                 mEventLoop,
                                 mPath.backendLimit(announcement),
                                 ConnectionSetup.PLAIN,
                                 mPath.time()));
     }
 
+    /**
+     * Closes the connections to backend servers whose place another one has taken. If that one uses
+     * the same address, the process of the earlier one is gone, so that the calls under way there
+     * end, once the answers that have arrived are read.
+     */
+    void serverReplaced() {
+        Announcement current = admission().announcement();
+        if (current == null) {
+            return;
+        }
+        for (ServerKey key : List.copyOf(mBackendPools.keySet())) {
+            if (!key.equals(ServerKey.of(current))) {
+                ConnectionPool pool = mBackendPools.remove(key);
+                pool.close();
+                if (key.address().equals(current.address())) {
+                    NextPoll.runAfter(mEventLoop, pool::closeUsed);
+                }
+            }
+        }
+    }
+
     /** Returns the connection pool of a peer. */
     ConnectionPool hopPool(NetAddress address, NodeId node) {
         return mHopPools.computeIfAbsent(
@@ -291,8 +317,8 @@
             backendPool(announcement).openAtLeast(MIN_BACKEND_CONNECTIONS);
         }
         mBackendPools.forEach(
-                (address, pool) -> {
-                    boolean inUse = announcement != null && address.equals(announcement.address());
+                (key, pool) -> {
+                    boolean inUse = announcement != null && key.equals(ServerKey.of(announcement));
                     pool.closeIdle(inUse ? MIN_BACKEND_CONNECTIONS : 0);
                 });
         mHopPools.values().forEach(pool -> pool.closeIdle(0));
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/ConnectionPool.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/ConnectionPool.java
@@ -12,6 +12,9 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.time.TimeSource;
 import org.jspecify.annotations.Nullable;
@@ -27,6 +30,7 @@
     private final Bootstrap mBootstrap;
     private final ConnectionSetup mSetup;
     private final Deque<UpstreamConnection> mIdle = new ArrayDeque<>();
+    private final Set<UpstreamConnection> mConnections = new HashSet<>();
     private int mOpen;
     private boolean mClosed;
 
@@ -87,6 +91,7 @@
     /** Removes a closed connection from the pool. */
     void onClosed(UpstreamConnection connection) {
         mIdle.remove(connection);
+        mConnections.remove(connection);
         mOpen--;
         mLimit.release();
     }
@@ -116,6 +121,11 @@
         }
     }
 
+    /** Closes the connections in use, whose exchanges fail. */
+    void closeUsed() {
+        List.copyOf(mConnections).forEach(connection -> connection.channel().close());
+    }
+
     private @Nullable UpstreamConnection pollIdle() {
         UpstreamConnection idle = mIdle.poll();
         while (idle != null && !idle.channel().isActive()) {
@@ -144,7 +154,7 @@
     private void onPrepared(
             Channel channel, @Nullable UpstreamExchange exchange, @Nullable String failure) {
         AnswerDecoder decoder = channel.pipeline().get(AnswerDecoder.class);
-        if (failure != null || !channel.isActive() || !decoder.endAnswer()) {
+        if (failure != null || mClosed || !channel.isActive() || !decoder.endAnswer()) {
             mOpen--;
             mLimit.release();
             channel.close();
@@ -152,6 +162,7 @@
             return;
         }
         UpstreamConnection connection = new UpstreamConnection(this, channel, decoder);
+        mConnections.add(connection);
         channel.pipeline().addLast(connection);
         if (exchange == null) {
             release(connection);
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HopRequest.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HopRequest.java
@@ -4,6 +4,7 @@
 import org.azurearch.admit.AdmissionRequest;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.member.Announcement;
 import org.azurearch.route.Route;
 
 /**
@@ -80,6 +81,11 @@
         }
     }
 
+    /** Returns whether a backend server provides the service. */
+    boolean servedBy(Announcement server) {
+        return server.firm().name().equals(firm) && server.service().name().equals(service);
+    }
+
     /** Returns the header's value. */
     String text() {
         return String.join(
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
@@ -56,6 +56,11 @@
             EventLoop loop = (EventLoop) executor;
             mWorkers.put(loop, new CallWorker(loop, path, seed + mWorkers.size()));
         }
+        path.admission()
+                .addReplacementListener(
+                        () ->
+                                mWorkers.values()
+                                        .forEach(worker -> worker.run(worker::serverReplaced)));
     }
 
     /** Binds the listener. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/NextPoll.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NextPoll.java
@@ -1,4 +1,4 @@
-package org.azurearch.sidecar.internal;
+package org.azurearch.internal.call;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/BackendCore.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/BackendCore.java
@@ -2,7 +2,6 @@
 
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
-import org.azurearch.lib.NetAddress;
 import org.azurearch.member.Announcement;
 import org.azurearch.member.BackendState;
 import org.jspecify.annotations.Nullable;
@@ -43,7 +42,7 @@
      */
     void announce(Announcement announcement, Moment now) {
         validate(announcement);
-        if (mAnnouncement == null || !isSameServer(mAnnouncement, announcement)) {
+        if (mAnnouncement == null || !mAnnouncement.sameServer(announcement)) {
             reset();
         }
         mAnnouncement = announcement;
@@ -130,13 +129,6 @@
         mEjected = false;
     }
 
-    private static boolean isSameServer(Announcement current, Announcement next) {
-        NetAddress address = current.address();
-        return address.equals(next.address())
-                && current.firm().equals(next.firm())
-                && current.service().equals(next.service());
-    }
-
     private static void validate(Announcement announcement) {
         long lease = announcement.lease().toMillis();
         if (lease < MIN_LEASE_MILLIS || lease > MAX_LEASE_MILLIS) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/BackendService.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/BackendService.java
@@ -117,10 +117,14 @@
         probeIfDue();
     }
 
-    private synchronized void recordProbe(boolean healthy) {
+    /** Records the outcome of a probe, unless another server has taken the probed one's place. */
+    private synchronized void recordProbe(Announcement probed, boolean healthy) {
         mProbing = false;
-        mCore.recordProbe(healthy);
-        update();
+        Announcement current = mAnnouncement;
+        if (current != null && current.sameServer(probed)) {
+            mCore.recordProbe(healthy);
+            update();
+        }
     }
 
     private void update() {
@@ -128,11 +132,13 @@
         Announcement before = mAnnouncement;
         BackendState state = mCore.state(now());
         boolean sameSlots = announcement == null || announcement.slots() == mPublishedSlots;
+        boolean replaced =
+                announcement != null && before != null && !before.sameServer(announcement);
         mAnnouncement = announcement;
-        if (state == mState && sameSlots) {
+        if (state == mState && sameSlots && !replaced) {
             return;
         }
-        if (state == BackendState.READY && mState != BackendState.READY) {
+        if (state == BackendState.READY && (replaced || mState != BackendState.READY)) {
             mReadySinceMillis = now().wallMillis();
         }
         boolean stateChanged = state != mState;
@@ -141,7 +147,7 @@
         if (latest != null) {
             publish(latest, announcement != null, state);
         }
-        if (stateChanged) {
+        if (stateChanged || replaced) {
             mListeners.forEach(listener -> listener.accept(state));
         }
     }
@@ -181,7 +187,8 @@
         }
         mProbing = true;
         mNextProbeMillis = now + service.probePeriod().toMillis();
-        mProbe.probe(announcement.address(), service.probePath()).thenAccept(this::recordProbe);
+        mProbe.probe(announcement.address(), service.probePath())
+                .thenAccept(healthy -> recordProbe(announcement, healthy));
     }
 
     private @Nullable ServiceConfig configOf(Announcement announcement) {
--- a/org.azurearch/src/main/java/org/azurearch/member/Announcement.java
+++ b/org.azurearch/src/main/java/org/azurearch/member/Announcement.java
@@ -21,4 +21,11 @@
         NetAddress address,
         BackendState state,
         int slots,
-        Duration lease) {}
+        Duration lease) {
+    /** Returns whether another announcement is of the same backend server. */
+    public boolean sameServer(Announcement other) {
+        return address.equals(other.address)
+                && firm.equals(other.firm)
+                && service.equals(other.service);
+    }
+}
--- a/org.azurearch/src/main/java/org/azurearch/member/LocalBackend.java
+++ b/org.azurearch/src/main/java/org/azurearch/member/LocalBackend.java
@@ -26,7 +26,7 @@
     BackendState state();
 
     /**
-     * Adds a listener for changes of state.
+     * Adds a listener for changes of state, and for another backend server in the place of one.
      *
      * @param listener must return quickly
      */
