Let a run log its own requests

The run of a backend server logs and counts what is sent to it; the dispatcher only passed that on. No change of behaviour.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendAttempt.java
@@ -161,7 +161,6 @@
         if (mRun != null) {
             mRun.requestReturned(mCall, mSentNanos, responded);
         }
-        mDispatcher.requestReturned(mCall, responded);
     }
 
     /** Gives back the slot, once, and records the outcome. */
@@ -290,7 +289,6 @@
         mConnection = connection;
         mSentNanos = System.nanoTime();
         run.requestSent(mCall, mSentNanos);
-        mDispatcher.requestSent();
         connection.send(request(run.heartbeat()), this);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -165,6 +165,7 @@
                         backend,
                         new CrashDetector(mLoop, mSuspects),
                         mPerformance,
+                        mAttemptLog,
                         this);
         if (before != null) {
             EventLog.log(
@@ -346,20 +347,6 @@
         mQueue.cancel(attempt);
     }
 
-    /** Records that the request of an attempt has been sent to the backend server. */
-    void requestSent() {
-        mAttemptLog.sent();
-    }
-
-    /**
-     * Records that the end of a request that was sent is not awaited any more.
-     *
-     * @param responded whether the backend server sent an answer or closed the connection
-     */
-    void requestReturned(HopCall call, boolean responded) {
-        mAttemptLog.returned(call, responded);
-    }
-
     /**
      * Frees the slot of a started attempt. Waiting attempts start later in this turn of the event
      * loop, so that those are cancelled first whose cancellation was read together with this end.
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendRun.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendRun.java
@@ -36,6 +36,7 @@
     private final CallFingerprints mFingerprints;
     private final CrashDetector mCrashes;
     private final BackendPerformance mPerformance;
+    private final AttemptLog mAttemptLog;
     private final Listener mListener;
     private final BackendConnectionPool mPool;
     private final SilenceDetector mSilence;
@@ -53,6 +54,7 @@
      * @param heartbeat the first heartbeat of the run
      * @param crashes finds out whether a lost connection means a crash
      * @param performance receives the outcomes of attempts
+     * @param attemptLog logs and counts requests
      * @param listener receives what is found out
      */
     BackendRun(
@@ -62,6 +64,7 @@
             Heartbeat heartbeat,
             CrashDetector crashes,
             BackendPerformance performance,
+            AttemptLog attemptLog,
             Listener listener) {
         mLoop = loop;
         mDialect = dialect;
@@ -69,6 +72,7 @@
         mHeartbeat = heartbeat;
         mCrashes = crashes;
         mPerformance = performance;
+        mAttemptLog = attemptLog;
         mListener = listener;
         mPool = new BackendConnectionPool(loop, dialect, heartbeat.address());
         mSilence = new SilenceDetector(loop, heartbeatMillis, this);
@@ -123,6 +127,7 @@
     void requestSent(HopCall call, long nowNanos) {
         mPerformance.sent(nowNanos);
         mSilence.sent(call);
+        mAttemptLog.sent();
     }
 
     /**
@@ -133,6 +138,7 @@
     void requestReturned(HopCall call, long sentNanos, boolean responded) {
         mPerformance.returned(sentNanos);
         mSilence.ended(call, responded);
+        mAttemptLog.returned(call, responded);
     }
 
     /** Removes an attempt, which has given back its slot, and records its outcome. */
