Give up an answer that is mostly not a body

Interim answers without end, and bodies in chunks of one byte without end, were read until the deadline of the call as fast as the server sent them, on both call paths: nothing counted the bytes that are dropped or that frame a body. AnswerDecoder, which both paths share, now fails with TooLongFrameException once they exceed the body by 1 MiB. Heads, chunk sizes and trailers were bounded by the codec before.

The call fails as "may have run" and its connection is closed.

--- a/org.azurearch/src/main/java/org/azurearch/internal/call/AnswerDecoder.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/AnswerDecoder.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -19,7 +21,8 @@
 /**
  * Decodes the answers on a connection that carries one request at a time. It drops interim answers,
  * closes the connection on bytes that no request awaits, and marks a head as malformed that
- * contains the start of another one.
+ * contains the start of another one. It fails with {@link TooLongFrameException} if much more is
+ * sent than the bodies of answers, such as interim answers, blank lines or tiny chunks without end.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
     private static final String PROTOCOL = "HTTP/1.";
@@ -27,6 +30,14 @@
     /** A status line; its start alone may be part of a value, as in the header Via. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d +\\d{3}(?!\\d)");
 
+    /**
+     * Bytes outside of bodies that are accepted for one request beyond as many bytes as the body
+     * has. Heads are far smaller, and chunks of a few bytes each already need no more than their
+     * content.
+     */
+    private static final int MAX_EXCESS_BYTES = 1024 * 1024;
+
+    private long mExcessBytes;
     private boolean mAwaiting;
     private boolean mHeadRequest;
 
@@ -38,6 +49,7 @@
     /** Awaits the answer to a request with the given method. */
     public void awaitAnswer(HttpMethod method) {
         mAwaiting = true;
+        mExcessBytes = 0;
         mHeadRequest = method.equals(HttpMethod.HEAD);
     }
 
@@ -66,7 +78,15 @@
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
             throws Exception {
         int before = out.size();
+        int readable = in.readableBytes();
         super.decode(context, in, out);
+        List<Object> decoded = out.subList(before, out.size());
+        if (exceeds(readable - in.readableBytes(), decoded)) {
+            decoded.forEach(ReferenceCountUtil::release);
+            decoded.clear();
+            throw new TooLongFrameException(
+                    "over " + MAX_EXCESS_BYTES + " bytes more than the body of an answer");
+        }
         if (out.size() == before || !(out.get(before) instanceof HttpResponse head)) {
             return;
         }
@@ -79,6 +99,18 @@
         }
     }
 
+    /** Counts bytes that were decoded; returns whether there are too many outside of bodies. */
+    private boolean exceeds(int consumedBytes, List<Object> decoded) {
+        int bodyBytes = 0;
+        for (Object message : decoded) {
+            if (message instanceof HttpContent content) {
+                bodyBytes += content.content().readableBytes();
+            }
+        }
+        mExcessBytes += consumedBytes - 2L * bodyBytes;
+        return mExcessBytes > MAX_EXCESS_BYTES;
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean answersHead = mHeadRequest && !interim((HttpResponse) message);
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -95,6 +96,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        UpstreamExchange exchange = mExchange;
+        if (cause instanceof DecoderException && exchange != null) {
+            exchange.onMalformed("malformed answer: " + cause.getMessage());
+        }
         mChannel.close();
     }
 
