Refuse a call whose refusal has a body without end

On the product's path a refusal (503 with the verdict not-run) counted only once its body had ended, and the body was read and dropped until then: the caller was told that the request may have run. After 64 KiB of such a body the connection is closed and the call is refused as not run, as the head says.

Evidence: EndlessAnswerTest.bodyOfRefusalWithoutEndRefusesTheCall; before: "backend-server-failed may-have-run".

--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/EndlessAnswerTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/EndlessAnswerTest.java
@@ -6,6 +6,7 @@
 import org.azurearch.internal.call.RawClient.Answer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -42,6 +43,15 @@
         assertEquals("backend-server-failed may-have-run", answer.code() + " " + answer.verdict());
     }
 
+    @Test
+    void bodyOfRefusalWithoutEndRefusesTheCall() throws IOException {
+        sendWithoutEnd(
+                "HTTP/1.1 503 x|azurearch-verdict: not-run|transfer-encoding: chunked||7fffffff|",
+                "a");
+        Answer answer = RawClient.call(mEntry.address(), RawClient.post("/orders", "x"));
+        assertEquals("overloaded not-run", answer.code() + " " + answer.verdict());
+    }
+
     private void sendWithoutEnd(String start, String piece) {
         mServer.script(
                 (request, connection) -> {
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -22,6 +22,11 @@
  * collects the body, which the fingerprint covers.
  */
 final class BackendExchange implements Exchange, AnswerSink, BackendAdmission.SlotCallback {
+    /**
+     * Largest body of a refusal that is read to its end, so that the connection can be used again.
+     */
+    private static final int MAX_REFUSAL_BYTES = 64 * 1024;
+
     private enum State {
         WAITING,
         RUNNING,
@@ -43,6 +48,7 @@
     private long mStartedNanos;
     private boolean mUnavailable;
     private long mShedRetryAfterMillis;
+    private long mRefusalBytes;
 
     BackendExchange(CallWorker worker, HttpRequest head, HopRequest hop, AnswerSink sink) {
         mWorker = worker;
@@ -172,6 +178,13 @@
     public void answerBody(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         boolean shedding = mState == State.SHEDDING;
+        if (shedding) {
+            mRefusalBytes += content.content().readableBytes();
+            if (mRefusalBytes > MAX_REFUSAL_BYTES && mUpstream != null) {
+                mUpstream.cancel();
+                last = true;
+            }
+        }
         if (last) {
             mState = State.DONE;
             releaseSlot(mUnavailable, mWorker.nanos() - mStartedNanos);
