--- a/org.azurearch.test/src/test/java/org/azurearch/internal/member/BackendServiceTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/member/BackendServiceTest.java
@@ -4,6 +4,7 @@
 
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -102,6 +103,29 @@
         Await.until("ready again", () -> advanceProbePeriod() == BackendState.READY);
     }
 
+    /** Guards against probes that stop, as the body of one has no end. */
+    @Test
+    void bodyWithoutEndIsCutOffAndTheServerStaysReady() {
+        mServer.removeContext("/health");
+        AtomicInteger cutOff = new AtomicInteger();
+        mServer.createContext(
+                "/health",
+                exchange -> {
+                    exchange.sendResponseHeaders(200, 0);
+                    try (OutputStream body = exchange.getResponseBody()) {
+                        while (true) {
+                            body.write(new byte[1_024]);
+                        }
+                    } catch (IOException e) {
+                        cutOff.incrementAndGet();
+                    }
+                });
+        announce();
+        Await.until(
+                "two probes are cut off",
+                () -> advanceProbePeriod() == BackendState.READY && cutOff.get() >= 2);
+    }
+
     @Test
     void probesAreSentOncePerPeriod() {
         announce();
