Bound the bytes of incomplete answers at a node

Up to 16 MiB were kept for each of up to 18 connections, more than the direct memory of the process (72 MiB); each allocation then waited half a second in Bits.reserveMemory on the only event loop.

AnswerBudget, a decision without I/O, lets every answer take 128 KiB; of the larger ones, which may take a fifth of the heap size together, those that come later are not read until there is room, and the oldest is always read to its end. Pausing alone did not help: HttpObjectAggregator asks for more until its message is complete, so that AnswerReader drops reads while paused. Nor did retaining the pieces: a piece keeps the whole read buffer, and in the pool its chunk, so that BodyBlocks copies long bodies to blocks outside of the pool. A connection has two reads a turn.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendConnectionTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendConnectionTest.java
@@ -29,6 +29,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
+import org.azurearch.sidecar.admit.AnswerBudget;
 
 /** Guards against answers given to another request, or as whole though they broke off. */
 class BackendConnectionTest {
@@ -89,7 +90,10 @@
     private static final class Server implements AutoCloseable {
         private final BackendConnectionPool mPool =
                 new BackendConnectionPool(
-                        new EmbeddedChannel().eventLoop(), DIALECT, new NetAddress("127.0.0.1", 1));
+                        new EmbeddedChannel().eventLoop(),
+                        DIALECT,
+                        new NetAddress("127.0.0.1", 1),
+                        new AnswerBudget(1, 1));
         private final Map<BackendConnection, EmbeddedChannel> mChannels = new HashMap<>();
         private final Map<BackendConnection, List<Written>> mWritten = new HashMap<>();
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnection.java
@@ -36,6 +36,7 @@
     private final BackendConnectionPool mPool;
     private final Dialect mDialect;
     private final AnswerDecoder mDecoder;
+    private final AnswerReader mReader;
     private final AnswerAttribution mAttribution = AnswerAttribution.byCallerIds();
     private @Nullable ResponseListener mListener;
     private boolean mReusable = true;
@@ -44,11 +45,16 @@
     private long mServerIdleNanos = Long.MAX_VALUE;
 
     BackendConnection(
-            Channel channel, BackendConnectionPool pool, Dialect dialect, AnswerDecoder decoder) {
+            Channel channel,
+            BackendConnectionPool pool,
+            Dialect dialect,
+            AnswerDecoder decoder,
+            AnswerReader reader) {
         mChannel = channel;
         mPool = pool;
         mDialect = dialect;
         mDecoder = decoder;
+        mReader = reader;
     }
 
     /** Sends a request. */
@@ -79,7 +85,7 @@
     /** Drops the pending answer and closes the connection. */
     void abandon() {
         mListener = null;
-        mChannel.close();
+        close();
     }
 
     boolean active() {
@@ -96,6 +102,7 @@
     }
 
     void close() {
+        mReader.answerEnded();
         mChannel.close();
     }
 
@@ -104,7 +111,7 @@
         ResponseListener listener = mListener;
         if (listener == null || mReleasePending) {
             mReusable = false;
-            context.close();
+            close();
             return;
         }
         if (answer.decoderResult().isFailure()) {
@@ -117,6 +124,7 @@
                 mReusable &= mDecoder.endAnswer() && mAttribution.reusable();
                 mListener = null;
                 mReleasePending = true;
+                mReader.answerEnded();
                 listener.answered(answer);
             }
             case UNKNOWN -> fail("an answer that may belong to another request");
@@ -132,7 +140,7 @@
                 mIdleSinceNanos = System.nanoTime();
                 mPool.release(this);
             } else {
-                mChannel.close();
+                close();
             }
         }
         context.fireChannelReadComplete();
@@ -158,7 +166,7 @@
         ResponseListener listener = mListener;
         mListener = null;
         mReusable = false;
-        mChannel.close();
+        close();
         if (listener != null) {
             listener.failed(reason);
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.backend;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -19,6 +20,7 @@
 import org.azurearch.internal.call.AnswerDecoder;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
+import org.azurearch.sidecar.admit.AnswerBudget;
 import org.jspecify.annotations.Nullable;
 
 /** Pool of connections to one run of the backend server. Confined to one event loop. */
@@ -45,16 +47,33 @@
     /** Idle limit for idempotent requests, unless the server announces a shorter timeout. */
     private static final long MAX_IDLE_NANOS = 3_000_000_000L;
 
+    /**
+     * Reads of one connection before the others have their turn. A read takes up to 64 KiB, which
+     * is most of ten thousand pieces if a body comes in chunks of one byte.
+     */
+    private static final int MAX_READS_PER_TURN = 2;
+
     private final EventLoop mLoop;
     private final Dialect mDialect;
+    private final AnswerBudget mBudget;
     private final Deque<BackendConnection> mIdle = new ArrayDeque<>();
     private final NetAddress mAddress;
     private boolean mClosed;
 
-    BackendConnectionPool(EventLoop loop, Dialect dialect, NetAddress address) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param loop the event loop of the connections
+     * @param dialect the header names
+     * @param address the address of the backend server
+     * @param budget limits the bytes of incomplete answers
+     */
+    BackendConnectionPool(
+            EventLoop loop, Dialect dialect, NetAddress address, AnswerBudget budget) {
         mLoop = loop;
         mDialect = dialect;
         mAddress = address;
+        mBudget = budget;
     }
 
     /** Returns the address of the backend server. */
@@ -139,6 +158,9 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN))
                 .handler(
                         new ChannelInitializer<SocketChannel>() {
                             @Override
@@ -160,10 +182,14 @@
     BackendConnection install(Channel channel) {
         HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
         AnswerDecoder decoder = new AnswerDecoder(config);
-        BackendConnection connection = new BackendConnection(channel, this, mDialect, decoder);
+        AnswerReader reader = new AnswerReader(channel, mBudget);
+        BackendConnection connection =
+                new BackendConnection(channel, this, mDialect, decoder, reader);
         channel.pipeline()
+                .addLast(reader)
                 .addLast(decoder)
                 .addLast(new HttpRequestEncoder())
+                .addLast(new BodyBlocks())
                 .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
                 .addLast(connection);
         return connection;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -12,6 +12,7 @@
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
 import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.admit.AnswerBudget;
 import org.azurearch.sidecar.admit.BackendQueue;
 import org.azurearch.sidecar.admit.LinkLoad;
 import org.azurearch.sidecar.admit.QueuedRequest;
@@ -76,6 +77,7 @@
     private final AttemptLog mAttemptLog;
     private final LinkLoad mLink;
     private final BackendQueue<BackendAttempt> mQueue;
+    private final AnswerBudget mBudget = AnswerBudget.of(Runtime.getRuntime().maxMemory());
     private final StopLimit mStopLimit = new StopLimit();
     private BackendPerformance mPerformance = new BackendPerformance();
     private @Nullable BackendRun mRun;
@@ -117,6 +119,8 @@
         mLog = log;
         mAttemptLog = new AttemptLog(log, dialect, metrics);
         metrics.gauge("backend.limit", () -> (Gauge<Double>) () -> mNamedLimit);
+        metrics.gauge("backend.answers.large-bytes", () -> (Gauge<Long>) mBudget::largeBytes);
+        metrics.gauge("backend.answers.paused", () -> (Gauge<Integer>) mBudget::paused);
         mListener = listener;
     }
 
@@ -163,6 +167,7 @@
                         mHeartbeatMillis,
                         mDialect,
                         backend,
+                        mBudget,
                         new CrashDetector(mLoop, mSuspects),
                         mPerformance,
                         mAttemptLog,
@@ -188,7 +193,7 @@
      *     none
      */
     public void probe(NetAddress address, String path, Consumer<@Nullable String> callback) {
-        BackendConnectionPool pool = new BackendConnectionPool(mLoop, mDialect, address);
+        BackendConnectionPool pool = new BackendConnectionPool(mLoop, mDialect, address, mBudget);
         BackendProbe.send(
                 mLoop,
                 mDialect,
@@ -283,11 +288,7 @@
             attempt.refuse(notOfService());
             return attempt;
         }
-        if (mWithheld) {
-            attempt.refuse(rolledBack());
-            return attempt;
-        }
-        AttemptFailure refusal = refusal(call);
+        AttemptFailure refusal = mWithheld ? rolledBack() : refusal(call);
         if (refusal != null) {
             attempt.refuse(refusal);
             return attempt;
@@ -325,7 +326,7 @@
                 mQueue.startWaitMillis(System.nanoTime()));
     }
 
-    /** Returns the number of calls that the backend server is running. */
+    /** Returns the number of calls that hold a slot of the backend server. */
     public int running() {
         return mQueue.running();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendRun.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendRun.java
@@ -9,6 +9,7 @@
 import org.azurearch.internal.call.NextPoll;
 import org.azurearch.internal.call.RequestFingerprint;
 import org.azurearch.sidecar.Dialect;
+import org.azurearch.sidecar.admit.AnswerBudget;
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.internal.suspect.CallFingerprints;
 import org.azurearch.sidecar.internal.suspect.CrashDetector;
@@ -52,6 +53,7 @@
      * @param heartbeatMillis the period of the heartbeats
      * @param dialect the header names
      * @param heartbeat the first heartbeat of the run
+     * @param budget limits the bytes of incomplete answers
      * @param crashes finds out whether a lost connection means a crash
      * @param performance receives the outcomes of attempts
      * @param attemptLog logs and counts requests
@@ -62,6 +64,7 @@
             long heartbeatMillis,
             Dialect dialect,
             Heartbeat heartbeat,
+            AnswerBudget budget,
             CrashDetector crashes,
             BackendPerformance performance,
             AttemptLog attemptLog,
@@ -74,7 +77,7 @@
         mPerformance = performance;
         mAttemptLog = attemptLog;
         mListener = listener;
-        mPool = new BackendConnectionPool(loop, dialect, heartbeat.address());
+        mPool = new BackendConnectionPool(loop, dialect, heartbeat.address(), budget);
         mSilence = new SilenceDetector(loop, heartbeatMillis, this);
     }
 
