Strike no request because the node beside its server restarted alone

A node that restarts remembers the backend server beside it without the start of its run. PeerLosses took that for another run, so that requests under way there counted as lost in a crash, and a second restart could contain them though nothing had crashed. Such a record now decides nothing until the return time is over, and then counts as the same run.

Evidence: PeerLossesTest.restartedNodeThatRemembersItsServerIsNoLoss; before, the request is struck at once.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/suspect/PeerLossesTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/suspect/PeerLossesTest.java
@@ -62,6 +62,16 @@
         assertTrue(mLosses.isEmpty());
     }
 
+    /** Guards against requests that are struck because only the node beside their server ended. */
+    @Test
+    void restartedNodeThatRemembersItsServerIsNoLoss() {
+        lose();
+        mRecords.put("n1", record(8, "i-1", 0));
+        assertEquals(List.of(), mLosses.decide(mPeers, START + 1));
+        assertEquals(List.of(), mLosses.decide(mPeers, LATER));
+        assertTrue(mLosses.isEmpty());
+    }
+
     @Test
     void anotherRunOfTheBackendServerTellsOfTheLossAtOnce() {
         lose();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/PeerLosses.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/PeerLosses.java
@@ -107,10 +107,17 @@
             return false;
         }
         BackendRecord backend = now == null ? null : now.backend();
-        if (!sameRun && backend != null) {
-            return !backend.instance().equals(loss.backend().instance())
-                    || backend.startedMillis() != loss.backend().startedMillis();
+        boolean over = nowMillis - loss.atMillis() >= RETURN_TIME.toMillis();
+        if (sameRun || backend == null) {
+            return over ? true : null;
         }
-        return nowMillis - loss.atMillis() >= RETURN_TIME.toMillis() ? true : null;
+        // Until the next heartbeat, a restarted node knows only that the same instance is healthy.
+        boolean startUnknown =
+                backend.startedMillis() == 0
+                        && backend.instance().equals(loss.backend().instance());
+        if (startUnknown && !over) {
+            return null;
+        }
+        return !backend.sameRun(loss.backend());
     }
 }
