Name what a run of a backend server is asked, and simplify BodyBlocks

Reading the diff: BackendRun.matches and reachableAgain in place of sent and backInReach; the pieces of a body are counted in place of a flag. No change of behaviour.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -48,8 +48,8 @@
     private static final long MAX_IDLE_NANOS = 3_000_000_000L;
 
     /**
-     * Reads of one connection before the others have their turn. A read takes up to 64 KiB, which
-     * is most of ten thousand pieces if a body comes in chunks of one byte.
+     * Reads of a connection in one iteration of the event loop. A read of 64 KiB holds over ten
+     * thousand chunks of one byte.
      */
     private static final int MAX_READS_PER_TURN = 2;
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -141,13 +141,13 @@
             return;
         }
         BackendRun run = mRun;
-        if (run == null || !run.sent(backend)) {
+        if (run == null || !run.matches(backend)) {
             begin(backend, run, accepted);
             applyLimit(limitPerSecond);
         } else {
             run.update(backend);
             if (!accepted) {
-                run.backInReach();
+                run.reachableAgain();
                 applyLimit(limitPerSecond);
             }
         }
@@ -207,7 +207,7 @@
 
     /** Records that a heartbeat has arrived, of the present run or of another one. */
     public void heartbeatReceived(Heartbeat heartbeat) {
-        if (mRun != null && mRun.sent(heartbeat)) {
+        if (mRun != null && mRun.matches(heartbeat)) {
             mRun.heartbeatReceived(heartbeat);
         }
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendRun.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendRun.java
@@ -87,7 +87,7 @@
     }
 
     /** Returns whether a heartbeat is of this run. */
-    boolean sent(Heartbeat heartbeat) {
+    boolean matches(Heartbeat heartbeat) {
         return mHeartbeat.sameRun(heartbeat);
     }
 
@@ -103,7 +103,7 @@
     }
 
     /** Records that this run accepts requests again after it was out of reach. */
-    void backInReach() {
+    void reachableAgain() {
         mPool.closeIdle();
         mPerformance.forgetFailures();
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BodyBlocks.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BodyBlocks.java
@@ -18,30 +18,28 @@
     private static final int BLOCK_BYTES = 64 * 1024;
 
     private @Nullable ByteBuf mBlock;
-    private boolean mFirst;
+    private int mPieces;
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpResponse) {
-            mFirst = true;
-        }
-        boolean copied =
-                message instanceof HttpContent content
-                        && !(message instanceof LastHttpContent)
-                        && content.decoderResult().isSuccess()
-                        && !mFirst;
-        if (message instanceof HttpContent content && copied) {
+            mPieces = 0;
+        } else if (message instanceof HttpContent content && copies(content)) {
             copy(context, content.content());
             content.release();
             return;
         }
-        if (message instanceof HttpContent) {
-            mFirst = false;
-        }
         flush(context);
         context.fireChannelRead(message);
     }
 
+    /** Returns whether a piece is neither the first nor the last of its body. */
+    private boolean copies(HttpContent piece) {
+        return mPieces++ > 0
+                && !(piece instanceof LastHttpContent)
+                && piece.decoderResult().isSuccess();
+    }
+
     private void copy(ChannelHandlerContext context, ByteBuf piece) {
         while (piece.isReadable()) {
             ByteBuf block = mBlock;
