Keep the requests lost at a backend server apart from those of its successor

CrashMonitor had one list of lost requests, so that a request lost at a new server was struck for the crash of the one before it, while that was probed; and the probe went to the server announced by then. Lost requests and probes now belong to a server.

--- a/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/BackendExchange.java
@@ -224,7 +224,7 @@
         if (failure.verdict() == Verdict.NOT_RUN) {
             mWorker.backendUnreachable();
         } else {
-            mWorker.backendFailed(mFingerprint);
+            mWorker.backendFailed(mSlot.server(), mFingerprint);
         }
         mSink.failed(failure);
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallWorker.java
@@ -40,13 +40,6 @@
 
     private record ServiceKey(FirmId firm, ServiceId service) {}
 
-    /** A backend server; another one may use the address of one that has ended. */
-    private record ServerKey(NetAddress address, FirmId firm, ServiceId service) {
-        static ServerKey of(Announcement server) {
-            return new ServerKey(server.address(), server.firm(), server.service());
-        }
-    }
-
     private record HopKey(NetAddress address, NodeId node) {}
 
     private final EventLoop mEventLoop;
@@ -54,7 +47,7 @@
     private final SplittableRandom mRandom;
     private final SecureRandom mSecureRandom = new SecureRandom();
     private final MeshKeys.Signer mSigner;
-    private final Map<ServerKey, ConnectionPool> mBackendPools = new HashMap<>();
+    private final Map<BackendKey, ConnectionPool> mBackendPools = new HashMap<>();
     private final Map<HopKey, ConnectionPool> mHopPools = new HashMap<>();
     private final Map<ServiceKey, ServiceLoads> mServices = new HashMap<>();
     private final Set<CallerHandler> mCallers = new HashSet<>();
@@ -198,7 +191,7 @@
     /** Returns the connection pool of the backend server. */
     ConnectionPool backendPool(Announcement announcement) {
         return mBackendPools.computeIfAbsent(
-                ServerKey.of(announcement),
+                BackendKey.of(announcement),
                 key ->
                         new ConnectionPool(
                                 key.address(),
@@ -218,8 +211,8 @@
         if (current == null) {
             return;
         }
-        for (ServerKey key : List.copyOf(mBackendPools.keySet())) {
-            if (!key.equals(ServerKey.of(current))) {
+        for (BackendKey key : List.copyOf(mBackendPools.keySet())) {
+            if (!key.equals(BackendKey.of(current))) {
                 ConnectionPool pool = mBackendPools.remove(key);
                 pool.close();
                 if (key.address().equals(current.address())) {
@@ -246,13 +239,12 @@
         return mPath.crashMonitor();
     }
 
-    /** Handles that the backend server did not answer a request that it may have run. */
-    void backendFailed(RequestFingerprint fingerprint) {
+    /** Handles that a backend server did not answer a request that it may have run. */
+    void backendFailed(Announcement server, RequestFingerprint fingerprint) {
         mPath.backend().reportCallOutcome(false);
-        Announcement announcement = admission().announcement();
-        if (announcement != null && crashMonitor().connectionLost(fingerprint)) {
-            new CrashProbe(mEventLoop, announcement.address(), crashMonitor())
-                    .start(mPath.timers()::after);
+        CrashProbe.Listener probe = crashMonitor().connectionLost(server, fingerprint);
+        if (probe != null) {
+            new CrashProbe(mEventLoop, server.address(), probe).start(mPath.timers()::after);
         }
     }
 
@@ -318,7 +310,7 @@
         }
         mBackendPools.forEach(
                 (key, pool) -> {
-                    boolean inUse = announcement != null && key.equals(ServerKey.of(announcement));
+                    boolean inUse = announcement != null && key.equals(BackendKey.of(announcement));
                     pool.closeIdle(inUse ? MIN_BACKEND_CONNECTIONS : 0);
                 });
         mHopPools.values().forEach(pool -> pool.closeIdle(0));
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CrashMonitor.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CrashMonitor.java
@@ -12,14 +12,16 @@
 import org.azurearch.call.SuspectTable.Strike;
 import org.azurearch.events.EventLog;
 import org.azurearch.lib.NodeId;
+import org.azurearch.member.Announcement;
 import org.azurearch.member.Board;
 import org.azurearch.time.TimeSource;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Records which requests were in flight when the backend server behind this node crashed, and
  * shares them with the peers through the board. Thread-safe.
  */
-final class CrashMonitor implements CrashContainment, CrashProbe.Listener {
+final class CrashMonitor implements CrashContainment {
     private static final String STRIKE_KIND = "crash.strike";
     private static final String CLEARED_KIND = "crash.cleared";
     private static final String SEPARATOR = " ";
@@ -34,7 +36,7 @@
     private final String mEpoch;
     private final TimeSource mTime;
     private final AtomicLong mCrashes = new AtomicLong();
-    private final List<RequestFingerprint> mLostRequests = new ArrayList<>();
+    private final Map<BackendKey, List<RequestFingerprint>> mLostRequests = new HashMap<>();
     private volatile SuspectTable mTable = SuspectTable.EMPTY;
 
     CrashMonitor(Board board, NodeId node, String epoch, TimeSource time) {
@@ -60,32 +62,49 @@
     }
 
     /**
-     * Records a request whose connection was lost.
+     * Records a request whose connection to a backend server was lost.
      *
-     * @return true if it is the first since the last {@link #probed}, so that the caller must start
-     *     a {@link CrashProbe}
+     * @return the receiver of the result of a {@link CrashProbe} of the server, which the caller
+     *     must start; null if one is running
      */
-    synchronized boolean connectionLost(RequestFingerprint fingerprint) {
-        if (mLostRequests.size() < MAX_STRIKES_PER_CRASH) {
-            mLostRequests.add(fingerprint);
+    synchronized CrashProbe.@Nullable Listener connectionLost(
+            Announcement server, RequestFingerprint fingerprint) {
+        BackendKey key = BackendKey.of(server);
+        boolean first = !mLostRequests.containsKey(key);
+        List<RequestFingerprint> lost =
+                mLostRequests.computeIfAbsent(key, each -> new ArrayList<>());
+        if (lost.size() < MAX_STRIKES_PER_CRASH) {
+            lost.add(fingerprint);
         }
-        return mLostRequests.size() == 1;
+        return first ? new ProbeListener(key) : null;
     }
 
-    @Override
-    public void crashed() {
-        // The requests lost until the second probe belong to the same crash.
+    /** Receives the result of the probe of one backend server. */
+    private final class ProbeListener implements CrashProbe.Listener {
+        private final BackendKey mServer;
+
+        ProbeListener(BackendKey server) {
+            mServer = server;
+        }
+
+        @Override
+        public void crashed() {
+            // The requests lost until the second probe belong to the same crash.
+        }
+
+        @Override
+        public void probed(boolean crashed) {
+            CrashMonitor.this.probed(mServer, crashed);
+        }
     }
 
     /** After a crash, all requests recorded since the last result become suspects. */
-    @Override
-    public void probed(boolean crashed) {
+    private void probed(BackendKey server, boolean crashed) {
         List<RequestFingerprint> lost;
         synchronized (this) {
-            lost = List.copyOf(mLostRequests);
-            mLostRequests.clear();
+            lost = mLostRequests.remove(server);
         }
-        if (!crashed || lost.isEmpty()) {
+        if (!crashed || lost == null) {
             return;
         }
         String crash = mNode + "." + mEpoch + "." + mCrashes.incrementAndGet();
