Ask for the rejection of a version when a request starts

Whether the backend server gets no requests, as its version was rolled back, was a flag that ticks of the roll-out set. After another run had taken its place, a rejected version could get requests, and a good one refused them, until the next tick. The dispatcher now asks for the version of the present run.

Evidence: BackendDispatcherTest.rejectionIsThatOfTheVersionOfThePresentRun, which needs the new interface.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
@@ -144,6 +144,27 @@
         onLoop(() -> assertEquals(0, mDispatcher.load().startWaitMillis()));
     }
 
+    /** Guards against requests at a rolled-back version, or refused at the version after it. */
+    @Test
+    void rejectionIsThatOfTheVersionOfThePresentRun() throws Exception {
+        mDispatcher.rejectIf(backend -> backend.version().equals("bad"));
+        mServer.release();
+        replace("j", 2, "bad");
+        onLoop(() -> submit("refused", 60_000));
+        Await.until("it is refused", () -> mVerdicts.equals(List.of(Verdict.NOT_RUN)));
+        replace("k", 3, "good");
+        onLoop(() -> submit("served", 60_000));
+        Await.until("it has run", () -> mVerdicts.size() == 2);
+        assertEquals(List.of("served"), mServer.received());
+    }
+
+    private void replace(String instance, long started, String version) throws Exception {
+        NetAddress address = new NetAddress("127.0.0.1", mServer.port());
+        Heartbeat backend =
+                new Heartbeat(instance, started, 1, SERVICE, address, 1, false, 0, version);
+        onLoop(() -> mDispatcher.updateBackend(backend, BackendRecord.NO_LIMIT));
+    }
+
     private void runOneAndQueueOne() throws Exception {
         updateSlots(1);
         onLoop(() -> submit("running", 60_000));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -303,7 +303,8 @@
     private void attachRollouts() {
         RolloutService rollouts = mMesh.rollouts();
         if (rollouts != null) {
-            rollouts.gateOwnBackend(mDispatcher::withhold);
+            mDispatcher.rejectIf(backend -> rollouts.rejects(backend.service(), backend.version()));
+            rollouts.gateOwnBackend(rejected -> mDispatcher.rejectionsChanged());
             mRouter.routeByVersion(rollouts);
         }
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.RequestFingerprint;
@@ -85,7 +86,7 @@
     private boolean mSweepScheduled;
     private boolean mStartScheduled;
     private boolean mStopping;
-    private boolean mWithheld;
+    private Predicate<Heartbeat> mRejected = backend -> false;
     private double mNamedLimit = BackendRecord.NO_LIMIT;
 
     /**
@@ -250,13 +251,14 @@
         mQueue.removeIf(waiting -> true).forEach(waiting -> waiting.refuse(failure));
     }
 
-    /**
-     * Sets whether the backend server gets no requests, as its version was rolled back. Those that
-     * wait are refused, so that they are sent to other backend servers.
-     */
-    public void withhold(boolean withheld) {
-        mWithheld = withheld;
-        if (withheld) {
+    /** Sets which backend servers get no requests, as their version was rolled back. */
+    public void rejectIf(Predicate<Heartbeat> rejected) {
+        mRejected = rejected;
+    }
+
+    /** Refuses the waiting requests, so that they are sent elsewhere, if the server is rejected. */
+    public void rejectionsChanged() {
+        if (mRun != null && mRejected.test(mRun.heartbeat())) {
             refuseWaiting(rolledBack());
         }
     }
@@ -288,7 +290,7 @@
             attempt.refuse(notOfService());
             return attempt;
         }
-        AttemptFailure refusal = mWithheld ? rolledBack() : refusal(call);
+        AttemptFailure refusal = refusal(run, call);
         if (refusal != null) {
             attempt.refuse(refusal);
             return attempt;
@@ -433,7 +435,7 @@
             if (next == null) {
                 return;
             }
-            AttemptFailure refusal = refusal(next.call());
+            AttemptFailure refusal = refusal(run, next.call());
             if (refusal == null) {
                 next.start(run);
             } else {
@@ -445,10 +447,11 @@
     }
 
     /** Returns why a call may not be started now, or null if it may. */
-    private @Nullable AttemptFailure refusal(HopCall call) {
-        AttemptFailure contained = mSuspects.containment(call);
-        if (contained != null || !mStopLimit.stopping()) {
-            return contained;
+    private @Nullable AttemptFailure refusal(BackendRun run, HopCall call) {
+        AttemptFailure refused =
+                mRejected.test(run.heartbeat()) ? rolledBack() : mSuspects.containment(call);
+        if (refused != null || !mStopLimit.stopping()) {
+            return refused;
         }
         long now = System.nanoTime();
         double leftMillis = (double) TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos() - now);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutService.java
@@ -327,10 +327,15 @@
         return rollout.counter().sent(endpoint.node(), route, target, cold, nowMillis());
     }
 
+    /** Returns whether a version of a service was rolled back. */
+    public boolean rejects(String service, String version) {
+        ServiceRollout rollout = mServices.get(service);
+        return rollout != null && rollout.rejects(version);
+    }
+
     private void updateGate() {
         BackendRecord own = mDirectory.self().backend();
-        ServiceRollout rollout = own == null ? null : mServices.get(own.service());
-        boolean rejected = own != null && rollout != null && rollout.rejects(own);
+        boolean rejected = own != null && rejects(own.service(), own.version());
         if (rejected != mOwnBackendRejected) {
             mOwnBackendRejected = rejected;
             mOwnBackendGate.accept(rejected);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/ServiceRollout.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/ServiceRollout.java
@@ -4,7 +4,6 @@
 import java.util.SplittableRandom;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
-import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.NodeTable;
 import org.azurearch.sidecar.rollout.EvidenceCounter;
 import org.azurearch.sidecar.rollout.EvidenceSum;
@@ -265,10 +264,10 @@
         return new CallVersions(permit, !held && mRouter.nextIsTarget(permit, route));
     }
 
-    /** Returns whether a backend server has a version that was rolled back. */
-    boolean rejects(BackendRecord backend) {
+    /** Returns whether a version was rolled back. */
+    boolean rejects(String version) {
         RolloutState state = mState;
-        return state != null && state.rejected().contains(backend.version());
+        return state != null && state.rejected().contains(version);
     }
 
     /** Returns whether a version is the target of the present roll-out. */
