--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/BackendRecord.java
@@ -62,8 +62,8 @@
 
     /**
      * Returns whether this and another record are of the same run of a backend server. A record
-     * without a start time, as of a run that its node has not heard from yet, is taken for one of
-     * any run of its instance.
+     * without a start time, as of a run whose heartbeat its restarted node still awaits, is taken
+     * for one of any run of its instance.
      */
     public boolean sameRun(BackendRecord other) {
         boolean unknown = startedMillis == 0 || other.startedMillis == 0;
