Test checks, slots and suspects of a replaced server

What was mended by reading gets its tests: a check and a probe that are pending when another server takes the place, the slot of a connection that is still being opened, and a request under which servers are replaced before they count as silent.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/BackendDispatcherTest.java
@@ -7,6 +7,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -36,6 +39,7 @@
     private final EventLoop mLoop = mGroup.next();
     private final BackendDispatcher mDispatcher = TestDispatchers.create(mLoop);
     private final List<Verdict> mVerdicts = Collections.synchronizedList(new ArrayList<>());
+    private final List<String> mDetails = Collections.synchronizedList(new ArrayList<>());
     private RecordingServer mServer;
 
     @BeforeEach
@@ -129,6 +133,39 @@
         Await.untilEquals(0, mDispatcher::running);
     }
 
+    /** Guards against a slot that is held while a connection to a replaced server is opened. */
+    @Test
+    void attemptWithoutConnectionEndsWhenItsServerIsReplaced() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket first = new Socket(full.getInetAddress(), full.getLocalPort());
+                Socket second = new Socket(full.getInetAddress(), full.getLocalPort())) {
+            assertTrue(first.isConnected() && second.isConnected());
+            updateBackend("full", 2, SERVICE, full.getLocalPort(), 1, BackendRecord.NO_LIMIT);
+            onLoop(() -> submit("connecting", 60_000));
+            replace("j", 3, SERVICE, BackendRecord.NO_LIMIT);
+            Await.until("it has ended", () -> !mVerdicts.isEmpty());
+            assertEquals(List.of(Verdict.NOT_RUN), mVerdicts);
+            assertEquals(List.of("the backend server was replaced"), mDetails);
+            assertEquals(0, mDispatcher.running());
+        }
+    }
+
+    /** Guards against a request that hangs servers again and again, each replaced at once. */
+    @Test
+    void requestUnderWhichServersAreReplacedIsContained() throws Exception {
+        for (int i = 1; i <= 2; i++) {
+            int runs = i;
+            onLoop(() -> submit("r", 60_000));
+            Await.until("it runs", () -> mServer.received().size() == runs);
+            replace("j" + i, 1 + i, SERVICE, BackendRecord.NO_LIMIT);
+            Await.until("it has ended", () -> mVerdicts.size() == runs);
+        }
+        onLoop(() -> submit("r", 60_000));
+        Await.until("it is refused", () -> mVerdicts.size() == 3);
+        assertEquals(Verdict.NOT_RUN, mVerdicts.get(2));
+        assertEquals(2, mServer.received().size());
+    }
+
     /** Guards against limits and failures of an earlier run that count for a restarted server. */
     @Test
     void restartedServerHasNeitherLimitNorFailuresOfItsEarlierRun() throws Exception {
@@ -220,6 +257,7 @@
 
         @Override
         public void failed(AttemptFailure failure) {
+            mDetails.add(failure.detail());
             mVerdicts.add(failure.verdict());
         }
     }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/EndlessBytesTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/backend/EndlessBytesTest.java
@@ -57,9 +57,7 @@
         }
     }
 
-    /**
-     * Guards against bytes that are read until the deadline of a call, as fast as the server sends.
-     */
+    /** Guards against bytes that are read until the deadline of a call at full speed. */
     @ParameterizedTest
     @CsvSource({
         "'', 'HTTP/1.1 100 Continue|||', 2",
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/member/BackendServiceTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/member/BackendServiceTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.azurearch.config.ConfigInForce;
@@ -43,6 +45,7 @@
     private final ManualTimerService mTimers = new ManualTimerService();
     private final List<List<Endpoint>> mPublished = new ArrayList<>();
     private final AtomicInteger mProbes = new AtomicInteger();
+    private final List<BackendState> mStatesAtProbe = new CopyOnWriteArrayList<>();
     private volatile int mHealthStatus = 200;
     private HttpServer mServer;
     private BackendService mBackend;
@@ -53,6 +56,7 @@
         mServer.createContext(
                 "/health",
                 exchange -> {
+                    mStatesAtProbe.add(mBackend.state());
                     exchange.sendResponseHeaders(mHealthStatus, -1);
                     exchange.close();
                     mProbes.incrementAndGet();
@@ -103,6 +107,52 @@
         Await.until("ready again", () -> advanceProbePeriod() == BackendState.READY);
     }
 
+    /** Guards against a new server that is out of use for a failed probe of the one before it. */
+    @Test
+    void lateProbeOfReplacedServerDoesNotCount() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        AtomicInteger late = new AtomicInteger();
+        HttpServer first =
+                HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        first.createContext(
+                "/health",
+                exchange -> {
+                    late.incrementAndGet();
+                    awaitRelease(release);
+                    exchange.sendResponseHeaders(503, -1);
+                    exchange.close();
+                });
+        first.start();
+        try {
+            announce(SERVICE, first.getAddress().getPort());
+            mTimers.advance(Duration.ofSeconds(1));
+            Await.until("the first server is probed", () -> late.get() == 1);
+            announce();
+            mHealthStatus = 503;
+            release.countDown();
+            Await.until("the third probe is sent", () -> advanceUnlessProbed(3));
+            assertEquals(List.of(BackendState.READY), mStatesAtProbe.subList(2, 3));
+        } finally {
+            first.stop(0);
+        }
+    }
+
+    private static void awaitRelease(CountDownLatch release) {
+        try {
+            release.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean advanceUnlessProbed(int probes) {
+        if (mStatesAtProbe.size() < probes) {
+            mTimers.advance(Duration.ofMillis(100));
+            announce();
+        }
+        return mStatesAtProbe.size() >= probes;
+    }
+
     /** Guards against probes that stop, as the body of one has no end. */
     @Test
     void bodyWithoutEndIsCutOffAndTheServerStaysReady() {
@@ -158,11 +208,15 @@
     }
 
     private void announce(ServiceId service) {
+        announce(service, mServer.getAddress().getPort());
+    }
+
+    private void announce(ServiceId service, int port) {
         mBackend.announce(
                 new Announcement(
                         FIRM,
                         service,
-                        new NetAddress("127.0.0.1", mServer.getAddress().getPort()),
+                        new NetAddress("127.0.0.1", port),
                         BackendState.READY,
                         20,
                         Duration.ofSeconds(30)));
