Review: drop case 10, which review/4 already shows

Both show that a lost long poll keeps an old configuration in force for up to 12.5 s (review/4: the open connections to the store go silent; the dropped case: the store is silent for 5 s). What only it used is removed from the stand-ins.

--- a/review/kit-2/Net.java
+++ b/review/kit-2/Net.java
@@ -4,7 +4,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
@@ -155,10 +154,4 @@
     static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.US_ASCII);
     }
-
-    /** Closes a socket with a reset. */
-    static void reset(Socket socket) throws IOException {
-        socket.setSoLinger(true, 0);
-        socket.close();
-    }
 }
--- a/review/kit-2/Node.java
+++ b/review/kit-2/Node.java
@@ -20,11 +20,6 @@
 
     Node(Path folder, String name, String zone, String ip, int peerPort, Server server, Store store,
             List<String> further) throws IOException {
-        this(folder, name, zone, ip, peerPort, server, store.address(), further);
-    }
-
-    Node(Path folder, String name, String zone, String ip, int peerPort, Server server,
-            String store, List<String> further) throws IOException {
         this.name = name;
         this.ip = ip;
         this.peerPort = peerPort;
@@ -49,7 +44,7 @@
                 "bounds.lossSlack=200ms", "bounds.configApply=2000ms", "bounds.rollbackSlack=250ms",
                 "bounds.maxSkew=5000ms", "bounds.retryBudgetRatio=0.2", "bounds.budgetWindow=10s",
                 "bounds.budgetSlack=60", "bounds.recovery=15s", "appAddr=" + server.address(),
-                "service=" + server.service, "platform.address=" + store, "platform.form=log",
+                "service=" + server.service, "platform.address=" + store.address(), "platform.form=log",
                 "platform.writesPerS=400", "platform.readsPerS=2000", "platform.parts=32",
                 "platform.append=2ms", "platform.partMbS=20.0", "platform.readMbS=80.0",
                 "platform.recordBytes=262144", "platform.maxRequestBytes=2097152",
@@ -80,10 +75,6 @@
         return process.isAlive();
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     int exitCode() {
         return process.isAlive() ? -1 : process.exitValue();
     }
--- a/review/kit-2/Server.java
+++ b/review/kit-2/Server.java
@@ -26,7 +26,6 @@
     final long born;
     volatile String state = "ready";
     volatile Work work = Server::ok;
-    volatile int receiveBuffer;
     private final ServerSocket server;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
@@ -117,9 +116,6 @@
 
     private void accept() throws IOException {
         while (true) {
-            if (receiveBuffer > 0) {
-                server.setReceiveBufferSize(receiveBuffer);
-            }
             Socket socket = server.accept();
             socket.setTcpNoDelay(true);
             sockets.add(socket);
--- a/review/kit-2/Store.java
+++ b/review/kit-2/Store.java
@@ -22,8 +22,6 @@
 
     private final ServerSocket server = Net.listen("127.0.0.1");
     private final Map<String, Topic> topics = new HashMap<>();
-    private volatile long silentFrom = Long.MAX_VALUE;
-    private volatile long silentUntil = Long.MAX_VALUE;
 
     Store() throws IOException {
         Net.thread("store", this::accept);
@@ -42,24 +40,6 @@
         notifyAll();
     }
 
-    /**
-     * Answers nothing for a while. What was asked by then, or is asked meanwhile, gets no answer, and
-     * its connection returns nothing further; new connections are served afterwards.
-     */
-    void beSilent(long millis) {
-        silentUntil = System.nanoTime() + millis * 1_000_000L;
-        silentFrom = System.nanoTime();
-    }
-
-    private boolean lost(long askedNanos) {
-        return System.nanoTime() > silentFrom && askedNanos < silentUntil;
-    }
-
-    /** Returns the keys of a topic. */
-    synchronized List<String> keys(String topic) {
-        return new ArrayList<>(topic(topic).newest.keySet());
-    }
-
     @Override
     public void close() throws IOException {
         server.close();
@@ -91,7 +71,6 @@
         try (socket) {
             Net.Reader in = new Net.Reader(socket.getInputStream());
             for (Net.Message m = in.message(); m != null; m = in.message()) {
-                long asked = System.nanoTime();
                 String[] line = m.first.split(" ");
                 int query = line[1].indexOf('?');
                 Map<String, String> q = new HashMap<>();
@@ -106,9 +85,6 @@
                     case "/log-read" -> read(topic(q.get("topic")), q);
                     default -> null;
                 };
-                if (lost(asked)) {
-                    Thread.sleep(Long.MAX_VALUE);
-                }
                 String status = body == null ? "412 Precondition Failed" : "200 OK";
                 byte[] sent = body == null ? "{\"endOffset\":0}".getBytes() : body;
                 socket.getOutputStream().write(Net.join(
