--- a/review/kit-2/Case.java
+++ b/review/kit-2/Case.java
@@ -10,6 +10,11 @@
  * argument of a case is the repository root, the second the folder of the case.
  */
 abstract class Case {
+    /** Exit codes, which run.sh translates. */
+    private static final int HELD = 0;
+
+    private static final int BROKEN = 10;
+    private static final int COULD_NOT_RUN = 2;
     private static final long LIMIT_MILLIS = 115_000;
     private static Path sRoot;
 
@@ -36,32 +41,37 @@
     /** Plays the case; returns whether the rule held. */
     abstract boolean play() throws Exception;
 
-    /** Runs the case and ends with 0 if the rule held, 1 if it was broken, 2 if it couldn't run. */
+    /** Runs the case and ends the process with the exit code of its outcome. */
     void go(String[] arguments) throws Exception {
         sRoot = Path.of(arguments[0]).toAbsolutePath();
         folder = Files.createTempDirectory("review-2-");
         Runtime.getRuntime().addShutdownHook(new Thread(this::end)); // for a signal to this script
-        int[] code = {2};
+        int code = COULD_NOT_RUN;
         Thread limit = Net.thread("limit", () -> {
             Thread.sleep(LIMIT_MILLIS);
             log("the case took too long");
-            finish(arguments[1], 2);
+            finish(arguments[1], COULD_NOT_RUN);
         });
         try {
-            code[0] = play() ? 0 : 1;
+            code = play() ? HELD : BROKEN;
         } catch (Exception e) {
             log("the case couldn't run: " + e);
             for (StackTraceElement at : e.getStackTrace()) {
                 log("  at " + at);
             }
+            for (AutoCloseable each : started) {
+                if (each instanceof Node node) {
+                    log(node.name + ": running " + node.alive() + ", " + node.lastLines());
+                }
+            }
         }
         limit.interrupt();
-        finish(arguments[1], code[0]);
+        finish(arguments[1], code);
     }
 
     private synchronized void finish(String to, int code) throws Exception {
         end();
-        log(code == 0 ? "held" : code == 1 ? "BROKEN" : "couldn't run");
+        log(code == HELD ? "held" : code == BROKEN ? "BROKEN" : "couldn't run");
         Files.write(Path.of(to).resolve("record.txt"), record);
         if (!"1".equals(System.getenv("KEEP"))) {
             try (var all = Files.walk(folder)) {
--- a/review/kit-2/Net.java
+++ b/review/kit-2/Net.java
@@ -11,6 +11,8 @@
 
 /** Sockets on loopback addresses, and HTTP/1.1 messages. */
 final class Net {
+    private static final java.util.Set<Integer> PORTS = new java.util.HashSet<>();
+
     private Net() {}
 
     /** A task that may fail, as connections end at any time. */
@@ -118,11 +120,14 @@
         return server;
     }
 
-    /** Returns a port below the ephemeral range that is free at a host. */
-    static int freePort(String host) {
+    /** Returns a port below the ephemeral range that is free at a host, another one each time. */
+    static synchronized int freePort(String host) {
         java.util.SplittableRandom random = new java.util.SplittableRandom();
         while (true) {
             int port = random.nextInt(20_000, 32_000);
+            if (!PORTS.add(port)) {
+                continue;
+            }
             try (ServerSocket s = new ServerSocket()) {
                 s.bind(new InetSocketAddress(InetAddress.getByName(host), port));
                 return port;
--- a/review/kit-2/Node.java
+++ b/review/kit-2/Node.java
@@ -110,6 +110,12 @@
         return found;
     }
 
+    /** Returns the last lines of its log. */
+    List<String> lastLines() throws IOException {
+        List<String> lines = log.exists() ? Files.readAllLines(log.toPath()) : List.of();
+        return lines.subList(Math.max(0, lines.size() - 5), lines.size());
+    }
+
     @Override
     public void close() throws Exception {
         if (process != null && process.isAlive()) {
