--- a/review/kit-2/Case.java
+++ b/review/kit-2/Case.java
@@ -59,7 +59,7 @@
             for (StackTraceElement at : e.getStackTrace()) {
                 log("  at " + at);
             }
-            for (AutoCloseable each : started) {
+            for (AutoCloseable each : started) { // before their logs are deleted
                 if (each instanceof Node node) {
                     log(node.name + ": running " + node.alive() + ", " + node.lastLines());
                 }
@@ -73,13 +73,6 @@
         end();
         log(code == HELD ? "held" : code == BROKEN ? "BROKEN" : "couldn't run");
         Files.write(Path.of(to).resolve("record.txt"), record);
-        if (!"1".equals(System.getenv("KEEP"))) {
-            try (var all = Files.walk(folder)) {
-                for (Path path : all.sorted(java.util.Comparator.reverseOrder()).toList()) {
-                    Files.delete(path);
-                }
-            }
-        }
         Runtime.getRuntime().halt(code);
     }
 
@@ -91,6 +84,20 @@
                 log("end: " + e);
             }
         }
+        deleteFolder();
+    }
+
+    private void deleteFolder() {
+        if ("1".equals(System.getenv("KEEP"))) {
+            return;
+        }
+        try (var all = Files.walk(folder)) {
+            for (Path path : all.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        } catch (IOException e) {
+            log("end: " + e);
+        }
     }
 
     /** Adds a line to the record. */
--- a/review/kit-2/Node.java
+++ b/review/kit-2/Node.java
@@ -16,7 +16,9 @@
     final int peerPort;
     private final Path settings;
     private final File log;
+    private final Object lock = new Object();
     private Process process;
+    private boolean closed;
 
     Node(Path folder, String name, String zone, String ip, int peerPort, Server server, Store store,
             List<String> further) throws IOException {
@@ -68,7 +70,12 @@
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.environment().put("AZUREARCH_CONFIG", settings.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-        process = builder.start();
+        synchronized (lock) {
+            if (closed) {
+                throw new IOException("the case is over");
+            }
+            process = builder.start();
+        }
     }
 
     boolean alive() {
@@ -116,8 +123,12 @@
         return lines.subList(Math.max(0, lines.size() - 5), lines.size());
     }
 
+    /** Ends the process for good; a start after this fails. */
     @Override
     public void close() throws Exception {
+        synchronized (lock) {
+            closed = true;
+        }
         if (process != null && process.isAlive()) {
             process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
         }
