--- a/review/kit-2/CallerServiceAfterReuse.java
+++ b/review/kit-2/CallerServiceAfterReuse.java
@@ -4,14 +4,18 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A backend server of another service takes over an address, and calls through its node. */
+/**
+ * A backend server of another service takes over an address, and calls through its node; three times
+ * in turn, at different moments of the node's two seconds between looks at its settings.
+ */
 public final class CallerServiceAfterReuse extends Case {
-    private static final String OLD_SERVICE = "alerts";
-    private static final String NEW_SERVICE = "notices";
+    private static final String[] SERVICES = {"alerts", "notices"};
+    private static final int REPLACEMENTS = 3;
     private static final long DRAIN_MILLIS = 2_500;
     private static final long REUSE_AFTER_MILLIS = 2_200;
-    private static final int CALLS = 40;
+    private static final int CALLS = 30;
     private static final long CALL_GAP_MILLIS = 75;
+    private static final long PAUSE_MILLIS = 1_500;
 
     private final Map<String, String> mCallers = new ConcurrentHashMap<>();
 
@@ -24,9 +28,9 @@
         Store store = add(new Store());
         store.write("keyed.op", "config", config(1,
                 route("look", "/look/", "safe", "routes", 2, "4s", "1s"),
-                OLD_SERVICE, NEW_SERVICE, "routes"));
+                SERVICES[0], SERVICES[1], "routes"));
         int peerPort = Net.freePort("127.0.0.1");
-        Server first = add(new Server("i-first", OLD_SERVICE, "127.0.1.1", 6));
+        Server first = add(new Server("i-0", SERVICES[0], "127.0.1.1", 6));
         Server called = add(new Server("i-called", "routes", "127.0.1.2", 6));
         called.work = (request, socket, out) -> {
             mCallers.put(request.header("x-request-id"),
@@ -43,45 +47,57 @@
         called.beat(other.admin());
         await("the nodes are ready", 20_000, () -> node.ready() && other.ready());
         await("a request is served", 10_000, () -> call(node, "w" + System.nanoTime()) == 200);
-        String expected = OLD_SERVICE;
-        if (trouble) {
-            replace(node, first);
-            expected = NEW_SERVICE;
+        int wrong = 0;
+        Server present = first;
+        for (int i = 1; i <= REPLACEMENTS; i++) {
+            if (trouble) {
+                present = replace(node, present, i);
+            }
+            wrong += callAll(node, present.service, i);
+            Thread.sleep(PAUSE_MILLIS);
         }
+        node.logged("AZ0803", "AZ0830", "AZ0838").forEach(line -> log("side-1: " + line));
+        log("UNASKED: " + wrong + " of " + REPLACEMENTS * CALLS
+                + " requests run with an X-Caller-Service that isn't that of their machine");
+        return wrong == 0;
+    }
+
+    /** Makes calls from the machine; returns how many were run with another service. */
+    private int callAll(Node node, String expected, int round) throws Exception {
         int wrong = 0;
         for (int i = 0; i < CALLS; i++) {
-            String id = "call-" + i;
+            String id = "call-" + round + "." + i;
             int status = call(node, id);
             String caller = mCallers.get(id);
             wrong += caller != null && !caller.equals(expected) ? 1 : 0;
             log(id + ": " + status + ", run with X-Caller-Service " + caller);
             Thread.sleep(CALL_GAP_MILLIS);
         }
-        node.logged("AZ0803", "AZ0830", "AZ0838").forEach(line -> log("side-1: " + line));
-        log("UNASKED: " + wrong + " requests run whose X-Caller-Service isn't " + expected);
-        return wrong == 0;
+        return wrong;
     }
 
     /** One backend server drains and ends; after reuseAfter, one of another service has its address. */
-    private void replace(Node node, Server first) throws Exception {
-        first.state = "draining";
-        log("i-first reports draining: " + first.report(node.admin()));
+    private Server replace(Node node, Server before, int number) throws Exception {
+        String service = SERVICES[number % SERVICES.length];
+        before.state = "draining";
+        log(before.id + " reports draining: " + before.report(node.admin()));
         Thread.sleep(DRAIN_MILLIS);
-        first.stopBeating();
-        log("i-first deregisters: " + Client.once(
-                node.admin(), "DELETE", "/instances/i-first", "{\"born\":" + first.born + "}"));
-        first.kill();
+        before.stopBeating();
+        log(before.id + " deregisters: " + Client.once(node.admin(), "DELETE",
+                "/instances/" + before.id, "{\"born\":" + before.born + "}"));
+        before.kill();
         Thread.sleep(REUSE_AFTER_MILLIS);
         Path settings = folder.resolve("side-1.conf");
         Path written = folder.resolve("side-1.conf.new");
         Files.writeString(written, Files.readString(settings)
-                .replace("service=" + OLD_SERVICE, "service=" + NEW_SERVICE));
+                .replace("\nservice=" + before.service, "\nservice=" + service));
         Files.move(written, settings, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
         node.signal("HUP");
-        log("the settings file names service " + NEW_SERVICE + ", SIGHUP is sent");
-        Server second = add(Server.at("i-second", NEW_SERVICE, first.address(), 6));
-        log("i-second of " + NEW_SERVICE + " reports ready: " + second.report(node.admin()));
-        second.beat(node.admin());
+        log("the settings file names service " + service + ", SIGHUP is sent");
+        Server next = add(Server.at("i-" + number, service, before.address(), 6));
+        log(next.id + " of " + service + " reports ready: " + next.report(node.admin()));
+        next.beat(node.admin());
+        return next;
     }
 
     private static int call(Node node, String id) throws Exception {
