Bound the memory that heads of requests take at a node

Callers saw: with clients that send heads of legal size made of very many short lines, a node ran out of memory and answered nobody.

Cause: a header line of four bytes takes some 200 bytes on the heap, in the decoder, in the list to forward, in frames and at the node of the backend server. Limits counted bytes on the wire, and bodies only; nothing bounded the sum over all connections, on neither call path.

Change: RequestMemory owns what requests make a node hold, line by line from the decoder to the answer, at the entry, at peers and at the node's own endpoints. A request without memory is refused with 503 and Retry-After before anything is done with it. Small requests may use all of it, larger ones half. Lines that are not valid by the grammar are refused as they are read, trailers are dropped, and headerTimeout is enforced. Setting, metrics and events AZ0510 and AZ0859.

--- a/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MeshFixture.java
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MeshFixture.java
@@ -113,6 +113,11 @@
 
     /** Publishes a new base through a node and returns its offset once its outcome is known. */
     long publish(DemoVm through) {
+        return publish(through, "");
+    }
+
+    /** Does the same for a base with further lines, such as its routes. */
+    long publish(DemoVm through, String lines) {
         String text =
                 String.join(
                         "\n",
@@ -122,7 +127,7 @@
                         "limits: {callsPerSecond: " + (++mPublishCount) + "}",
                         "classes: {orders: {priority: 0}}",
                         "services: {orders: {slots: 20, connections: 100}}",
-                        "");
+                        lines);
         PublishCommand command =
                 new PublishCommand(client(through), FIRM)
                         .addDocument(
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopServerTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopServerTest.java
@@ -14,6 +14,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.azurearch.internal.call.RequestMemory;
 import org.azurearch.junit.Await;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.call.HopCall;
@@ -26,6 +27,7 @@
 import org.azurearch.sidecar.member.Heartbeat;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.thrift.HopFrame;
+import org.azurearch.time.SystemTimeSource;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -46,6 +48,7 @@
                     mLoop,
                     mDispatcher,
                     new PauseDetector(System.nanoTime(), System.currentTimeMillis()),
+                    memory(),
                     new UnexpectedFrames(),
                     new MetricRegistry());
     private @Nullable HopConnection mConnection;
@@ -55,6 +58,10 @@
         mGroup.shutdownGracefully();
     }
 
+    private static RequestMemory memory() {
+        return new RequestMemory(0, new SystemTimeSource(), (refused, held) -> {});
+    }
+
     /** Guards against a stop that waits for the connection of a peer that has left. */
     @Test
     void connectionThatClosedBeforeTheOutcomeOfItsCallIsForgotten() throws Exception {
@@ -112,7 +119,12 @@
                         wallMillis - pausedMillis);
         HopServer paused =
                 new HopServer(
-                        mLoop, mDispatcher, pauses, new UnexpectedFrames(), new MetricRegistry());
+                        mLoop,
+                        mDispatcher,
+                        pauses,
+                        memory(),
+                        new UnexpectedFrames(),
+                        new MetricRegistry());
         try (RecordingServer backend = startBackend()) {
             HopConnection connection = open(new EmbeddedChannel());
             onLoop(() -> paused.opened(connection));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.RequestMemory;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.metrics.MetricsReport;
 import org.azurearch.metrics.PrometheusText;
@@ -37,6 +38,7 @@
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.route.EndpointState;
 import org.azurearch.sidecar.store.KeyedLog;
+import org.azurearch.time.SystemTimeSource;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -94,6 +96,8 @@
     private final BackendDispatcher mDispatcher;
     private final MeshService mMesh;
     private final CallRouter mRouter;
+    private final RequestMemory mRequestMemory;
+    private final CallLog mCallLog = new CallLog();
     private final CallServer mCallServer;
     private final BackendMonitor mBackendMonitor;
     private final @Nullable QuotaService mQuota;
@@ -122,7 +126,6 @@
         mLog = platform.openLog(mLoop);
         mConfigs = new ConfigHolder(platform.configCodec());
         mBackendMonitor = new BackendMonitor(settings, platform.heartbeatCodec(), mConfigs);
-        CallLog callLog = new CallLog();
         PauseDetector pauses = new PauseDetector(System.nanoTime(), System.currentTimeMillis());
         SuspectTracker suspects =
                 new SuspectTracker(new CallFingerprints(mDialect), settings.node(), mMetrics);
@@ -132,7 +135,7 @@
                         settings.heartbeatMillis(),
                         mDialect,
                         mBackendMonitor,
-                        callLog,
+                        mCallLog,
                         suspects,
                         new LinkLoad(settings.features().linkMbps()),
                         mMetrics);
@@ -161,12 +164,14 @@
                         mDispatcher,
                         suspects,
                         pauses,
-                        callLog,
+                        mCallLog,
                         mMetrics);
         attachRollouts();
         mQuota = startQuota(settings);
-        mCallServer = new CallServer(mLoop, mRouter);
-        mHopServer = new HopServer(mLoop, mDispatcher, pauses, mMesh, mMetrics);
+        mRequestMemory = requestMemory(settings);
+        mRequestMemory.register(mMetrics);
+        mCallServer = new CallServer(mLoop, mRouter, mRequestMemory);
+        mHopServer = new HopServer(mLoop, mDispatcher, pauses, mRequestMemory, mMesh, mMetrics);
         mMesh.onTick(mHopServer::tick);
     }
 
@@ -267,11 +272,10 @@
     }
 
     private void listen() {
-        int heartbeats =
-                new PlainHttpServer(mLoop, mSettings.heartbeats(), this::handleHeartbeat).port();
-        int ready = new PlainHttpServer(mLoop, mSettings.ready(), this::readiness).port();
+        int heartbeats = serve(mSettings.heartbeats(), this::handleHeartbeat);
+        int ready = serve(mSettings.ready(), this::readiness);
         try {
-            new PlainHttpServer(mLoop, mSettings.metrics(), this::metrics);
+            serve(mSettings.metrics(), this::metrics);
         } catch (AzurearchException e) {
             EventLog.log(SidecarEvent.HANDLER_FAILED, "metrics listener", e.toString());
         }
@@ -291,6 +295,18 @@
                 sinceStartMillis());
     }
 
+    /** Serves an endpoint of the node itself; returns the port. */
+    private int serve(NetAddress address, PlainHttpServer.Handler handler) {
+        return new PlainHttpServer(mLoop, address, mRequestMemory, handler).port();
+    }
+
+    private static RequestMemory requestMemory(SidecarSettings settings) {
+        return new RequestMemory(
+                settings.callers().maxRequestMemoryBytes(),
+                new SystemTimeSource(),
+                (refused, held) -> EventLog.log(SidecarEvent.REQUEST_MEMORY_FULL, refused, held));
+    }
+
     private void observeLink(LinkLoad link) {
         if (link.limited()) {
             Gauge<Double> queued = () -> link.queuedMillis(System.nanoTime());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -90,6 +90,8 @@
     CALLER_READING(857, Level.INFO, "peer={} slowly={} requests={} bytes={} ahead={}"),
     /** This node closes the connection of a caller that awaits answers. */
     CALLER_CLOSED(858, Level.WARN, "peer={} reason={} requests={} unsent_bytes={}"),
+    /** Requests were refused, as the memory for requests is used up. */
+    REQUEST_MEMORY_FULL(859, Level.WARN, "refused={} held_bytes={}"),
     /**
      * The link of this VM is limited; requests whose answers it cannot send in time are refused.
      */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
@@ -11,12 +11,17 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.MeteredHeaders;
+import org.azurearch.internal.call.RequestMemory;
+import org.azurearch.internal.call.RequestMemoryException;
+import org.azurearch.internal.call.StrictRequestDecoder;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
 
@@ -61,9 +66,11 @@
      *
      * @param loop the event loop of the connections
      * @param address the address to listen on
+     * @param memory bounds the memory of requests
      * @param handler handles requests
      */
-    public PlainHttpServer(EventLoop loop, NetAddress address, Handler handler) {
+    public PlainHttpServer(
+            EventLoop loop, NetAddress address, RequestMemory memory, Handler handler) {
         mSocket =
                 ListeningSocket.open(
                         loop,
@@ -71,7 +78,8 @@
                         BACKLOG,
                         channel ->
                                 channel.pipeline()
-                                        .addLast(new HttpServerCodec())
+                                        .addLast(new StrictRequestDecoder(memory))
+                                        .addLast(new HttpResponseEncoder())
                                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                         .addLast(new Exchange(handler)));
     }
@@ -96,22 +104,17 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Reply reply =
-                    request.decoderResult().isFailure()
-                            ? Reply.of(HttpResponseStatus.BAD_REQUEST.code())
-                            : mHandler.handle(
-                                    new Request(
-                                            request.method().name(),
-                                            request.uri(),
-                                            ByteBufUtil.getBytes(request.content())));
+            Reply reply = reply(request);
+            MeteredHeaders.release(request);
+            byte[] body = request.method().equals(HttpMethod.HEAD) ? new byte[0] : reply.body();
             FullHttpResponse response =
                     new DefaultFullHttpResponse(
                             HttpVersion.HTTP_1_1,
                             HttpResponseStatus.valueOf(reply.status()),
-                            Unpooled.wrappedBuffer(reply.body()));
+                            Unpooled.wrappedBuffer(body));
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.mediaType());
-            HttpUtil.setContentLength(response, reply.body().length);
-            if (HttpUtil.isKeepAlive(request)) {
+            HttpUtil.setContentLength(response, body.length);
+            if (HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess()) {
                 context.writeAndFlush(response, context.voidPromise());
             } else {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -119,6 +122,20 @@
             }
         }
 
+        private Reply reply(FullHttpRequest request) {
+            if (request.decoderResult().cause() instanceof RequestMemoryException) {
+                return Reply.of(HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+            }
+            if (request.decoderResult().isFailure()) {
+                return Reply.of(HttpResponseStatus.BAD_REQUEST.code());
+            }
+            return mHandler.handle(
+                    new Request(
+                            request.method().name(),
+                            request.uri(),
+                            ByteBufUtil.getBytes(request.content())));
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (cause instanceof RuntimeException) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -2,12 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.azurearch.internal.call.StrictRequestDecoder;
+import org.azurearch.internal.call.RequestMemory;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.config.RequestLimits;
 import org.azurearch.sidecar.config.RoutingConfig;
@@ -16,9 +15,6 @@
 
 /** Accepts the connections of callers on this VM. Confined to one event loop. */
 public final class CallServer implements AutoCloseable {
-    /** Requests are buffered completely, so that they can be retried; larger ones are refused. */
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
-
     /** Interval at which idle connections are closed. */
     private static final long SWEEP_MILLIS = 1_000;
 
@@ -26,6 +22,7 @@
 
     private final EventLoop mLoop;
     private final CallRouter mRouter;
+    private final RequestMemory mMemory;
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private @Nullable ListeningSocket mSocket;
     private boolean mDraining;
@@ -35,10 +32,12 @@
      *
      * @param loop the event loop of the node
      * @param router shared by all calls
+     * @param memory bounds the memory of requests
      */
-    public CallServer(EventLoop loop, CallRouter router) {
+    public CallServer(EventLoop loop, CallRouter router, RequestMemory memory) {
         mLoop = loop;
         mRouter = router;
+        mMemory = memory;
         router.answers().measureHeld(this::heldBytes);
     }
 
@@ -100,33 +99,30 @@
     /** Returns the bytes of answers that callers have not read or whose turn has not come. */
     private long heldBytes() {
         long bytes = 0;
-        for (CallerConnection connection : mConnections) {
+        for (CallerConnection connection : List.copyOf(mConnections)) {
             bytes += connection.heldBytes();
         }
         return bytes;
     }
 
     private void install(SocketChannel channel) {
-        CallerConnection connection = new CallerConnection(mRouter, this, channel);
-        channel.pipeline()
-                .addLast(connection.readAhead())
-                .addLast(new StrictRequestDecoder())
-                .addLast(new HttpResponseEncoder())
-                .addLast(new RequestAggregator(MAX_BODY_BYTES, connection))
-                .addLast(connection);
+        new CallerConnection(mRouter, this, channel, mMemory).install();
     }
 
     private void sweep() {
         RoutingConfig config = mRouter.config();
         RequestLimits limits = config == null ? RequestLimits.DEFAULT : config.limits();
         long allowed = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMillis());
+        long headSweeps = limits.headerTimeoutMillis() / SWEEP_MILLIS + 1;
         long now = System.nanoTime();
         for (CallerConnection connection : List.copyOf(mConnections)) {
             boolean unused =
                     connection.idle()
                             && !connection.closing()
                             && connection.idleNanos(now) > allowed;
-            if (connection.stalledNanos(now) > allowed) {
+            if (connection.headOverdue(headSweeps)) {
+                connection.close("head incomplete");
+            } else if (connection.stalledNanos(now) > allowed) {
                 connection.close("answers unread");
             } else if (unused && connection.heldBytes() == 0) {
                 connection.close("idle");
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -8,10 +8,13 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.ReferenceCountUtil;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.LingeringClose;
 import org.azurearch.internal.call.NextPoll;
+import org.azurearch.internal.call.RequestMemory;
+import org.azurearch.internal.call.StrictRequestDecoder;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.UnsentBytes;
 
@@ -20,34 +23,62 @@
  * run beside each other. Confined to one event loop.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements ReadAhead.Listener {
+    /** Requests are buffered completely, so that they can be retried; larger ones are refused. */
+    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
     private final CallRouter mRouter;
     private final CallServer mServer;
     private final SocketChannel mChannel;
     private final ReadAhead mReadAhead;
+    private final StrictRequestDecoder mDecoder;
+    private final RequestAggregator mAggregator;
     private final ExchangeOrder mExchanges;
     private long mIdleSinceNanos = System.nanoTime();
     private boolean mClosing;
     private long mUnwrittenBytes;
     private long mWriteProgressNanos = mIdleSinceNanos;
+    private int mSweepsInHead;
 
-    CallerConnection(CallRouter router, CallServer server, SocketChannel channel) {
+    CallerConnection(
+            CallRouter router, CallServer server, SocketChannel channel, RequestMemory memory) {
         mRouter = router;
         mServer = server;
         mChannel = channel;
-        mReadAhead = new ReadAhead(channel, this);
+        mReadAhead = new ReadAhead(channel, memory, this);
+        mDecoder = new StrictRequestDecoder(memory);
+        mAggregator = new RequestAggregator(MAX_BODY_BYTES, this);
         mExchanges = new ExchangeOrder(router.callerLimits(), mReadAhead::holdsBytes);
     }
 
-    /** Returns the handler that passes on what is read; the first of the pipeline. */
+    /** Returns the handler that passes on what is read. */
     ReadAhead readAhead() {
         return mReadAhead;
     }
 
+    /** Adds the handlers of this connection to its pipeline. */
+    void install() {
+        mChannel.pipeline()
+                .addLast(mReadAhead)
+                .addLast(mDecoder)
+                .addLast(new HttpResponseEncoder())
+                .addLast(mAggregator)
+                .addLast(this);
+    }
+
     @Override
     public boolean full() {
         return mExchanges.full();
     }
 
+    /**
+     * Returns whether a head has been under way at more sweeps than allowed, though it is read as
+     * it comes. A pause of this process does not count, as it delays the sweeps, too.
+     */
+    boolean headOverdue(long allowedSweeps) {
+        mSweepsInHead = mDecoder.readingHead() && !full() ? mSweepsInHead + 1 : 0;
+        return mSweepsInHead > allowedSweeps;
+    }
+
     @Override
     public void readingChanged(boolean slow) {
         mRouter.log()
@@ -106,7 +137,7 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof PrematureChannelClosureException) {
             mRouter.log().failure(SidecarEvent.CALLER_MALFORMED, peer(), "closed within a request");
-        } else if (cause instanceof RuntimeException) {
+        } else if (cause instanceof RuntimeException || cause instanceof Error) {
             EventLog.log(SidecarEvent.HANDLER_FAILED, cause, "caller", cause.toString());
         }
         close("failed: " + cause.getClass().getSimpleName());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerExchange.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerExchange.java
@@ -15,7 +15,10 @@
 import java.util.Locale;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.MeteredHeaders;
 import org.azurearch.internal.call.RequestCheck;
+import org.azurearch.internal.call.RequestMemory;
+import org.azurearch.internal.call.RequestMemoryException;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.internal.HeaderList;
@@ -47,7 +50,8 @@
         mProblem = problem(request);
         String id = request.headers().get(router.dialect().requestId());
         mRequestId = id == null ? "" : id;
-        mRequestBytes = request.content().readableBytes();
+        RequestMemory.Lease memory = MeteredHeaders.leaseOf(request);
+        mRequestBytes = request.content().readableBytes() + (memory == null ? 0 : memory.bytes());
         mKeepAlive = mProblem == null && HttpUtil.isKeepAlive(request);
         mCall = mProblem == null ? new EntryCall(router, request, this) : null;
     }
@@ -95,10 +99,12 @@
             mCall.cancel();
         }
         releaseRequest();
+        releaseMemory();
     }
 
     @Override
     void write(boolean last) {
+        releaseMemory();
         FullHttpResponse response = mResponse;
         if (response != null) {
             mConnection.write(response, last);
@@ -144,6 +150,13 @@
     }
 
     private void refuseMalformed() {
+        if (mRequest.decoderResult().cause() instanceof RequestMemoryException) {
+            refuse(
+                    HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+                    ErrorCode.OVERLOADED,
+                    RequestMemoryException.RETRY_MILLIS);
+            return;
+        }
         EventLog.log(SidecarEvent.CALLER_MALFORMED, mConnection.peer(), String.valueOf(mProblem));
         if (mRequest.decoderResult().cause() instanceof TooLongFrameException) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE.code(), ErrorCode.TOO_LARGE, 0);
@@ -159,6 +172,11 @@
         mConnection.answered(this, !mKeepAlive, bytes);
     }
 
+    /** Gives back the memory of the request, whose call has ended. */
+    private void releaseMemory() {
+        MeteredHeaders.release(mRequest);
+    }
+
     private void releaseRequest() {
         if (!mReleased) {
             mReleased = true;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ReadAhead.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/ReadAhead.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import org.azurearch.internal.call.RequestMemory;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -49,22 +50,29 @@
     private static final int FIRST_READ_BYTES = 2_048;
     private static final int READS_PER_LOOP = 4;
 
+    /** Memory of a buffer besides its content. */
+    private static final int BUFFER_BYTES = 128;
+
     /** Bytes that are passed on before {@link Listener#full} is asked again. */
     private static final int SLICE_BYTES = 2_048;
 
     private final SocketChannel mChannel;
+    private final RequestMemory mMemory;
     private final Listener mListener;
     private final MaxMessagesRecvByteBufAllocator mReadSize =
             new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
                     .maxMessagesPerRead(READS_PER_LOOP);
     private final Deque<ByteBuf> mHeld = new ArrayDeque<>(0);
     private @Nullable ChannelHandlerContext mContext;
+    private RequestMemory.@Nullable Lease mLease;
     private int mHeldBytes;
     private boolean mForwarding;
     private boolean mSlow;
+    private boolean mOutOfMemory;
 
-    ReadAhead(SocketChannel channel, Listener listener) {
+    ReadAhead(SocketChannel channel, RequestMemory memory, Listener listener) {
         mChannel = channel;
+        mMemory = memory;
         mListener = listener;
         channel.config().setRecvByteBufAllocator(mReadSize);
     }
@@ -83,11 +91,32 @@
         mHeld.add(bytes);
         mHeldBytes += bytes.readableBytes();
         forward();
-        if (mHeldBytes >= SLOW_BYTES) {
+        if (!mHeld.isEmpty()) {
+            hold(bytes.capacity());
+        }
+    }
+
+    /** Accounts for a buffer that is held; without memory, nothing is read until all is taken. */
+    private void hold(int bytes) {
+        mReadSize.maxMessagesPerRead(1);
+        RequestMemory.Lease lease = mLease == null ? mMemory.lease() : mLease;
+        mLease = lease;
+        mOutOfMemory |= !lease.tryAdd(bytes + BUFFER_BYTES);
+        if (mOutOfMemory || mHeldBytes >= SLOW_BYTES) {
             readSlowly();
         }
     }
 
+    private void releaseMemory() {
+        RequestMemory.Lease lease = mLease;
+        mLease = null;
+        mOutOfMemory = false;
+        if (lease != null) {
+            lease.release();
+            mReadSize.maxMessagesPerRead(READS_PER_LOOP);
+        }
+    }
+
     /** Passes on what is held, as far as requests are taken; called when an answer is written. */
     void forward() {
         ChannelHandlerContext context = mContext;
@@ -99,7 +128,10 @@
             context.fireChannelRead(nextSlice());
         }
         mForwarding = false;
-        if (mSlow && mHeldBytes < SLOW_BYTES) {
+        if (mHeld.isEmpty()) {
+            releaseMemory();
+        }
+        if (mSlow && !mOutOfMemory && mHeldBytes < SLOW_BYTES) {
             readNormally();
         }
     }
@@ -119,6 +151,7 @@
         mHeld.forEach(ReferenceCountUtil::release);
         mHeld.clear();
         mHeldBytes = 0;
+        releaseMemory();
         context.fireChannelInactive();
     }
 
@@ -135,7 +168,6 @@
     private void readSlowly() {
         if (!mSlow) {
             mSlow = true;
-            mReadSize.maxMessagesPerRead(1);
             mChannel.config().setAutoRead(false).setReceiveBufferSize(SLOW_RECEIVE_BYTES);
             mListener.readingChanged(true);
             scheduleRead();
@@ -144,7 +176,6 @@
 
     private void readNormally() {
         mSlow = false;
-        mReadSize.maxMessagesPerRead(READS_PER_LOOP);
         mChannel.config().setAutoRead(true);
         mListener.readingChanged(false);
     }
@@ -155,7 +186,7 @@
 
     private void readOnce() {
         if (mSlow && mChannel.isOpen()) {
-            if (mHeldBytes < MAX_BYTES) {
+            if (mHeldBytes < MAX_BYTES && !mOutOfMemory) {
                 mChannel.read();
             }
             scheduleRead();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/RequestAggregator.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/RequestAggregator.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -41,8 +42,12 @@
         HttpRequest head = (HttpRequest) oversized;
         FullHttpRequest marked =
                 new DefaultFullHttpRequest(
-                        head.protocolVersion(), head.method(), head.uri(), Unpooled.EMPTY_BUFFER);
-        marked.headers().set(head.headers());
+                        head.protocolVersion(),
+                        head.method(),
+                        head.uri(),
+                        Unpooled.EMPTY_BUFFER,
+                        head.headers(),
+                        EmptyHttpHeaders.INSTANCE);
         marked.setDecoderResult(
                 DecoderResult.failure(
                         new TooLongFrameException("body over " + mMaxBytes + " bytes")));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -12,6 +12,8 @@
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.NextPoll;
+import org.azurearch.internal.call.RequestMemory;
+import org.azurearch.internal.call.RequestMemoryException;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.admit.LinkLoad;
 import org.azurearch.sidecar.call.Attempt;
@@ -56,7 +58,12 @@
     private static final int MAX_HOSTS = 4_096;
 
     /** A call under way. */
-    private record Call(Attempt attempt, boolean idempotent) {}
+    private record Call(Attempt attempt, boolean idempotent, RequestMemory.Lease memory) {
+        void cancel() {
+            memory.release();
+            attempt.cancel();
+        }
+    }
 
     /** A peer that opened a connection. */
     private static final class Peer {
@@ -67,6 +74,7 @@
     private final EventLoop mLoop;
     private final BackendDispatcher mDispatcher;
     private final PauseDetector mPauses;
+    private final RequestMemory mMemory;
     private final NodeDirectory.Listener mFallback;
     private final Counter mCallsCancelled;
     private final Counter mCallsLost;
@@ -89,6 +97,7 @@
      * @param loop the event loop of the node
      * @param dispatcher sends calls to the backend server behind this node
      * @param pauses detects pauses of this process
+     * @param memory bounds the memory of requests
      * @param fallback receives frames that do not belong to calls
      * @param metrics where metrics are registered
      */
@@ -96,11 +105,13 @@
             EventLoop loop,
             BackendDispatcher dispatcher,
             PauseDetector pauses,
+            RequestMemory memory,
             NodeDirectory.Listener fallback,
             MetricRegistry metrics) {
         mLoop = loop;
         mDispatcher = dispatcher;
         mPauses = pauses;
+        mMemory = memory;
         mFallback = fallback;
         mCallsCancelled = metrics.counter("peers.calls-cancelled");
         mCallsLost = metrics.counter("peers.calls-lost");
@@ -119,7 +130,7 @@
             Call call = calls(connection).remove(frame.getCancel().getId());
             if (call != null) {
                 mCallsCancelled.inc();
-                call.attempt().cancel();
+                call.cancel();
             }
         } else if (frame.isSetWithdrawal()) {
             Call call = calls(connection).get(frame.getWithdrawal().getId());
@@ -137,7 +148,7 @@
         Peer peer = mPeers.remove(connection);
         if (peer != null && !peer.mCalls.isEmpty()) {
             recordLost(connection, peer.mCalls.size());
-            List.copyOf(peer.mCalls.values()).forEach(call -> call.attempt().cancel());
+            List.copyOf(peer.mCalls.values()).forEach(Call::cancel);
         }
     }
 
@@ -195,7 +206,7 @@
     private void abandon(HopConnection connection, Peer peer, long id) {
         Call call = peer.mCalls.remove(id);
         if (call != null) {
-            call.attempt().cancel();
+            call.cancel();
             AttemptFailure failure =
                     AttemptFailure.unknown(ErrorCode.PEER_UNAVAILABLE, "this node was silent");
             connection.send(HopFrame.failure(HopWire.toWire(id, failure, load())));
@@ -233,15 +244,34 @@
                         TimeUnit.MILLISECONDS.toNanos(transitMillis),
                         mPauses.delayNanos(now, wallMillis));
         HopCall call = HopWire.fromWire(wire, now - delayNanos);
-        if (mPauses.late(now, wallMillis) || transitMillis >= LATE_TRANSIT_MILLIS) {
-            LateCall late = new LateCall(connection, call);
-            calls(connection).put(call.id(), new Call(late, call.idempotent()));
+        RequestMemory.Lease memory = mMemory.lease();
+        if (!memory.tryAdd(bytes(call))) {
+            AttemptFailure refused = outOfMemory(memory);
+            connection.send(HopFrame.failure(HopWire.toWire(call.id(), refused, load())));
+        } else if (mPauses.late(now, wallMillis) || transitMillis >= LATE_TRANSIT_MILLIS) {
+            LateCall late = new LateCall(connection, call, memory);
+            calls(connection).put(call.id(), new Call(late, call.idempotent(), memory));
             NextPoll.runAfter(mLoop, late::submit);
         } else {
-            submit(connection, call);
+            submit(connection, call, memory);
         }
     }
 
+    /** Returns the memory of a call without its body. */
+    private static long bytes(HopCall call) {
+        List<String> headers = call.headers();
+        long bytes = RequestMemory.lineBytes(call.method(), call.target());
+        for (int i = 0; i + 1 < headers.size(); i += 2) {
+            bytes += RequestMemory.lineBytes(headers.get(i), headers.get(i + 1));
+        }
+        return bytes;
+    }
+
+    private static AttemptFailure outOfMemory(RequestMemory.Lease memory) {
+        String reason = String.valueOf(memory.refusal().getMessage());
+        return AttemptFailure.refused(RequestMemoryException.RETRY_MILLIS, reason);
+    }
+
     /** Returns how much longer than usual a call was under way, in milliseconds. */
     private long transitMillis(
             HopConnection connection, WireHopCall wire, long nowNanos, long wallMillis) {
@@ -254,11 +284,11 @@
                 .observe(wire.getSentMillis(), wire.getSentAtMillis(), nowMillis, wallMillis);
     }
 
-    private void submit(HopConnection connection, HopCall call) {
-        OutcomeSender sender = new OutcomeSender(connection, call);
+    private void submit(HopConnection connection, HopCall call, RequestMemory.Lease memory) {
+        OutcomeSender sender = new OutcomeSender(connection, call, memory);
         Attempt attempt = mDispatcher.submitForPeer(call, sender);
         if (!sender.mDone) {
-            calls(connection).put(call.id(), new Call(attempt, call.idempotent()));
+            calls(connection).put(call.id(), new Call(attempt, call.idempotent(), memory));
         }
     }
 
@@ -266,12 +296,14 @@
     private final class LateCall implements Attempt {
         private final HopConnection mConnection;
         private final HopCall mCall;
+        private final RequestMemory.Lease mMemory;
         private boolean mCancelled;
         private boolean mWithdrawn;
 
-        LateCall(HopConnection connection, HopCall call) {
+        LateCall(HopConnection connection, HopCall call, RequestMemory.Lease memory) {
             mConnection = connection;
             mCall = call;
+            mMemory = memory;
         }
 
         @Override
@@ -288,7 +320,7 @@
         void submit() {
             if (!mCancelled) {
                 calls(mConnection).remove(mCall.id());
-                HopServer.this.submit(mConnection, mCall);
+                HopServer.this.submit(mConnection, mCall, mMemory);
                 Call submitted = calls(mConnection).get(mCall.id());
                 if (mWithdrawn && submitted != null) {
                     submitted.attempt().withdraw();
@@ -318,10 +350,12 @@
         private final long mId;
         private final String mRoute;
         private final int mRank;
+        private final RequestMemory.Lease mMemory;
         private boolean mDone;
 
-        OutcomeSender(HopConnection connection, HopCall call) {
+        OutcomeSender(HopConnection connection, HopCall call, RequestMemory.Lease memory) {
             mConnection = connection;
+            mMemory = memory;
             mId = call.id();
             mRoute = call.route();
             mRank = call.rank();
@@ -343,6 +377,7 @@
 
         private void end() {
             mDone = true;
+            mMemory.release();
             calls(mConnection).remove(mId);
         }
     }
--- a/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
+++ b/org.azurearch/src/main/java/org/azurearch/call/CallEvent.java
@@ -24,7 +24,9 @@
     /** A connection sent malformed HTTP, or no TLS where it is required. */
     CONNECTION_MALFORMED(508, Level.DEBUG, "closing malformed connection: {}"),
     /** Warm-up requests, which a node sends to itself at its start, failed; it starts anyway. */
-    WARM_UP_FAILED(509, Level.INFO, "warm-up failed, continuing without it: {}");
+    WARM_UP_FAILED(509, Level.INFO, "warm-up failed, continuing without it: {}"),
+    /** Requests were refused, as the memory for requests is used up. */
+    REQUEST_MEMORY_FULL(510, Level.WARN, "refused {} requests, as requests take {} bytes");
 
     private final EventInfo mInfo;
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallSettings.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallSettings.java
@@ -13,6 +13,7 @@
  * @param maxConnections the maximum number of connections from callers and peers
  * @param acceptsPerSecond the maximum number of connections accepted per second
  * @param maxBodyBytes the maximum size of a request's body
+ * @param maxRequestMemoryBytes the memory that requests may take; 0 for a sixth of the heap
  * @param senderTimeout the longest time without progress while a request is being received
  * @param idleTimeout the longest time that a connection may stay open without a call
  * @param warmUpRounds the rounds of requests sent to this node's listener before it is advertised
@@ -28,6 +29,7 @@
         int maxConnections,
         int acceptsPerSecond,
         long maxBodyBytes,
+        long maxRequestMemoryBytes,
         Duration senderTimeout,
         Duration idleTimeout,
         int warmUpRounds,
@@ -56,6 +58,7 @@
                 section.integer("maxConnections", DEFAULT_MAX_CONNECTIONS),
                 section.integer("acceptsPerSecond", DEFAULT_ACCEPTS_PER_SECOND),
                 section.integer("maxBodyBytes", DEFAULT_MAX_BODY_BYTES),
+                section.integer("maxRequestMemoryBytes", 0),
                 section.duration("senderTimeout", DEFAULT_SENDER_TIMEOUT),
                 section.duration("idleTimeout", DEFAULT_IDLE_TIMEOUT),
                 section.integer("warmUpRounds", DEFAULT_WARM_UP_ROUNDS),
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -26,6 +26,7 @@
 import org.azurearch.call.CallFailure;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
+import org.azurearch.lib.Verdict;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +35,10 @@
  */
 final class CallerHandler extends ChannelInboundHandlerAdapter {
     private static final int MAX_BACKLOG = 64;
+
+    /** Memory of the heads in the backlog beyond which the connection is not read. */
+    private static final long MAX_BACKLOG_HEAD_BYTES = 256 * 1024;
+
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
     private final CallWorker mWorker;
@@ -46,6 +51,7 @@
     private boolean mAnswerEnded = true;
     private boolean mCloseAfterCall;
     private boolean mClosing;
+    private long mBacklogHeadBytes;
     private int mDiscardedBytes;
     private long mLastActivityNanos;
 
@@ -69,6 +75,7 @@
             read(message);
         } else {
             mBacklog.add(message);
+            mBacklogHeadBytes += headBytes(message);
             updateAutoRead(false);
         }
     }
@@ -90,8 +97,9 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mWorker.remove(this);
-        mBacklog.forEach(ReferenceCountUtil::release);
+        mBacklog.forEach(CallerHandler::drop);
         mBacklog.clear();
+        mBacklogHeadBytes = 0;
         InboundCall call = mCall;
         mCall = null;
         if (call != null) {
@@ -215,7 +223,7 @@
 
     private void begin(HttpRequest request) {
         if (mCloseAfterCall) {
-            ReferenceCountUtil.release(request);
+            drop(request);
             return;
         }
         String problem = RequestCheck.problem(request);
@@ -223,12 +231,17 @@
         mAnswerEnded = false;
         mDiscardedBytes = 0;
         mEncoder.withoutBody(request.method().equals(HttpMethod.HEAD));
+        if (request.decoderResult().cause() instanceof RequestMemoryException) {
+            refuse(request, outOfMemory());
+            return;
+        }
         if (problem != null) {
-            refuse(problem);
+            refuse(request, CallFailure.notRun(ErrorCode.BAD_REQUEST, problem));
             return;
         }
         mCloseAfterCall |= !HttpUtil.isKeepAlive(request);
         if (NodeRequests.tryAnswer(request, this, mHandshake, mWorker)) {
+            MeteredHeaders.release(request);
             return;
         }
         if (HttpUtil.is100ContinueExpected(request)) {
@@ -240,15 +253,39 @@
         call.start();
     }
 
-    /** Refuses an invalid request and stops reading, since its framing cannot be trusted. */
-    private void refuse(String problem) {
+    /**
+     * Refuses a request that was not read as a whole, and stops reading, since it is not known
+     * where it ends.
+     */
+    private void refuse(HttpRequest request, CallFailure failure) {
+        drop(request);
         mCloseAfterCall = true;
         mRequestEnded = true;
         updateAutoRead(true);
-        CallFailure failure = CallFailure.notRun(ErrorCode.BAD_REQUEST, problem);
         writeProblem(failure, headers -> {});
     }
 
+    private static CallFailure outOfMemory() {
+        return new CallFailure(
+                Verdict.NOT_RUN,
+                ErrorCode.OVERLOADED,
+                "the node holds too many large requests",
+                RequestMemoryException.RETRY_MILLIS);
+    }
+
+    private static void drop(Object message) {
+        if (message instanceof HttpRequest request) {
+            MeteredHeaders.release(request);
+        }
+        ReferenceCountUtil.release(message);
+    }
+
+    private static long headBytes(Object message) {
+        RequestMemory.Lease lease =
+                message instanceof HttpRequest request ? MeteredHeaders.leaseOf(request) : null;
+        return lease == null ? 0 : lease.bytes();
+    }
+
     private void readContent(HttpContent content) {
         boolean malformed = content.decoderResult().isFailure();
         boolean last = content instanceof LastHttpContent;
@@ -307,6 +344,7 @@
             if (next == null) {
                 break;
             }
+            mBacklogHeadBytes -= headBytes(next);
             read(next);
         }
         if (mCall != null) {
@@ -316,7 +354,10 @@
     }
 
     private void updateAutoRead(boolean paused) {
-        boolean read = !paused && mBacklog.size() < MAX_BACKLOG;
+        boolean read =
+                !paused
+                        && mBacklog.size() < MAX_BACKLOG
+                        && mBacklogHeadBytes < MAX_BACKLOG_HEAD_BYTES;
         if (mChannel.isActive() && mChannel.config().isAutoRead() != read) {
             mChannel.config().setAutoRead(read);
         }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/DataPath.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/DataPath.java
@@ -4,10 +4,12 @@
 import com.codahale.metrics.MetricRegistry;
 import java.security.SecureRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.azurearch.call.CallEvent;
 import org.azurearch.config.ConfigInForce;
 import org.azurearch.config.MeshConfig;
 import org.azurearch.config.ServiceConfig;
 import org.azurearch.config.SiteConfig;
+import org.azurearch.events.EventLog;
 import org.azurearch.internal.admit.BackendAdmission;
 import org.azurearch.kernel.Kernel;
 import org.azurearch.lib.NodeId;
@@ -47,6 +49,7 @@
     private final RouteTables mRoutes;
     private final BackendAdmission mAdmission;
     private final CallMetrics mCallMetrics;
+    private final RequestMemory mRequestMemory;
     private final Balancer mBalancer = new PowerOfTwoBalancer();
     private final ConnectionLimit mBackendLimit = new ConnectionLimit(DEFAULT_BACKEND_CONNECTIONS);
     private final ConnectionLimit mHopLimit = new ConnectionLimit(MAX_HOP_CONNECTIONS);
@@ -84,6 +87,13 @@
         mRoutes = new RouteTables(mConfig);
         mAdmission = new BackendAdmission(mBackend, mTime, metrics);
         mCallMetrics = new CallMetrics(metrics);
+        mRequestMemory =
+                new RequestMemory(
+                        mSettings.maxRequestMemoryBytes(),
+                        mTime,
+                        (refused, held) ->
+                                EventLog.log(CallEvent.REQUEST_MEMORY_FULL, refused, held));
+        mRequestMemory.register(metrics);
         metrics.gauge("calls.in-flight", () -> (Gauge<Integer>) mCalls::get);
         metrics.gauge("calls.connections", () -> (Gauge<Integer>) mConnections::get);
         metrics.gauge("calls.backend.connections", () -> (Gauge<Integer>) mBackendLimit::inUse);
@@ -138,6 +148,11 @@
         return mAdmission;
     }
 
+    /** Returns what bounds the memory of requests. */
+    RequestMemory requestMemory() {
+        return mRequestMemory;
+    }
+
     CallMetrics callMetrics() {
         return mCallMetrics;
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HttpLimits.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HttpLimits.java
@@ -1,13 +1,28 @@
 package org.azurearch.internal.call;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 
 /** Limits on HTTP messages. */
-final class HttpLimits {
+public final class HttpLimits {
     private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+    private static final HttpHeadersFactory DISCARDING =
+            new HttpHeadersFactory() {
+                @Override
+                public HttpHeaders newHeaders() {
+                    return new DiscardedTrailers();
+                }
+
+                @Override
+                public HttpHeaders newEmptyHeaders() {
+                    return new DiscardedTrailers();
+                }
+            };
+
     private HttpLimits() {}
 
     /** Returns the configuration of the request decoder. */
@@ -17,11 +32,12 @@
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxChunkSize(MAX_CHUNK_BYTES)
                 .setAllowDuplicateContentLengths(false)
+                .setTrailersFactory(DISCARDING)
                 .setStrictLineParsing(true);
     }
 
     /** Returns the configuration of the answer decoder. */
-    static HttpDecoderConfig answerConfig() {
+    public static HttpDecoderConfig answerConfig() {
         return requestConfig();
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/InboundCall.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/InboundCall.java
@@ -245,6 +245,7 @@
 
     private void end(Verdict verdict, @Nullable ErrorCode code) {
         mDone = true;
+        MeteredHeaders.release(mRequest);
         mWorker.remove(this);
         onEnd(verdict, code);
     }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/NettyCallServer.java
@@ -177,7 +177,7 @@
             AnswerEncoder encoder = new AnswerEncoder();
             mPath.tls().addServerHandler(channel);
             channel.pipeline()
-                    .addLast(new StrictRequestDecoder())
+                    .addLast(new StrictRequestDecoder(mPath.requestMemory()))
                     .addLast(encoder)
                     .addLast(new CallerHandler(worker, channel, encoder));
         }
