Look up the options of Connection headers once for each request

Callers saw: a few clients whose requests name thousands of connection options keep a node busy for seconds, so that others are not answered.

Cause: the users' node split the options again for each header line, 4,000 times 8 KB. The product searched all headers for each option that it removed.

Change: the options are put into a set once, and headers are removed in one pass. All Connection headers count on the users' node, not only the first.

--- a/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MisbehavingCallersTest.java
+++ b/org.azurearch.pgm.test/src/test/java/org/azurearch/pgm/demo/MisbehavingCallersTest.java
@@ -41,6 +41,8 @@
     private static final String HOST = " HTTP/1.1\r\nHost: shop.example\r\n";
     private static final String ORDER = "GET /orders" + HOST;
     private static final String SHORT_LINES = "a:\r\n".repeat(4_000);
+    private static final String OPTION_LINES =
+            "Connection: " + "a,".repeat(3_900) + "\r\n" + "a:\r\n".repeat(2_000);
 
     /** What each caller of a crowd sends, and how often. */
     private enum Form {
@@ -49,7 +51,8 @@
         TRAILERS(
                 240,
                 "POST /orders" + HOST + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + SHORT_LINES,
-                1);
+                1),
+        CONNECTION_OPTIONS(16, ORDER + OPTION_LINES + "\r\n", 64);
 
         private final int mCallers;
         private final String mText;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/HeaderList.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/HeaderList.java
@@ -1,7 +1,9 @@
 package org.azurearch.sidecar.internal;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
@@ -33,8 +35,7 @@
      * @param excluded further names, in lower case, that are not forwarded
      */
     public static List<String> endToEnd(HttpHeaders headers, Set<String> excluded) {
-        String connection = headers.get("connection");
-        String options = connection == null ? "" : connection.toLowerCase(Locale.ROOT);
+        Set<String> options = connectionOptions(headers);
         List<String> list = new ArrayList<>(2 * headers.size());
         Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
         while (entries.hasNext()) {
@@ -42,7 +43,7 @@
             String name = entry.getKey().toString();
             String lower = name.toLowerCase(Locale.ROOT);
             boolean omitted = HOP_BY_HOP_HEADERS.contains(lower) || excluded.contains(lower);
-            if (!omitted && !(options.length() > 0 && listsOption(options, lower))) {
+            if (!omitted && !options.contains(lower)) {
                 list.add(name);
                 list.add(entry.getValue().toString());
             }
@@ -67,12 +68,17 @@
         }
     }
 
-    private static boolean listsOption(String connection, String name) {
-        for (String part : connection.split(",")) {
-            if (part.trim().equals(name)) {
-                return true;
+    /** Returns the names that the Connection headers list, in lower case. */
+    private static Set<String> connectionOptions(HttpHeaders headers) {
+        if (!headers.contains(HttpHeaderNames.CONNECTION)) {
+            return Set.of();
+        }
+        Set<String> options = new HashSet<>();
+        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String option : value.split(",")) {
+                options.add(option.trim().toLowerCase(Locale.ROOT));
             }
         }
-        return false;
+        return options;
     }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HeaderRules.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HeaderRules.java
@@ -4,11 +4,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.azurearch.call.CallHeaders;
 
 /** Rules on which headers are forwarded. */
@@ -44,24 +46,45 @@
 
     /** Removes hop-by-hop headers and those named by Connection headers. */
     static void removeHopByHop(HttpHeaders headers) {
-        if (headers.contains(HttpHeaderNames.CONNECTION)) {
-            connectionNames(headers).forEach(headers::remove);
-        }
-        HOP_BY_HOP.forEach(headers::remove);
+        Set<String> named =
+                headers.contains(HttpHeaderNames.CONNECTION)
+                        ? new HashSet<>(connectionNames(headers))
+                        : Set.of();
+        removeIf(headers, name -> isHopByHop(name, named));
     }
 
     /** Removes the headers whose names begin with {@link CallHeaders#PREFIX}. */
     static void removeAzurearch(HttpHeaders headers) {
-        List<String> found = List.of();
+        removeIf(headers, HeaderRules::isAzurearch);
+    }
+
+    /**
+     * Removes headers in one pass: to remove each name by itself would search the headers as often
+     * as there are names.
+     */
+    private static void removeIf(HttpHeaders headers, Predicate<CharSequence> removed) {
         Iterator<Map.Entry<CharSequence, CharSequence>> entries = headers.iteratorCharSequence();
-        while (entries.hasNext()) {
-            CharSequence name = entries.next().getKey();
-            if (isAzurearch(name)) {
-                found = found.isEmpty() ? new ArrayList<>() : found;
-                found.add(name.toString());
-            }
+        boolean found = false;
+        while (!found && entries.hasNext()) {
+            found = removed.test(entries.next().getKey());
         }
-        found.forEach(headers::remove);
+        if (found) {
+            List<Map.Entry<CharSequence, CharSequence>> kept = new ArrayList<>();
+            headers.iteratorCharSequence()
+                    .forEachRemaining(
+                            header -> {
+                                if (!removed.test(header.getKey())) {
+                                    kept.add(header);
+                                }
+                            });
+            headers.clear();
+            kept.forEach(header -> headers.add(header.getKey(), header.getValue()));
+        }
+    }
+
+    private static boolean isHopByHop(CharSequence name, Set<String> named) {
+        String lower = name.toString().toLowerCase(Locale.ROOT);
+        return HOP_BY_HOP.contains(lower) || named.contains(lower);
     }
 
     private static boolean isAzurearch(CharSequence name) {
