Take no further requests while a caller leaves answers unread

Callers saw: a client that sends requests and reads no answer fills the memory of the node, if the answers are refusals or replies of the node's own endpoints.

Cause: only answers of backend servers were counted, and a connection was read on while its answers waited in the outbound buffer.

Change: no request is taken from a connection while its outbound buffer is above the watermark, or while unread answers exceed answers.maxBytes; both call paths and the node's own endpoints.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -81,7 +82,7 @@
                                         .addLast(new StrictRequestDecoder(memory))
                                         .addLast(new HttpResponseEncoder())
                                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                                        .addLast(new Exchange(handler)));
+                                        .addLast(new Exchange(channel, handler)));
     }
 
     /** Returns the port that the server listens on. */
@@ -96,12 +97,20 @@
 
     /** Serves one connection. */
     private static final class Exchange extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Channel mChannel;
         private final Handler mHandler;
 
-        Exchange(Handler handler) {
+        Exchange(Channel channel, Handler handler) {
+            mChannel = channel;
             mHandler = handler;
         }
 
+        /** Reads no further request while replies to earlier ones wait to be read. */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            mChannel.config().setAutoRead(mChannel.isWritable());
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             Reply reply = reply(request);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -18,6 +18,9 @@
     /** Interval at which idle connections are closed. */
     private static final long SWEEP_MILLIS = 1_000;
 
+    /** Age up to which a measurement of the answers that were not read is used. */
+    private static final long HELD_BYTES_LIFETIME_NANOS = 10_000_000L;
+
     private static final int BACKLOG = 1_024;
 
     private final EventLoop mLoop;
@@ -26,6 +29,8 @@
     private final Set<CallerConnection> mConnections = new HashSet<>();
     private @Nullable ListeningSocket mSocket;
     private boolean mDraining;
+    private long mHeldBytes;
+    private long mHeldMeasuredNanos = System.nanoTime();
 
     /**
      * Creates a server that does not listen yet.
@@ -105,6 +110,16 @@
         return bytes;
     }
 
+    /** Returns whether answers that were not read take all the memory that there is for them. */
+    boolean answersFull() {
+        long now = System.nanoTime();
+        if (now - mHeldMeasuredNanos > HELD_BYTES_LIFETIME_NANOS) {
+            mHeldMeasuredNanos = now;
+            mHeldBytes = heldBytes();
+        }
+        return mHeldBytes > mRouter.callerLimits().maxAnswerBytes();
+    }
+
     private void install(SocketChannel channel) {
         new CallerConnection(mRouter, this, channel, mMemory).install();
     }
@@ -120,6 +135,7 @@
                     connection.idle()
                             && !connection.closing()
                             && connection.idleNanos(now) > allowed;
+            connection.resume();
             if (connection.headOverdue(headSweeps)) {
                 connection.close("head incomplete");
             } else if (connection.stalledNanos(now) > allowed) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -67,7 +67,20 @@
 
     @Override
     public boolean full() {
-        return mExchanges.full();
+        return mExchanges.full()
+                || !mChannel.isWritable()
+                || (unwrittenBytes() > 0 && mServer.answersFull());
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        mReadAhead.forward();
+        context.fireChannelWritabilityChanged();
+    }
+
+    /** Takes further requests, if answers that were not read held them up. */
+    void resume() {
+        mReadAhead.forward();
     }
 
     /**
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/CallerHandler.java
@@ -71,7 +71,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         mLastActivityNanos = mWorker.nanos();
-        if (!mRequestEnded || (mCall == null && mBacklog.isEmpty())) {
+        if (!mRequestEnded || (mayBegin() && mBacklog.isEmpty())) {
             read(message);
         } else {
             mBacklog.add(message);
@@ -92,6 +92,9 @@
         if (mCall != null) {
             mCall.pauseAnswer(!mChannel.isWritable());
         }
+        if (mChannel.isWritable() && !mBacklog.isEmpty()) {
+            mChannel.eventLoop().execute(this::readBacklog);
+        }
     }
 
     @Override
@@ -339,7 +342,7 @@
     }
 
     private void readBacklog() {
-        while (mCall == null || !mRequestEnded) {
+        while (!mRequestEnded || mayBegin()) {
             Object next = mBacklog.poll();
             if (next == null) {
                 break;
@@ -353,6 +356,11 @@
         updateAutoRead(false);
     }
 
+    /** Returns whether a request may begin; not while answers to earlier ones wait to be read. */
+    private boolean mayBegin() {
+        return mCall == null && mChannel.isWritable();
+    }
+
     private void updateAutoRead(boolean paused) {
         boolean read =
                 !paused
