Limit the open connections of the users' node

Callers saw: a crowd of idle connections takes all descriptors of a node.

Cause: the users' node accepted any number of connections.

Change: callers get half of the descriptors for sockets (limits.maxFds), each own endpoint 64. Beyond that the connection without a request for the longest time is closed (AZ0861), so that one which is used stays.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/call/ExchangeOrderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/call/ExchangeOrderTest.java
@@ -18,7 +18,7 @@
  * requests that go on running behind an answer that closes their connection.
  */
 class ExchangeOrderTest {
-    private static final CallerLimits LIMITS = new CallerLimits(4, 100, 1, 0);
+    private static final CallerLimits LIMITS = new CallerLimits(4, 100, 1, 0, 1);
 
     private boolean mBytesHeld;
     private final List<Integer> mWritten = new ArrayList<>();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -297,7 +297,7 @@
 
     /** Serves an endpoint of the node itself; returns the port. */
     private int serve(NetAddress address, PlainHttpServer.Handler handler) {
-        return new PlainHttpServer(mLoop, address, mRequestMemory, handler).port();
+        return new PlainHttpServer(mLoop, address, mRequestMemory, mCallLog, handler).port();
     }
 
     private static RequestMemory requestMemory(SidecarSettings settings) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -96,6 +96,8 @@
      * The link of this VM is limited; requests whose answers it cannot send in time are refused.
      */
     LINK_LIMITED(860, Level.INFO, "mbps={}"),
+    /** A connection is closed, as a listener has as many as it may. */
+    CONNECTIONS_FULL(861, Level.WARN, "limit={} closed={}"),
     /** An operator ordered the roll-out of a version, or withdrew the order. */
     ROLLOUT_ORDERED(865, Level.INFO, "service={} version={} duration_ms={} order={}"),
     /** The state of a roll-out moved on. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/PlainHttpServer.java
@@ -31,6 +31,9 @@
     private static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int BACKLOG = 64;
 
+    /** The platform, the backend server and the collector of metrics use one or two each. */
+    private static final int MAX_CONNECTIONS = 64;
+
     /**
      * A request with its body.
      *
@@ -60,6 +63,7 @@
         Reply handle(Request request);
     }
 
+    private final OpenConnections<Exchange> mConnections;
     private final ListeningSocket mSocket;
 
     /**
@@ -68,10 +72,16 @@
      * @param loop the event loop of the connections
      * @param address the address to listen on
      * @param memory bounds the memory of requests
+     * @param log logs connections that are closed
      * @param handler handles requests
      */
     public PlainHttpServer(
-            EventLoop loop, NetAddress address, RequestMemory memory, Handler handler) {
+            EventLoop loop,
+            NetAddress address,
+            RequestMemory memory,
+            CallLog log,
+            Handler handler) {
+        mConnections = new OpenConnections<>(MAX_CONNECTIONS, log);
         mSocket =
                 ListeningSocket.open(
                         loop,
@@ -82,7 +92,7 @@
                                         .addLast(new StrictRequestDecoder(memory))
                                         .addLast(new HttpResponseEncoder())
                                         .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                                        .addLast(new Exchange(channel, handler)));
+                                        .addLast(new Exchange(mConnections, channel, handler)));
     }
 
     /** Returns the port that the server listens on. */
@@ -96,23 +106,58 @@
     }
 
     /** Serves one connection. */
-    private static final class Exchange extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final class Exchange extends SimpleChannelInboundHandler<FullHttpRequest>
+            implements OpenConnections.Connection {
+        private final OpenConnections<Exchange> mConnections;
         private final Channel mChannel;
         private final Handler mHandler;
+        private long mUnusedSinceNanos = System.nanoTime();
 
-        Exchange(Channel channel, Handler handler) {
+        Exchange(OpenConnections<Exchange> connections, Channel channel, Handler handler) {
+            mConnections = connections;
             mChannel = channel;
             mHandler = handler;
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            mConnections.opened(this);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            mConnections.closed(this);
+        }
+
         /** Reads no further request while replies to earlier ones wait to be read. */
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext context) {
             mChannel.config().setAutoRead(mChannel.isWritable());
         }
 
+        @Override
+        public boolean inUse() {
+            return false; // a reply is given before the next event
+        }
+
+        @Override
+        public long unusedSinceNanos() {
+            return mUnusedSinceNanos;
+        }
+
+        @Override
+        public String peer() {
+            return String.valueOf(mChannel.remoteAddress());
+        }
+
+        @Override
+        public void close(String reason) {
+            mChannel.close();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            mUnusedSinceNanos = System.nanoTime();
             Reply reply = reply(request);
             MeteredHeaders.release(request);
             byte[] body = request.method().equals(HttpMethod.HEAD) ? new byte[0] : reply.body();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallServer.java
@@ -2,15 +2,13 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.internal.call.RequestMemory;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.config.RequestLimits;
 import org.azurearch.sidecar.config.RoutingConfig;
 import org.azurearch.sidecar.internal.ListeningSocket;
+import org.azurearch.sidecar.internal.OpenConnections;
 import org.jspecify.annotations.Nullable;
 
 /** Accepts the connections of callers on this VM. Confined to one event loop. */
@@ -26,7 +24,7 @@
     private final EventLoop mLoop;
     private final CallRouter mRouter;
     private final RequestMemory mMemory;
-    private final Set<CallerConnection> mConnections = new HashSet<>();
+    private final OpenConnections<CallerConnection> mConnections;
     private @Nullable ListeningSocket mSocket;
     private boolean mDraining;
     private long mHeldBytes;
@@ -43,6 +41,7 @@
         mLoop = loop;
         mRouter = router;
         mMemory = memory;
+        mConnections = new OpenConnections<>(router.callerLimits().maxConnections(), router.log());
         router.answers().measureHeld(this::heldBytes);
     }
 
@@ -63,12 +62,12 @@
     public void drain() {
         mDraining = true;
         mRouter.stopHedging();
-        mConnections.forEach(CallerConnection::drain);
+        mConnections.all().forEach(CallerConnection::drain);
     }
 
     /** Refuses the calls that no backend server has been sent, also those that peers hold. */
     public void withdraw() {
-        List.copyOf(mConnections).forEach(CallerConnection::withdraw);
+        mConnections.all().forEach(CallerConnection::withdraw);
     }
 
     /** Stops listening and closes all connections. */
@@ -77,34 +76,34 @@
         if (mSocket != null) {
             mSocket.close();
         }
-        List.copyOf(mConnections).forEach(connection -> connection.close("stop"));
+        mConnections.all().forEach(connection -> connection.close("stop"));
     }
 
     /** Returns whether a caller is still reading its last answer. */
     public boolean closingAny() {
-        return mConnections.stream().anyMatch(CallerConnection::closing);
+        return mConnections.all().stream().anyMatch(CallerConnection::closing);
     }
 
     /** Returns the bytes of answers that were given to connections and not sent yet. */
     public long unsentBytes() {
-        return mConnections.stream().mapToLong(CallerConnection::unwrittenBytes).sum();
+        return mConnections.all().stream().mapToLong(CallerConnection::unwrittenBytes).sum();
     }
 
     void opened(CallerConnection connection) {
-        mConnections.add(connection);
+        mConnections.opened(connection);
         if (mDraining) {
             connection.drain();
         }
     }
 
     void closed(CallerConnection connection) {
-        mConnections.remove(connection);
+        mConnections.closed(connection);
     }
 
     /** Returns the bytes of answers that callers have not read or whose turn has not come. */
     private long heldBytes() {
         long bytes = 0;
-        for (CallerConnection connection : List.copyOf(mConnections)) {
+        for (CallerConnection connection : mConnections.all()) {
             bytes += connection.heldBytes();
         }
         return bytes;
@@ -130,7 +129,7 @@
         long allowed = TimeUnit.MILLISECONDS.toNanos(limits.idleTimeoutMillis());
         long headSweeps = limits.headerTimeoutMillis() / SWEEP_MILLIS + 1;
         long now = System.nanoTime();
-        for (CallerConnection connection : List.copyOf(mConnections)) {
+        for (CallerConnection connection : mConnections.all()) {
             boolean unused =
                     connection.idle()
                             && !connection.closing()
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -16,13 +16,15 @@
 import org.azurearch.internal.call.RequestMemory;
 import org.azurearch.internal.call.StrictRequestDecoder;
 import org.azurearch.sidecar.SidecarEvent;
+import org.azurearch.sidecar.internal.OpenConnections;
 import org.azurearch.sidecar.internal.UnsentBytes;
 
 /**
  * A connection of a caller. Answers its requests in their order; those that may run more than once
  * run beside each other. Confined to one event loop.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements ReadAhead.Listener {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements ReadAhead.Listener, OpenConnections.Connection {
     /** Requests are buffered completely, so that they can be retried; larger ones are refused. */
     private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -176,8 +178,18 @@
         }
     }
 
-    /** Returns the address of the caller, for log lines. */
-    String peer() {
+    @Override
+    public boolean inUse() {
+        return !mExchanges.isEmpty() || unwrittenBytes() > 0;
+    }
+
+    @Override
+    public long unusedSinceNanos() {
+        return mIdleSinceNanos;
+    }
+
+    @Override
+    public String peer() {
         return String.valueOf(mChannel.remoteAddress());
     }
 
@@ -211,7 +223,8 @@
     }
 
     /** Closes the connection; logs the reason if the caller awaits answers. */
-    void close(String reason) {
+    @Override
+    public void close(String reason) {
         long unsentBytes = unwrittenBytes();
         if (!mExchanges.isEmpty() || unsentBytes > 0) {
             mRouter.log()
