Decide once what an answer is, for all readers of answers

Cause: readers relied on decoders that accept more than RFC 9112: any number as status, bytes before the status line, names cut at a blank, both Content-Length and Transfer-Encoding, chunk sizes with signs. The client of the store did not look at the decoder's result; health checks and the product's log client used the HTTP client of the JDK.

Backend servers, health checks of both paths, the store, the product's log and its peers read with it; HopLink checks answers of peers, which come decoded. PooledHttpClient was the platform's StoreClient.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
@@ -97,6 +97,28 @@
         assertEquals(List.of(Verdict.RAN), verdictsOf(HopFrame.answer(answer)));
     }
 
+    /** Guards against a peer of an earlier version, which passes on any status and header. */
+    @Test
+    void answerThatIsNoAnswerOfHttpEndsTheCallOnly() throws Exception {
+        WireLoad load = new WireLoad(0, List.of(), 0, 0);
+        WireHopAnswer answer =
+                new WireHopAnswer(1, 200, List.of(), ByteBuffer.allocate(0), load, 0);
+        for (WireHopAnswer odd :
+                List.of(
+                        answer.deepCopy().setStatus(0),
+                        answer.deepCopy().setStatus(-1),
+                        answer.deepCopy().setStatus(101),
+                        answer.deepCopy().setStatus(600),
+                        answer.deepCopy().setHeaders(List.of("x a", "b")),
+                        answer.deepCopy().setHeaders(List.of("x\u0001", "b")),
+                        answer.deepCopy().setHeaders(List.of("", "b")),
+                        answer.deepCopy().setHeaders(List.of("x", "a\r\nb")),
+                        answer.deepCopy().setHeaders(List.of("x", "a\u0000")),
+                        answer.deepCopy().setHeaders(List.of("x")))) {
+            assertEquals(List.of(Verdict.MAY_HAVE_RUN), verdictsOf(HopFrame.answer(odd)));
+        }
+    }
+
     private static WireHopFailure failure() {
         WireLoad load = new WireLoad(0, List.of(), 0, 0);
         return new WireHopFailure(1, 0, ErrorCode.INTERNAL.name(), true, 0, "", load);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.azurearch.internal.call.AnswerDecoder;
+import org.azurearch.internal.call.HttpLimits;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.Dialect;
 import org.azurearch.sidecar.admit.AnswerBudget;
@@ -180,7 +181,7 @@
     }
 
     BackendConnection install(Channel channel) {
-        HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
+        HttpDecoderConfig config = HttpLimits.answerConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
         AnswerDecoder decoder = new AnswerDecoder(config);
         AnswerReader reader = new AnswerReader(channel, mBudget);
         BackendConnection connection =
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
+import org.azurearch.internal.call.AnswerRules;
 import org.azurearch.lib.NetAddress;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.call.Attempt;
@@ -224,7 +225,7 @@
         if (frame.isSetAnswer()) {
             WireHopAnswer answer = frame.getAnswer();
             mListener.loadReported(this, HopWire.fromWire(answer.getLoad()));
-            complete(answer.getId(), listener -> listener.answered(HopWire.fromWire(answer)));
+            complete(answer.getId(), listener -> deliver(answer, listener));
         } else if (frame.isSetFailure()) {
             WireHopFailure failure = frame.getFailure();
             mListener.loadReported(this, HopWire.fromWire(failure.getLoad()));
@@ -253,6 +254,16 @@
         reconnectLater();
     }
 
+    /** Gives a call its answer, or ends it if that is none, as a peer may pass on any bytes. */
+    private static void deliver(WireHopAnswer answer, Attempt.Listener listener) {
+        String problem = AnswerRules.problem(answer.getStatus(), answer.getHeaders());
+        if (problem == null) {
+            listener.answered(HopWire.fromWire(answer));
+        } else {
+            listener.failed(AttemptFailure.unknown(ErrorCode.CORRUPT, "no answer: " + problem));
+        }
+    }
+
     private void complete(long id, Consumer<Attempt.Listener> outcome) {
         Attempt.Listener listener = mPending.remove(id);
         if (listener != null) {
--- a/platform/src/main/java/org/azurearch/platform/StoreClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/PooledHttpClient.java
@@ -1,4 +1,4 @@
-package org.azurearch.platform;
+package org.azurearch.internal.call;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -16,10 +16,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -34,18 +34,20 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * HTTP client of the platform's store with a pool of connections. A connection carries one request
- * at a time. Confined to one event loop.
+ * HTTP client of the platform's log or store with a pool of connections. A connection carries one
+ * request at a time. Confined to one event loop.
  */
-final class StoreClient implements AutoCloseable {
-    /** A reply from the store. */
-    record Reply(int status, byte[] body) {}
+public final class PooledHttpClient implements AutoCloseable {
+    /**
+     * A reply.
+     *
+     * @param status the HTTP status
+     * @param body the whole body
+     */
+    public record Reply(int status, byte[] body) {}
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
-    /** A page of newest records holds 1 MiB as base64, a read reply 1 MiB of records. */
-    private static final int MAX_REPLY_BYTES = 8 * 1024 * 1024;
-
     /** With the two probes below, detects a dead connection within 3 s during a long poll. */
     private static final int KEEP_ALIVE_SECONDS = 1;
 
@@ -53,12 +55,21 @@
 
     private final EventLoop mLoop;
     private final NetAddress mAddress;
+    private final int mMaxReplyBytes;
     private final Deque<Connection> mIdleConnections = new ArrayDeque<>();
     private boolean mClosed;
 
-    StoreClient(EventLoop loop, NetAddress address) {
+    /**
+     * Creates a client, which connects with its first request.
+     *
+     * @param loop the event loop of the connections, on which the client is used
+     * @param address the address of the server
+     * @param maxReplyBytes the size of the largest body of a reply
+     */
+    public PooledHttpClient(EventLoop loop, NetAddress address, int maxReplyBytes) {
         mLoop = loop;
         mAddress = address;
+        mMaxReplyBytes = maxReplyBytes;
     }
 
     /**
@@ -68,8 +79,10 @@
      * @param target path and query
      * @param body the body; empty for {@code GET}
      * @param timeoutMillis the timeout for the reply, not counting the connect
+     * @return the reply; fails with {@link AzurearchException} of the code {@code LOG_UNAVAILABLE}
+     *     if the request was not sent, and {@code LOG_RESULT_UNKNOWN} if it has no valid reply
      */
-    CompletableFuture<Reply> send(
+    public CompletableFuture<Reply> send(
             HttpMethod method, String target, byte[] body, long timeoutMillis) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
         FullHttpRequest request =
@@ -115,10 +128,13 @@
                         new ChannelInitializer<SocketChannel>() {
                             @Override
                             protected void initChannel(SocketChannel channel) {
+                                AnswerDecoder decoder =
+                                        new AnswerDecoder(HttpLimits.answerConfig());
                                 channel.pipeline()
-                                        .addLast(new HttpClientCodec())
-                                        .addLast(new HttpObjectAggregator(MAX_REPLY_BYTES))
-                                        .addLast(new Connection(channel));
+                                        .addLast(decoder)
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(new HttpObjectAggregator(mMaxReplyBytes))
+                                        .addLast(new Connection(channel, decoder));
                             }
                         })
                 .connect(mAddress.socketAddress())
@@ -144,15 +160,18 @@
     /** A connection and its pending request, if any. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final Channel mChannel;
+        private final AnswerDecoder mDecoder;
         private @Nullable CompletableFuture<Reply> mPendingReply;
         private @Nullable ScheduledFuture<?> mTimeout;
 
-        Connection(Channel channel) {
+        Connection(Channel channel, AnswerDecoder decoder) {
             mChannel = channel;
+            mDecoder = decoder;
         }
 
         void send(FullHttpRequest request, CompletableFuture<Reply> reply, long timeoutMillis) {
             mPendingReply = reply;
+            mDecoder.awaitAnswer(request.method());
             mTimeout =
                     mLoop.schedule(
                             () -> fail("no reply within " + timeoutMillis + " ms"),
@@ -163,8 +182,13 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            if (response.decoderResult().isFailure()) {
+                fail("malformed reply: " + response.decoderResult().cause().getMessage());
+                return;
+            }
             CompletableFuture<Reply> reply = finishRequest();
-            if (reply == null || !HttpUtil.isKeepAlive(response) || mClosed) {
+            boolean stray = !mDecoder.endAnswer();
+            if (reply == null || stray || !HttpUtil.isKeepAlive(response) || mClosed) {
                 mChannel.close();
             } else {
                 mIdleConnections.addFirst(this);
--- a/org.azurearch/src/main/java/org/azurearch/internal/log/HttpLogClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/log/HttpLogClient.java
@@ -1,18 +1,21 @@
 package org.azurearch.internal.log;
 
-import java.net.ConnectException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpConnectTimeoutException;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.Completions;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.call.PooledHttpClient;
 import org.azurearch.lib.StreamId;
 import org.azurearch.log.LogBatch;
 import org.azurearch.log.LogClient;
@@ -21,10 +24,15 @@
 /** Log client over HTTP/1.1 and JSON. */
 public final class HttpLogClient implements LogClient {
     private static final int WORKER_THREADS = 2;
+    private static final int MAX_REPLY_BYTES = 64 * 1024 * 1024;
+    private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
+    private static final byte[] NO_BODY = {};
 
     private final LogSettings mSettings;
     private final ExecutorService mWorkers;
-    private final HttpClient mHttp;
+    private final EventLoopGroup mLoops;
+    private final EventLoop mLoop;
+    private final PooledHttpClient mHttp;
     private volatile boolean mClosed;
 
     /** Creates a client; it connects on the first call. */
@@ -32,29 +40,25 @@
         mSettings = settings;
         mWorkers =
                 Executors.newFixedThreadPool(
-                        WORKER_THREADS,
-                        task -> {
-                            Thread thread = new Thread(task, "azurearch-log-client");
-                            thread.setDaemon(true);
-                            return thread;
-                        });
-        mHttp =
-                HttpClient.newBuilder()
-                        .version(HttpClient.Version.HTTP_1_1)
-                        .connectTimeout(settings.timeout())
-                        .executor(mWorkers)
-                        .build();
+                        WORKER_THREADS, new DefaultThreadFactory("azurearch-log-client", true));
+        mLoops =
+                new MultiThreadIoEventLoopGroup(
+                        1,
+                        new DefaultThreadFactory("azurearch-log-connections", true),
+                        NioIoHandler.newFactory());
+        mLoop = mLoops.next();
+        mHttp = new PooledHttpClient(mLoop, settings.address(), MAX_REPLY_BYTES);
     }
 
     @Override
     public CompletableFuture<Long> append(StreamId stream, byte[] data) {
-        HttpRequest request =
-                HttpRequest.newBuilder(recordsUri(stream, ""))
-                        .timeout(mSettings.timeout())
-                        .header("Content-Type", "application/octet-stream")
-                        .POST(HttpRequest.BodyPublishers.ofByteArray(data))
-                        .build();
-        return exchange(request, ErrorCode.LOG_RESULT_UNKNOWN, LogReplies::offset);
+        return exchange(
+                HttpMethod.POST,
+                recordsTarget(stream, ""),
+                data,
+                mSettings.timeout(),
+                ErrorCode.LOG_RESULT_UNKNOWN,
+                LogReplies::offset);
     }
 
     @Override
@@ -62,62 +66,59 @@
             StreamId stream, long offset, int maxBytes, Duration wait) {
         String query =
                 "?offset=" + offset + "&maxBytes=" + maxBytes + "&waitMillis=" + wait.toMillis();
-        HttpRequest request =
-                HttpRequest.newBuilder(recordsUri(stream, query))
-                        .timeout(mSettings.timeout().plus(wait))
-                        .GET()
-                        .build();
         return exchange(
-                request, ErrorCode.LOG_UNAVAILABLE, response -> LogReplies.batch(response, offset));
+                HttpMethod.GET,
+                recordsTarget(stream, query),
+                NO_BODY,
+                mSettings.timeout().plus(wait),
+                ErrorCode.LOG_UNAVAILABLE,
+                reply -> LogReplies.batch(reply, offset));
     }
 
     @Override
     public void close() {
         mClosed = true;
         mWorkers.shutdownNow();
+        mLoops.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private <T> CompletableFuture<T> exchange(
-            HttpRequest request, ErrorCode lostReplyCode, ReplyReader<T> reader) {
+            HttpMethod method,
+            String target,
+            byte[] body,
+            Duration timeout,
+            ErrorCode lostReplyCode,
+            Function<PooledHttpClient.Reply, T> reader) {
         if (mClosed) {
-            return CompletableFuture.failedFuture(unavailable("the client is closed", null));
+            return CompletableFuture.failedFuture(
+                    new AzurearchException(ErrorCode.LOG_UNAVAILABLE, "the client is closed"));
         }
-        return mHttp.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
-                .handle(
-                        (response, failure) -> {
-                            if (response == null) {
+        return CompletableFuture.supplyAsync(
+                        () -> mHttp.send(method, target, body, timeout.toMillis()), mLoop)
+                .thenCompose(Function.identity())
+                .handleAsync(
+                        (reply, failure) -> {
+                            if (reply == null) {
                                 throw toException(failure, lostReplyCode);
                             }
-                            return reader.read(response);
-                        });
+                            return reader.apply(reply);
+                        },
+                        mWorkers);
     }
 
-    private URI recordsUri(StreamId stream, String query) {
-        return URI.create(
-                "http://"
-                        + mSettings.address().name()
-                        + "/v1/streams/"
-                        + stream.name()
-                        + "/records"
-                        + query);
+    private static String recordsTarget(StreamId stream, String query) {
+        return "/v1/streams/" + stream.name() + "/records" + query;
     }
 
-    private static AzurearchException toException(Throwable failure, ErrorCode lostReplyCode) {
-        Throwable cause = Completions.unwrap(failure);
+    private static AzurearchException toException(
+            @Nullable Throwable failure, ErrorCode lostReplyCode) {
+        Throwable cause = failure == null ? null : Completions.unwrap(failure);
         boolean neverSent =
-                cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException;
+                cause instanceof AzurearchException error
+                        && error.code() == ErrorCode.LOG_UNAVAILABLE;
         return neverSent
-                ? unavailable("cannot connect to the log: " + cause, cause)
+                ? new AzurearchException(
+                        ErrorCode.LOG_UNAVAILABLE, "cannot connect to the log: " + cause, cause)
                 : new AzurearchException(lostReplyCode, "no answer from the log: " + cause, cause);
     }
-
-    private static AzurearchException unavailable(String message, @Nullable Throwable cause) {
-        return new AzurearchException(ErrorCode.LOG_UNAVAILABLE, message, cause);
-    }
-
-    /** Parses the reply to a request. */
-    @FunctionalInterface
-    private interface ReplyReader<T> {
-        T read(HttpResponse<byte[]> response);
-    }
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/log/LogReplies.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/log/LogReplies.java
@@ -3,12 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
+import org.azurearch.internal.call.PooledHttpClient;
 import org.azurearch.log.LogBatch;
 import org.azurearch.log.LogRecord;
 import org.azurearch.log.OffsetRemovedException;
@@ -27,8 +27,8 @@
     private LogReplies() {}
 
     /** Parses the offset in the reply to an append. */
-    static long offset(HttpResponse<byte[]> response) {
-        if (response.statusCode() != STATUS_OK) {
+    static long offset(PooledHttpClient.Reply response) {
+        if (response.status() != STATUS_OK) {
             throw statusException(response, ErrorCode.LOG_RESULT_UNKNOWN);
         }
         JsonNode root = parse(response, ErrorCode.LOG_RESULT_UNKNOWN);
@@ -36,12 +36,12 @@
     }
 
     /** Parses the records in the reply to a read. */
-    static LogBatch batch(HttpResponse<byte[]> response, long requestedOffset) {
-        if (response.statusCode() == STATUS_GONE) {
+    static LogBatch batch(PooledHttpClient.Reply response, long requestedOffset) {
+        if (response.status() == STATUS_GONE) {
             JsonNode root = parse(response, ErrorCode.LOG_UNAVAILABLE);
             throw new OffsetRemovedException(requestedOffset, number(root, "earliest"));
         }
-        if (response.statusCode() != STATUS_OK) {
+        if (response.status() != STATUS_OK) {
             throw statusException(response, ErrorCode.LOG_UNAVAILABLE);
         }
         JsonNode root = parse(response, ErrorCode.LOG_UNAVAILABLE);
@@ -71,9 +71,9 @@
     }
 
     private static AzurearchException statusException(
-            HttpResponse<byte[]> response, ErrorCode defaultCode) {
+            PooledHttpClient.Reply response, ErrorCode defaultCode) {
         ErrorCode code =
-                switch (response.statusCode()) {
+                switch (response.status()) {
                     case STATUS_TOO_LARGE -> ErrorCode.TOO_LARGE;
                     case STATUS_TOO_MANY, STATUS_UNAVAILABLE -> ErrorCode.LOG_UNAVAILABLE;
                     default -> defaultCode;
@@ -82,12 +82,12 @@
         return new AzurearchException(
                 code,
                 "the log answered with status "
-                        + response.statusCode()
+                        + response.status()
                         + " "
                         + body.substring(0, Math.min(body.length(), MESSAGE_MAX_CHARS)));
     }
 
-    private static JsonNode parse(HttpResponse<byte[]> response, ErrorCode failureCode) {
+    private static JsonNode parse(PooledHttpClient.Reply response, ErrorCode failureCode) {
         try {
             return JSON.readTree(response.body());
         } catch (IOException e) {
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/BackendService.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/BackendService.java
@@ -109,6 +109,7 @@
     @Override
     public void close() {
         mTicks.cancel();
+        mProbe.close();
     }
 
     private synchronized void tick() {
--- a/org.azurearch/src/main/java/org/azurearch/internal/member/HealthProbe.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/member/HealthProbe.java
@@ -1,27 +1,43 @@
 package org.azurearch.internal.member;
 
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.nio.ByteBuffer;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Flow;
 import java.util.concurrent.TimeUnit;
+import org.azurearch.internal.call.AnswerDecoder;
+import org.azurearch.internal.call.HttpLimits;
 import org.azurearch.lib.NetAddress;
 import org.jspecify.annotations.Nullable;
 
-/** Probes the health endpoint of the backend server over HTTP. */
-final class HealthProbe {
+/**
+ * Probes the health endpoint of the backend server over HTTP, on a connection for each probe. The
+ * status decides; the connection is closed without reading the body.
+ */
+final class HealthProbe implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
-    private static final int MAX_BODY_BYTES = 64 * 1024;
-    private static final int MIN_SUCCESS_STATUS = 200;
-    private static final int MAX_SUCCESS_STATUS = 299;
 
-    private @Nullable HttpClient mClient;
+    private @Nullable EventLoopGroup mLoops;
 
     /**
      * Sends a GET request.
@@ -29,76 +45,99 @@
      * @return whether a 2xx status arrived in time; never completes exceptionally
      */
     CompletableFuture<Boolean> probe(NetAddress address, String path) {
-        URI uri = URI.create("http://" + address.name() + path);
-        HttpRequest request = HttpRequest.newBuilder(uri).timeout(TIMEOUT).GET().build();
-        return lazyClient()
-                .sendAsync(request, head -> new BodyDiscarder())
-                .handle(
-                        (response, failure) ->
-                                response != null && isHealthy(response.statusCode()));
+        CompletableFuture<Boolean> healthy = new CompletableFuture<>();
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+        request.headers()
+                .set(HttpHeaderNames.HOST, address.name())
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        new Bootstrap()
+                .group(lazyLoops())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TIMEOUT.toMillis())
+                .handler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                AnswerDecoder decoder =
+                                        new AnswerDecoder(HttpLimits.answerConfig());
+                                decoder.awaitAnswer(HttpMethod.GET);
+                                channel.pipeline()
+                                        .addLast(decoder)
+                                        .addLast(new HttpRequestEncoder())
+                                        .addLast(new Probe(request, healthy));
+                            }
+                        })
+                .connect(address.socketAddress())
+                .addListener(
+                        connected -> {
+                            if (!connected.isSuccess()) {
+                                healthy.complete(false);
+                            }
+                        });
+        return healthy;
     }
 
-    /**
-     * Reads a short body, so that the connection can be used again, and closes the connection of a
-     * longer one or of one that does not end in time. The status counts without the body.
-     */
-    private static final class BodyDiscarder implements HttpResponse.BodySubscriber<Void> {
-        private volatile Flow.@Nullable Subscription mSubscription;
-        private int mBytes;
+    /** Stops the thread of the probes. */
+    @Override
+    public synchronized void close() {
+        if (mLoops != null) {
+            mLoops.shutdownGracefully(0, TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
 
-        @Override
-        public CompletionStage<Void> getBody() {
-            return CompletableFuture.completedFuture(null);
+    private synchronized EventLoopGroup lazyLoops() {
+        if (mLoops == null) {
+            mLoops =
+                    new MultiThreadIoEventLoopGroup(
+                            1,
+                            new DefaultThreadFactory("azurearch-health-probe", true),
+                            NioIoHandler.newFactory());
         }
+        return mLoops;
+    }
 
-        @Override
-        public void onSubscribe(Flow.Subscription subscription) {
-            mSubscription = subscription;
-            subscription.request(Long.MAX_VALUE);
-            CompletableFuture.delayedExecutor(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                    .execute(this::cancel);
+    /** A connection, which is closed once the result is known. */
+    private static final class Probe extends SimpleChannelInboundHandler<HttpObject> {
+        private final FullHttpRequest mRequest;
+        private final CompletableFuture<Boolean> mHealthy;
+
+        Probe(FullHttpRequest request, CompletableFuture<Boolean> healthy) {
+            mRequest = request;
+            mHealthy = healthy;
         }
 
         @Override
-        public void onNext(List<ByteBuffer> pieces) {
-            for (ByteBuffer piece : pieces) {
-                mBytes += piece.remaining();
-            }
-            if (mBytes > MAX_BODY_BYTES) {
-                cancel();
-            }
+        public void channelActive(ChannelHandlerContext context) {
+            context.executor()
+                    .schedule(() -> end(context, false), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            context.writeAndFlush(mRequest, context.voidPromise());
         }
 
         @Override
-        public void onError(Throwable failure) {
-            mSubscription = null;
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (message instanceof HttpResponse head) {
+                boolean success =
+                        head.decoderResult().isSuccess()
+                                && head.status().codeClass() == HttpStatusClass.SUCCESS;
+                end(context, success);
+            }
         }
 
         @Override
-        public void onComplete() {
-            mSubscription = null;
+        public void channelInactive(ChannelHandlerContext context) {
+            end(context, false);
         }
 
-        private void cancel() {
-            Flow.Subscription subscription = mSubscription;
-            if (subscription != null) {
-                subscription.cancel();
-            }
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            end(context, false); // the server counts as unhealthy, which is logged
         }
-    }
-
-    private static boolean isHealthy(int status) {
-        return status >= MIN_SUCCESS_STATUS && status <= MAX_SUCCESS_STATUS;
-    }
 
-    private synchronized HttpClient lazyClient() {
-        if (mClient == null) {
-            mClient =
-                    HttpClient.newBuilder()
-                            .version(HttpClient.Version.HTTP_1_1)
-                            .connectTimeout(TIMEOUT)
-                            .build();
+        private void end(ChannelHandlerContext context, boolean healthy) {
+            mHealthy.complete(healthy);
+            context.close();
         }
-        return mClient;
     }
 }
