Wait for the accepting thread when the server of a test closes

Change: RawServer.close waits until that thread has ended, so that it closes what was accepted last, too.

--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/RawServer.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/RawServer.java
@@ -44,11 +44,12 @@
     final AtomicInteger mConnectionCount = new AtomicInteger();
     private final Set<Socket> mOpenSockets = ConcurrentHashMap.newKeySet();
     private final ServerSocket mListener;
+    private final Thread mAccepting;
     private volatile Script mScript = (request, connection) -> sendOk(connection, "ok");
 
     RawServer() throws IOException {
         mListener = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
-        startDaemon(this::accept);
+        mAccepting = startDaemon(this::accept);
     }
 
     NetAddress address() {
@@ -82,6 +83,11 @@
     @Override
     public void close() throws IOException {
         mListener.close();
+        try {
+            mAccepting.join(); // it may still accept a connection after the listener is closed
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : mOpenSockets) {
             socket.close();
         }
@@ -159,9 +165,10 @@
         }
     }
 
-    private static void startDaemon(Runnable task) {
+    private static Thread startDaemon(Runnable task) {
         Thread thread = new Thread(task, "raw-server");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
