Bound what is read of a backend server in one turn of the event loop

Callers saw: beside a server that sends interim answers or chunks of one byte without end, callers of another service got 503 or no answer.

The turns of 0.3 to 0.5 s made links to peers count as lost.

Change: a read takes at most 16 KB instead of 64.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/backend/BackendConnectionPool.java
@@ -49,11 +49,15 @@
     private static final long MAX_IDLE_NANOS = 3_000_000_000L;
 
     /**
-     * Reads of a connection in one iteration of the event loop. A read of 64 KiB holds over ten
-     * thousand chunks of one byte.
+     * Reads of a connection in one iteration of the event loop, which other connections wait for. A
+     * read holds up to 2,700 chunks of one byte.
      */
     private static final int MAX_READS_PER_TURN = 2;
 
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     private final EventLoop mLoop;
     private final Dialect mDialect;
     private final AnswerBudget mBudget;
@@ -161,7 +165,9 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TURN))
+                        new AdaptiveRecvByteBufAllocator(
+                                        MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(MAX_READS_PER_TURN))
                 .handler(
                         new ChannelInitializer<SocketChannel>() {
                             @Override
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/HeadChecker.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/HeadChecker.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -30,18 +28,21 @@
         ENDED
     }
 
-    /** A status line up to its code; the code is the first group. */
-    private static final Pattern STATUS_LINE =
-            Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?", Pattern.DOTALL);
+    /** The start of a status line, before the minor version. */
+    private static final byte[] PROTOCOL = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
-    /** Enough of a status line to check it. */
-    private static final int STATUS_LINE_CHARS = 16;
+    /** Places in a status line: the minor version, a blank, the code and a blank. */
+    private static final int MINOR_VERSION = PROTOCOL.length;
+
+    private static final int FIRST_DIGIT = MINOR_VERSION + 2;
+    private static final int CODE_END = FIRST_DIGIT + 3;
 
     private static final boolean[] TOKEN = tokenBytes();
 
     private final Kind mKind;
-    private final StringBuilder mStatusLine = new StringBuilder(STATUS_LINE_CHARS);
     private int mScannedBytes;
+    private int mLineBytes;
+    private int mStatus;
     private Part mPart;
 
     HeadChecker(Kind kind) {
@@ -57,7 +58,8 @@
     void reset() {
         mScannedBytes = 0;
         mPart = firstPart();
-        mStatusLine.setLength(0);
+        mLineBytes = 0;
+        mStatus = 0;
     }
 
     /** Returns whether a part of a head has arrived. */
@@ -114,23 +116,32 @@
     }
 
     private @Nullable String startLine(int next) {
-        if (next == '\r') {
+        boolean ends = next == '\r';
+        if (ends) {
             mPart = Part.LINE_END;
-            return mKind == Kind.ANSWER ? statusLineProblem() : null;
         }
-        if (mStatusLine.length() < STATUS_LINE_CHARS && mKind == Kind.ANSWER) {
-            mStatusLine.append((char) next);
+        if (mKind == Kind.ANSWER && mLineBytes <= CODE_END) {
+            return statusLine(next, mLineBytes++);
         }
-        return isText(next) ? null : "a control character in the first line";
-    }
-
-    private @Nullable String statusLineProblem() {
-        Matcher line = STATUS_LINE.matcher(mStatusLine);
-        if (!line.matches()) {
-            return "not a status line of HTTP/1.1";
+        return ends || isText(next) ? null : "a control character in the first line";
+    }
+
+    /** Checks a byte of a status line up to the one behind the code. */
+    private @Nullable String statusLine(int next, int place) {
+        boolean valid;
+        if (place < MINOR_VERSION) {
+            valid = next == PROTOCOL[place];
+        } else if (place == MINOR_VERSION) {
+            valid = next == '0' || next == '1';
+        } else if (place < FIRST_DIGIT) {
+            valid = next == ' ';
+        } else if (place < CODE_END) {
+            valid = next >= '0' && next <= '9';
+            mStatus = 10 * mStatus + next - '0';
+        } else {
+            valid = (next == ' ' || next == '\r') && AnswerRules.validStatus(mStatus);
         }
-        int status = Integer.parseInt(line.group(1));
-        return AnswerRules.validStatus(status) ? null : "status " + line.group(1);
+        return valid ? null : "not a status line of HTTP/1.1 with a status of 100 to 599";
     }
 
     private @Nullable String lineStart(int next) {
