Count a leaving node among those that share a rate until it has ended

Cause: each node spends or delegates 1/N of every rate, and N left out leaving nodes, which serve their callers with a share until the end of the grace period. The surplus shows where a partition of accounts has two coordinators, as nodes keep one that is in use for 5 s. A node that had just started counted only what it had learned so far.

Change: ShareHolders decides who counts. A leaving node counts until it must have ended; a node that starts or wakes holds nothing until the others have counted it for a lease, and gets tokens from coordinators meanwhile. AZ0879 tells the count. QuotaSimulation learns records, planned stops and the product's choice of coordinators.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
@@ -8,6 +8,9 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.azurearch.sidecar.FeatureSettings.QuotaBound;
+import org.azurearch.sidecar.internal.quota.CoordinatorChoice;
+import org.azurearch.sidecar.member.NodeRecord;
+import org.jspecify.annotations.Nullable;
 
 /** Nodes with quotas and a simulated network and clock, in steps of one millisecond. */
 final class QuotaSimulation {
@@ -19,6 +22,12 @@
     /** Number of nodes that may coordinate. */
     private static final int CANDIDATES = 6;
 
+    /** Time after the begin of a stop at which a node says that it is leaving. */
+    private static final long LEAVE_AFTER_MILLIS = 1_800;
+
+    /** Interval at which a node compares its records with those of another one. */
+    private static final long EXCHANGE_MILLIS = 1_000;
+
     /** A request that waits at a node. */
     private record Waiting(String account, boolean urgent, long untilMillis) {}
 
@@ -41,6 +50,12 @@
         private boolean mUp = true;
         private long mFrozenUntil;
         private int mCut;
+        private long mLeaveMillis = Long.MAX_VALUE;
+        private long mEndMillis = Long.MAX_VALUE;
+        private long mStartMillis = Long.MAX_VALUE;
+        private @Nullable NodeMembers mMembers;
+        private boolean mRegistered;
+        private CoordinatorChoice mChoice = new CoordinatorChoice();
 
         Node(int index) {
             mName = String.format("n%03d", index);
@@ -56,7 +71,16 @@
                 mQuotas[i] = new AccountQuota(mName, mEpoch, BOUND, mRandom.split(), clock());
                 mCoordinators[i] = new QuotaCoordinator(mName, mEpoch, BOUND, clock());
             }
+            mLeaveMillis = Long.MAX_VALUE;
+            mEndMillis = Long.MAX_VALUE;
+            mStartMillis = Long.MAX_VALUE;
             update();
+            if (mTracksMembers) {
+                mMembers = new NodeMembers(mName, mEpoch, clock());
+                mRegistered = false;
+                mChoice = new CoordinatorChoice();
+                register(this);
+            }
         }
 
         void update() {
@@ -89,6 +113,8 @@
                                     ? Long.compare(a.atMillis(), b.atMillis())
                                     : Long.compare(a.order(), b.order()));
     private final Map<String, List<Long>> mRan = new HashMap<>();
+    private final Map<String, NodeRecord> mStored = new HashMap<>();
+    private boolean mTracksMembers;
     private List<AccountDirectory> mAccounts;
     private long mNow;
     private long mOrder;
@@ -148,6 +174,37 @@
         mMissing = most;
     }
 
+    /** Lets each node learn of the others from their records, as they start and leave. */
+    void trackMembers() {
+        mTracksMembers = true;
+        mNodes.forEach(Node::start);
+    }
+
+    /** Adds a node that the others do not know. */
+    void add() {
+        mIndex.put(String.format("n%03d", mNodes.size()), mNodes.size());
+        mNodes.add(new Node(mNodes.size()));
+    }
+
+    /** Stops a node, which goes on for a while, and starts it again some time after its end. */
+    void stop(int index, long runMillis, long startMillis) {
+        Node node = mNodes.get(index);
+        if (node.mUp && node.mEndMillis == Long.MAX_VALUE) {
+            node.mLeaveMillis = mNow + LEAVE_AFTER_MILLIS;
+            node.mEndMillis = mNow + runMillis;
+            node.mStartMillis = node.mEndMillis + startMillis;
+        }
+    }
+
+    /** Returns the number of nodes, running or not. */
+    int nodes() {
+        return mNodes.size();
+    }
+
+    boolean up(int node) {
+        return mNodes.get(node).mUp;
+    }
+
     void kill(int node) {
         mNodes.get(node).mUp = false;
     }
@@ -163,8 +220,9 @@
     /** Freezes the node that the first node prefers as the coordinator of an account. */
     void freezeCoordinator(String account, long millis) {
         List<String> preferred = preferred(mNodes.get(0));
-        if (!preferred.isEmpty()) {
-            freeze(mIndex.get(preferred.get(QuotaPartitions.of(account))), millis);
+        String node = preferred.isEmpty() ? "" : preferred.get(QuotaPartitions.of(account));
+        if (!node.isEmpty()) {
+            freeze(mIndex.get(node), millis);
         }
     }
 
@@ -204,12 +262,74 @@
         mOpenRefunds.stream().filter(refund -> refund.atMillis() == mNow).forEach(this::refund);
         mOpenRefunds.removeIf(refund -> refund.atMillis() <= mNow);
         for (Node node : mNodes) {
+            proceedStop(node);
             if (node.running()) {
                 tick(node);
             }
         }
     }
 
+    private void proceedStop(Node node) {
+        if (mNow >= node.mEndMillis && node.mUp) {
+            node.mUp = false;
+        }
+        if (mNow >= node.mStartMillis && !node.mUp) {
+            node.start();
+        }
+        NodeMembers members = node.mMembers;
+        if (mNow >= node.mLeaveMillis && node.running() && members != null) {
+            node.mLeaveMillis = Long.MAX_VALUE;
+            members.leave(node.clock());
+            broadcast(node, members.self());
+        }
+    }
+
+    /** Writes the record of a node that starts to the store, reads the others and publishes it. */
+    private void register(Node node) {
+        NodeMembers members = node.mMembers;
+        if (members == null) {
+            return;
+        }
+        if (node.mCut == 0) {
+            node.mRegistered = true;
+            mStored.values().forEach(record -> members.merge(record, node.clock()));
+            mStored.put(node.mName, members.self());
+        }
+        broadcast(node, members.self());
+    }
+
+    private void broadcast(Node node, NodeRecord record) {
+        int from = mIndex.get(node.mName);
+        for (int to = 0; to < mNodes.size(); to++) {
+            if (to != from) {
+                send(from, to, 0, record);
+            }
+        }
+    }
+
+    /** Sends all records to another node, as their digests differ. */
+    private void exchange(Node node, NodeMembers members) {
+        int to = mRandom.nextInt(mNodes.size());
+        if (!mNodes.get(to).mName.equals(node.mName)) {
+            members.records().forEach(record -> send(mIndex.get(node.mName), to, 0, record));
+        }
+    }
+
+    private int holders(Node node) {
+        NodeMembers members = node.mMembers;
+        if (members == null) {
+            int missing = mMissing == 0 ? 0 : mIndex.get(node.mName) % (mMissing + 1);
+            return mNodes.size() - missing;
+        }
+        if (!node.mRegistered && node.mCut == 0) {
+            register(node);
+        }
+        boolean reached =
+                mNodes.stream()
+                        .anyMatch(other -> other != node && other.mUp && other.mCut == node.mCut);
+        return members.holders(node.mRegistered, reached, node.clock());
+    }
+
     /** Returns how many requests of an account ran. */
     int ran(String account) {
         return mRan.getOrDefault(account, List.of()).size();
@@ -236,13 +356,17 @@
 
     private void tick(Node node) {
         if (mNow % 20 == mIndex.get(node.mName) % 20) {
-            int missing = mMissing == 0 ? 0 : mIndex.get(node.mName) % (mMissing + 1);
+            int holders = holders(node);
             List<String> preferred = preferred(node);
             for (int i = 0; i < QuotaPartitions.COUNT; i++) {
                 String coordinator = preferred.isEmpty() ? "" : preferred.get(i);
-                node.mQuotas[i].observeMembers(coordinator, mNodes.size() - missing);
+                node.mQuotas[i].observeMembers(coordinator, holders);
             }
         }
+        if (node.mMembers != null
+                && mNow % EXCHANGE_MILLIS == mIndex.get(node.mName) * 7L % EXCHANGE_MILLIS) {
+            exchange(node, node.mMembers);
+        }
         for (int i = 0; i < QuotaPartitions.COUNT; i++) {
             poll(node, i);
         }
@@ -271,13 +395,27 @@
 
     /** The coordinators among the first nodes in the order of names that this node reaches. */
     private List<String> preferred(Node node) {
+        List<String> candidates = candidates(node);
+        if (!mTracksMembers) {
+            return candidates.isEmpty() ? List.of() : QuotaPartitions.assign(candidates);
+        }
+        List<String> current = new ArrayList<>();
+        for (AccountQuota quota : node.mQuotas) {
+            current.add(quota.coordinator() == null ? "" : quota.coordinator());
+        }
+        return node.mChoice.choose(candidates, current, node.clock());
+    }
+
+    private List<String> candidates(Node node) {
         List<String> candidates = new ArrayList<>();
         for (Node other : mNodes) {
-            if (other.mUp && other.mCut == node.mCut && candidates.size() < CANDIDATES) {
+            boolean leaving = node.mMembers != null && node.mMembers.leaving(other.mName);
+            boolean usable = other.mUp && other.mCut == node.mCut && !leaving;
+            if (usable && candidates.size() < CANDIDATES) {
                 candidates.add(other.mName);
             }
         }
-        return candidates.isEmpty() ? List.of() : QuotaPartitions.assign(candidates);
+        return candidates;
     }
 
     private void send(int from, int to, int partition, Object message) {
@@ -315,7 +453,11 @@
         if (delivery.from() != delivery.to()) {
             node.mBusyUntil = Math.max(node.mBusyUntil, mNow) + mMessageMillis;
         }
-        if (delivery.message() instanceof QuotaAsk ask) {
+        if (delivery.message() instanceof NodeRecord record) {
+            if (node.mMembers != null) {
+                node.mMembers.merge(record, node.clock());
+            }
+        } else if (delivery.message() instanceof QuotaAsk ask) {
             QuotaReply reply = node.mCoordinators[partition].receive(ask, node.clock());
             if (reply != null) {
                 send(delivery.to(), delivery.from(), partition, reply);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -131,6 +131,8 @@
             Level.INFO,
             "allowed={} at_limit={} no_answer={} waited={} returned={} unused={} delegated={}"
                     + " members={}"),
+    /** The number of nodes that hold a share of what all divide changed; 0 if this holds none. */
+    SHARE_HOLDERS(879, Level.INFO, "holders={} known={} reachable={}"),
     /** A request whose first attempt is slow is also sent to a second backend server. */
     HEDGED(
             890,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
@@ -64,7 +64,7 @@
     private AccountDirectory mAccounts = AccountDirectory.EMPTY;
     private @Nullable String mCoordinator;
     private String mPreferred = "";
-    private int mMembers;
+    private int mHolders;
     private boolean mDelegating;
     private boolean mReleasing;
     private long mDelegateFromMillis;
@@ -108,12 +108,12 @@
      * Sets what is known of the mesh.
      *
      * @param preferred the node that should coordinate, which may be this one
-     * @param members the number of nodes, reachable or not
+     * @param holders the number of nodes that hold a base share; 0 if this node holds none
      */
-    public void observeMembers(String preferred, int members) {
+    public void observeMembers(String preferred, int holders) {
         mPreferred = preferred;
-        mMembers = Math.max(1, members);
-        mBase.setMembers(mMembers);
+        mHolders = holders;
+        mBase.setHolders(Math.max(1, holders));
     }
 
     /** Returns whether requests of an account are limited. */
@@ -128,7 +128,7 @@
 
     /** Returns whether this node spends its base share itself. */
     public boolean usesBaseShare(long nowMillis) {
-        return !mDelegating && nowMillis >= mDelegateFromMillis;
+        return mHolders > 0 && !mDelegating && nowMillis >= mDelegateFromMillis;
     }
 
     /**
@@ -196,7 +196,7 @@
     /** Returns how long until a token for one more refused request is expected. */
     public long retryAfterMillis(String account, long nowMillis) {
         ClientAccount limited = limited(account);
-        double base = limited == null ? 0 : limited.ratePerSecond() / Math.max(1, mMembers);
+        double base = limited == null || mHolders == 0 ? 0 : limited.ratePerSecond() / mHolders;
         return held(account).refused(base, nowMillis);
     }
 
@@ -343,7 +343,7 @@
     }
 
     private boolean canStartDelegating(long nowMillis) {
-        return !mDelegating && !mReleasing && nowMillis >= mDelegateFromMillis;
+        return mHolders > 0 && !mDelegating && !mReleasing && nowMillis >= mDelegateFromMillis;
     }
 
     /** Spent tokens of scarce accounts are reported soon, as they count against the bucket. */
@@ -363,7 +363,8 @@
         mSequence++;
         boolean knows = mCoordinatorEpoch != 0;
         mReleasing |= release;
-        boolean delegates = knows && !mReleasing && nowMillis >= mDelegateFromMillis;
+        boolean delegates =
+                mHolders > 0 && knows && !mReleasing && nowMillis >= mDelegateFromMillis;
         if (mReleasing) {
             mHeld.values().forEach(HeldTokens::drop);
         }
@@ -380,7 +381,7 @@
                 nowMillis,
                 mCoordinatorEpoch,
                 mCoordinatorMillis,
-                delegates ? mMembers : 0,
+                delegates ? mHolders : 0,
                 mReleasing,
                 mReleasing ? List.of() : entries(waiting, nowMillis));
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/BaseShare.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/BaseShare.java
@@ -27,15 +27,15 @@
 
     private final SplittableRandom mRandom;
     private final Map<String, Share> mShares = new HashMap<>();
-    private int mMembers = 1;
+    private int mHolders = 1;
     private long mUsedMillis;
 
     BaseShare(SplittableRandom random) {
         mRandom = random;
     }
 
-    void setMembers(int members) {
-        mMembers = Math.max(1, members);
+    void setHolders(int holders) {
+        mHolders = Math.max(1, holders);
     }
 
     void retain(AccountDirectory accounts) {
@@ -65,7 +65,7 @@
     }
 
     private void fill(Share share, ClientAccount account, long nowMillis) {
-        double perMilli = account.ratePerSecond() / mMembers / MILLIS_PER_SECOND;
+        double perMilli = account.ratePerSecond() / mHolders / MILLIS_PER_SECOND;
         double filled = share.mFraction + perMilli * (nowMillis - share.mFilledMillis);
         double whole = Math.floor(filled);
         share.mFraction = filled - whole;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaAsk.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaAsk.java
@@ -13,7 +13,8 @@
  * @param sentMillis when the message was sent, on the clock of the node
  * @param echoEpoch the run of the coordinator that sent the newest answer; 0 if there is none
  * @param echoMillis when it sent that answer, on its clock
- * @param members the number of nodes, of which this one delegates its share; 0 for no delegation
+ * @param members the number of nodes that hold a share, of which this one delegates its own; 0 for
+ *     no delegation
  * @param release whether the node ends its delegation
  * @param entries the accounts for which something changed or is asked
  */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaRules.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaRules.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.account;
 
 import org.azurearch.sidecar.FeatureSettings.QuotaBound;
+import org.azurearch.sidecar.member.ShareHolders;
 
 /**
  * Divides the tolerance of a quota among the reasons to exceed rate and burst. In a window W an
@@ -11,7 +12,7 @@
  */
 record QuotaRules(QuotaBound bound) {
     /** How long a delegation and the tokens granted under it are valid. */
-    static final long LEASE_MILLIS = 1_500;
+    static final long LEASE_MILLIS = ShareHolders.LEASE_MILLIS;
 
     /** Interval at which a node renews its delegation; two renewals may be lost. */
     static final long RENEW_MILLIS = 500;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -24,6 +24,7 @@
 import org.azurearch.sidecar.internal.suspect.StrikeEntry;
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.member.NodeRecord;
+import org.azurearch.sidecar.member.ShareHolders;
 import org.azurearch.sidecar.rollout.RolloutCodec;
 import org.azurearch.sidecar.store.KeyedLog;
 import org.azurearch.sidecar.store.KeyedRecord;
@@ -63,6 +64,10 @@
     private QuotaPeer mQuota = QuotaPeer.NONE;
     private LongConsumer mTickListener = now -> {};
     private boolean mIsReader;
+
+    /** Whether a peer has said that it knows no more nodes than this one. */
+    private boolean mMembersCompared;
+
     private int mStartupPulsesSent;
     private boolean mClosed;
 
@@ -252,6 +257,7 @@
         if (pulse.getMemberDigest() != mDirectory.table().digest()) {
             mDirectory.sendMissing(connection, pulse.getMembers());
         }
+        mMembersCompared |= pulse.getMembers() <= mDirectory.table().records().size();
         mExchange.schedulePull(connection, pulse.getConfigVersion());
         boolean differs =
                 strikesDiffer
@@ -268,8 +274,10 @@
             return;
         }
         long now = System.nanoTime();
-        mPauses.tick(now, System.currentTimeMillis());
+        long wallMillis = System.currentTimeMillis();
+        mPauses.tick(now, wallMillis);
         mDirectory.tick(now);
+        countShareHolders(now, wallMillis);
         mTickListener.accept(now);
         mQuota.tick();
         mSuspects.decidePeerLosses(mPeers);
@@ -287,6 +295,23 @@
         mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void countShareHolders(long nowNanos, long wallMillis) {
+        ShareHolders holders = mDirectory.shareHolders();
+        int before = holders.count();
+        holders.tick(
+                mRegistration.complete() || mMembersCompared,
+                !mDirectory.linksUp().isEmpty(),
+                nowNanos,
+                wallMillis);
+        if (holders.count() != before) {
+            EventLog.log(
+                    SidecarEvent.SHARE_HOLDERS,
+                    holders.count(),
+                    mDirectory.table().records().size(),
+                    mDirectory.reachable());
+        }
+    }
+
     private void pulse() {
         if (mClosed) {
             return;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -19,6 +19,7 @@
 import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.member.NodeTable;
+import org.azurearch.sidecar.member.ShareHolders;
 import org.azurearch.sidecar.route.EndpointLoad;
 import org.azurearch.sidecar.route.EndpointState;
 import org.azurearch.thrift.HopFrame;
@@ -49,6 +50,7 @@
     }
 
     private final NodeTable mTable;
+    private final ShareHolders mShareHolders;
     private final NodeLinks mLinks;
     private final Map<String, EndpointState> mEndpoints = new HashMap<>();
     private final Listener mListener;
@@ -79,6 +81,13 @@
             Listener listener) {
         mListener = listener;
         mTable = new NodeTable(settings.node());
+        mShareHolders =
+                new ShareHolders(
+                        mTable,
+                        settings.node(),
+                        settings.graceMillis(),
+                        System.nanoTime(),
+                        System.currentTimeMillis());
         mOrder = new NodeOrder(mTable, settings.node(), this::up);
         mLinks = new NodeLinks(loop, network, mTable, settings.node(), this, this::linkDropped);
         mSelf =
@@ -105,6 +114,11 @@
         return mTable;
     }
 
+    /** Returns which nodes hold a share of what all nodes divide among them. */
+    public ShareHolders shareHolders() {
+        return mShareHolders;
+    }
+
     /** Returns all endpoints, including that of this node. */
     public Collection<EndpointState> endpoints() {
         return mEndpoints.values();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/QuotaMesh.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/QuotaMesh.java
@@ -29,15 +29,13 @@
     }
 
     @Override
-    public int members() {
-        if (!mMesh.membersKnown()) {
-            return 0;
-        }
-        int members = 0;
-        for (NodeRecord record : mMesh.directory().table().records()) {
-            members += record.leaving() ? 0 : 1;
-        }
-        return members;
+    public boolean membersKnown() {
+        return mMesh.membersKnown();
+    }
+
+    @Override
+    public int shareHolders() {
+        return mMesh.directory().shareHolders().count();
     }
 
     @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/CoordinatorChoice.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/CoordinatorChoice.java
@@ -11,7 +11,7 @@
  * Chooses the coordinators of the quotas among the relays of all data centres, which every node
  * links to. Confined to one thread.
  */
-final class CoordinatorChoice {
+public final class CoordinatorChoice {
     /**
      * Time for which another node has to come first before the coordinator changes. A node that
      * started serves as a coordinator after one lease, and every change loses the stored tokens.
@@ -25,12 +25,13 @@
     private final String[] mOther = new String[QuotaPartitions.COUNT];
     private final long[] mOtherSinceMillis = new long[QuotaPartitions.COUNT];
 
-    CoordinatorChoice() {
+    /** Creates a choice without preferences. */
+    public CoordinatorChoice() {
         Arrays.fill(mOther, "");
     }
 
     /** Records that a coordinator did not answer. */
-    void silent(String node, long nowMillis) {
+    public void silent(String node, long nowMillis) {
         mSilentUntil.put(node, nowMillis + SILENT_MILLIS);
     }
 
@@ -40,7 +41,7 @@
      * @param candidates the nodes that may coordinate
      * @param current the present coordinator of each partition, or an empty string
      */
-    List<String> choose(List<String> candidates, List<String> current, long nowMillis) {
+    public List<String> choose(List<String> candidates, List<String> current, long nowMillis) {
         mSilentUntil.values().removeIf(until -> until <= nowMillis);
         List<String> answering = new ArrayList<>(candidates);
         answering.removeAll(mSilentUntil.keySet());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaPartition.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaPartition.java
@@ -101,8 +101,8 @@
         mCoordinator.update(accounts, nowMillis);
     }
 
-    void observeMembers(String preferred, int members) {
-        mQuota.observeMembers(preferred, members);
+    void observeMembers(String preferred, int holders) {
+        mQuota.observeMembers(preferred, holders);
     }
 
     /** Ends the delegations to this node, as it is stopping. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
@@ -52,8 +52,11 @@
         /** Returns the reachable nodes that may coordinate. */
         List<String> coordinators();
 
-        /** Returns the number of nodes, reachable or not; 0 if they are not known yet. */
-        int members();
+        /** Returns whether enough is known of the nodes to choose coordinators. */
+        boolean membersKnown();
+
+        /** Returns the number of nodes that hold a share of the rates; 0 if this one holds none. */
+        int shareHolders();
 
         /** Sends a frame to a node, if it is reachable. */
         void send(String node, HopFrame frame);
@@ -133,7 +136,7 @@
         }
         mPartitions.forEach(partition -> partition.poll(now));
         reportCoordinators(now);
-        mLedger.report(fraction(), mMesh.members(), now);
+        mLedger.report(fraction(), mMesh.shareHolders(), now);
     }
 
     /** Ends the delegations to this node, as it is stopping. */
@@ -239,15 +242,14 @@
 
     private void choose(long nowMillis) {
         mChosenMillis = nowMillis;
-        int members = mMesh.members();
         List<String> current = mPartitions.stream().map(QuotaPartition::coordinator).toList();
         List<String> chosen =
-                members == 0
-                        ? Collections.nCopies(QuotaPartitions.COUNT, "")
-                        : mChoice.choose(mMesh.coordinators(), current, nowMillis);
+                mMesh.membersKnown()
+                        ? mChoice.choose(mMesh.coordinators(), current, nowMillis)
+                        : Collections.nCopies(QuotaPartitions.COUNT, "");
+        int holders = mMesh.shareHolders();
         for (int i = 0; i < QuotaPartitions.COUNT; i++) {
-            int known = members == 0 ? Integer.MAX_VALUE : members;
-            mPartitions.get(i).observeMembers(chosen.get(i), known);
+            mPartitions.get(i).observeMembers(chosen.get(i), holders);
         }
     }
 
@@ -268,7 +270,7 @@
                     partition.usesBaseShare(nowMillis) ? NO_COORDINATOR : partition.coordinator();
             if (!used.isEmpty() && !used.equals(mReported[i])) {
                 mReported[i] = used;
-                EventLog.log(SidecarEvent.QUOTA_COORDINATOR, i, used, mMesh.members());
+                EventLog.log(SidecarEvent.QUOTA_COORDINATOR, i, used, mMesh.shareHolders());
             }
         }
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
@@ -78,6 +78,11 @@
         return leaving;
     }
 
+    /** Returns when the record of a known node was stored, on the steady clock. */
+    long changedNanos(String node) {
+        return mChangedNanos.getOrDefault(node, 0L);
+    }
+
     /** Returns the record of a node, or null if there is none. */
     public @Nullable NodeRecord record(String node) {
         return mRecords.get(node);
