Divide the reserve of the retry budget by the nodes that hold a share

Cause (read, then shown in a test): the reserve was divided by the nodes in reach.

Result: nodeThatDoesNotKnowTheOthersHasNoShareOfReserve failed before.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/SharedRetryBudgetTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/route/SharedRetryBudgetTest.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.route;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,15 @@
         assertTrue(taken <= RESERVE / 11, "taken " + taken);
     }
 
+    /** Guards against a reserve that each node takes for its own while it knows no other one. */
+    @Test
+    void nodeThatDoesNotKnowTheOthersHasNoShareOfReserve() {
+        SharedRetryBudget budget = new SharedRetryBudget(RATIO, RESERVE);
+        budget.tryTake();
+        budget.onRequest(0, 1);
+        assertFalse(budget.tryTake());
+    }
+
     private static int countRetries(
             SharedRetryBudget budget, int nodes, int requests, int windows) {
         int taken = 0;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SharedRetryBudget.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SharedRetryBudget.java
@@ -39,12 +39,12 @@
     /**
      * Adds the retries that a request allows.
      *
-     * @param nodes the number of nodes that share the reserve
+     * @param nodes the number of nodes that share the reserve; 0 if this one has no share of it
      * @param windows the time since the last request, in windows
      */
     public void onRequest(int nodes, double windows) {
-        double share = mReserve / Math.max(1, nodes);
-        if (!mBegun) {
+        double share = nodes == 0 ? 0 : mReserve / nodes;
+        if (!mBegun && nodes > 0) {
             mBegun = true;
             mTokens.add(Math.max(0, share * INITIAL_FRACTION - 1), Math.max(1, share));
         }
