Move the records for a peer to the node table, and run times out of a test

Change: NodeTable.missing, HopWire.frame and RunTimes; ShareHolders takes its first time from the first tick.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/NodeMembers.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/NodeMembers.java
@@ -19,7 +19,7 @@
     NodeMembers(String node, long incarnation, long nowMillis) {
         long nowNanos = nowMillis * NANOS_PER_MILLI;
         mTable = new NodeTable(node);
-        mHolders = new ShareHolders(mTable, node, GRACE_MILLIS, nowNanos, nowMillis);
+        mHolders = new ShareHolders(mTable, node, GRACE_MILLIS);
         mSelf =
                 new NodeRecord(
                         node,
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
@@ -112,7 +112,7 @@
                             a.atMillis() != b.atMillis()
                                     ? Long.compare(a.atMillis(), b.atMillis())
                                     : Long.compare(a.order(), b.order()));
-    private final Map<String, List<Long>> mRan = new HashMap<>();
+    private final RunTimes mRan = new RunTimes();
     private final Map<String, NodeRecord> mStored = new HashMap<>();
     private boolean mTracksMembers;
     private List<AccountDirectory> mAccounts;
@@ -332,7 +332,7 @@
 
     /** Returns how many requests of an account ran. */
     int ran(String account) {
-        return mRan.getOrDefault(account, List.of()).size();
+        return mRan.count(account);
     }
 
     /** Returns how many requests of the most urgent rank ran. */
@@ -342,16 +342,7 @@
 
     /** Returns the largest number of requests of an account that ran within a window. */
     int mostInWindow(String account) {
-        List<Long> times = mRan.getOrDefault(account, List.of());
-        int most = 0;
-        int first = 0;
-        for (int last = 0; last < times.size(); last++) {
-            while (times.get(last) - times.get(first) >= BOUND.windowMillis()) {
-                first++;
-            }
-            most = Math.max(most, last - first + 1);
-        }
-        return most;
+        return mRan.mostInWindow(account, BOUND.windowMillis());
     }
 
     private void tick(Node node) {
@@ -474,7 +465,7 @@
             long at = mNow + mRandom.nextLong(200);
             mOpenRefunds.add(new Refund(node, node.mEpoch, account, node.clock(), at));
         } else {
-            mRan.computeIfAbsent(account, a -> new ArrayList<>()).add(mNow);
+            mRan.add(account, mNow);
         }
     }
 
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/ShareHoldersTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/ShareHoldersTest.java
@@ -16,7 +16,7 @@
     private static final long TICK_MILLIS = 100;
 
     private final NodeTable mTable = new NodeTable("self");
-    private final ShareHolders mHolders = new ShareHolders(mTable, "self", GRACE_MILLIS, 0, 0);
+    private final ShareHolders mHolders = new ShareHolders(mTable, "self", GRACE_MILLIS);
     private long mNowMillis;
 
     ShareHoldersTest() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -19,12 +19,14 @@
 import org.azurearch.sidecar.member.BackendRecord;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.route.EndpointLoad;
+import org.azurearch.thrift.HopFrame;
 import org.azurearch.thrift.WireBackend;
 import org.azurearch.thrift.WireHopAnswer;
 import org.azurearch.thrift.WireHopCall;
 import org.azurearch.thrift.WireHopFailure;
 import org.azurearch.thrift.WireLoad;
 import org.azurearch.thrift.WireNodeRecord;
+import org.azurearch.thrift.WireNodeRecords;
 import org.azurearch.thrift.WireStrike;
 import org.jspecify.annotations.Nullable;
 
@@ -38,6 +40,17 @@
 
     private HopWire() {}
 
+    /**
+     * Returns the frame with the records of some nodes.
+     *
+     * @param relayed whether receivers do not forward them
+     */
+    public static HopFrame frame(List<NodeRecord> records, boolean relayed) {
+        List<WireNodeRecord> wire = new ArrayList<>();
+        records.forEach(record -> wire.add(toWire(record)));
+        return HopFrame.records(new WireNodeRecords(wire, relayed));
+    }
+
     /** Returns the Thrift form of a node record. */
     public static WireNodeRecord toWire(NodeRecord record) {
         WireNodeRecord wire =
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -32,9 +32,6 @@
     /** Time after which an unreachable node is removed: 10 minutes. */
     private static final long FORGET_NANOS = 600_000_000_000L;
 
-    /** Time after which a change has reached all reachable nodes: 4 seconds. */
-    private static final long RECENT_CHANGE_NANOS = 4_000_000_000L;
-
     /** Receives the frames and events of all links. */
     public interface Listener {
         /** Called for each frame that does not belong to a call. */
@@ -81,13 +78,7 @@
             Listener listener) {
         mListener = listener;
         mTable = new NodeTable(settings.node());
-        mShareHolders =
-                new ShareHolders(
-                        mTable,
-                        settings.node(),
-                        settings.graceMillis(),
-                        System.nanoTime(),
-                        System.currentTimeMillis());
+        mShareHolders = new ShareHolders(mTable, settings.node(), settings.graceMillis());
         mOrder = new NodeOrder(mTable, settings.node(), this::up);
         mLinks = new NodeLinks(loop, network, mTable, settings.node(), this, this::linkDropped);
         mSelf =
@@ -229,7 +220,7 @@
             }
         }
         if (!newer.isEmpty() && !records.isRelayed()) {
-            relay(frame(newer, true));
+            relay(HopWire.frame(newer, true));
         }
     }
 
@@ -248,10 +239,7 @@
      * @param members the number of nodes that the peer knows
      */
     public void sendMissing(HopConnection connection, int members) {
-        List<NodeRecord> recent = mTable.changedSince(System.nanoTime() - RECENT_CHANGE_NANOS);
-        boolean explained = !recent.isEmpty() && members >= mTable.records().size() - recent.size();
-        List<NodeRecord> sent = explained ? recent : new ArrayList<>(mTable.records());
-        connection.send(frame(sent, true));
+        connection.send(HopWire.frame(mTable.missing(members, System.nanoTime()), true));
     }
 
     /**
@@ -271,7 +259,7 @@
         if (earlier != null) {
             reply.add(earlier);
         }
-        connection.send(frame(reply, true));
+        connection.send(HopWire.frame(reply, true));
         HopLink link = mLinks.get(record.node());
         if (link != null) {
             link.reconnectNow();
@@ -463,7 +451,7 @@
     }
 
     private void broadcast(List<NodeRecord> records) {
-        broadcast(frame(records, false));
+        broadcast(HopWire.frame(records, false));
     }
 
     /** Sends a frame to all peers, in a large mesh by way of the relays of other data centres. */
@@ -505,10 +493,4 @@
         }
         invalidateCaches();
     }
-
-    private static HopFrame frame(List<NodeRecord> records, boolean relayed) {
-        List<WireNodeRecord> wire = new ArrayList<>();
-        records.forEach(record -> wire.add(HopWire.toWire(record)));
-        return HopFrame.records(new WireNodeRecords(wire, relayed));
-    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/NodeTable.java
@@ -11,6 +11,9 @@
 
 /** The newest record of every node. Confined to one thread. */
 public final class NodeTable {
+    /** Time after which a change has reached all reachable nodes: 4 seconds. */
+    private static final long RECENT_CHANGE_NANOS = 4_000_000_000L;
+
     private final String mSelf;
     private final Map<String, NodeRecord> mRecords = new TreeMap<>();
     private final Map<String, NodeRecord> mEarlierRuns = new HashMap<>();
@@ -67,6 +70,19 @@
         return changed;
     }
 
+    /**
+     * Returns the records that a peer with a different table may lack: the recent changes, or all
+     * records if those do not explain the difference.
+     *
+     * @param members the number of nodes that the peer knows
+     * @param nowNanos the time, on the steady clock
+     */
+    public List<NodeRecord> missing(int members, long nowNanos) {
+        List<NodeRecord> recent = changedSince(nowNanos - RECENT_CHANGE_NANOS);
+        boolean explained = !recent.isEmpty() && members >= mRecords.size() - recent.size();
+        return explained ? recent : new ArrayList<>(mRecords.values());
+    }
+
     /** Returns the other nodes that have been leaving since before a time on the steady clock. */
     public List<NodeRecord> leavingSince(long nanos) {
         List<NodeRecord> leaving = new ArrayList<>(mRecords.values());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/ShareHolders.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/ShareHolders.java
@@ -26,6 +26,7 @@
     private final NodeTable mTable;
     private final String mSelf;
     private final long mLeavingNanos;
+    private boolean mTicked;
     private long mTickNanos;
     private long mTickWallMillis;
     private boolean mReached;
@@ -40,16 +41,11 @@
      * @param table the records of all nodes
      * @param self the name of this node
      * @param graceMillis the longest time for which a leaving node runs
-     * @param nowNanos the time, on the steady clock
-     * @param wallMillis the time of day, which goes on while the VM is suspended
      */
-    public ShareHolders(
-            NodeTable table, String self, long graceMillis, long nowNanos, long wallMillis) {
+    public ShareHolders(NodeTable table, String self, long graceMillis) {
         mTable = table;
         mSelf = self;
         mLeavingNanos = TimeUnit.MILLISECONDS.toNanos(graceMillis + LEASE_MILLIS);
-        mTickNanos = nowNanos;
-        mTickWallMillis = wallMillis;
     }
 
     /**
@@ -59,16 +55,16 @@
      *     compared with a peer's
      * @param reached whether this node reaches another one
      * @param nowNanos the time, on the steady clock
-     * @param wallMillis the time of day
+     * @param wallMillis the time of day, which goes on while the VM is suspended
      */
     public void tick(boolean othersKnown, boolean reached, long nowNanos, long wallMillis) {
-        long pauseMillis =
-                Math.max(
-                        TimeUnit.NANOSECONDS.toMillis(nowNanos - mTickNanos),
-                        wallMillis - mTickWallMillis);
+        long steadyMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - mTickNanos);
+        long pauseMillis = Math.max(steadyMillis, wallMillis - mTickWallMillis);
+        boolean paused = mTicked && pauseMillis >= LEASE_MILLIS;
+        mTicked = true;
         mTickNanos = nowNanos;
         mTickWallMillis = wallMillis;
-        if (pauseMillis >= LEASE_MILLIS) {
+        if (paused) {
             mKnown = false; // others may have started meanwhile
             NodeRecord self = mTable.record(mSelf);
             mEnded |= self != null && self.leaving();
