Send a missed change of the configuration without waiting for a pull

Callers may see (CONFIG, suspected): requests at a restarted node are handled by an old configuration while links go up and down.

Change: a peer that has held its version for that long answers an older version with the patch; a change of up to 1 KB is repeated on local links that come up.

Result: tests of the decisions only (VersionWatchTest); not shown to mend the recorded requests.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/VersionWatchTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/VersionWatchTest.java
@@ -1,5 +1,6 @@
 package org.azurearch.sidecar.internal.mesh;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -41,6 +42,26 @@
         assertFalse(mWatch.mayBeOutdated(10_100, APPLY));
     }
 
+    @Test
+    void versionHeldForSomeTimeHasBeenPushed() {
+        assertFalse(mWatch.heldFor(750, 1_000));
+        mWatch.installed(5, true, 1_000);
+        assertFalse(mWatch.heldFor(750, 1_700));
+        assertTrue(mWatch.heldFor(750, 1_750));
+        mWatch.installed(6, false, 2_000);
+        assertFalse(mWatch.heldFor(750, 2_700));
+    }
+
+    @Test
+    void announcedVersionIsAwaitedUntilItIsInForce() {
+        mWatch.installed(5, true, 0);
+        assertEquals(0, mWatch.awaitedNanos(9_000));
+        mWatch.announced(6, 10_000);
+        assertEquals(700, mWatch.awaitedNanos(10_700));
+        mWatch.installed(6, false, 10_900);
+        assertEquals(0, mWatch.awaitedNanos(11_000));
+    }
+
     @Test
     void olderPeerVersionCastsNoDoubt() {
         mWatch.installed(5, true, 0);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
@@ -13,6 +13,7 @@
 import org.azurearch.thrift.HopFrame;
 import org.azurearch.thrift.WireConfigContent;
 import org.azurearch.thrift.WireConfigWanted;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Distributes configurations between nodes. A new one is sent down the push trees of the data
@@ -35,6 +36,11 @@
     /** Pull delay after the start, when a node reads the store itself in about ten milliseconds. */
     private static final long INITIAL_PULL_DELAY_MILLIS = 250;
 
+    /** Pull delays after a change within which it is repeated on links that come up. */
+    private static final long REPEAT_DELAYS = 4;
+
+    private static final int MAX_REPEATED_BYTES = 1_024;
+
     /** Value of the base version if a frame holds a whole configuration. */
     private static final long NO_BASE = -1;
 
@@ -43,6 +49,10 @@
     private final NodeDirectory mDirectory;
     private final long mPullDelayMillis;
     private long mPendingPullVersion = -1;
+    private long mReplacedVersion = -1;
+
+    /** The frame with the change from the replaced version; null until it is needed. */
+    private @Nullable HopFrame mChange;
 
     /**
      * Creates an exchange.
@@ -97,6 +107,42 @@
         }
     }
 
+    /**
+     * Sends the configuration in force to a peer with an older one that has missed its push, if a
+     * patch will do. While the push may be under way, the peer is only told of the version.
+     *
+     * @param version the version of the peer; negative if it has none
+     */
+    void sendMissed(HopConnection connection, long version) {
+        boolean missed =
+                version >= 0
+                        && version < mConfigs.version()
+                        && mConfigs.heldFor(TimeUnit.MILLISECONDS.toNanos(mPullDelayMillis));
+        if (missed && mConfigs.recentContent(version) != null) {
+            connection.send(frame(version));
+        }
+    }
+
+    /**
+     * Sends the last change to a peer whose link has come up, as its push may have been lost with
+     * the link. Large changes are left to anti-entropy.
+     */
+    void repeatChange(HopLink link) {
+        boolean recent =
+                mReplacedVersion >= 0
+                        && !mConfigs.heldFor(
+                                TimeUnit.MILLISECONDS.toNanos(mPullDelayMillis * REPEAT_DELAYS));
+        if (!recent) {
+            return;
+        }
+        if (mChange == null) {
+            mChange = frame(mReplacedVersion);
+        }
+        if (mChange.getConfig().patch.remaining() <= MAX_REPEATED_BYTES) {
+            link.send(mChange);
+        }
+    }
+
     /** Pulls a version that a peer holds, unless it arrives within the pull delay. */
     void schedulePull(HopConnection connection, long version) {
         mConfigs.announced(version);
@@ -122,9 +168,12 @@
         if (!mConfigs.install(content, source)) {
             return false;
         }
+        mReplacedVersion = before;
+        mChange = null;
         List<HopLink> children = mDirectory.children(READERS);
         if (!children.isEmpty()) {
             HopFrame frame = frame(before);
+            mChange = frame;
             children.forEach(link -> link.send(frame));
         }
         return true;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.azurearch.events.EventLog;
 import org.azurearch.sidecar.SidecarEvent;
@@ -22,6 +23,9 @@
     /** Contents kept as the base of patches; a burst of changes brings about ten a second. */
     private static final int MAX_RECENT_CONTENTS = 4;
 
+    /** Time after the announcement of a version from which its arrival is late. */
+    private static final long LATE_MILLIS = 500;
+
     private final NavigableMap<Long, byte[]> mRecentContents = new TreeMap<>();
     private final List<Consumer<RoutingConfig>> mSubscribers = new ArrayList<>();
     private final VersionWatch mVersions = new VersionWatch();
@@ -62,6 +66,11 @@
         mVersions.announced(version, System.nanoTime());
     }
 
+    /** Returns whether the version in force has been held for some time. */
+    boolean heldFor(long nanos) {
+        return mVersions.heldFor(nanos, System.nanoTime());
+    }
+
     /**
      * Returns whether a newer version than the one in force may have been accepted already.
      *
@@ -98,6 +107,7 @@
             return false;
         }
         mCurrent = config;
+        logIfLate(config.version());
         mVersions.installed(config.version(), source.equals(STORE), System.nanoTime());
         mRecentContents.put(config.version(), content);
         if (mRecentContents.size() > MAX_RECENT_CONTENTS) {
@@ -114,6 +124,15 @@
         return true;
     }
 
+    /** Tells that peers held the version long before, as calls have begun under an older one. */
+    private void logIfLate(long version) {
+        long awaitedMillis =
+                TimeUnit.NANOSECONDS.toMillis(mVersions.awaitedNanos(System.nanoTime()));
+        if (awaitedMillis >= LATE_MILLIS) {
+            EventLog.log(SidecarEvent.CONFIG_LATE, version, awaitedMillis);
+        }
+    }
+
     private void logAccounts(AccountDirectory before) {
         RoutingConfig config = mCurrent;
         if (config == null || (before.isEmpty() && config.accountDirectory().isEmpty())) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -168,9 +168,12 @@
 
     @Override
     public void linkUp(HopLink link) {
-        if (mStartupPulsesSent < STARTUP_PULSES && mDirectory.localLinks().contains(link)) {
-            mStartupPulsesSent++;
-            link.send(pulseFrame(false));
+        if (mDirectory.localLinks().contains(link)) {
+            if (mStartupPulsesSent < STARTUP_PULSES) {
+                mStartupPulsesSent++;
+                link.send(pulseFrame(false));
+            }
+            mExchange.repeatChange(link);
         }
         List<StrikeEntry> strikes = mSuspects.entries();
         if (!strikes.isEmpty()) {
@@ -259,6 +262,7 @@
         }
         mMembersCompared |= pulse.getMembers() <= mDirectory.table().records().size();
         mExchange.schedulePull(connection, pulse.getConfigVersion());
+        mExchange.sendMissed(connection, pulse.getConfigVersion());
         boolean differs =
                 strikesDiffer
                         || rolloutsDiffer
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/VersionWatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/VersionWatch.java
@@ -9,6 +9,7 @@
     private long mAnnouncedVersion = -1;
     private long mAnnouncedNanos;
     private long mFirstHeldNanos;
+    private long mHeldNanos;
     private boolean mConfirmed;
 
     /**
@@ -21,6 +22,7 @@
             mFirstHeldNanos = nowNanos;
         }
         mHeldVersion = version;
+        mHeldNanos = nowNanos;
         mConfirmed |= current;
     }
 
@@ -32,6 +34,22 @@
         }
     }
 
+    /**
+     * Returns whether the version in force has been held for some time, so that a peer that lacks
+     * it has missed its push.
+     */
+    boolean heldFor(long nanos, long nowNanos) {
+        return mHeldVersion >= 0 && nowNanos - mHeldNanos >= nanos;
+    }
+
+    /**
+     * Returns for how long an announced version that is not in force has been awaited, in
+     * nanoseconds; 0 if none is.
+     */
+    long awaitedNanos(long nowNanos) {
+        return mAnnouncedVersion > mHeldVersion ? nowNanos - mAnnouncedNanos : 0;
+    }
+
     /**
      * Returns whether a newer version may exist: in the first moments after a start with the
      * version of a peer, which may be outdated itself, and from the announcement of a version until
