Give a node its part of the retry reserve as soon as it knows the others

Cause: made the reserve wait for a lease, as rates of accounts do.

Change: the reserve is divided by the nodes that will hold a share once this one does; a node that does not know the others has no part of it, as before.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/ShareHoldersTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/member/ShareHoldersTest.java
@@ -38,6 +38,14 @@
     void nodeThatDoesNotKnowAllOthersHoldsNothing() {
         run(60_000, false, true);
         assertEquals(0, mHolders.count());
+        assertEquals(0, mHolders.members());
+    }
+
+    @Test
+    void startingNodeKnowsHowManyWillHoldShares() {
+        merge(record("a", 1, 0));
+        run(TICK_MILLIS, true, false);
+        assertEquals(2, mHolders.members());
     }
 
     @Test
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -325,7 +325,7 @@
         long last = mLastRequestNanos.getOrDefault(service, now);
         mLastRequestNanos.put(service, now);
         double window = mSettings.retries().windowMillis() * NANOS_PER_MILLI;
-        retryBudget(service).onRequest(mDirectory.shareHolders().count(), (now - last) / window);
+        retryBudget(service).onRequest(mDirectory.shareHolders().members(), (now - last) / window);
     }
 
     /** Takes one retry from a service's budget; returns false if none is left. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/ShareHolders.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/member/ShareHolders.java
@@ -33,6 +33,8 @@
     private boolean mKnown;
     private long mKnownNanos;
     private boolean mEnded;
+    private boolean mOthersKnown;
+    private int mMembers;
     private int mCount;
 
     /**
@@ -71,7 +73,9 @@
         }
         int others = countOthers(nowNanos);
         mReached |= reached;
-        if (!mKnown && othersKnown && (others == 0 || mReached)) {
+        mOthersKnown |= othersKnown;
+        mMembers = mOthersKnown ? others + 1 : 0;
+        if (!mKnown && mOthersKnown && (others == 0 || mReached)) {
             mKnown = true;
             mKnownNanos = nowNanos;
         }
@@ -88,6 +92,14 @@
         return mCount;
     }
 
+    /**
+     * Returns the number of nodes that hold a share as soon as this one does; 0 while the others
+     * are not known. For limits with room for a node that the others do not count yet.
+     */
+    public int members() {
+        return mMembers;
+    }
+
     private int countOthers(long nowNanos) {
         int others = 0;
         for (NodeRecord record : mTable.records()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SharedRetryBudget.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/SharedRetryBudget.java
@@ -39,7 +39,7 @@
     /**
      * Adds the retries that a request allows.
      *
-     * @param nodes the number of nodes that share the reserve; 0 if this one has no share of it
+     * @param nodes the number of nodes that share the reserve; 0 while they are not known
      * @param windows the time since the last request, in windows
      */
     public void onRequest(int nodes, double windows) {
