Refuse calls for a peer whose link has 4 MB left to send

Cause: frames for a peer that reads nothing were kept without a bound until its silence was noticed, so that calls for it could fill the memory of the node.

Change: beyond 4 MB that wait to be sent, a call is refused as not run, so that it is sent to another node.

Result: HopLinkTest.callsForPeerThatReadsNothingAreRefusedBeyondLimit fails without the change (1,000 calls of 64 KB are accepted) and passes with it (arm64).

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
@@ -4,10 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.DataOutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -97,6 +100,36 @@
         assertEquals(List.of(Verdict.RAN), verdictsOf(HopFrame.answer(answer)));
     }
 
+    /** Guards against memory that fills up with calls for a peer that reads nothing. */
+    @Test
+    void callsForPeerThatReadsNothingAreRefusedBeyondLimit() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            HopLink link = open(new NetAddress("127.0.0.1", server.getLocalPort()));
+            try (Socket peer = server.accept()) {
+                ByteBuf frame = new FrameCodec().encode(HopFrame.failure(failure()));
+                DataOutputStream out = new DataOutputStream(peer.getOutputStream());
+                out.writeInt(frame.readableBytes());
+                out.write(ByteBufUtil.getBytes(frame));
+                Await.until("the link is up", () -> mEvents.contains("up"));
+                List<Verdict> verdicts = Collections.synchronizedList(new ArrayList<>());
+                onLoop(
+                        () -> {
+                            for (int id = 0; id < 1_000 && verdicts.isEmpty(); id++) {
+                                link.call(largeCall(id), new VerdictListener(verdicts));
+                            }
+                            return verdicts;
+                        });
+                assertEquals(List.of(Verdict.NOT_RUN), verdicts);
+            }
+            onLoop(() -> close(link));
+        }
+    }
+
+    private static HopCall largeCall(long id) {
+        byte[] body = new byte[64 * 1024];
+        return new HopCall(id, "GET", "/", List.of(), body, 0, 0, 1, "s", "r", false);
+    }
+
     /** Guards against a peer of an earlier version, which passes on any status and header. */
     @Test
     void answerThatIsNoAnswerOfHttpEndsTheCallOnly() throws Exception {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -74,6 +74,12 @@
         void loadReported(HopLink link, EndpointLoad load);
     }
 
+    /**
+     * Bytes of frames that wait to be sent beyond which no further call is added, as a peer that
+     * reads nothing is noticed only after some time. One call may be larger.
+     */
+    private static final long MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+
     private final HopNetwork mNetwork;
     private final EventLoop mLoop;
     private final String mNode;
@@ -157,6 +163,12 @@
                     AttemptFailure.notSent(ErrorCode.PEER_UNAVAILABLE, "no link to " + mNode));
             return new PeerCall(call.id(), false);
         }
+        if (connection.unsentBytes() > MAX_UNSENT_BYTES) {
+            listener.failed(
+                    AttemptFailure.notSent(
+                            ErrorCode.PEER_UNAVAILABLE, "the link to " + mNode + " is full"));
+            return new PeerCall(call.id(), false);
+        }
         mPending.put(call.id(), listener);
         long now = System.nanoTime();
         connection.send(
