Do not take heads that follow one another for one long head

A caller that sends many requests behind one another, each begun together with the end of the one before, is always within a head, though none of them takes long, and was cut off.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerConnection.java
@@ -39,6 +39,7 @@
     private boolean mClosing;
     private long mUnwrittenBytes;
     private long mWriteProgressNanos = mIdleSinceNanos;
+    private long mSweptHead;
     private int mSweepsInHead;
 
     CallerConnection(
@@ -86,11 +87,16 @@
     }
 
     /**
-     * Returns whether a head has been under way at more sweeps than allowed, though it is read as
+     * Returns whether one head has been under way at more sweeps than allowed, though it is read as
      * it comes. A pause of this process does not count, as it delays the sweeps, too.
      */
     boolean headOverdue(long allowedSweeps) {
-        mSweepsInHead = mDecoder.readingHead() && !full() ? mSweepsInHead + 1 : 0;
+        long head = mDecoder.heads();
+        if (!mDecoder.readingHead() || full() || head != mSweptHead) {
+            mSweepsInHead = 0;
+        }
+        mSweptHead = head;
+        mSweepsInHead += mDecoder.readingHead() ? 1 : 0;
         return mSweepsInHead > allowedSweeps;
     }
 
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/StrictRequestDecoder.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/StrictRequestDecoder.java
@@ -32,6 +32,7 @@
 
     private final MeteredHeadersFactory mHeaders;
     private final HeadChecker mChecker = new HeadChecker(HeadChecker.Kind.REQUEST);
+    private long mHeads;
     private boolean mInHead = true;
     private boolean mRefused;
 
@@ -54,6 +55,11 @@
         return mInHead && !mRefused && mChecker.withinHead();
     }
 
+    /** Returns the number of heads that have arrived as a whole. */
+    public long heads() {
+        return mHeads;
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
@@ -97,6 +103,7 @@
         for (Object message : decoded) {
             if (message instanceof HttpRequest request) {
                 mInHead = false;
+                mHeads++;
                 account(request);
             }
             if (message instanceof LastHttpContent) {
