Test that a refusal that is no answer promises nothing

Cause: a backend server may send bytes that are no answer with the header that says that the request was not run. No test showed what callers get.

--- a/org.azurearch.junit/src/main/java/org/azurearch/junit/OddAnswer.java
+++ b/org.azurearch.junit/src/main/java/org/azurearch/junit/OddAnswer.java
@@ -89,6 +89,15 @@
         this("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", chunks);
     }
 
+    /**
+     * Returns the form with status 503 in place of 200, as ISO 8859-1 text.
+     *
+     * @param lines further header lines, each with its end
+     */
+    public String refusalText(String lines) {
+        return text(lines).replaceFirst("200", "503");
+    }
+
     /**
      * Returns the bytes as ISO 8859-1 text.
      *
--- a/org.azurearch.test/src/test/java/org/azurearch/internal/call/OddAnswerTest.java
+++ b/org.azurearch.test/src/test/java/org/azurearch/internal/call/OddAnswerTest.java
@@ -30,6 +30,20 @@
         mServer.close();
     }
 
+    /** A refusal that is no answer does not tell that the request was not run. */
+    @ParameterizedTest
+    @EnumSource(OddAnswer.class)
+    void callerIsNotToldThatRequestDidNotRun(OddAnswer odd) throws IOException {
+        mServer.script(
+                (request, connection) -> {
+                    RawServer.send(connection, odd.refusalText("azurearch-verdict: not-run\r\n"));
+                    connection.close();
+                });
+        Answer answer =
+                RawClient.call(mEntry.address(), RawClient.post("/orders", "pallet", "run-key: a"));
+        assertEquals("may-have-run", answer.verdict(), answer.toString());
+    }
+
     /** The body of an answer is passed on as it comes, so that one in chunks breaks off. */
     @ParameterizedTest
     @EnumSource(OddAnswer.class)
