Refuse an unknown route for good only if no newer configuration may add it

Callers saw 404 for a route that had been added more than configApply before (CONFIG), and a 404 is not asked again.

Cause: a node that knows from a peer that a newer version exists, and does not have it yet, took its old version for the truth. Unknown keys were already refused with a 503 in that time, unknown routes were not.

Change: one decision for both, CallRouter.unknown: 503 with a retry delay while a newer configuration may exist, 404 or 401 otherwise.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.azurearch.errors.ErrorCode;
+import org.azurearch.lib.Verdict;
 import org.azurearch.sidecar.CallerLimits;
 import org.azurearch.sidecar.Dialect;
 import org.azurearch.sidecar.FeatureSettings.HedgeLimit;
@@ -20,6 +22,7 @@
 import org.azurearch.sidecar.SidecarSettings;
 import org.azurearch.sidecar.admit.StopLimit;
 import org.azurearch.sidecar.call.Attempt;
+import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
 import org.azurearch.sidecar.config.RouteRule;
@@ -49,6 +52,12 @@
  * Confined to one event loop.
  */
 public final class CallRouter {
+    /**
+     * Retry delay for what the configuration in force does not know while it may be outdated. The
+     * version that adds it is usually in force within this time.
+     */
+    static final long OUTDATED_RETRY_MILLIS = 250;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final EventLoop mLoop;
@@ -240,11 +249,28 @@
     }
 
     /** Returns whether a newer configuration than the one in force may have been accepted. */
-    boolean configMayBeOutdated() {
+    private boolean configMayBeOutdated() {
         long applyNanos = TimeUnit.MILLISECONDS.toNanos(mSettings.configApplyMillis());
         return mConfigs.mayBeOutdated(System.nanoTime(), applyNanos);
     }
 
+    /**
+     * Returns the refusal of a call that the configuration in force does not know, such as one
+     * without a route: final, or one that the caller repeats if a newer configuration may know it.
+     *
+     * @param code the reason of a final refusal
+     */
+    AttemptFailure unknown(ErrorCode code, String detail) {
+        return configMayBeOutdated()
+                ? new AttemptFailure(
+                        Verdict.NOT_RUN,
+                        ErrorCode.NOT_READY,
+                        false,
+                        OUTDATED_RETRY_MILLIS,
+                        detail + ", and the configuration may be outdated")
+                : AttemptFailure.notSent(code, detail);
+    }
+
     /**
      * Returns how long a request may take: the deadline of its caller or the timeout of its route,
      * whichever is shorter.
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerAccount.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerAccount.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.azurearch.errors.ErrorCode;
-import org.azurearch.lib.Verdict;
 import org.azurearch.sidecar.account.AccountDirectory;
 import org.azurearch.sidecar.account.ClientAccount;
 import org.azurearch.sidecar.call.AttemptFailure;
@@ -19,12 +18,6 @@
  * from it: whether the call is allowed, its rank and its headers. Confined to one event loop.
  */
 final class CallerAccount {
-    /**
-     * Retry delay for an unknown key while the configuration may be outdated. The version that adds
-     * the key is usually in force within this time.
-     */
-    private static final long OUTDATED_RETRY_MILLIS = 250;
-
     private final CallRouter mRouter;
     private final RoutingConfig mConfig;
     private final RouteRule mRoute;
@@ -48,16 +41,10 @@
         if (allowed) {
             return null;
         }
-        if (mKeys.size() == 1 && mRouter.configMayBeOutdated()) {
-            return new AttemptFailure(
-                    Verdict.NOT_RUN,
-                    ErrorCode.NOT_READY,
-                    false,
-                    OUTDATED_RETRY_MILLIS,
-                    "unknown key, and the configuration may be outdated");
-        }
-        return AttemptFailure.notSent(
-                ErrorCode.UNAUTHENTICATED, mKeys.isEmpty() ? "no key" : "unknown key");
+        return mKeys.size() == 1
+                ? mRouter.unknown(ErrorCode.UNAUTHENTICATED, "unknown key")
+                : AttemptFailure.notSent(
+                        ErrorCode.UNAUTHENTICATED, mKeys.isEmpty() ? "no key" : "unknown key");
     }
 
     /** Returns the account, or null if the call has none. */
@@ -166,7 +153,7 @@
     AttemptFailure withdrawal() {
         String detail = "key withdrawn before a further attempt";
         return mRoute.publicAccess()
-                ? AttemptFailure.refused(OUTDATED_RETRY_MILLIS, detail)
+                ? AttemptFailure.refused(CallRouter.OUTDATED_RETRY_MILLIS, detail)
                 : AttemptFailure.notSent(ErrorCode.UNAUTHENTICATED, detail);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -88,10 +88,8 @@
         mConfigVersion = config.version();
         RouteRule matched = mRouter.findRoute(config, mRequest.http());
         if (matched == null) {
-            refuse(
-                    ErrorCode.NO_ROUTE,
-                    0,
-                    "no route for " + CallRouter.host(mRequest.http()) + mRequest.http().uri());
+            String path = CallRouter.host(mRequest.http()) + mRequest.http().uri();
+            refuse(mRouter.unknown(ErrorCode.NO_ROUTE, "no route for " + path));
             return;
         }
         CallerAccount account =
