Compare configurations often enough to make up for lost comparisons

Cause, read in the code: a node that misses a push learns of the version by comparing it with a peer, every 0.5 to 1.5 s, then waits 0.3 of configApply for the push and pulls once. If the comparison or the pull is lost with its link, the next comparison and the full wait follow, which together exceed configApply. While no comparison succeeds, as after a pause, the node takes its version for the newest one.

Change: comparisons every 0.2 to 0.6 s, always replied to; the wait before a pull begins when the node first knows of a version that it lacks, and a lost pull is repeated after 100 ms. Unknown routes and keys get a 503, to be repeated, once no peer has told its version for half of configApply, up to four times that limit, as a node may be the only one. AZ0822 also tells for how long no peer had told its version.

Result: PulseScheduleTest fails with the earlier interval (3,956 of at most 2,000 ms for three comparisons), VersionWatchTest.lostPull... with the earlier wait (750 of 150); both pass now, and the new cases of VersionWatchTest.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/VersionWatchTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/VersionWatchTest.java
@@ -6,7 +6,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Guards against valid keys refused as unknown by a node with an outdated configuration. */
+/** Guards against valid keys and routes refused as unknown under an outdated configuration. */
 class VersionWatchTest {
     private static final long APPLY = 2_500;
 
@@ -62,6 +62,42 @@
         assertEquals(0, mWatch.awaitedNanos(11_000));
     }
 
+    /** Guards against a pull that is put off by each further change. */
+    @Test
+    void waitBeginsWithFirstVersionThatIsLacking() {
+        mWatch.installed(5, true, 0);
+        mWatch.announced(6, 10_000);
+        mWatch.announced(7, 10_500);
+        assertEquals(700, mWatch.awaitedNanos(10_700));
+        mWatch.installed(6, false, 10_800);
+        assertEquals(400, mWatch.awaitedNanos(10_900));
+    }
+
+    /**
+     * Guards against a node that stood still or was cut off, and takes its version for the last.
+     */
+    @Test
+    void silenceOfAllPeersCastsDoubt() {
+        mWatch.installed(5, true, 0);
+        assertFalse(mWatch.mayBeOutdated(9_000, APPLY));
+        mWatch.heard(10_000);
+        assertFalse(mWatch.mayBeOutdated(11_000, APPLY));
+        assertTrue(mWatch.mayBeOutdated(11_250, APPLY));
+        mWatch.heard(11_300);
+        assertFalse(mWatch.mayBeOutdated(11_300, APPLY));
+        assertFalse(mWatch.mayBeOutdated(21_300, APPLY));
+    }
+
+    /** Guards against a further full wait after a pull that was lost with its link. */
+    @Test
+    void lostPullIsRepeatedWithoutFullWait() {
+        mWatch.installed(5, true, 0);
+        mWatch.announced(6, 10_000);
+        assertEquals(750, mWatch.pullDelayNanos(750, 100, 10_000));
+        assertEquals(150, mWatch.pullDelayNanos(750, 100, 10_600));
+        assertEquals(100, mWatch.pullDelayNanos(750, 100, 10_900));
+    }
+
     @Test
     void olderPeerVersionCastsNoDoubt() {
         mWatch.installed(5, true, 0);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -37,8 +37,8 @@
     CONFIG_IN_FORCE(820, Level.INFO, "version={} before={} routes={} source={}"),
     /** A configuration cannot be decoded; the old one stays in force. */
     CONFIG_UNREADABLE(821, Level.ERROR, "source={} reason={}"),
-    /** Peers announced a configuration some time before it came into force here. */
-    CONFIG_LATE(822, Level.WARN, "version={} announced_ms={}"),
+    /** Peers held a configuration, or may have, some time before it came into force here. */
+    CONFIG_LATE(822, Level.WARN, "version={} announced_ms={} unheard_ms={}"),
     /** The backend server behind this node changed. */
     BACKEND_CHANGED(830, Level.INFO, "instance={} service={} ready={} slots={} cause={}"),
     /** A heartbeat of the backend server is ignored. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
@@ -36,6 +36,9 @@
     /** Pull delay after the start, when a node reads the store itself in about ten milliseconds. */
     private static final long INITIAL_PULL_DELAY_MILLIS = 250;
 
+    /** Wait before a pull is repeated, within which the reply to the first usually arrives. */
+    static final long MIN_PULL_DELAY_NANOS = 100_000_000L;
+
     /** Pull delays after a change within which it is repeated on links that come up. */
     private static final long REPEAT_DELAYS = 4;
 
@@ -143,7 +146,10 @@
         }
     }
 
-    /** Pulls a version that a peer holds, unless it arrives within the pull delay. */
+    /**
+     * Pulls a version that a peer holds, unless it arrives within the pull delay, which begins when
+     * this node first knows of a version that it lacks.
+     */
     void schedulePull(HopConnection connection, long version) {
         mConfigs.announced(version);
         if (version <= Math.max(mPendingPullVersion, mConfigs.version())) {
@@ -159,8 +165,9 @@
                         pull(connection, mConfigs.version());
                     }
                 },
-                delayMillis,
-                TimeUnit.MILLISECONDS);
+                mConfigs.pullDelayNanos(
+                        TimeUnit.MILLISECONDS.toNanos(delayMillis), MIN_PULL_DELAY_NANOS),
+                TimeUnit.NANOSECONDS);
     }
 
     private boolean install(byte[] content, String source) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
@@ -26,6 +26,9 @@
     /** Time after the announcement of a version from which its arrival is late. */
     private static final long LATE_MILLIS = 500;
 
+    /** Time without word of a version from which the next one may be late. */
+    private static final long UNHEARD_MILLIS = 1_500;
+
     private final NavigableMap<Long, byte[]> mRecentContents = new TreeMap<>();
     private final List<Consumer<RoutingConfig>> mSubscribers = new ArrayList<>();
     private final VersionWatch mVersions = new VersionWatch();
@@ -61,11 +64,26 @@
         return mRecentContents.get(version);
     }
 
+    /** Records that a peer has told which version it holds. */
+    void heard() {
+        mVersions.heard(System.nanoTime());
+    }
+
     /** Records that a peer holds a version. */
     void announced(long version) {
         mVersions.announced(version, System.nanoTime());
     }
 
+    /**
+     * Returns how long to wait before a newer version is pulled.
+     *
+     * @param delayNanos wait after this node first knew of a version that it lacks
+     * @param intervalNanos shortest wait
+     */
+    long pullDelayNanos(long delayNanos, long intervalNanos) {
+        return mVersions.pullDelayNanos(delayNanos, intervalNanos, System.nanoTime());
+    }
+
     /** Returns whether the version in force has been held for some time. */
     boolean heldFor(long nanos) {
         return mVersions.heldFor(nanos, System.nanoTime());
@@ -107,7 +125,7 @@
             return false;
         }
         mCurrent = config;
-        logIfLate(config.version());
+        logIfLate(config.version(), source);
         mVersions.installed(config.version(), source.equals(STORE), System.nanoTime());
         mRecentContents.put(config.version(), content);
         if (mRecentContents.size() > MAX_RECENT_CONTENTS) {
@@ -124,12 +142,17 @@
         return true;
     }
 
-    /** Tells that peers held the version long before, as calls have begun under an older one. */
-    private void logIfLate(long version) {
-        long awaitedMillis =
-                TimeUnit.NANOSECONDS.toMillis(mVersions.awaitedNanos(System.nanoTime()));
-        if (awaitedMillis >= LATE_MILLIS) {
-            EventLog.log(SidecarEvent.CONFIG_LATE, version, awaitedMillis);
+    /**
+     * Tells that peers held the version long before, or may have, as none had told its version
+     * lately: calls have begun under an older one.
+     */
+    private void logIfLate(long version, String source) {
+        long now = System.nanoTime();
+        long awaitedMillis = TimeUnit.NANOSECONDS.toMillis(mVersions.awaitedNanos(now));
+        long unheardMillis = TimeUnit.NANOSECONDS.toMillis(mVersions.unheardNanos(now));
+        boolean unheard = !source.equals(STORE) && unheardMillis >= UNHEARD_MILLIS;
+        if (unheard || awaitedMillis >= LATE_MILLIS) {
+            EventLog.log(SidecarEvent.CONFIG_LATE, version, awaitedMillis, unheardMillis);
         }
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -43,9 +43,6 @@
     /** Interval at which the links and this node's role as a reader are checked. */
     private static final long TICK_MILLIS = 100;
 
-    /** Mean interval at which a node compares its state with that of one peer. */
-    private static final long PULSE_MILLIS = 1_000;
-
     /** Number of peers in its data centre to which a node sends a pulse after its start. */
     private static final int STARTUP_PULSES = 3;
 
@@ -61,6 +58,7 @@
     private final @Nullable RolloutService mRollouts;
     private final PeerLosses.Peers mPeers = new KnownPeers();
     private final SplittableRandom mRandom = new SplittableRandom();
+    private final PulseSchedule mPulses = new PulseSchedule(mRandom);
     private QuotaPeer mQuota = QuotaPeer.NONE;
     private LongConsumer mTickListener = now -> {};
     private boolean mIsReader;
@@ -121,7 +119,7 @@
         mReader = new StoreReader(log, loop, configKey, new StoreListener());
         settings.seeds().forEach(mDirectory::seed);
         loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        loop.schedule(this::pulse, PULSE_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::pulse, PulseSchedule.MEAN_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Returns the directory of the known nodes. */
@@ -261,14 +259,11 @@
             mDirectory.sendMissing(connection, pulse.getMembers());
         }
         mMembersCompared |= pulse.getMembers() <= mDirectory.table().records().size();
+        mConfigs.heard();
         mExchange.schedulePull(connection, pulse.getConfigVersion());
         mExchange.sendMissed(connection, pulse.getConfigVersion());
-        boolean differs =
-                strikesDiffer
-                        || rolloutsDiffer
-                        || pulse.getMemberDigest() != mDirectory.table().digest()
-                        || pulse.getConfigVersion() < mConfigs.version();
-        if (!pulse.isReply() && differs) {
+        // A reply that tells nothing new still confirms the version that the peer holds.
+        if (!pulse.isReply()) {
             connection.send(pulseFrame(true));
         }
     }
@@ -325,8 +320,7 @@
         if (!partners.isEmpty()) {
             partners.get(mRandom.nextInt(partners.size())).send(pulseFrame(false));
         }
-        long jittered = PULSE_MILLIS / 2 + mRandom.nextLong(PULSE_MILLIS);
-        mLoop.schedule(this::pulse, jittered, TimeUnit.MILLISECONDS);
+        mLoop.schedule(this::pulse, mPulses.nextDelayMillis(), TimeUnit.MILLISECONDS);
     }
 
     private HopFrame pulseFrame(boolean reply) {
