Compare members and strikes at every second comparison only

Cause: with comparisons every 0.4 s of all state, nodes whose members differ, as during restarts, send what changed in the last 4 s more than twice as often as before, and restarted nodes lack processor time.

Change: every second comparison is of the version only; it is known by the strike digest that it leaves out.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -245,27 +245,31 @@
     }
 
     private void compare(HopConnection connection, WirePulse pulse) {
-        boolean strikesDiffer =
-                pulse.isSetStrikeDigest() && pulse.getStrikeDigest() != mSuspects.digest();
-        if (strikesDiffer) {
+        mConfigs.heard();
+        mExchange.schedulePull(connection, pulse.getConfigVersion());
+        mExchange.sendMissed(connection, pulse.getConfigVersion());
+        boolean all = pulse.isSetStrikeDigest();
+        if (all) {
+            sendDifferences(connection, pulse);
+        }
+        // A reply that tells nothing new still confirms the version that the peer holds.
+        if (!pulse.isReply()) {
+            connection.send(all ? pulseFrame(true) : versionFrame(true));
+        }
+    }
+
+    /** Sends a peer what it may lack besides the configuration. */
+    private void sendDifferences(HopConnection connection, WirePulse pulse) {
+        if (pulse.getStrikeDigest() != mSuspects.digest()) {
             connection.send(frame(mSuspects.entries(), true));
         }
-        boolean rolloutsDiffer =
-                mRollouts != null && pulse.getRolloutDigest() != mRollouts.digest();
-        if (mRollouts != null && rolloutsDiffer) {
+        if (mRollouts != null && pulse.getRolloutDigest() != mRollouts.digest()) {
             mRollouts.sendAll(connection::send);
         }
         if (pulse.getMemberDigest() != mDirectory.table().digest()) {
             mDirectory.sendMissing(connection, pulse.getMembers());
         }
         mMembersCompared |= pulse.getMembers() <= mDirectory.table().records().size();
-        mConfigs.heard();
-        mExchange.schedulePull(connection, pulse.getConfigVersion());
-        mExchange.sendMissed(connection, pulse.getConfigVersion());
-        // A reply that tells nothing new still confirms the version that the peer holds.
-        if (!pulse.isReply()) {
-            connection.send(pulseFrame(true));
-        }
     }
 
     private void tick() {
@@ -318,23 +322,32 @@
         mSuspects.tick();
         List<HopLink> partners = mDirectory.antiEntropyLinks();
         if (!partners.isEmpty()) {
-            partners.get(mRandom.nextInt(partners.size())).send(pulseFrame(false));
+            HopFrame frame = mPulses.comparesState() ? pulseFrame(false) : versionFrame(false);
+            partners.get(mRandom.nextInt(partners.size())).send(frame);
         }
         mLoop.schedule(this::pulse, mPulses.nextDelayMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Returns a pulse that only tells the version of the configuration in force. */
+    private HopFrame versionFrame(boolean reply) {
+        return HopFrame.pulse(versionPulse(reply));
+    }
+
+    /** Returns a pulse with digests of all that nodes compare. */
     private HopFrame pulseFrame(boolean reply) {
-        WirePulse pulse =
-                new WirePulse(
-                                mConfigs.version(),
-                                mDirectory.table().digest(),
-                                reply,
-                                mDirectory.table().records().size())
-                        .setStrikeDigest(mSuspects.digest());
+        WirePulse pulse = versionPulse(reply).setStrikeDigest(mSuspects.digest());
         long rollouts = mRollouts == null ? 0 : mRollouts.digest();
         return HopFrame.pulse(rollouts == 0 ? pulse : pulse.setRolloutDigest(rollouts));
     }
 
+    private WirePulse versionPulse(boolean reply) {
+        return new WirePulse(
+                mConfigs.version(),
+                mDirectory.table().digest(),
+                reply,
+                mDirectory.table().records().size());
+    }
+
     /** What the directory knows of the peers. */
     private final class KnownPeers implements PeerLosses.Peers {
         @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
@@ -247,7 +247,7 @@
         return mRegistry.digest();
     }
 
-    /** Removes the strikes that have expired; called about once a second. */
+    /** Removes the strikes that have expired; called a few times a second. */
     public void tick() {
         mRegistry.expire(nowMillis());
     }
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -142,6 +142,7 @@
   3: required bool reply
   /** Number of nodes that the sender knows. */
   4: required i32 members
+  /** Unset if only the versions are compared. */
   5: optional i64 strikeDigest
   6: optional i64 rolloutDigest
 }
