--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -80,10 +80,13 @@
     private static final long DRAIN_POLL_MILLIS = 50;
 
     /**
-     * Time after the start at which a node with a configuration takes calls even if the members are
-     * not known yet.
+     * Time after the start at which a node with a configuration takes calls even if it reaches no
+     * peer, provided that the store has answered.
      */
-    private static final long MEMBERS_WAIT_MILLIS = 1_000;
+    private static final long PEERS_WAIT_MILLIS = 1_000;
+
+    /** The same if the store has not answered yet, as a node without peers serves few calls. */
+    private static final long MAX_PEERS_WAIT_MILLIS = 5_000;
 
     private final SidecarSettings mSettings;
     private final MetricRegistry mMetrics = new MetricRegistry();
@@ -362,8 +365,9 @@
     }
 
     private boolean ready() {
-        boolean membersSettled = mMesh.membersKnown() || sinceStartMillis() > MEMBERS_WAIT_MILLIS;
-        return !mStopping && mConfigs.current() != null && membersSettled;
+        long wait = mMesh.membersReadAttempted() ? PEERS_WAIT_MILLIS : MAX_PEERS_WAIT_MILLIS;
+        boolean peersSettled = mMesh.peersReached() || sinceStartMillis() > wait;
+        return !mStopping && mConfigs.current() != null && peersSettled;
     }
 
     private PlainHttpServer.Reply metrics(PlainHttpServer.Request request) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -137,6 +137,17 @@
         return mRegistration.complete() || !mDirectory.linksUp().isEmpty();
     }
 
+    /** Returns whether this node reaches a peer, or is registered and knows that there is none. */
+    public boolean peersReached() {
+        boolean alone = mDirectory.table().records().size() == 1;
+        return !mDirectory.linksUp().isEmpty() || (mRegistration.complete() && alone);
+    }
+
+    /** Returns whether the store has answered a read of the members, or failed to. */
+    public boolean membersReadAttempted() {
+        return mRegistration.readAttempted();
+    }
+
     /** Sets what handles messages about quotas. */
     public void attach(QuotaPeer quota) {
         mQuota = quota;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeRegistration.java
@@ -25,8 +25,10 @@
 /**
  * Registers this node's address in the platform's store and reads those of its peers.
  *
- * <p>A node writes its record before it reads those of its peers, so that of two nodes that start
- * at the same time at least one finds the other. Confined to one event loop.
+ * <p>A node reads first, as it needs its peers to serve calls and the store may have many records
+ * to write when nodes start together. Unless its address is stored already, as after a restart, it
+ * writes its record and reads once more, so that of two nodes that start at the same time at least
+ * one finds the other. Confined to one event loop.
  */
 final class NodeRegistration {
     private static final Duration RETRY_BASE = Duration.ofMillis(150);
@@ -49,6 +51,8 @@
     private final Consumer<NodeRecord> mRecordConsumer;
     private final Consumer<WireSavedStrikes> mStrikesConsumer;
     private final Backoff mBackoff = new Backoff(RETRY_BASE, RETRY_MAX, new SplittableRandom());
+    private boolean mReadAttempted;
+    private boolean mListed;
     private boolean mComplete;
 
     NodeRegistration(
@@ -65,13 +69,18 @@
     }
 
     /**
-     * Registers this node and reads the records of its peers; retries each step until it succeeds.
+     * Reads the records of the peers and registers this node; retries each step until it succeeds.
      */
     void start() {
-        write();
+        read();
     }
 
-    /** Returns whether the records of the peers have been read. */
+    /** Returns whether the store has answered a read of the records of the peers, or failed to. */
+    boolean readAttempted() {
+        return mReadAttempted;
+    }
+
+    /** Returns whether this node is registered and has read the records of its peers since then. */
     boolean complete() {
         return mComplete;
     }
@@ -117,6 +126,7 @@
                             if (failure != null) {
                                 retry("register", failure, this::write);
                             } else {
+                                mListed = true;
                                 read();
                             }
                         });
@@ -126,10 +136,17 @@
         mLog.newest(KeyedLog.Stream.NODES)
                 .whenComplete(
                         (records, failure) -> {
+                            mReadAttempted = true;
                             if (failure != null) {
                                 retry("members", failure, this::read);
+                                return;
+                            }
+                            mBackoff.reset();
+                            deliver(records);
+                            if (mListed) {
+                                mComplete = true;
                             } else {
-                                deliver(records);
+                                write();
                             }
                         });
     }
@@ -153,7 +170,6 @@
                         e.toString());
             }
         }
-        mComplete = true;
     }
 
     private void deliverRecord(KeyedRecord record) {
@@ -167,6 +183,7 @@
                 throw new AzurearchException(
                         ErrorCode.CORRUPT, "the key is not that of node " + node.node());
             }
+            mListed |= record.key().equals(mSelf.node()) && node.address().equals(mSelf.address());
             mRecordConsumer.accept(node);
         }
     }
