--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -127,7 +127,7 @@
         mNetwork = network;
         mPeerPort = peerPort;
         mLog = platform.openLog(mLoop);
-        mConfigs = new ConfigHolder(platform.configCodec());
+        mConfigs = new ConfigHolder(platform.configCodec(), settings.configApplyMillis());
         mBackendMonitor = new BackendMonitor(settings, platform.heartbeatCodec(), mConfigs);
         PauseDetector pauses = new PauseDetector(System.nanoTime(), System.currentTimeMillis());
         SuspectTracker suspects =
@@ -367,7 +367,8 @@
     private boolean ready() {
         long wait = mMesh.membersReadAttempted() ? PEERS_WAIT_MILLIS : MAX_PEERS_WAIT_MILLIS;
         boolean peersSettled = mMesh.peersReached() || sinceStartMillis() > wait;
-        return !mStopping && mConfigs.current() != null && peersSettled;
+        boolean configured = mConfigs.current() != null && !mRouter.configExpired();
+        return !mStopping && configured && peersSettled;
     }
 
     private PlainHttpServer.Reply metrics(PlainHttpServer.Request request) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -248,6 +248,20 @@
         return headers;
     }
 
+    /**
+     * Returns whether no call may begin under the configuration in force, as it has not been
+     * confirmed for too long. A node that cannot reach the store either is cut off, and goes on
+     * with what it has.
+     */
+    public boolean configExpired() {
+        return mDirectory.self().storeReachable() && mConfigs.expired(System.nanoTime());
+    }
+
+    /** Returns the refusal of a call if none may begin under the configuration in force. */
+    @Nullable AttemptFailure unconfirmed() {
+        return configExpired() ? outdated("the configuration has not been confirmed lately") : null;
+    }
+
     /** Returns whether a newer configuration than the one in force may have been accepted. */
     private boolean configMayBeOutdated() {
         long applyNanos = TimeUnit.MILLISECONDS.toNanos(mSettings.configApplyMillis());
@@ -262,15 +276,15 @@
      */
     AttemptFailure unknown(ErrorCode code, String detail) {
         return configMayBeOutdated()
-                ? new AttemptFailure(
-                        Verdict.NOT_RUN,
-                        ErrorCode.NOT_READY,
-                        false,
-                        OUTDATED_RETRY_MILLIS,
-                        detail + ", and the configuration may be outdated")
+                ? outdated(detail + ", and the configuration may be outdated")
                 : AttemptFailure.notSent(code, detail);
     }
 
+    private static AttemptFailure outdated(String detail) {
+        return new AttemptFailure(
+                Verdict.NOT_RUN, ErrorCode.NOT_READY, false, OUTDATED_RETRY_MILLIS, detail);
+    }
+
     /**
      * Returns how long a request may take: the deadline of its caller or the timeout of its route,
      * whichever is shorter.
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerExchange.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallerExchange.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.MeteredHeaders;
@@ -31,6 +32,9 @@
 final class CallerExchange extends ExchangeOrder.Exchange implements CallResponder {
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
+    /** Wait for the configuration to be confirmed, which takes a round trip to a peer. */
+    private static final long CONFIRMATION_WAIT_MILLIS = 100;
+
     private final CallRouter mRouter;
     private final CallerConnection mConnection;
     private final FullHttpRequest mRequest;
@@ -66,8 +70,21 @@
         return mRequestBytes;
     }
 
+    /** Starts the call, after a short wait if the configuration has to be confirmed first. */
     @Override
     void start() {
+        if (mCall != null && mRouter.configExpired()) {
+            mRouter.loop()
+                    .schedule(this::startNow, CONFIRMATION_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            startNow();
+        }
+    }
+
+    private void startNow() {
+        if (mReleased) {
+            return; // cancelled meanwhile
+        }
         try {
             if (mCall != null) {
                 mCall.start();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -77,7 +77,7 @@
     /** Starts the call. The request's content is copied and not used after this returns. */
     void start() {
         RoutingConfig config = mRouter.config();
-        if (mRouter.stopping()) {
+        if (mDone || mRouter.stopping()) {
             refuse(AttemptFailure.stopping());
             return;
         }
@@ -86,6 +86,11 @@
             return;
         }
         mConfigVersion = config.version();
+        AttemptFailure unconfirmed = mRouter.unconfirmed();
+        if (unconfirmed != null) {
+            refuse(unconfirmed);
+            return;
+        }
         RouteRule matched = mRouter.findRoute(config, mRequest.http());
         if (matched == null) {
             String path = CallRouter.host(mRequest.http()) + mRequest.http().uri();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
@@ -31,7 +31,7 @@
      * Until then the readers of this data centre have usually delivered it, which saves traffic
      * between data centres.
      */
-    private static final double PULL_DELAY_FRACTION = 0.3;
+    private static final double PULL_DELAY_FRACTION = 0.15;
 
     /** Pull delay after the start, when a node reads the store itself in about ten milliseconds. */
     private static final long INITIAL_PULL_DELAY_MILLIS = 250;
@@ -40,7 +40,7 @@
     static final long MIN_PULL_DELAY_NANOS = 100_000_000L;
 
     /** Pull delays after a change within which it is repeated on links that come up. */
-    private static final long REPEAT_DELAYS = 4;
+    private static final long REPEAT_DELAYS = 8;
 
     private static final int MAX_REPEATED_BYTES = 1_024;
 
@@ -163,6 +163,7 @@
                     mPendingPullVersion = -1;
                     if (mConfigs.version() < version) {
                         pull(connection, mConfigs.version());
+                        pullFromReaders();
                     }
                 },
                 mConfigs.pullDelayNanos(
@@ -186,6 +187,15 @@
         return true;
     }
 
+    /**
+     * Asks the readers as well: a connection on which a peer announced the version may carry large
+     * answers, behind which the request waits, and links to readers carry requests only.
+     */
+    private void pullFromReaders() {
+        HopFrame wanted = HopFrame.configWanted(new WireConfigWanted(mConfigs.version()));
+        mDirectory.readerLinks(READERS).forEach(link -> link.send(wanted));
+    }
+
     private static void pull(HopConnection connection, long above) {
         connection.send(HopFrame.configWanted(new WireConfigWanted(above)));
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
@@ -32,15 +32,18 @@
     private final NavigableMap<Long, byte[]> mRecentContents = new TreeMap<>();
     private final List<Consumer<RoutingConfig>> mSubscribers = new ArrayList<>();
     private final VersionWatch mVersions = new VersionWatch();
+    private final ConfigLease mLease;
     private @Nullable RoutingConfig mCurrent;
 
     /**
      * Creates a holder without a configuration.
      *
      * @param codec decodes configurations
+     * @param applyMillis the time within which an accepted configuration has to be in force
      */
-    public ConfigHolder(ConfigCodec codec) {
+    public ConfigHolder(ConfigCodec codec, long applyMillis) {
         mCodec = codec;
+        mLease = new ConfigLease(TimeUnit.MILLISECONDS.toNanos(applyMillis));
     }
 
     /** Returns the configuration in force, or null before the first. */
@@ -99,6 +102,36 @@
         return mVersions.mayBeOutdated(nowNanos, applyNanos);
     }
 
+    /**
+     * Returns for how long the configuration in force may be used unless a newer one is accepted.
+     */
+    ConfigLease lease() {
+        return mLease;
+    }
+
+    /**
+     * Records the reply of a peer that was asked which version it has.
+     *
+     * @param version the version of the peer
+     * @param askedNanos when it was asked
+     * @param ageNanos how long before its reply it knew that version to be the newest
+     */
+    void confirmed(long version, long askedNanos, long ageNanos) {
+        if (version >= 0 && version <= version()) {
+            mLease.confirmedByPeer(askedNanos, ageNanos);
+        }
+    }
+
+    /**
+     * Returns whether the configuration in force must not be used, as it has not been confirmed for
+     * too long and a newer one may be in force elsewhere.
+     *
+     * @param nowNanos the time, on the steady clock
+     */
+    public boolean expired(long nowNanos) {
+        return mLease.ended(nowNanos);
+    }
+
     /** Adds a subscriber, called with each configuration that comes into force. */
     public void subscribe(Consumer<RoutingConfig> subscriber) {
         mSubscribers.add(subscriber);
--- /dev/null
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigLease.java
@@ -0,0 +1,81 @@
+package org.azurearch.sidecar.internal.mesh;
+
+/**
+ * Decides for how long the configuration in force may be used without word of a newer one. It is
+ * known to be the newest as of a time: that of a read of the store, or that at which a peer was
+ * asked which version it has. Messages may be late, so that their arrival proves nothing. Confined
+ * to one thread.
+ */
+final class ConfigLease {
+    /**
+     * How long a confirmation holds, as a fraction of the time within which an accepted
+     * configuration has to be in force. The rest is left for the change to reach those who confirm.
+     */
+    private static final double VALID_APPLIES = 0.6;
+
+    /** Fraction of that time after which a confirmation is asked for at once. */
+    private static final double RENEWAL_APPLIES = 0.3;
+
+    private final long mValidNanos;
+    private final long mRenewalNanos;
+    private boolean mConfirmed;
+    private long mAsOfNanos;
+    private boolean mConfirmedByPeer;
+    private long mPeerAsOfNanos;
+
+    /**
+     * Creates a lease that has ended.
+     *
+     * @param applyNanos the time within which an accepted configuration has to be in force
+     */
+    ConfigLease(long applyNanos) {
+        mValidNanos = (long) (applyNanos * VALID_APPLIES);
+        mRenewalNanos = (long) (applyNanos * RENEWAL_APPLIES);
+    }
+
+    /** Records that the version in force was the newest in the store at a time. */
+    void confirmedByStore(long asOfNanos) {
+        mAsOfNanos = mConfirmed ? later(mAsOfNanos, asOfNanos) : asOfNanos;
+        mConfirmed = true;
+    }
+
+    /**
+     * Records that a peer has confirmed the version in force.
+     *
+     * @param askedNanos when the peer was asked
+     * @param ageNanos how long before its reply the peer knew the version to be the newest
+     */
+    void confirmedByPeer(long askedNanos, long ageNanos) {
+        long asOfNanos = askedNanos - ageNanos;
+        mPeerAsOfNanos = mConfirmedByPeer ? later(mPeerAsOfNanos, asOfNanos) : asOfNanos;
+        mConfirmedByPeer = true;
+        confirmedByStore(asOfNanos);
+    }
+
+    /** Returns whether the version in force has not been confirmed for too long. */
+    boolean ended(long nowNanos) {
+        return !mConfirmed || nowNanos - mAsOfNanos > mValidNanos;
+    }
+
+    /** Returns whether no peer has confirmed the version in force for as long as it is valid. */
+    boolean endedByPeers(long nowNanos) {
+        return !mConfirmedByPeer || nowNanos - mPeerAsOfNanos > mValidNanos;
+    }
+
+    /** Returns whether a confirmation is due, as one or two have been lost. */
+    boolean renewalDue(long nowNanos) {
+        return !mConfirmed || nowNanos - mAsOfNanos > mRenewalNanos;
+    }
+
+    /**
+     * Returns how long ago the version in force was known to be the newest, in nanoseconds; {@link
+     * Long#MAX_VALUE} if it never was.
+     */
+    long ageNanos(long nowNanos) {
+        return mConfirmed ? Math.max(0, nowNanos - mAsOfNanos) : Long.MAX_VALUE;
+    }
+
+    private static long later(long a, long b) {
+        return a - b > 0 ? a : b;
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -46,6 +46,9 @@
     /** Number of peers in its data centre to which a node sends a pulse after its start. */
     private static final int STARTUP_PULSES = 3;
 
+    /** Shortest time between two requests to confirm the version in force: 200 ms. */
+    private static final long MIN_ASK_NANOS = 200_000_000L;
+
     private final EventLoop mLoop;
     private final Consumer<NodeRecord> mEarlierRecordConsumer;
     private final ConfigHolder mConfigs;
@@ -62,6 +65,10 @@
     private QuotaPeer mQuota = QuotaPeer.NONE;
     private LongConsumer mTickListener = now -> {};
     private boolean mIsReader;
+    private int mNextReader;
+    private long mAskedNanos;
+    private boolean mFollowing;
+    private long mTickNanos;
 
     /** Whether a peer has said that it knows no more nodes than this one. */
     private boolean mMembersCompared;
@@ -257,6 +264,9 @@
 
     private void compare(HopConnection connection, WirePulse pulse) {
         mConfigs.heard();
+        if (pulse.isReply()) {
+            confirm(pulse);
+        }
         mExchange.schedulePull(connection, pulse.getConfigVersion());
         mExchange.sendMissed(connection, pulse.getConfigVersion());
         boolean all = pulse.isSetStrikeDigest();
@@ -265,7 +275,24 @@
         }
         // A reply that tells nothing new still confirms the version that the peer holds.
         if (!pulse.isReply()) {
-            connection.send(all ? pulseFrame(true) : versionFrame(true));
+            WirePulse reply = all ? fullPulse(true) : versionPulse(true);
+            connection.send(
+                    HopFrame.pulse(
+                            pulse.isSetAskedNanos()
+                                    ? reply.setAskedNanos(pulse.getAskedNanos())
+                                    : reply));
+        }
+    }
+
+    /** Renews the lease of the configuration; a peer of an earlier release tells no times. */
+    private void confirm(WirePulse reply) {
+        if (!reply.isSetAskedNanos()) {
+            mConfigs.confirmed(reply.getConfigVersion(), System.nanoTime(), 0);
+        } else if (reply.isSetAgeMillis()) {
+            mConfigs.confirmed(
+                    reply.getConfigVersion(),
+                    reply.getAskedNanos(),
+                    TimeUnit.MILLISECONDS.toNanos(reply.getAgeMillis()));
         }
     }
 
@@ -295,18 +322,53 @@
         mTickListener.accept(now);
         mQuota.tick();
         mSuspects.decidePeerLosses(mPeers);
+        updateReader(now);
+        renewLease(now);
+        if (mRollouts != null) {
+            mRollouts.tick();
+        }
+        mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Decides whether this node reads the store: the first ones of the data centre do, and one
+     * whose configuration no peer confirms any more, as its links may not work.
+     */
+    private void updateReader(long nowNanos) {
         NodeRecord self = mDirectory.self();
         int rank = self.storeReachable() ? mDirectory.rank(self, true) : Integer.MAX_VALUE;
-        boolean isReader = rank < ConfigExchange.READERS;
+        ConfigLease lease = mConfigs.lease();
+        boolean unconfirmed =
+                mConfigs.current() != null
+                        && lease.endedByPeers(nowNanos)
+                        && (mIsReader || lease.ended(nowNanos));
+        boolean isReader = rank < ConfigExchange.READERS || (self.storeReachable() && unconfirmed);
         if (isReader != mIsReader) {
             mIsReader = isReader;
             EventLog.log(SidecarEvent.READER, isReader, rank);
         }
         mReader.setActive(isReader);
-        if (mRollouts != null) {
-            mRollouts.tick();
+    }
+
+    /** Confirms the configuration if this node reads the store, or else asks for that if due. */
+    private void renewLease(long nowNanos) {
+        boolean following = mReader.following();
+        if (following && mFollowing) {
+            // All that had arrived by the last tick has been read since then.
+            mConfigs.lease().confirmedByStore(mTickNanos);
+        }
+        mFollowing = following;
+        mTickNanos = nowNanos;
+        boolean askedLately = nowNanos - mAskedNanos < MIN_ASK_NANOS;
+        if (!following && !askedLately && mConfigs.lease().renewalDue(nowNanos)) {
+            askReaders(mDirectory.readerLinks(ConfigExchange.READERS));
         }
-        mLoop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void askReaders(List<HopLink> readers) {
+        mAskedNanos = System.nanoTime();
+        HopFrame frame = versionFrame(false);
+        readers.forEach(link -> link.send(frame));
     }
 
     private void countShareHolders(long nowNanos, long wallMillis) {
@@ -336,6 +398,10 @@
             HopFrame frame = mPulses.comparesState() ? pulseFrame(false) : versionFrame(false);
             partners.get(mRandom.nextInt(partners.size())).send(frame);
         }
+        List<HopLink> readers = mDirectory.readerLinks(ConfigExchange.READERS);
+        if (!readers.isEmpty()) {
+            askReaders(List.of(readers.get(mNextReader++ % readers.size())));
+        }
         mLoop.schedule(this::pulse, mPulses.nextDelayMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -346,17 +412,29 @@
 
     /** Returns a pulse with digests of all that nodes compare. */
     private HopFrame pulseFrame(boolean reply) {
+        return HopFrame.pulse(fullPulse(reply));
+    }
+
+    private WirePulse fullPulse(boolean reply) {
         WirePulse pulse = versionPulse(reply).setStrikeDigest(mSuspects.digest());
         long rollouts = mRollouts == null ? 0 : mRollouts.digest();
-        return HopFrame.pulse(rollouts == 0 ? pulse : pulse.setRolloutDigest(rollouts));
+        return rollouts == 0 ? pulse : pulse.setRolloutDigest(rollouts);
     }
 
+    /** Returns a pulse with the version in force and its age; a request also has its time. */
     private WirePulse versionPulse(boolean reply) {
-        return new WirePulse(
-                mConfigs.version(),
-                mDirectory.table().digest(),
-                reply,
-                mDirectory.table().records().size());
+        long now = System.nanoTime();
+        WirePulse pulse =
+                new WirePulse(
+                        mConfigs.version(),
+                        mDirectory.table().digest(),
+                        reply,
+                        mDirectory.table().records().size());
+        long ageMillis = TimeUnit.NANOSECONDS.toMillis(mConfigs.lease().ageNanos(now));
+        if (ageMillis < Integer.MAX_VALUE) {
+            pulse.setAgeMillis((int) ageMillis);
+        }
+        return reply ? pulse : pulse.setAskedNanos(now);
     }
 
     /** What the directory knows of the peers. */
@@ -393,5 +471,10 @@
         public void reachable(boolean reachable) {
             mDirectory.publishStoreReachable(reachable);
         }
+
+        @Override
+        public void newestRead(long askedNanos) {
+            mConfigs.lease().confirmedByStore(askedNanos);
+        }
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -406,17 +406,16 @@
      * @param readers the number of readers in the data centre
      */
     List<HopLink> children(int readers) {
-        List<String> withStore = mOrder.nodes(mSelf.dataCentre(), true);
-        List<String> roots = withStore.subList(0, Math.min(readers, withStore.size()));
-        List<HopLink> links = new ArrayList<>();
-        for (String child :
-                PushTree.children(mSelf.node(), roots, mOrder.nodes(mSelf.dataCentre(), false))) {
-            HopLink link = mLinks.get(child);
-            if (link != null && link.up()) {
-                links.add(link);
-            }
-        }
-        return links;
+        return mLinks.up(mOrder.children(mSelf.dataCentre(), readers));
+    }
+
+    /**
+     * Returns the links to the other readers of the data centre.
+     *
+     * @param readers the number of readers in the data centre
+     */
+    List<HopLink> readerLinks(int readers) {
+        return mLinks.up(mOrder.readers(mSelf.dataCentre(), readers));
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeLinks.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeLinks.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -91,6 +92,18 @@
         return up;
     }
 
+    /** Returns the links to some nodes that are up. */
+    List<HopLink> up(Collection<String> nodes) {
+        List<HopLink> up = new ArrayList<>();
+        for (String node : nodes) {
+            HopLink link = mLinks.get(node);
+            if (link != null && link.up()) {
+                up.add(link);
+            }
+        }
+        return up;
+    }
+
     /** Connects to a node of which only the address is known, unless a link to it exists. */
     void seed(NetAddress address) {
         for (HopLink link : mLinks.values()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.azurearch.lib.NodeId;
 import org.azurearch.member.Rendezvous;
@@ -13,8 +14,8 @@
 import org.azurearch.sidecar.member.NodeTable;
 
 /**
- * The reachable nodes of each data centre, in the same order at all nodes that reach them. Confined
- * to one thread.
+ * The reachable nodes of each data centre, in the same order at all nodes that reach them. Duties
+ * go to the first of them, so that those that are leaving are apart. Confined to one thread.
  */
 final class NodeOrder {
     private final NodeTable mTable;
@@ -53,6 +54,23 @@
                 dataCentre + "/" + withStore, key -> compute(dataCentre, withStore));
     }
 
+    /** Returns the first reachable nodes of a data centre, which read the platform's store. */
+    List<String> readers(String dataCentre, int count) {
+        List<String> withStore = nodes(dataCentre, true);
+        return withStore.subList(0, Math.min(count, withStore.size()));
+    }
+
+    /**
+     * Returns the nodes to which this node pushes configurations.
+     *
+     * @param readers the number of readers in the data centre
+     */
+    Set<String> children(String dataCentre, int readers) {
+        List<String> roots = readers(dataCentre, readers);
+        Set<String> children = PushTree.children(mSelf, roots, nodes(dataCentre, false));
+        return children;
+    }
+
     private List<String> compute(String dataCentre, boolean withStore) {
         List<NodeRecord> nodes = new ArrayList<>();
         for (NodeRecord record : mTable.records()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -46,6 +46,13 @@
 
         /** Called after each read with whether the store could be reached. */
         void reachable(boolean reachable);
+
+        /**
+         * Called after each read of the newest records, once they are delivered.
+         *
+         * @param askedNanos when the read was sent, on the steady clock
+         */
+        default void newestRead(long askedNanos) {}
     }
 
     private final KeyedLog mLog;
@@ -59,6 +66,7 @@
     private boolean mStoreDown;
     private boolean mClosed;
     private long mDownSinceNanos;
+    private long mAskedNanos;
     private long mNextOffset = -1;
 
     /**
@@ -77,6 +85,14 @@
         readNewest();
     }
 
+    /**
+     * Returns whether a read of all further records is under way, so that each new one arrives as
+     * soon as it is stored.
+     */
+    boolean following() {
+        return mActive && mReadInProgress && !mReadsNewest && !mStoreDown;
+    }
+
     /** Sets whether this node is a reader of its data centre. */
     void setActive(boolean active) {
         if (mActive != active) {
@@ -101,6 +117,7 @@
     private void readNewest() {
         mReadInProgress = true;
         mReadsNewest = true;
+        mAskedNanos = System.nanoTime();
         mLog.newest(KeyedLog.Stream.CONFIG).whenComplete(this::readCompleted);
     }
 
@@ -127,6 +144,9 @@
         long newestEnd = mReadsNewest ? records.endOffset() : -1;
         deliver(() -> mListener.recordsRead(records.records(), newestEnd));
         mListener.reachable(true);
+        if (mReadsNewest) {
+            mListener.newestRead(mAskedNanos);
+        }
         if (mActive) {
             readNext();
         } else {
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
@@ -19,6 +19,8 @@
   private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField STRIKE_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("strikeDigest", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField ROLLOUT_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("rolloutDigest", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField ASKED_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("askedNanos", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I32, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WirePulseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WirePulseTupleSchemeFactory();
@@ -30,8 +32,19 @@
    * Number of nodes that the sender knows.
    */
   public int members; // required
+  /**
+   * Unset if only the versions are compared.
+   */
   public long strikeDigest; // optional
   public long rolloutDigest; // optional
+  /**
+   * When the request was sent, on the steady clock of its sender; a reply repeats it.
+   */
+  public long askedNanos; // optional
+  /**
+   * How long ago configVersion was known to be the newest; unset if unknown.
+   */
+  public int ageMillis; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -42,8 +55,19 @@
      * Number of nodes that the sender knows.
      */
     MEMBERS((short)4, "members"),
+    /**
+     * Unset if only the versions are compared.
+     */
     STRIKE_DIGEST((short)5, "strikeDigest"),
-    ROLLOUT_DIGEST((short)6, "rolloutDigest");
+    ROLLOUT_DIGEST((short)6, "rolloutDigest"),
+    /**
+     * When the request was sent, on the steady clock of its sender; a reply repeats it.
+     */
+    ASKED_NANOS((short)7, "askedNanos"),
+    /**
+     * How long ago configVersion was known to be the newest; unset if unknown.
+     */
+    AGE_MILLIS((short)8, "ageMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -71,6 +95,10 @@
           return STRIKE_DIGEST;
         case 6: // ROLLOUT_DIGEST
           return ROLLOUT_DIGEST;
+        case 7: // ASKED_NANOS
+          return ASKED_NANOS;
+        case 8: // AGE_MILLIS
+          return AGE_MILLIS;
         default:
           return null;
       }
@@ -120,8 +148,10 @@
   private static final int __MEMBERS_ISSET_ID = 3;
   private static final int __STRIKEDIGEST_ISSET_ID = 4;
   private static final int __ROLLOUTDIGEST_ISSET_ID = 5;
+  private static final int __ASKEDNANOS_ISSET_ID = 6;
+  private static final int __AGEMILLIS_ISSET_ID = 7;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.STRIKE_DIGEST,_Fields.ROLLOUT_DIGEST};
+  private static final _Fields optionals[] = {_Fields.STRIKE_DIGEST,_Fields.ROLLOUT_DIGEST,_Fields.ASKED_NANOS,_Fields.AGE_MILLIS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -137,6 +167,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.ROLLOUT_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("rolloutDigest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ASKED_NANOS, new org.apache.thrift.meta_data.FieldMetaData("askedNanos", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("ageMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WirePulse.class, metaDataMap);
   }
@@ -172,6 +206,8 @@
     this.members = other.members;
     this.strikeDigest = other.strikeDigest;
     this.rolloutDigest = other.rolloutDigest;
+    this.askedNanos = other.askedNanos;
+    this.ageMillis = other.ageMillis;
   }
 
   @Override
@@ -193,6 +229,10 @@
     this.strikeDigest = 0;
     setRolloutDigestIsSet(false);
     this.rolloutDigest = 0;
+    setAskedNanosIsSet(false);
+    this.askedNanos = 0;
+    setAgeMillisIsSet(false);
+    this.ageMillis = 0;
   }
 
   public long getConfigVersion() {
@@ -293,10 +333,16 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MEMBERS_ISSET_ID, value);
   }
 
+  /**
+   * Unset if only the versions are compared.
+   */
   public long getStrikeDigest() {
     return this.strikeDigest;
   }
 
+  /**
+   * Unset if only the versions are compared.
+   */
   public WirePulse setStrikeDigest(long strikeDigest) {
     this.strikeDigest = strikeDigest;
     setStrikeDigestIsSet(true);
@@ -339,6 +385,64 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ROLLOUTDIGEST_ISSET_ID, value);
   }
 
+  /**
+   * When the request was sent, on the steady clock of its sender; a reply repeats it.
+   */
+  public long getAskedNanos() {
+    return this.askedNanos;
+  }
+
+  /**
+   * When the request was sent, on the steady clock of its sender; a reply repeats it.
+   */
+  public WirePulse setAskedNanos(long askedNanos) {
+    this.askedNanos = askedNanos;
+    setAskedNanosIsSet(true);
+    return this;
+  }
+
+  public void unsetAskedNanos() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ASKEDNANOS_ISSET_ID);
+  }
+
+  /** Returns true if field askedNanos is set (has been assigned a value) and false otherwise */
+  public boolean isSetAskedNanos() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ASKEDNANOS_ISSET_ID);
+  }
+
+  public void setAskedNanosIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ASKEDNANOS_ISSET_ID, value);
+  }
+
+  /**
+   * How long ago configVersion was known to be the newest; unset if unknown.
+   */
+  public int getAgeMillis() {
+    return this.ageMillis;
+  }
+
+  /**
+   * How long ago configVersion was known to be the newest; unset if unknown.
+   */
+  public WirePulse setAgeMillis(int ageMillis) {
+    this.ageMillis = ageMillis;
+    setAgeMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetAgeMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field ageMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetAgeMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  public void setAgeMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -390,6 +494,22 @@
       }
       break;
 
+    case ASKED_NANOS:
+      if (value == null) {
+        unsetAskedNanos();
+      } else {
+        setAskedNanos((java.lang.Long)value);
+      }
+      break;
+
+    case AGE_MILLIS:
+      if (value == null) {
+        unsetAgeMillis();
+      } else {
+        setAgeMillis((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -415,6 +535,12 @@
     case ROLLOUT_DIGEST:
       return getRolloutDigest();
 
+    case ASKED_NANOS:
+      return getAskedNanos();
+
+    case AGE_MILLIS:
+      return getAgeMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -439,6 +565,10 @@
       return isSetStrikeDigest();
     case ROLLOUT_DIGEST:
       return isSetRolloutDigest();
+    case ASKED_NANOS:
+      return isSetAskedNanos();
+    case AGE_MILLIS:
+      return isSetAgeMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -510,6 +640,24 @@
         return false;
     }
 
+    boolean this_present_askedNanos = true && this.isSetAskedNanos();
+    boolean that_present_askedNanos = true && that.isSetAskedNanos();
+    if (this_present_askedNanos || that_present_askedNanos) {
+      if (!(this_present_askedNanos && that_present_askedNanos))
+        return false;
+      if (this.askedNanos != that.askedNanos)
+        return false;
+    }
+
+    boolean this_present_ageMillis = true && this.isSetAgeMillis();
+    boolean that_present_ageMillis = true && that.isSetAgeMillis();
+    if (this_present_ageMillis || that_present_ageMillis) {
+      if (!(this_present_ageMillis && that_present_ageMillis))
+        return false;
+      if (this.ageMillis != that.ageMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -533,6 +681,14 @@
     if (isSetRolloutDigest())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(rolloutDigest);
 
+    hashCode = hashCode * 8191 + ((isSetAskedNanos()) ? 131071 : 524287);
+    if (isSetAskedNanos())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(askedNanos);
+
+    hashCode = hashCode * 8191 + ((isSetAgeMillis()) ? 131071 : 524287);
+    if (isSetAgeMillis())
+      hashCode = hashCode * 8191 + ageMillis;
+
     return hashCode;
   }
 
@@ -604,6 +760,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAskedNanos(), other.isSetAskedNanos());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAskedNanos()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.askedNanos, other.askedNanos);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetAgeMillis(), other.isSetAgeMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAgeMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ageMillis, other.ageMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -655,6 +831,18 @@
       sb.append(this.rolloutDigest);
       first = false;
     }
+    if (isSetAskedNanos()) {
+      if (!first) sb.append(", ");
+      sb.append("askedNanos:");
+      sb.append(this.askedNanos);
+      first = false;
+    }
+    if (isSetAgeMillis()) {
+      if (!first) sb.append(", ");
+      sb.append("ageMillis:");
+      sb.append(this.ageMillis);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -754,6 +942,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // ASKED_NANOS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.askedNanos = iprot.readI64();
+              struct.setAskedNanosIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 8: // AGE_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.ageMillis = iprot.readI32();
+              struct.setAgeMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -804,6 +1008,16 @@
         oprot.writeI64(struct.rolloutDigest);
         oprot.writeFieldEnd();
       }
+      if (struct.isSetAskedNanos()) {
+        oprot.writeFieldBegin(ASKED_NANOS_FIELD_DESC);
+        oprot.writeI64(struct.askedNanos);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetAgeMillis()) {
+        oprot.writeFieldBegin(AGE_MILLIS_FIELD_DESC);
+        oprot.writeI32(struct.ageMillis);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -833,13 +1047,25 @@
       if (struct.isSetRolloutDigest()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetAskedNanos()) {
+        optionals.set(2);
+      }
+      if (struct.isSetAgeMillis()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetStrikeDigest()) {
         oprot.writeI64(struct.strikeDigest);
       }
       if (struct.isSetRolloutDigest()) {
         oprot.writeI64(struct.rolloutDigest);
       }
+      if (struct.isSetAskedNanos()) {
+        oprot.writeI64(struct.askedNanos);
+      }
+      if (struct.isSetAgeMillis()) {
+        oprot.writeI32(struct.ageMillis);
+      }
     }
 
     @Override
@@ -853,7 +1079,7 @@
       struct.setReplyIsSet(true);
       struct.members = iprot.readI32();
       struct.setMembersIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.strikeDigest = iprot.readI64();
         struct.setStrikeDigestIsSet(true);
@@ -862,6 +1088,14 @@
         struct.rolloutDigest = iprot.readI64();
         struct.setRolloutDigestIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.askedNanos = iprot.readI64();
+        struct.setAskedNanosIsSet(true);
+      }
+      if (incoming.get(3)) {
+        struct.ageMillis = iprot.readI32();
+        struct.setAgeMillisIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -145,6 +145,10 @@
   /** Unset if only the versions are compared. */
   5: optional i64 strikeDigest
   6: optional i64 rolloutDigest
+  /** When the request was sent, on the steady clock of its sender; a reply repeats it. */
+  7: optional i64 askedNanos
+  /** How long ago configVersion was known to be the newest; unset if unknown. */
+  8: optional i32 ageMillis
 }
 
 /** A configuration, whole or as a patch on an older version. */
