--- /dev/null
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeOrderTest.java
@@ -0,0 +1,58 @@
+package org.azurearch.sidecar.internal.mesh;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.azurearch.lib.NetAddress;
+import org.azurearch.sidecar.member.NodeRecord;
+import org.azurearch.sidecar.member.NodeTable;
+import org.junit.jupiter.api.Test;
+
+/** Guards against nodes that still serve callers and are not told of a new configuration. */
+class NodeOrderTest {
+    private static final String DATA_CENTRE = "a";
+    private static final int READERS = 2;
+    private static final int NODES = 30;
+
+    private final NodeTable mTable = new NodeTable("n0");
+
+    @Test
+    void readersPushToNodesThatAreLeaving() {
+        for (int i = 0; i < NODES; i++) {
+            mTable.merge(record("n" + i), 0);
+        }
+        mTable.merge(record("n7").asLeaving().withVersion(1, 1), 0);
+        List<String> readers = order("n0").readers(DATA_CENTRE, READERS);
+        assertEquals(READERS, readers.size());
+        Set<String> told = new TreeSet<>();
+        for (int i = 0; i < NODES; i++) {
+            Set<String> children = order("n" + i).children(DATA_CENTRE, READERS);
+            assertEquals(readers.contains("n" + i), children.contains("n7"));
+            told.addAll(children);
+        }
+        assertEquals(NODES, told.size());
+    }
+
+    @Test
+    void nodeThatIsLeavingHasNoDuties() {
+        mTable.merge(record("n0"), 0);
+        mTable.merge(record("n1"), 0);
+        assertTrue(order("n0").readers(DATA_CENTRE, READERS).contains("n1"));
+        mTable.merge(record("n1").asLeaving().withVersion(1, 1), 0);
+        assertFalse(order("n0").readers(DATA_CENTRE, READERS).contains("n1"));
+        assertEquals(List.of("n0"), order("n0").nodes(DATA_CENTRE, false));
+    }
+
+    private NodeOrder order(String self) {
+        return new NodeOrder(mTable, self, node -> true);
+    }
+
+    private static NodeRecord record(String node) {
+        NetAddress address = new NetAddress("127.0.0.1", 1);
+        return new NodeRecord(node, DATA_CENTRE, address, 1, 0, false, true, null);
+    }
+}
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
@@ -61,13 +61,19 @@
     }
 
     /**
-     * Returns the nodes to which this node pushes configurations.
+     * Returns the nodes to which this node pushes configurations. Readers also push to nodes that
+     * are leaving, which have no duties but serve their callers until they end.
      *
      * @param readers the number of readers in the data centre
      */
     Set<String> children(String dataCentre, int readers) {
         List<String> roots = readers(dataCentre, readers);
         Set<String> children = PushTree.children(mSelf, roots, nodes(dataCentre, false));
+        if (roots.contains(mSelf)) {
+            mTable.records().stream()
+                    .filter(node -> node.leaving() && node.dataCentre().equals(dataCentre))
+                    .forEach(node -> children.add(node.node()));
+        }
         return children;
     }
 
