--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -39,6 +39,8 @@
     CONFIG_UNREADABLE(821, Level.ERROR, "source={} reason={}"),
     /** Peers held a configuration, or may have, some time before it came into force here. */
     CONFIG_LATE(822, Level.WARN, "version={} announced_ms={} unheard_ms={}"),
+    /** The configuration in force has not been confirmed for too long, or is again. */
+    CONFIG_LEASE(823, Level.WARN, "valid={} version={} age_ms={} links={}"),
     /** The backend server behind this node changed. */
     BACKEND_CHANGED(830, Level.INFO, "instance={} service={} ready={} slots={} cause={}"),
     /** A heartbeat of the backend server is ignored. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -68,6 +68,7 @@
     private int mNextReader;
     private long mAskedNanos;
     private boolean mFollowing;
+    private boolean mLeaseValid;
     private long mTickNanos;
 
     /** Whether a peer has said that it knows no more nodes than this one. */
@@ -359,12 +360,26 @@
         }
         mFollowing = following;
         mTickNanos = nowNanos;
+        logLease(nowNanos);
         boolean askedLately = nowNanos - mAskedNanos < MIN_ASK_NANOS;
         if (!following && !askedLately && mConfigs.lease().renewalDue(nowNanos)) {
             askReaders(mDirectory.readerLinks(ConfigExchange.READERS));
         }
     }
 
+    private void logLease(long nowNanos) {
+        boolean valid = !mConfigs.expired(nowNanos);
+        if (valid != mLeaseValid) {
+            mLeaseValid = valid;
+            EventLog.log(
+                    SidecarEvent.CONFIG_LEASE,
+                    valid,
+                    mConfigs.version(),
+                    TimeUnit.NANOSECONDS.toMillis(mConfigs.lease().ageNanos(nowNanos)),
+                    mDirectory.linksUp().size());
+        }
+    }
+
     private void askReaders(List<HopLink> readers) {
         mAskedNanos = System.nanoTime();
         HopFrame frame = versionFrame(false);
