--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -65,7 +65,7 @@
     private QuotaPeer mQuota = QuotaPeer.NONE;
     private LongConsumer mTickListener = now -> {};
     private boolean mIsReader;
-    private boolean mHasDuty; // it reads the store for its data centre
+    private boolean mIsDataCentreReader;
     private int mNextReader;
     private long mAskedNanos;
     private boolean mFollowing;
@@ -358,7 +358,7 @@
      * there can know of more.
      */
     private void renewLease(long nowNanos) {
-        boolean following = (mHasDuty || mReader.following()) && !mConfigs.awaitsNewer();
+        boolean following = (mIsDataCentreReader || mReader.following()) && !mConfigs.awaitsNewer();
         if (following && mFollowing) {
             // All that had arrived by the last tick has been read since then.
             mConfigs.lease().confirmed(mTickNanos);
@@ -489,7 +489,9 @@
 
         @Override
         public void newestRead(long askedNanos) {
-            mConfigs.lease().confirmed(askedNanos);
+            if (!mConfigs.awaitsNewer()) {
+                mConfigs.lease().confirmed(askedNanos);
+            }
         }
     }
 }
