--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -344,7 +344,9 @@
                 mConfigs.current() != null
                         && lease.peersSilent(nowNanos)
                         && (mIsReader || lease.storeReadDue(nowNanos));
-        boolean isReader = rank < ConfigExchange.READERS || (self.storeReachable() && unconfirmed);
+        boolean first = rank < ConfigExchange.READERS;
+        mIsDataCentreReader = first && !mDirectory.linksUp().isEmpty();
+        boolean isReader = first || (self.storeReachable() && unconfirmed);
         if (isReader != mIsReader) {
             mIsReader = isReader;
             EventLog.log(SidecarEvent.READER, isReader, rank);
