--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
@@ -60,7 +60,6 @@
         Node(int index) {
             mName = String.format("n%03d", index);
             mClockOffset = mRandom.nextLong(1_000_000_000L);
-            start();
         }
 
         void start() {
@@ -105,6 +104,7 @@
 
     private final SplittableRandom mRandom;
     private final List<Node> mNodes = new ArrayList<>();
+    private final List<Node> mFirst = new ArrayList<>();
     private final Map<String, Integer> mIndex = new HashMap<>();
     private final PriorityQueue<Delivery> mNetwork =
             new PriorityQueue<>(
@@ -134,9 +134,7 @@
         mRandom = new SplittableRandom(seed);
         mAccounts = QuotaPartitions.divide(new AccountDirectory(accounts));
         for (int i = 0; i < nodes; i++) {
-            Node node = new Node(i);
-            mNodes.add(node);
-            mIndex.put(node.mName, i);
+            addNode();
         }
     }
 
@@ -182,8 +180,20 @@
 
     /** Adds a node that the others do not know. */
     void add() {
-        mIndex.put(String.format("n%03d", mNodes.size()), mNodes.size());
-        mNodes.add(new Node(mNodes.size()));
+        addNode();
+    }
+
+    /** Adds such a node, which precedes all others as a coordinator. */
+    void addPreferred() {
+        mFirst.add(0, addNode());
+    }
+
+    private Node addNode() {
+        Node node = new Node(mNodes.size());
+        mIndex.put(node.mName, mNodes.size());
+        mNodes.add(node);
+        node.start();
+        return node;
     }
 
     /** Stops a node, which goes on for a while, and starts it again some time after its end. */
@@ -399,7 +409,9 @@
 
     private List<String> candidates(Node node) {
         List<String> candidates = new ArrayList<>();
-        for (Node other : mNodes) {
+        List<Node> ordered = new ArrayList<>(mFirst);
+        mNodes.stream().filter(other -> !mFirst.contains(other)).forEach(ordered::add);
+        for (Node other : ordered) {
             boolean leaving = node.mMembers != null && node.mMembers.leaving(other.mName);
             boolean usable = other.mUp && other.mCut == node.mCut && !leaving;
             if (usable && candidates.size() < CANDIDATES) {
