--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaScaleOutTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaScaleOutTest.java
@@ -22,7 +22,14 @@
     @ParameterizedTest
     @CsvSource({"79,66,2200", "40,40,500"})
     void accountsBelowTheirLimitsAreServedWhileNodesAreAdded(int nodes, int added, int millis) {
-        checkServed(nodes, added, 0, millis);
+        checkServed(nodes, added, 0, millis, nodes + added);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"79,66,4,2200", "79,4,4,200", "40,40,6,500"})
+    void accountsBelowTheirLimitsAreServedByOtherNodesWhilePreferredCoordinatorsAreAdded(
+            int nodes, int added, int preferred, int millis) {
+        checkServed(nodes, added, preferred, millis, nodes);
     }
 
     @Tag("known-red")
@@ -30,23 +37,23 @@
     @CsvSource({"79,66,4,2200", "79,4,4,200", "40,40,6,500"})
     void accountsBelowTheirLimitsAreServedWhilePreferredCoordinatorsAreAdded(
             int nodes, int added, int preferred, int millis) {
-        checkServed(nodes, added, preferred, millis);
+        checkServed(nodes, added, preferred, millis, nodes + added);
     }
 
-    private static void checkServed(int nodes, int added, int preferred, int millis) {
+    private static void checkServed(int nodes, int added, int preferred, int millis, int entries) {
         for (long seed = 1; seed <= 3; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             List<ClientAccount> accounts = accounts();
             QuotaSimulation simulation = new QuotaSimulation(nodes, accounts, seed);
             simulation.trackMembers();
-            play(simulation, accounts, SETTLE_MILLIS, random);
+            play(simulation, accounts, entries, SETTLE_MILLIS, random);
             long refused = simulation.refused();
-            int sent = add(simulation, accounts, added, preferred, millis, random);
-            sent += play(simulation, accounts, WINDOW_MILLIS - millis, random);
+            int sent = add(simulation, accounts, entries, added, preferred, millis, random);
+            sent += play(simulation, accounts, entries, WINDOW_MILLIS - millis, random);
             check(simulation.refused() - refused, sent, seed);
             for (int i = 1; i < WINDOWS; i++) {
                 refused = simulation.refused();
-                sent = play(simulation, accounts, WINDOW_MILLIS, random);
+                sent = play(simulation, accounts, entries, WINDOW_MILLIS, random);
                 check(simulation.refused() - refused, sent, seed);
             }
         }
@@ -55,18 +62,15 @@
     private static int add(
             QuotaSimulation simulation,
             List<ClientAccount> accounts,
+            int entries,
             int added,
             int preferred,
             int millis,
             SplittableRandom random) {
         int sent = 0;
         for (int i = 0; i < added; i++) {
-            if (i < preferred) {
-                simulation.addPreferred();
-            } else {
-                simulation.add();
-            }
-            sent += play(simulation, accounts, millis / added, random);
+            simulation.add(i < preferred);
+            sent += play(simulation, accounts, entries, millis / added, random);
         }
         return sent;
     }
@@ -77,17 +81,19 @@
                 "seed " + seed + ": " + refused + " of " + sent + " refused");
     }
 
-    /** Sends the usual demand of all accounts to all nodes; returns the number of requests. */
+    /** Sends the usual demand of all accounts to the first nodes; returns how many requests. */
     private static int play(
             QuotaSimulation simulation,
             List<ClientAccount> accounts,
+            int entries,
             int millis,
             SplittableRandom random) {
         int sent = 0;
         for (int time = 0; time < millis; time++) {
             for (ClientAccount account : accounts) {
                 if (random.nextDouble() < account.ratePerSecond() / RATE_FACTOR / 1_000) {
-                    simulation.request(random.nextInt(simulation.nodes()), account.name());
+                    int node = random.nextInt(Math.min(entries, simulation.nodes()));
+                    simulation.request(node, account.name());
                     sent++;
                 }
             }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/account/QuotaSimulation.java
@@ -34,9 +34,6 @@
     /** A request that will be refused after it took its token. */
     private record Refund(Node node, long epoch, String account, long takenMillis, long atMillis) {}
 
-    private record Delivery(
-            long atMillis, long order, int from, int to, int partition, Object message) {}
-
     /** A node with a coordinator of its own. */
     private final class Node {
         private final String mName;
@@ -106,12 +103,7 @@
     private final List<Node> mNodes = new ArrayList<>();
     private final List<Node> mFirst = new ArrayList<>();
     private final Map<String, Integer> mIndex = new HashMap<>();
-    private final PriorityQueue<Delivery> mNetwork =
-            new PriorityQueue<>(
-                    (a, b) ->
-                            a.atMillis() != b.atMillis()
-                                    ? Long.compare(a.atMillis(), b.atMillis())
-                                    : Long.compare(a.order(), b.order()));
+    private final PriorityQueue<Delivery> mNetwork = new PriorityQueue<>();
     private final RunTimes mRan = new RunTimes();
     private final Map<String, NodeRecord> mStored = new HashMap<>();
     private boolean mTracksMembers;
@@ -178,14 +170,12 @@
         mNodes.forEach(Node::start);
     }
 
-    /** Adds a node that the others do not know. */
-    void add() {
-        addNode();
-    }
-
-    /** Adds such a node, which precedes all others as a coordinator. */
-    void addPreferred() {
-        mFirst.add(0, addNode());
+    /** Adds a node that the others do not know, and that may precede them as a coordinator. */
+    void add(boolean preferred) {
+        Node node = addNode();
+        if (preferred) {
+            mFirst.add(0, node);
+        }
     }
 
     private Node addNode() {
@@ -404,21 +394,26 @@
         for (AccountQuota quota : node.mQuotas) {
             current.add(quota.coordinator() == null ? "" : quota.coordinator());
         }
-        return node.mChoice.choose(candidates, current, node.clock());
+        return node.mChoice.choose(candidates, current, name -> usable(node, name), node.clock());
     }
 
     private List<String> candidates(Node node) {
-        List<String> candidates = new ArrayList<>();
         List<Node> ordered = new ArrayList<>(mFirst);
         mNodes.stream().filter(other -> !mFirst.contains(other)).forEach(ordered::add);
-        for (Node other : ordered) {
-            boolean leaving = node.mMembers != null && node.mMembers.leaving(other.mName);
-            boolean usable = other.mUp && other.mCut == node.mCut && !leaving;
-            if (usable && candidates.size() < CANDIDATES) {
-                candidates.add(other.mName);
-            }
-        }
-        return candidates;
+        return ordered.stream()
+                .filter(other -> usable(node, other))
+                .limit(CANDIDATES)
+                .map(other -> other.mName)
+                .toList();
+    }
+
+    private boolean usable(Node node, Node other) {
+        boolean leaving = node.mMembers != null && node.mMembers.leaving(other.mName);
+        return other.mUp && other.mCut == node.mCut && !leaving;
+    }
+
+    private boolean usable(Node node, String name) {
+        return mIndex.containsKey(name) && usable(node, mNodes.get(mIndex.get(name)));
     }
 
     private void send(int from, int to, int partition, Object message) {
@@ -443,14 +438,7 @@
         }
         int partition = delivery.partition();
         if (!node.running() || node.mBusyUntil >= mNow + 1) {
-            mNetwork.add(
-                    new Delivery(
-                            Math.max(node.mFrozenUntil, (long) node.mBusyUntil),
-                            delivery.order(),
-                            delivery.from(),
-                            delivery.to(),
-                            partition,
-                            delivery.message()));
+            mNetwork.add(delivery.at(Math.max(node.mFrozenUntil, (long) node.mBusyUntil)));
             return;
         }
         if (delivery.from() != delivery.to()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/QuotaMesh.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/QuotaMesh.java
@@ -28,6 +28,12 @@
         return nodes;
     }
 
+    @Override
+    public boolean reachable(String node) {
+        NodeRecord record = mMesh.directory().table().record(node);
+        return record != null && mMesh.directory().rank(record, false) != Integer.MAX_VALUE;
+    }
+
     @Override
     public boolean membersKnown() {
         return mMesh.membersKnown();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/CoordinatorChoice.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/CoordinatorChoice.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.azurearch.sidecar.account.QuotaPartitions;
 
 /**
@@ -40,8 +41,15 @@
      *
      * @param candidates the nodes that may coordinate
      * @param current the present coordinator of each partition, or an empty string
+     * @param reachable whether a node is reachable and not leaving; a present coordinator may be so
+     *     while others have taken its place among the candidates
+     * @param nowMillis the time, on the steady clock
      */
-    public List<String> choose(List<String> candidates, List<String> current, long nowMillis) {
+    public List<String> choose(
+            List<String> candidates,
+            List<String> current,
+            Predicate<String> reachable,
+            long nowMillis) {
         mSilentUntil.values().removeIf(until -> until <= nowMillis);
         List<String> answering = new ArrayList<>(candidates);
         answering.removeAll(mSilentUntil.keySet());
@@ -49,7 +57,7 @@
         List<String> chosen = new ArrayList<>();
         for (int i = 0; i < QuotaPartitions.COUNT; i++) {
             String first = assigned.isEmpty() ? "" : assigned.get(i);
-            boolean serves = candidates.contains(current.get(i));
+            boolean serves = reachable.test(current.get(i));
             chosen.add(choose(i, first, current.get(i), serves, nowMillis));
         }
         return chosen;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/QuotaService.java
@@ -52,6 +52,9 @@
         /** Returns the reachable nodes that may coordinate. */
         List<String> coordinators();
 
+        /** Returns whether a node is reachable and not leaving, so that it can still coordinate. */
+        boolean reachable(String node);
+
         /** Returns whether enough is known of the nodes to choose coordinators. */
         boolean membersKnown();
 
@@ -245,7 +248,7 @@
         List<String> current = mPartitions.stream().map(QuotaPartition::coordinator).toList();
         List<String> chosen =
                 mMesh.membersKnown()
-                        ? mChoice.choose(mMesh.coordinators(), current, nowMillis)
+                        ? mChoice.choose(mMesh.coordinators(), current, mMesh::reachable, nowMillis)
                         : Collections.nCopies(QuotaPartitions.COUNT, "");
         int holders = mMesh.shareHolders();
         for (int i = 0; i < QuotaPartitions.COUNT; i++) {
