--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -59,7 +59,7 @@
     private final ConfigExchange mExchange;
     private final StoreReader mReader;
     private final @Nullable RolloutService mRollouts;
-    private final PeerLosses.Peers mPeers = new KnownPeers();
+    private final PeerLosses.Peers mPeers;
     private final SplittableRandom mRandom = new SplittableRandom();
     private final PulseSchedule mPulses = new PulseSchedule(mRandom);
     private QuotaPeer mQuota = QuotaPeer.NONE;
@@ -114,6 +114,7 @@
         mConfigs = configs;
         mDirectory =
                 new NodeDirectory(loop, network, settings, peers, System.currentTimeMillis(), this);
+        mPeers = new KnownPeers(mDirectory);
         mExchange = new ConfigExchange(loop, configs, mDirectory, settings.configApplyMillis());
         mRegistration =
                 new NodeRegistration(
@@ -454,20 +455,6 @@
         return reply ? pulse : pulse.setAskedNanos(now);
     }
 
-    /** What the directory knows of the peers. */
-    private final class KnownPeers implements PeerLosses.Peers {
-        @Override
-        public @Nullable NodeRecord record(String node) {
-            return mDirectory.table().record(node);
-        }
-
-        @Override
-        public boolean up(String node) {
-            HopLink link = mDirectory.link(node);
-            return link != null && link.up();
-        }
-    }
-
     /** Handles the events of the store reader. */
     private final class StoreListener implements StoreReader.Listener {
         @Override
