--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeOrderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeOrderTest.java
@@ -12,7 +12,7 @@
 import org.azurearch.sidecar.member.NodeTable;
 import org.junit.jupiter.api.Test;
 
-/** Guards against nodes that still serve callers and are not told of a new configuration. */
+/** Guards against nodes that nobody tells of a new configuration, and that read it out of turn. */
 class NodeOrderTest {
     private static final String DATA_CENTRE = "a";
     private static final int READERS = 2;
@@ -47,12 +47,31 @@
         assertEquals(List.of("n0"), order("n0").nodes(DATA_CENTRE, false));
     }
 
+    @Test
+    void readersOfAllDataCentresTakeTurns() {
+        for (int i = 0; i < NODES; i++) {
+            String dataCentre = i == 0 ? "c" : i % 2 == 0 ? "a" : "b";
+            mTable.merge(record("n" + i, dataCentre), 0);
+        }
+        List<String> readers = order("n0").allReaders(READERS);
+        List<String> dataCentres =
+                readers.stream().map(node -> mTable.record(node).dataCentre()).toList();
+        assertEquals(List.of("a", "b", "c", "a", "b"), dataCentres);
+        for (int i = 0; i < NODES; i++) {
+            assertEquals(readers, order("n" + i).allReaders(READERS));
+        }
+    }
+
     private NodeOrder order(String self) {
         return new NodeOrder(mTable, self, node -> true);
     }
 
     private static NodeRecord record(String node) {
+        return record(node, DATA_CENTRE);
+    }
+
+    private static NodeRecord record(String node, String dataCentre) {
         NetAddress address = new NetAddress("127.0.0.1", 1);
-        return new NodeRecord(node, DATA_CENTRE, address, 1, 0, false, true, null);
+        return new NodeRecord(node, dataCentre, address, 1, 0, false, true, null);
     }
 }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreReaderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreReaderTest.java
@@ -1,23 +1,27 @@
 package org.azurearch.sidecar.internal.mesh;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.azurearch.sidecar.store.KeyedLog;
 import org.azurearch.sidecar.store.KeyedRecord;
 import org.azurearch.sidecar.store.KeyedRecords;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a reader that stops following after records that cannot be processed. */
+/** Guards against a reader that stops following. */
 class StoreReaderTest {
+    private final EmbeddedChannel mChannel = new EmbeddedChannel();
     private final DefaultEventLoop mLoop = new DefaultEventLoop();
     private final Deque<CompletableFuture<KeyedRecords>> mReads = new ArrayDeque<>();
     private final List<String> mConfigs = new ArrayList<>();
@@ -30,7 +34,9 @@
 
     @Test
     void readsOnAfterRecordsThatCannotBeProcessed() {
-        StoreReader reader = new StoreReader(new ManualLog(), mLoop, "config", new Listener());
+        StoreReader reader =
+                new StoreReader(
+                        new ManualLog(), mLoop, new PollSchedule(2_000), "config", new Listener());
         reader.setActive(true);
         complete("odd");
         complete("good");
@@ -40,11 +46,65 @@
         assertEquals(List.of(true, true, true, true), mReachable);
     }
 
+    @Test
+    void pollWithoutAnswerInTimeIsFollowedByAnotherRead() {
+        mChannel.freezeTime();
+        StoreReader reader =
+                new StoreReader(
+                        new ManualLog(),
+                        mChannel.eventLoop(),
+                        new PollSchedule(2_000),
+                        "config",
+                        new Listener());
+        reader.setActive(true);
+        complete("first");
+        CompletableFuture<KeyedRecords> lost = mReads.poll();
+        advance(1_190);
+        assertTrue(reader.following());
+        assertEquals(List.of("first"), mConfigs);
+        assertTrue(mReads.isEmpty());
+        advance(20);
+        assertFalse(reader.following());
+        complete("second");
+        assertTrue(reader.following());
+        assertEquals(1, mReads.size());
+        lost.complete(records("late"));
+        complete("third");
+        assertEquals(List.of("first", "second", "third"), mConfigs);
+        assertEquals(List.of(true, true, true), mReachable);
+    }
+
+    @Test
+    void answeredPollIsNotFollowedByAnother() {
+        mChannel.freezeTime();
+        new StoreReader(
+                        new ManualLog(),
+                        mChannel.eventLoop(),
+                        new PollSchedule(2_000),
+                        "config",
+                        new Listener())
+                .setActive(true);
+        complete("first");
+        advance(1_000);
+        complete("second");
+        advance(1_000);
+        assertEquals(1, mReads.size());
+    }
+
+    private void advance(long millis) {
+        mChannel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        mChannel.runScheduledPendingTasks();
+    }
+
     private void complete(String value) {
         CompletableFuture<KeyedRecords> read = mReads.poll();
         assertTrue(read != null, "no read is under way");
+        read.complete(records(value));
+    }
+
+    private static KeyedRecords records(String value) {
         KeyedRecord record = new KeyedRecord("config", value.getBytes(), 0);
-        read.complete(new KeyedRecords(List.of(record), 1));
+        return new KeyedRecords(List.of(record), 1);
     }
 
     /** Fails to process odd records. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -33,6 +33,8 @@
     STORE_RECORD_UNREADABLE(813, Level.WARN, "stream={} key={} offset={} reason={}"),
     /** This node became a reader of the store for its data centre, or no longer is one. */
     READER(814, Level.INFO, "reader={} rank={}"),
+    /** A long poll of the store has no answer in time; the records are read once more. */
+    STORE_POLL_LOST(815, Level.INFO, "stream={} offset={}"),
     /** A configuration came into force. */
     CONFIG_IN_FORCE(820, Level.INFO, "version={} before={} routes={} source={}"),
     /** A configuration cannot be decoded; the old one stays in force. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -57,6 +57,7 @@
     private final NodeDirectory mDirectory;
     private final NodeRegistration mRegistration;
     private final ConfigExchange mExchange;
+    private final PollSchedule mPolls;
     private final StoreReader mReader;
     private final @Nullable RolloutService mRollouts;
     private final PeerLosses.Peers mPeers;
@@ -126,7 +127,8 @@
                         : new RolloutService(bound, mDirectory, log, rolloutCodec, metrics);
         suspects.attach(this);
         mRegistration.start();
-        mReader = new StoreReader(log, loop, configKey, new StoreListener());
+        mPolls = new PollSchedule(settings.configApplyMillis());
+        mReader = new StoreReader(log, loop, mPolls, configKey, new StoreListener());
         settings.seeds().forEach(mDirectory::seed);
         loop.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
         loop.schedule(this::pulse, PulseSchedule.MEAN_MILLIS, TimeUnit.MILLISECONDS);
@@ -352,6 +354,8 @@
             mIsReader = isReader;
             EventLog.log(SidecarEvent.READER, isReader, rank);
         }
+        List<String> readers = mDirectory.order().allReaders(ConfigExchange.READERS);
+        mPolls.setTurn(readers.indexOf(self.node()), readers.size());
         mReader.setActive(isReader);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeDirectory.java
@@ -388,6 +388,11 @@
         return relays;
     }
 
+    /** Returns the order of the reachable nodes. */
+    NodeOrder order() {
+        return mOrder;
+    }
+
     /**
      * Returns the index of a node among the reachable ones of its data centre, or {@link
      * Integer#MAX_VALUE}.
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.azurearch.lib.NodeId;
 import org.azurearch.member.Rendezvous;
@@ -60,6 +61,27 @@
         return withStore.subList(0, Math.min(count, withStore.size()));
     }
 
+    /**
+     * Returns the readers of all data centres that this node reaches. The first ones of each data
+     * centre precede the second ones.
+     *
+     * @param count the number of readers in each data centre
+     */
+    List<String> allReaders(int count) {
+        Set<String> dataCentres = new TreeSet<>();
+        mTable.records().forEach(record -> dataCentres.add(record.dataCentre()));
+        List<String> readers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            for (String dataCentre : dataCentres) {
+                List<String> ofDataCentre = readers(dataCentre, count);
+                if (i < ofDataCentre.size()) {
+                    readers.add(ofDataCentre.get(i));
+                }
+            }
+        }
+        return readers;
+    }
+
     /**
      * Returns the nodes to which this node pushes configurations. Readers also push to nodes that
      * are leaving, which have no duties but serve their callers until they end.
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.Completions;
@@ -17,12 +18,10 @@
 
 /**
  * Long-polls the configurations in the platform's store while this node is a reader, and retries
- * while the store is unreachable. Confined to one event loop.
+ * while the store is unreachable. A poll without an answer in time is followed by another read, as
+ * its answer may be lost though the store can be reached. Confined to one event loop.
  */
 final class StoreReader {
-    /** Duration of a long poll; long, as each read is charged. */
-    private static final Duration WAIT = Duration.ofSeconds(10);
-
     private static final Duration RETRY_BASE = Duration.ofMillis(150);
 
     /**
@@ -55,14 +54,30 @@
         default void newestRead(long askedNanos) {}
     }
 
+    /** The read that is under way. */
+    private enum Read {
+        NONE,
+        /** A read of the newest record of each key. */
+        NEWEST,
+        /** A long poll of all further records. */
+        POLL,
+        /** A read of further records that does not wait, as a poll may be lost. */
+        CHECK
+    }
+
     private final KeyedLog mLog;
     private final EventLoop mLoop;
+    private final PollSchedule mSchedule;
     private final String mKey;
     private final Listener mListener;
     private final Backoff mBackoff = new Backoff(RETRY_BASE, RETRY_MAX, new SplittableRandom());
     private boolean mActive;
-    private boolean mReadInProgress;
-    private boolean mReadsNewest;
+    private Read mRead = Read.NONE;
+
+    /** Number of reads so far; the answer to an earlier one than the last is ignored. */
+    private long mReads;
+
+    private boolean mRecordsRead;
     private boolean mStoreDown;
     private boolean mClosed;
     private long mDownSinceNanos;
@@ -74,12 +89,15 @@
      *
      * @param log the platform's log
      * @param loop the event loop
+     * @param schedule decides how long reads wait
      * @param key the key of the configuration
      * @param listener receives the events of the reader
      */
-    StoreReader(KeyedLog log, EventLoop loop, String key, Listener listener) {
+    StoreReader(
+            KeyedLog log, EventLoop loop, PollSchedule schedule, String key, Listener listener) {
         mLog = log;
         mLoop = loop;
+        mSchedule = schedule;
         mKey = key;
         mListener = listener;
         readNewest();
@@ -90,7 +108,7 @@
      * soon as it is stored.
      */
     boolean following() {
-        return mActive && mReadInProgress && !mReadsNewest && !mStoreDown;
+        return mActive && mRead == Read.POLL && !mStoreDown;
     }
 
     /** Sets whether this node is a reader of its data centre. */
@@ -104,7 +122,7 @@
     }
 
     private void readNext() {
-        if (mReadInProgress) {
+        if (mRead != Read.NONE) {
             return;
         }
         if (mNextOffset < 0 && (mActive || mStoreDown)) {
@@ -115,20 +133,41 @@
     }
 
     private void readNewest() {
-        mReadInProgress = true;
-        mReadsNewest = true;
         mAskedNanos = System.nanoTime();
-        mLog.newest(KeyedLog.Stream.CONFIG).whenComplete(this::readCompleted);
+        begin(Read.NEWEST, mLog.newest(KeyedLog.Stream.CONFIG));
     }
 
     private void longPoll() {
-        mReadInProgress = true;
-        mReadsNewest = false;
-        mLog.read(KeyedLog.Stream.CONFIG, mNextOffset, WAIT).whenComplete(this::readCompleted);
+        Duration wait = mSchedule.nextWait(mRecordsRead);
+        long poll = begin(Read.POLL, mLog.read(KeyedLog.Stream.CONFIG, mNextOffset, wait));
+        Duration lost = wait.plus(mSchedule.lostAfter());
+        mLoop.schedule(() -> check(poll), lost.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads without a wait if a poll still has no answer. */
+    private void check(long poll) {
+        if (poll == mReads && mRead == Read.POLL && !mClosed) {
+            EventLog.log(SidecarEvent.STORE_POLL_LOST, KeyedLog.Stream.CONFIG, mNextOffset);
+            mLog.renewConnections();
+            begin(Read.CHECK, mLog.read(KeyedLog.Stream.CONFIG, mNextOffset, Duration.ZERO));
+        }
+    }
+
+    private long begin(Read read, CompletableFuture<KeyedRecords> answer) {
+        mRead = read;
+        long number = ++mReads;
+        answer.whenComplete(
+                (records, failure) -> {
+                    if (number == mReads) {
+                        readCompleted(records, failure);
+                    }
+                });
+        return number;
     }
 
     private void readCompleted(KeyedRecords records, Throwable failure) {
-        mReadInProgress = false;
+        boolean readNewest = mRead == Read.NEWEST;
+        mRead = Read.NONE;
         if (failure != null) {
             failed(failure);
             return;
@@ -140,11 +179,12 @@
         }
         mBackoff.reset();
         mNextOffset = records.endOffset();
+        mRecordsRead = readNewest || !records.records().isEmpty();
         deliver(() -> deliverNewest(records.records()));
-        long newestEnd = mReadsNewest ? records.endOffset() : -1;
+        long newestEnd = readNewest ? records.endOffset() : -1;
         deliver(() -> mListener.recordsRead(records.records(), newestEnd));
         mListener.reachable(true);
-        if (mReadsNewest) {
+        if (readNewest) {
             mListener.newestRead(mAskedNanos);
         }
         if (mActive) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/store/KeyedLog.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/store/KeyedLog.java
@@ -56,6 +56,12 @@
      */
     CompletableFuture<Void> appendAt(Stream stream, String key, byte[] value, long endOffset);
 
+    /**
+     * Lets the next requests use new connections, since those that are open may carry nothing any
+     * more.
+     */
+    default void renewConnections() {}
+
     @Override
     void close();
 }
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/PooledHttpClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/PooledHttpClient.java
@@ -25,6 +25,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import jdk.net.ExtendedSocketOptions;
@@ -104,11 +105,17 @@
         return reply;
     }
 
+    /** Closes the connections without a request, as they may carry nothing any more. */
+    public void closeIdle() {
+        List<Connection> idle = List.copyOf(mIdleConnections);
+        mIdleConnections.clear();
+        idle.forEach(connection -> connection.mChannel.close());
+    }
+
     @Override
     public void close() {
         mClosed = true;
-        mIdleConnections.forEach(connection -> connection.mChannel.close());
-        mIdleConnections.clear();
+        closeIdle();
     }
 
     private void connect(
@@ -174,9 +181,7 @@
             mDecoder.awaitAnswer(request.method());
             mTimeout =
                     mLoop.schedule(
-                            () -> fail("no reply within " + timeoutMillis + " ms"),
-                            timeoutMillis,
-                            TimeUnit.MILLISECONDS);
+                            () -> timedOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
             mChannel.writeAndFlush(request, mChannel.voidPromise());
         }
 
@@ -210,6 +215,12 @@
             fail(cause.toString());
         }
 
+        /** Fails the request; others that were used at the same time may be silent, too. */
+        private void timedOut(long timeoutMillis) {
+            closeIdle();
+            fail("no reply within " + timeoutMillis + " ms");
+        }
+
         private void fail(String reason) {
             CompletableFuture<Reply> reply = finishRequest();
             mChannel.close();
