--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeOrderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeOrderTest.java
@@ -18,6 +18,11 @@
     private static final int READERS = 2;
     private static final int NODES = 30;
 
+    /** Begins a generation, so that nodes that start within a second belong to the same. */
+    private static final long START_MILLIS = 1_800_000_000_000L;
+
+    private static final long LATER_MILLIS = 10_000;
+
     private final NodeTable mTable = new NodeTable("n0");
 
     @Test
@@ -62,6 +67,23 @@
         }
     }
 
+    @Test
+    void nodesThatAreAddedOrRestartedTakeOverNoDuties() {
+        for (int i = 0; i < NODES; i++) {
+            mTable.merge(record("n" + i).withVersion(START_MILLIS + i, 0), 0);
+        }
+        List<String> readers = order("n0").readers(DATA_CENTRE, READERS);
+        for (int i = NODES; i < 2 * NODES; i++) {
+            mTable.merge(record("n" + i).withVersion(START_MILLIS + LATER_MILLIS + i, 0), 0);
+        }
+        assertEquals(readers, order("n0").readers(DATA_CENTRE, READERS));
+        String restarted = readers.get(0);
+        mTable.merge(record(restarted).withVersion(START_MILLIS + LATER_MILLIS, 0), 0);
+        List<String> then = order("n0").readers(DATA_CENTRE, READERS);
+        assertEquals(readers.get(1), then.get(0));
+        assertFalse(then.contains(restarted));
+    }
+
     private NodeOrder order(String self) {
         return new NodeOrder(mTable, self, node -> true);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
@@ -19,6 +19,12 @@
  * go to the first of them, so that those that are leaving are apart. Confined to one thread.
  */
 final class NodeOrder {
+    /**
+     * Nodes that start within this time are equally old. Long enough that nodes that are restarted
+     * one after another do not take turns in the duties.
+     */
+    private static final long GENERATION_MILLIS = 5_000;
+
     private final NodeTable mTable;
     private final String mSelf;
     private final Predicate<String> mUp;
@@ -113,16 +119,25 @@
 
     /**
      * Returns the names of nodes with the widest links first, since the first ones send to many
-     * others: on a link that large answers fill, their messages would wait. Nodes with equal links
-     * are ranked for a key.
+     * others: on a link that large answers fill, their messages would wait. Of equal links, those
+     * of nodes that started earlier come first, as a change of duties costs more than keeping them;
+     * nodes that started at about the same time are ranked for a key.
      */
     static List<String> widestFirst(String key, Collection<NodeRecord> records) {
-        Map<String, Double> mbps = new HashMap<>();
-        records.forEach(record -> mbps.put(record.node(), record.linkMbps()));
-        List<NodeId> nodes = mbps.keySet().stream().map(NodeId::fromString).toList();
+        Map<String, NodeRecord> byName = new HashMap<>();
+        records.forEach(record -> byName.put(record.node(), record));
+        List<NodeId> nodes = byName.keySet().stream().map(NodeId::fromString).toList();
         return Rendezvous.rank(key, nodes).stream()
-                .map(NodeId::name)
-                .sorted(Comparator.comparing(mbps::get, Comparator.reverseOrder()))
+                .map(node -> byName.get(node.name()))
+                .sorted(
+                        Comparator.comparing(NodeRecord::linkMbps, Comparator.reverseOrder())
+                                .thenComparing(NodeOrder::generation))
+                .map(NodeRecord::node)
                 .toList();
     }
+
+    /** Returns a number that is the same for nodes that started at about the same time. */
+    private static long generation(NodeRecord node) {
+        return node.incarnation() / GENERATION_MILLIS;
+    }
 }
