--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
@@ -40,6 +40,11 @@
 
 /** When a link to a peer counts as up. */
 class HopLinkTest {
+    private static final long TICK_NANOS = 100_000_000L;
+
+    /** Less than the silence after which an idle link is pinged. */
+    private static final long SILENCE_NANOS = 1_900_000_000L;
+
     private final EventLoopGroup mGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop mLoop = mGroup.next();
@@ -125,6 +130,44 @@
         }
     }
 
+    /** Guards against a silent link that is taken for one on which there is nothing new. */
+    @Test
+    void silenceAfterQuestionIsNoticedBeforeThatOfIdleLink() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            HopLink link = open(new NetAddress("127.0.0.1", server.getLocalPort()));
+            try (Socket peer = server.accept()) {
+                ByteBuf frame = new FrameCodec().encode(HopFrame.failure(failure()));
+                DataOutputStream out = new DataOutputStream(peer.getOutputStream());
+                out.writeInt(frame.readableBytes());
+                out.write(ByteBufUtil.getBytes(frame));
+                Await.until("the link is up", () -> mEvents.contains("up"));
+                long now = System.nanoTime();
+                assertTrue(tick(link, now, now + SILENCE_NANOS));
+                onLoop(() -> ask(link));
+                assertFalse(tick(link, now + SILENCE_NANOS, now + 2 * SILENCE_NANOS));
+            }
+            onLoop(() -> close(link));
+        }
+    }
+
+    /** Ticks as time passes; returns whether the link is up at the end. */
+    private boolean tick(HopLink link, long fromNanos, long toNanos) throws Exception {
+        for (long now = fromNanos; now < toNanos; now += TICK_NANOS) {
+            long time = now;
+            onLoop(
+                    () -> {
+                        link.tick(time);
+                        return true;
+                    });
+        }
+        return onLoop(link::up);
+    }
+
+    private static boolean ask(HopLink link) {
+        link.ask(HopFrame.pulse(new WirePulse(0, 0, false, 0)));
+        return true;
+    }
+
     private static HopCall largeCall(long id) {
         byte[] body = new byte[64 * 1024];
         return new HopCall(id, "GET", "/", List.of(), body, 0, 0, 1, "s", "r", false);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -92,6 +92,7 @@
     private boolean mUp;
     private boolean mClosed;
     private boolean mSuspected;
+    private long mAskedNanos = System.nanoTime();
     private SilenceWatch mWatch = new SilenceWatch(LIMITS, System.nanoTime());
     private long mDownSinceNanos = System.nanoTime();
 
@@ -151,6 +152,19 @@
         }
     }
 
+    /** Sends a frame that the peer answers at once, so that its silence is noticed. */
+    public void ask(HopFrame frame) {
+        if (!awaitsReply()) {
+            mAskedNanos = System.nanoTime();
+        }
+        send(frame);
+    }
+
+    /** Returns whether nothing has arrived since the peer was asked. */
+    private boolean awaitsReply() {
+        return mConnection != null && mAskedNanos - mConnection.lastReadNanos() > 0;
+    }
+
     /**
      * Sends a call, which fails at once if the link is down.
      *
@@ -193,7 +207,8 @@
         if (connection == null) {
             return;
         }
-        boolean awaited = !mUp || !mPending.isEmpty();
+        boolean askedBefore = awaitsReply() && nowNanos - mAskedNanos > PING_AFTER_NANOS;
+        boolean awaited = !mUp || !mPending.isEmpty() || askedBefore;
         switch (mWatch.tick(nowNanos, connection.lastReadNanos(), awaited)) {
             case PING -> connection.ping();
             case GIVE_UP -> {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -392,7 +392,7 @@
     private void askReaders(List<HopLink> readers) {
         mAskedNanos = System.nanoTime();
         HopFrame frame = versionFrame(false);
-        readers.forEach(link -> link.send(frame));
+        readers.forEach(link -> link.ask(frame));
     }
 
     private void countShareHolders(long nowNanos, long wallMillis) {
@@ -420,7 +420,7 @@
         List<HopLink> partners = mDirectory.antiEntropyLinks();
         if (!partners.isEmpty()) {
             HopFrame frame = mPulses.comparesState() ? pulseFrame(false) : versionFrame(false);
-            partners.get(mRandom.nextInt(partners.size())).send(frame);
+            partners.get(mRandom.nextInt(partners.size())).ask(frame);
         }
         List<HopLink> readers = mDirectory.readerLinks(ConfigExchange.READERS);
         if (!readers.isEmpty()) {
