--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/AccountQuota.java
@@ -79,6 +79,9 @@
     private boolean mShort;
     private boolean mSilent;
 
+    /** Until when a coordinator may not have been delegated all shares of the rates. */
+    private long mSettledMillis;
+
     /**
      * Creates the tokens of a node, which has none yet.
      *
@@ -95,6 +98,7 @@
         mBase = new BaseShare(random);
         mDelegateFromMillis = nowMillis + QuotaRules.LEASE_MILLIS;
         mAskedMillis = nowMillis - QuotaRules.RENEW_MILLIS;
+        mSettledMillis = mDelegateFromMillis + QuotaRules.LEASE_MILLIS;
     }
 
     /** Replaces the accounts. */
@@ -193,8 +197,15 @@
         return given;
     }
 
-    /** Returns how long until a token for one more refused request is expected. */
+    /**
+     * Returns how long until a token for one more refused request is expected. While coordinators
+     * change, what this node was granted so far says nothing about it: tokens flow again once all
+     * nodes delegate.
+     */
     public long retryAfterMillis(String account, long nowMillis) {
+        if (nowMillis < mSettledMillis) {
+            return Math.max(QuotaRules.RENEW_MILLIS, mSettledMillis - nowMillis);
+        }
         ClientAccount limited = limited(account);
         double base = limited == null || mHolders == 0 ? 0 : limited.ratePerSecond() / mHolders;
         return held(account).refused(base, nowMillis);
@@ -246,7 +257,7 @@
             return false;
         }
         if (mCoordinatorEpoch != 0 && mCoordinatorEpoch != reply.epoch()) {
-            abandon();
+            abandon(nowMillis);
             return false;
         }
         mAcknowledged = reply.sequence();
@@ -283,13 +294,13 @@
         mHeld.values().forEach(HeldTokens::drop);
         mTokensEndMillis = nowMillis;
         mLeaseEndMillis = Math.max(mLeaseEndMillis, nowMillis + QuotaRules.LEASE_MILLIS);
-        abandon();
+        abandon(nowMillis);
     }
 
     private void chooseCoordinator(long nowMillis) {
         mSilent = mCoordinator != null && nowMillis - mAnsweredMillis > SILENT_MILLIS;
         if (mSilent) {
-            abandon();
+            abandon(nowMillis);
             return;
         }
         if (mCoordinator == null && nowMillis >= mLeaseEndMillis && !mPreferred.isEmpty()) {
@@ -302,7 +313,10 @@
     }
 
     /** Sends no more to the coordinator; the base share is free once the lease has ended. */
-    private void abandon() {
+    private void abandon(long nowMillis) {
+        if (mDelegating) {
+            mSettledMillis = nowMillis + 2 * QuotaRules.LEASE_MILLIS;
+        }
         mCoordinator = null;
         mDelegating = false;
         mDelegateFromMillis = Math.max(mDelegateFromMillis, mLeaseEndMillis);
@@ -313,6 +327,7 @@
         mTokensEndMillis = nowMillis;
         if (mDelegating) {
             mDelegateFromMillis = nowMillis;
+            mSettledMillis = nowMillis + QuotaRules.LEASE_MILLIS;
         }
         mLeaseEndMillis = nowMillis;
         mDelegating = false;
@@ -369,6 +384,7 @@
             mHeld.values().forEach(HeldTokens::drop);
         }
         if (delegates) {
+            mSettledMillis = mDelegating ? mSettledMillis : nowMillis + QuotaRules.LEASE_MILLIS;
             mDelegating = true;
             mBase.clear();
             mLeaseEndMillis = nowMillis + QuotaRules.LEASE_MILLIS;
