--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopLinkTest.java
@@ -28,6 +28,7 @@
 import org.azurearch.sidecar.call.AttemptFailure;
 import org.azurearch.sidecar.call.BackendAnswer;
 import org.azurearch.sidecar.call.HopCall;
+import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.route.EndpointLoad;
 import org.azurearch.thrift.HopFrame;
 import org.azurearch.thrift.WireHopAnswer;
@@ -130,6 +131,36 @@
         }
     }
 
+    /** Guards against calls for a VM that is gone, which the new holder of its address refuses. */
+    @Test
+    void linkToAddressOfAnotherNodeIsNotUp() throws Exception {
+        NetAddress any = new NetAddress("127.0.0.1", 0);
+        NodeRecord other = new NodeRecord("other", "a", any, 1, 0, false, true, null);
+        HopFrame hello =
+                HopFrame.records(new WireNodeRecords(List.of(HopWire.toWire(other)), true));
+        CompletableFuture<Boolean> closed = new CompletableFuture<>();
+        HopConnection.Listener peer =
+                new HopConnection.Listener() {
+                    @Override
+                    public void opened(HopConnection connection) {}
+
+                    @Override
+                    public void received(HopConnection connection, HopFrame frame) {
+                        connection.send(hello);
+                    }
+
+                    @Override
+                    public void closed(HopConnection connection) {
+                        closed.complete(true);
+                    }
+                };
+        HopLink link = open(new NetAddress("127.0.0.1", mNetwork.listen(any, peer)));
+        Await.until("the connection is closed", closed::isDone);
+        assertFalse(mEvents.contains("up"));
+        assertFalse(onLoop(link::up));
+        onLoop(() -> close(link));
+    }
+
     /** Guards against a silent link that is taken for one on which there is nothing new. */
     @Test
     void silenceAfterQuestionIsNoticedBeforeThatOfIdleLink() throws Exception {
@@ -215,7 +246,8 @@
     }
 
     private HopLink open(NetAddress address) throws Exception {
-        return onLoop(() -> new HopLink(mNetwork, mLoop, "peer", address, new RecordingListener()));
+        return onLoop(
+                () -> new HopLink(mNetwork, mLoop, "peer", true, address, new RecordingListener()));
     }
 
     private static boolean close(HopLink link) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -73,6 +73,8 @@
     MEMBER_RECORD_IGNORED(844, Level.WARN, "node={} reason={}"),
     /** Calls of a peer are cancelled, as its connection has closed or it has fallen silent. */
     PEER_CALLS_LOST(845, Level.INFO, "peer={} calls={} silent_ms={}"),
+    /** Another node answers at the address of a peer, whose VM is gone. */
+    LINK_TO_OTHER(846, Level.INFO, "node={} address={} answered_by={}"),
     /** A call ended without an answer of a backend server. */
     CALL_FAILED(
             850,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -83,6 +83,7 @@
     private final HopNetwork mNetwork;
     private final EventLoop mLoop;
     private final String mNode;
+    private final boolean mNamed;
     private final NetAddress mAddress;
     private final Listener mListener;
     private final Backoff mBackoff;
@@ -101,7 +102,8 @@
      *
      * @param network opens connections
      * @param loop the event loop
-     * @param node the name of the peer
+     * @param node the name of the peer, or of the link if only its address is known
+     * @param named whether the name is that of the peer, so that no other node is accepted
      * @param address the address of the peer
      * @param listener receives events of the peer
      */
@@ -109,11 +111,13 @@
             HopNetwork network,
             EventLoop loop,
             String node,
+            boolean named,
             NetAddress address,
             Listener listener) {
         mNetwork = network;
         mLoop = loop;
         mNode = node;
+        mNamed = named;
         mAddress = address;
         mListener = listener;
         mBackoff = new Backoff(RECONNECT_BASE, RECONNECT_MAX, new SplittableRandom());
@@ -245,6 +249,13 @@
     @Override
     public void received(HopConnection connection, HopFrame frame) {
         if (!mUp) {
+            String other = otherNode(frame);
+            if (other != null) {
+                EventLog.log(SidecarEvent.LINK_TO_OTHER, mNode, mAddress, other);
+                mListener.received(connection, frame);
+                connection.close();
+                return;
+            }
             mUp = true;
             mBackoff.reset();
             mListener.connectionChanged(this, true);
@@ -262,6 +273,18 @@
         }
     }
 
+    /**
+     * Returns the name of the node that answers a hello, with its own record first, if it is not
+     * the peer: the address of a VM that is gone may have been given to another one.
+     */
+    private @Nullable String otherNode(HopFrame frame) {
+        if (!mNamed || !frame.isSetRecords() || frame.getRecords().getRecords().isEmpty()) {
+            return null;
+        }
+        String node = frame.getRecords().getRecords().get(0).getNode();
+        return mNode.equals(node) ? null : node;
+    }
+
     @Override
     public void closed(HopConnection connection) {
         if (connection != mConnection) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeLinks.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeLinks.java
@@ -112,7 +112,7 @@
             }
         }
         String name = SEED_PREFIX + address;
-        mLinks.put(name, new HopLink(mNetwork, mLoop, name, address, mListener));
+        mLinks.put(name, new HopLink(mNetwork, mLoop, name, false, address, mListener));
     }
 
     /** Records that the own data centre is short of room for a service. */
@@ -209,6 +209,6 @@
         mUnlinkedListener.accept(record.node());
         mLinks.put(
                 record.node(),
-                new HopLink(mNetwork, mLoop, record.node(), record.address(), mListener));
+                new HopLink(mNetwork, mLoop, record.node(), true, record.address(), mListener));
     }
 }
