--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/VersionWatchTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/VersionWatchTest.java
@@ -52,6 +52,16 @@
         assertFalse(mWatch.heldFor(750, 2_700));
     }
 
+    @Test
+    void furtherVersionIsAwaitedForItsOwnTime() {
+        mWatch.installed(5, true, 0);
+        mWatch.announced(6, 10_000);
+        mWatch.announced(7, 12_000);
+        assertTrue(mWatch.awaitsVersionOf(APPLY, 12_600));
+        assertTrue(mWatch.awaitsVersionOf(APPLY, 14_499));
+        assertFalse(mWatch.awaitsVersionOf(APPLY, 14_500));
+    }
+
     @Test
     void announcedVersionIsAwaitedUntilItIsInForce() {
         mWatch.installed(5, true, 0);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
@@ -99,8 +99,7 @@
      * longer expected, as this node may be unable to decode it.
      */
     boolean awaitsNewer() {
-        long awaitedNanos = mVersions.awaitedNanos(System.nanoTime());
-        return awaitedNanos > 0 && awaitedNanos < mApplyNanos;
+        return mVersions.awaitsVersionOf(mApplyNanos, System.nanoTime());
     }
 
     /** Returns whether the version in force has been held for some time. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/VersionWatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/VersionWatch.java
@@ -74,6 +74,14 @@
         return mAwaiting ? nowNanos - mAwaitedSinceNanos : 0;
     }
 
+    /**
+     * Returns whether a version that was announced within some time is not in force yet. Each newer
+     * one begins that time anew.
+     */
+    boolean awaitsVersionOf(long nanos, long nowNanos) {
+        return mAwaiting && nowNanos - mAnnouncedNanos < nanos;
+    }
+
     /**
      * Returns how long to wait before a newer version is pulled, in nanoseconds.
      *
