--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/PollScheduleTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/PollScheduleTest.java
@@ -31,6 +31,17 @@
         }
     }
 
+    @Test
+    void readersThatStartTogetherTakeTurns() {
+        PollSchedule first = schedule(0, 1);
+        PollSchedule second = schedule(0, 1);
+        assertEquals(first.nextWait(false), second.nextWait(false));
+        first.setTurn(0, 2);
+        second.setTurn(1, 2);
+        assertTrue(first.nextWait(false).compareTo(second.nextWait(false)) < 0);
+        assertEquals(first.nextWait(false), second.nextWait(false));
+    }
+
     @Test
     void nodeThatReadsForItselfTakesTheFirstTurn() {
         assertEquals(schedule(0, 1).nextWait(true), schedule(-1, 0).nextWait(true));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -354,8 +354,10 @@
             mIsReader = isReader;
             EventLog.log(SidecarEvent.READER, isReader, rank);
         }
-        List<String> readers = mDirectory.order().allReaders(ConfigExchange.READERS);
-        mPolls.setTurn(readers.indexOf(self.node()), readers.size());
+        if (isReader) {
+            List<String> readers = mDirectory.order().allReaders(ConfigExchange.READERS);
+            mPolls.setTurn(readers.indexOf(self.node()), readers.size());
+        }
         mReader.setActive(isReader);
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/PollSchedule.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/PollSchedule.java
@@ -22,6 +22,7 @@
     private final Duration mLostAfter;
     private int mPosition;
     private int mReaders = 1;
+    private boolean mTurnChanged = true;
 
     /**
      * Creates a schedule for a node that is the only reader.
@@ -41,18 +42,23 @@
      * @param readers the number of readers that reach each other
      */
     void setTurn(int position, int readers) {
-        mReaders = Math.max(1, readers);
-        mPosition = Math.min(Math.max(0, position), mReaders - 1);
+        int among = Math.max(1, readers);
+        int at = Math.min(Math.max(0, position), among - 1);
+        mTurnChanged |= at != mPosition || among != mReaders;
+        mPosition = at;
+        mReaders = among;
     }
 
     /**
      * Returns how long the next read waits.
      *
-     * @param afterRecords whether the one before has brought records. So have those of the other
-     *     readers at the same time, from which the reads are spread again.
+     * @param together whether the reads of all readers have ended at the same time, so that they
+     *     are spread again from there
      */
-    Duration nextWait(boolean afterRecords) {
-        Duration wait = mInterval.multipliedBy(afterRecords ? mPosition + 1 : mReaders);
+    Duration nextWait(boolean together) {
+        int intervals = together || mTurnChanged ? mPosition + 1 : mReaders;
+        mTurnChanged = false;
+        Duration wait = mInterval.multipliedBy(intervals);
         return wait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : wait;
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -74,10 +74,12 @@
     private boolean mActive;
     private Read mRead = Read.NONE;
 
-    /** Number of reads so far; the answer to an earlier one than the last is ignored. */
+    /** Number of reads so far; of the answer to an earlier one only the records count. */
     private long mReads;
 
-    private boolean mRecordsRead;
+    /** Whether the last read ended with a new record, as did those of the other readers. */
+    private boolean mReadTogether;
+
     private boolean mStoreDown;
     private boolean mClosed;
     private long mDownSinceNanos;
@@ -138,7 +140,7 @@
     }
 
     private void longPoll() {
-        Duration wait = mSchedule.nextWait(mRecordsRead);
+        Duration wait = mSchedule.nextWait(mReadTogether);
         long poll = begin(Read.POLL, mLog.read(KeyedLog.Stream.CONFIG, mNextOffset, wait));
         Duration lost = wait.plus(mSchedule.lostAfter());
         mLoop.schedule(() -> check(poll), lost.toMillis(), TimeUnit.MILLISECONDS);
@@ -146,7 +148,7 @@
 
     /** Reads without a wait if a poll still has no answer. */
     private void check(long poll) {
-        if (poll == mReads && mRead == Read.POLL && !mClosed) {
+        if (poll == mReads && mRead == Read.POLL && mActive && !mClosed) {
             EventLog.log(SidecarEvent.STORE_POLL_LOST, KeyedLog.Stream.CONFIG, mNextOffset);
             mLog.renewConnections();
             begin(Read.CHECK, mLog.read(KeyedLog.Stream.CONFIG, mNextOffset, Duration.ZERO));
@@ -160,6 +162,8 @@
                 (records, failure) -> {
                     if (number == mReads) {
                         readCompleted(records, failure);
+                    } else if (failure == null) {
+                        deliver(() -> deliverNewest(records.records()));
                     }
                 });
         return number;
@@ -167,6 +171,7 @@
 
     private void readCompleted(KeyedRecords records, Throwable failure) {
         boolean readNewest = mRead == Read.NEWEST;
+        boolean polled = mRead == Read.POLL;
         mRead = Read.NONE;
         if (failure != null) {
             failed(failure);
@@ -179,7 +184,7 @@
         }
         mBackoff.reset();
         mNextOffset = records.endOffset();
-        mRecordsRead = readNewest || !records.records().isEmpty();
+        mReadTogether = polled && !records.records().isEmpty();
         deliver(() -> deliverNewest(records.records()));
         long newestEnd = readNewest ? records.endOffset() : -1;
         deliver(() -> mListener.recordsRead(records.records(), newestEnd));
