--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/admit/BackendQueueTest.java
@@ -146,6 +146,55 @@
         assertTrue(simulation.refusedEarly() >= 0.9, "refused early: " + simulation.refusedEarly());
     }
 
+    /** Guards against telling want of slots from want of the link by link_excess_ms alone. */
+    @Test
+    void lineOfRefusalForSlotsSaysSoThoughTheAnswerWouldAlsoBeLate() {
+        LinkLoad link = new LinkLoad(8);
+        BackendQueue<String> queue = new BackendQueue<>(link);
+        queue.offer("running", download(1_000, 8_000, 500), 0);
+        assertEquals(
+                "reason=slots waiting=0 running=1 link_excess_ms=150",
+                refusal(queue, download(600, 700, 400)));
+        link.sent("r", 0, 1_000_000, 0);
+        assertEquals(
+                "reason=link waiting=0 running=1 link_excess_ms=200",
+                refusal(queue, download(1_000, 1_200, 500)));
+    }
+
+    @Test
+    void lineOfRefusalForTheLinkSaysSoWhileSlotsAreFree() {
+        LinkLoad link = new LinkLoad(8);
+        BackendQueue<String> queue = new BackendQueue<>(link);
+        link.sent("r", 0, 1_000_000, 0);
+        assertEquals(
+                "reason=link waiting=0 running=0 link_excess_ms=800",
+                refusal(queue, download(300, 400, 100)));
+    }
+
+    @Test
+    void lineOfRefusalNamesDeadlineAndLimit() {
+        BackendQueue<String> queue = new BackendQueue<>();
+        queue.setSlots(2);
+        queue.limitStarts(1, 0);
+        assertEquals(
+                "reason=deadline waiting=0 running=0", refusal(queue, request(1, 300, 50, 100)));
+        queue.offer("running", request(1, 300, 1_000, 100), 0);
+        assertEquals("reason=limit waiting=0 running=1", refusal(queue, request(1, 300, 800, 100)));
+        queue.endLimit();
+        queue.offer("second", request(1, 300, 1_000, 100), 0);
+        assertEquals("reason=slots waiting=0 running=2", refusal(queue, request(1, 110, 150, 100)));
+    }
+
+    private static String refusal(BackendQueue<String> queue, QueuedRequest request) {
+        assertEquals(BackendQueue.Decision.REFUSE, queue.offer("refused", request, 0));
+        return queue.describe(request, 0);
+    }
+
+    private static QueuedRequest download(long targetMillis, long deadlineMillis, double work) {
+        return new QueuedRequest(
+                "r", 1, false, targetMillis * MILLI, deadlineMillis * MILLI, work, "", 1, 100);
+    }
+
     private BackendQueue.Decision offer(
             String item, int rank, long targetMillis, long deadlineMillis, double work) {
         return mQueue.offer(item, request(rank, targetMillis, deadlineMillis, work), 0);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/admit/BackendQueue.java
@@ -6,6 +6,7 @@
 import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
@@ -44,6 +45,18 @@
         REFUSE
     }
 
+    /** Why a request was refused on arrival, for log lines. */
+    private enum Reason {
+        /** Too little time was left to its deadline. */
+        DEADLINE,
+        /** The link of the VM could not send its answer in time. */
+        LINK,
+        /** All slots were taken, and it would have waited for too long. */
+        SLOTS,
+        /** A slot was free, but the limit of starts a second made it wait for too long. */
+        LIMIT
+    }
+
     /**
      * Fraction of the expected work that must still fit before a request's deadline. Work times
      * vary, and one request in ten needs no more than 0.6 of the mean.
@@ -98,6 +111,7 @@
     private double mRunningMillis;
     private int mSlots = 1;
     private int mRunning;
+    private @Nullable Reason mLastReason;
 
     /** Creates an empty queue on a VM whose link is not limited. */
     public BackendQueue() {
@@ -154,10 +168,10 @@
     /** Admits, queues or refuses a request that arrives. */
     public Decision offer(T item, QueuedRequest request, long nowNanos) {
         if (leftMillis(request, nowNanos) < leastMillis(request)) {
-            return Decision.REFUSE;
+            return refuse(Reason.DEADLINE);
         }
         if (request.answerMillis() > 0 && !linkAdmits(request, nowNanos)) {
-            return Decision.REFUSE;
+            return refuse(Reason.LINK);
         }
         int rank = rank(request);
         FairShare shares = mShares.computeIfAbsent(rank, key -> new FairShare());
@@ -178,10 +192,10 @@
         double targetLeftMillis = (request.targetNanos() - nowNanos) / NANOS_PER_MILLI;
         if (expectedMillis > targetLeftMillis
                 && !worthServingLate(arrival, expectedMillis, nowNanos)) {
-            return Decision.REFUSE;
+            return refuse(mRunning < mSlots ? Reason.LIMIT : Reason.SLOTS);
         }
         if (leftMillis(request, nowNanos) < leastWaitingMillis(request)) {
-            return Decision.REFUSE;
+            return refuse(Reason.DEADLINE);
         }
         awaitAnswer(request, nowNanos);
         shares.admitted(request);
@@ -309,12 +323,22 @@
         return Math.max(backlogMillis(nowNanos), linkExcessMillis(request, nowNanos));
     }
 
-    /** Returns the load that a request meets, for log lines. */
+    /**
+     * Returns why the request refused last was refused and the load that it meets, for log lines.
+     *
+     * @param request that request
+     */
     public String describe(QueuedRequest request, long nowNanos) {
-        String slots = "waiting=" + waiting() + " running=" + running();
+        String reason = mLastReason == null ? "none" : mLastReason.name().toLowerCase(Locale.ROOT);
+        String load = "reason=" + reason + " waiting=" + waiting() + " running=" + running();
         return request.answerMillis() > 0
-                ? slots + " link_excess_ms=" + (long) linkExcessMillis(request, nowNanos)
-                : slots;
+                ? load + " link_excess_ms=" + (long) linkExcessMillis(request, nowNanos)
+                : load;
+    }
+
+    private Decision refuse(Reason reason) {
+        mLastReason = reason;
+        return Decision.REFUSE;
     }
 
     /** Returns how much later than its target the link would send the answer to a request. */
