--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -90,6 +90,7 @@
     private final Map<Long, Attempt.Listener> mPending = new HashMap<>();
     private @Nullable HopConnection mConnection;
     private boolean mConnecting;
+    private @Nullable String mOtherNode;
     private boolean mUp;
     private boolean mClosed;
     private boolean mSuspected;
@@ -251,7 +252,10 @@
         if (!mUp) {
             String other = otherNode(frame);
             if (other != null) {
-                EventLog.log(SidecarEvent.LINK_TO_OTHER, mNode, mAddress, other);
+                if (!other.equals(mOtherNode)) {
+                    mOtherNode = other;
+                    EventLog.log(SidecarEvent.LINK_TO_OTHER, mNode, mAddress, other);
+                }
                 mListener.received(connection, frame);
                 connection.close();
                 return;
