--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopConnectionTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/HopConnectionTest.java
@@ -25,6 +25,7 @@
     private final FrameCodec mCodec = new FrameCodec();
     private @Nullable HopConnection mConnection;
     private int mReceived;
+    private EndpointLoad mLoad = new EndpointLoad(0, List.of(), 1, 0);
 
     @Test
     void peerWhoseLongFrameIsStillArrivingIsNotSilent() {
@@ -47,9 +48,9 @@
         EmbeddedChannel channel = new EmbeddedChannel();
         HopConnection connection = open(channel);
         setWritable(channel, false);
-        connection.sendAnswer(answer(1, FRAME_BYTES), 1);
-        connection.sendAnswer(answer(2, FRAME_BYTES), 1);
-        connection.sendAnswer(answer(3, 400), 0);
+        connection.sendAnswer(answer(1, FRAME_BYTES), 1, () -> mLoad);
+        connection.sendAnswer(answer(2, FRAME_BYTES), 1, () -> mLoad);
+        connection.sendAnswer(answer(3, 400), 0, () -> mLoad);
         connection.send(HopFrame.ping(new WireHopPing(true)));
         setWritable(channel, true);
         assertEquals(List.of("ping", "3", "1", "2"), sent(channel));
@@ -61,13 +62,34 @@
         EmbeddedChannel channel = new EmbeddedChannel();
         HopConnection connection = open(channel);
         for (int id = 1; id <= 3; id++) {
-            connection.sendAnswer(answer(id, FRAME_BYTES), 1);
+            connection.sendAnswer(answer(id, FRAME_BYTES), 1, () -> mLoad);
         }
         channel.runPendingTasks();
         assertEquals(List.of("1", "2", "3"), sent(channel));
         channel.close();
     }
 
+    /** Guards against a load that was taken before that of an answer sent earlier. */
+    @Test
+    void answerThatWaitedForTheSocketHasTheLoadOfItsSending() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        HopConnection connection = open(channel);
+        setWritable(channel, false);
+        connection.sendAnswer(answer(1, FRAME_BYTES), 1, () -> mLoad);
+        mLoad = new EndpointLoad(4, List.of(3), 1, 20);
+        connection.sendAnswer(answer(2, 400), 0, () -> mLoad);
+        mLoad = new EndpointLoad(4, List.of(9), 1, 60);
+        setWritable(channel, true);
+        List<HopFrame> frames = frames(channel);
+        assertEquals(List.of("2", "1"), frames.stream().map(HopConnectionTest::name).toList());
+        for (HopFrame frame : frames) {
+            assertEquals(mLoad, HopWire.fromWire(frame.getAnswer().getLoad()));
+            assertEquals(200, frame.getAnswer().getStatus());
+        }
+        assertEquals(FRAME_BYTES, frames.get(1).getAnswer().getBody().length);
+        channel.close();
+    }
+
     private HopConnection open(EmbeddedChannel channel) {
         HopConnection.install(channel, mCodec, new RecordingListener());
         channel.pipeline().fireChannelActive();
@@ -79,23 +101,29 @@
         channel.runPendingTasks();
     }
 
-    private static HopFrame answer(long id, int bytes) {
+    private HopFrame answer(long id, int bytes) {
         BackendAnswer answer = new BackendAnswer(200, List.of(), new byte[bytes], 1);
-        return HopFrame.answer(
-                HopWire.toWire(id, answer, new EndpointLoad(0, List.of(0, 0, 0, 0), 1, 0)));
+        return HopFrame.answer(HopWire.toWire(id, answer, mLoad));
+    }
+
+    private static String name(HopFrame frame) {
+        return frame.isSetPing() ? "ping" : Long.toString(frame.getAnswer().getId());
     }
 
     private List<String> sent(EmbeddedChannel channel) {
+        return frames(channel).stream().map(HopConnectionTest::name).toList();
+    }
+
+    private List<HopFrame> frames(EmbeddedChannel channel) {
         ByteBuf bytes = Unpooled.buffer();
         for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
             bytes.writeBytes(part);
         }
-        List<String> sent = new ArrayList<>();
+        List<HopFrame> frames = new ArrayList<>();
         while (bytes.isReadable()) {
-            HopFrame frame = mCodec.decode(bytes.readSlice(bytes.readInt()));
-            sent.add(frame.isSetPing() ? "ping" : Long.toString(frame.getAnswer().getId()));
+            frames.add(mCodec.decode(bytes.readSlice(bytes.readInt())));
         }
-        return sent;
+        return frames;
     }
 
     private final class RecordingListener implements HopConnection.Listener {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -13,10 +13,12 @@
 import java.util.NavigableMap;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.LingeringClose;
 import org.azurearch.sidecar.SidecarEvent;
 import org.azurearch.sidecar.internal.UnsentBytes;
+import org.azurearch.sidecar.route.EndpointLoad;
 import org.azurearch.thrift.HopFrame;
 import org.azurearch.thrift.WireHopPing;
 
@@ -39,10 +41,19 @@
         void closed(HopConnection connection);
     }
 
+    /** An answer that the socket has not accepted yet. */
+    private record WaitingAnswer(HopFrame frame, Supplier<EndpointLoad> load) {
+        /** Loads reach the peer in the order in which they were taken. */
+        HopFrame withPresentLoad() {
+            frame.getAnswer().setLoad(HopWire.toWire(load.get()));
+            return frame;
+        }
+    }
+
     private final Channel mChannel;
     private final FrameCodec mCodec;
     private final Listener mListener;
-    private final NavigableMap<Integer, Deque<ByteBuf>> mAnswers = new TreeMap<>();
+    private final NavigableMap<Integer, Deque<WaitingAnswer>> mAnswers = new TreeMap<>();
     private boolean mFlushScheduled;
     private long mLastReadNanos = System.nanoTime();
 
@@ -84,23 +95,29 @@
      * after all other frames.
      *
      * @param rank the rank of the call; a lower one is more urgent
+     * @param load returns the present load, which replaces that of an answer that has to wait
      * @return the size of the frame in bytes; 0 if the connection is closed
      */
-    public int sendAnswer(HopFrame frame, int rank) {
+    public int sendAnswer(HopFrame frame, int rank, Supplier<EndpointLoad> load) {
         if (!mChannel.isActive()) {
             return 0;
         }
         ByteBuf encoded = mCodec.encode(frame);
         int bytes = encoded.readableBytes();
-        mAnswers.computeIfAbsent(rank, key -> new ArrayDeque<>()).add(encoded);
-        writeAnswers();
+        if (mAnswers.isEmpty() && mChannel.isWritable()) {
+            write(encoded);
+        } else {
+            mAnswers.computeIfAbsent(rank, key -> new ArrayDeque<>())
+                    .add(new WaitingAnswer(frame, load));
+            writeAnswers();
+        }
         return bytes;
     }
 
     private void writeAnswers() {
         while (mChannel.isWritable() && !mAnswers.isEmpty()) {
-            Deque<ByteBuf> first = mAnswers.firstEntry().getValue();
-            write(first.remove());
+            Deque<WaitingAnswer> first = mAnswers.firstEntry().getValue();
+            write(mCodec.encode(first.remove().withPresentLoad()));
             if (first.isEmpty()) {
                 mAnswers.pollFirstEntry();
             }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -365,7 +365,7 @@
         public void answered(BackendAnswer answer) {
             end();
             HopFrame frame = HopFrame.answer(HopWire.toWire(mId, answer, load()));
-            int bytes = mConnection.sendAnswer(frame, mRank);
+            int bytes = mConnection.sendAnswer(frame, mRank, HopServer.this::load);
             mDispatcher.link().sent(mRoute, mRank, bytes, System.nanoTime());
         }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopWire.java
@@ -327,7 +327,7 @@
         return waiting.subList(0, used);
     }
 
-    private static WireLoad toWire(EndpointLoad load) {
+    static WireLoad toWire(EndpointLoad load) {
         WireLoad wire =
                 new WireLoad(
                         load.running(),
