--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/rollout/RolloutCluster.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/rollout/RolloutCluster.java
@@ -124,14 +124,7 @@
 
         private void received(Node sender, WireRolloutMessage message) {
             RolloutState state = RolloutWire.fromWire(message.getStates().get(0));
-            mRollout.merge(state, mNow);
-            RolloutState known = mRollout.state(mNow);
-            if (known != null && known.orderId() == state.orderId()) {
-                mRollout.renewLease(mNow);
-                if (!message.isStoreDown()) {
-                    mRollout.leadership().heard(sender.mName, mNow);
-                }
-            }
+            mRollout.reported(state, sender.mName, !message.isStoreDown(), mNow);
         }
 
         RolloutState state() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/Leadership.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/Leadership.java
@@ -34,8 +34,14 @@
         mCandidates = candidates;
     }
 
-    /** Records a report of a coordinator that can decide. */
-    public void heard(String node, long nowMillis) {
+    /**
+     * Records a report of a coordinator that can decide; ignored if others may have taken over
+     * since it was sent.
+     */
+    public void heard(String node, long sentMillis, long nowMillis) {
+        if (nowMillis - sentMillis >= SILENCE_MILLIS) {
+            return;
+        }
         int rank = rank(node);
         String heard = mHeard;
         boolean better =
@@ -43,7 +49,7 @@
         boolean outranked = leads(nowMillis) && rank > rank(mSelf);
         if (!node.equals(mSelf) && !better && !outranked) {
             mHeard = node;
-            mHeardMillis = nowMillis;
+            mHeardMillis = Math.max(mHeardMillis, sentMillis);
         }
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/RolloutService.java
@@ -172,15 +172,9 @@
 
     private boolean mergeState(RolloutState state, WireRolloutMessage message, long now) {
         ServiceRollout rollout = rollout(state.service());
-        boolean changed = rollout.merge(state, now);
-        RolloutState known = rollout.state(now);
-        if (message.isSetCoordinator() && known != null && state.orderId() == known.orderId()) {
-            rollout.renewLease(now);
-            if (!message.isStoreDown()) {
-                rollout.leadership().heard(message.getCoordinator(), now);
-            }
-        }
-        return changed;
+        return message.isSetCoordinator()
+                ? rollout.reported(state, message.getCoordinator(), !message.isStoreDown(), now)
+                : rollout.merge(state, now);
     }
 
     /** Sends all orders and states to a peer. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/ServiceRollout.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/ServiceRollout.java
@@ -40,6 +40,8 @@
     private @Nullable RolloutState mState;
     private long mStateMillis;
     private long mLeaseMillis;
+    private long mReportedOrderId = -1;
+    private long mOrderedMillis;
     private boolean mStopped;
     private EvidenceCounter mCounter;
     private EvidenceSum mEvidence = new EvidenceSum();
@@ -197,9 +199,46 @@
                 state.elapsedMillis());
     }
 
-    /** Records a report of a coordinator. */
-    void renewLease(long nowMillis) {
-        mLeaseMillis = nowMillis;
+    /**
+     * Merges the state that a coordinator reported. The report counts from when it was sent.
+     *
+     * @param canDecide whether the coordinator reaches the store
+     * @return whether the state replaces the known one
+     */
+    boolean reported(RolloutState state, String coordinator, boolean canDecide, long nowMillis) {
+        boolean changed = merge(state, nowMillis);
+        RolloutState known = mState;
+        if (known != null && state.orderId() == known.orderId()) {
+            long sentMillis = sentMillis(state, nowMillis);
+            renewLease(sentMillis);
+            if (canDecide) {
+                mLeadership.heard(coordinator, sentMillis, nowMillis);
+            }
+        }
+        return changed;
+    }
+
+    /**
+     * Returns when a reported state was sent, at the latest: the time since the order goes on at
+     * the coordinators, so that the earliest report counts for all. A coordinator whose clock stood
+     * still learns that time from its successor. The known state may be from the store, whose time
+     * is that of another node's clock.
+     */
+    private long sentMillis(RolloutState state, long nowMillis) {
+        if (state.verdict().isFinal()) {
+            return nowMillis;
+        }
+        long orderedMillis = nowMillis - state.elapsedMillis();
+        if (mReportedOrderId != state.orderId() || orderedMillis < mOrderedMillis) {
+            mReportedOrderId = state.orderId();
+            mOrderedMillis = orderedMillis;
+        }
+        return mOrderedMillis + state.elapsedMillis();
+    }
+
+    /** Records that a coordinator sent a report. */
+    void renewLease(long sentMillis) {
+        mLeaseMillis = Math.max(mLeaseMillis, sentMillis);
     }
 
     /** Adds what a node observed of the present roll-out. */
