--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/account/QuotaCoordinator.java
@@ -32,6 +32,15 @@
      */
     private static final double EXHAUSTED = 0.1;
 
+    /**
+     * Time from the first delegation for which a small level does not show demand above the limit,
+     * as the buckets begin empty.
+     */
+    private static final long FILLING_MILLIS = QuotaRules.LEASE_MILLIS;
+
+    /** Delegated part that is none but for rounding. */
+    private static final double MIN_FRACTION = 1e-9;
+
     /** Part of the capacity above which an account has plenty. */
     private static final double PLENTY = 0.5;
 
@@ -51,6 +60,9 @@
     private long mNextExpiryMillis = Long.MAX_VALUE;
     private double mFraction;
 
+    /** When the first of the present delegations began. */
+    private long mDelegatedFromMillis;
+
     /** The integral of the delegated fraction over time, in milliseconds. */
     private double mDelegatedMillis;
 
@@ -163,6 +175,9 @@
      * node had received: the message was sent later than that.
      */
     private void renew(QuotaDelegate delegate, @Nullable QuotaAsk ask) {
+        if (mFraction < MIN_FRACTION) {
+            mDelegatedFromMillis = mAdvancedMillis;
+        }
         mFraction -= delegate.fraction();
         boolean valid =
                 ask != null
@@ -227,7 +242,9 @@
             return (int) QuotaRules.LEASE_MILLIS;
         }
         double perSecond = account.ratePerSecond() * effectiveFraction();
-        double missing = Math.max(1, EXHAUSTED * capacity(account)) - bucket.mLevel;
+        boolean filling = mAdvancedMillis - mDelegatedFromMillis < FILLING_MILLIS;
+        double exhausted = filling ? 0 : EXHAUSTED * capacity(account);
+        double missing = Math.max(1, exhausted) - bucket.mLevel;
         if (missing <= 0) {
             return QuotaRules.NO_WAIT_MILLIS;
         }
