--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/CoordinatorChoice.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/quota/CoordinatorChoice.java
@@ -20,6 +20,9 @@
      */
     private static final long CHANGE_MILLIS = 5_000;
 
+    /** Time for which a coordinator that did not answer is not chosen again. */
+    private static final long SILENT_MILLIS = 3_000;
+
     /**
      * A node that may coordinate.
      *
@@ -36,9 +39,6 @@
         }
     }
 
-    /** Time for which a coordinator that did not answer is not chosen again. */
-    private static final long SILENT_MILLIS = 3_000;
-
     private final Map<String, Long> mSilentUntil = new HashMap<>();
     private final String[] mOther = new String[QuotaPartitions.COUNT];
     private final long[] mOtherSinceMillis = new long[QuotaPartitions.COUNT];
