--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/OddFrameTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/OddFrameTest.java
@@ -25,7 +25,8 @@
 
     @Test
     void frameOfUnknownKindIsPassedOver() {
-        byte[] unknown = {(byte) 0xfc, 0x15, 2, 0, 0}; // field 15, a struct with a number
+        // field 99, a struct with a number
+        byte[] unknown = {0x0c, (byte) 0xc6, 1, 0x15, 2, 0, 0};
         write(unknown);
         write(new FrameCodec().encode(HopFrame.records(new WireNodeRecords(List.of(), true))));
         assertTrue(mChannel.isOpen());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -427,7 +427,8 @@
             mCallServer.withdraw();
             mDispatcher.refuseWaiting(AttemptFailure.stopping());
         }
-        boolean ended = pendingCalls() == 0 && unsentBytes() == 0 && !mCallServer.closingAny();
+        boolean sent = unsentBytes() == 0 && !mHopServer.awaitsPeers();
+        boolean ended = pendingCalls() == 0 && sent && !mCallServer.closingAny();
         if (ended && millis >= MIN_DRAIN_MILLIS + REFUSE_MILLIS) {
             closePeers();
         }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -65,16 +65,20 @@
     LINK(840, Level.INFO, "node={} up={}"),
     /** A connection to a peer failed. */
     HOP_CONNECTION_FAILED(841, Level.INFO, "peer={} reason={}"),
-    /** A connection to a peer is closed because nothing arrived on it. */
-    HOP_SILENT(842, Level.WARN, "node={} silent_ms={}"),
+    /** A connection to a peer is replaced or closed because nothing arrived on it. */
+    HOP_SILENT(842, Level.WARN, "node={} silent_ms={} calls={}"),
     /** The record of a peer changed. */
     MEMBER(843, Level.INFO, "node={} dc={} incarnation={} leaving={} backend={} ready={}"),
     /** A record that a peer sent has a value out of range and is ignored. */
     MEMBER_RECORD_IGNORED(844, Level.WARN, "node={} reason={}"),
-    /** Calls of a peer are cancelled, as its connection has closed or it has fallen silent. */
+    /**
+     * Calls of a peer are cancelled, as it has been silent or without a connection for too long.
+     */
     PEER_CALLS_LOST(845, Level.INFO, "peer={} calls={} silent_ms={}"),
     /** Another node answers at the address of a peer, whose VM is gone. */
     LINK_TO_OTHER(846, Level.INFO, "node={} address={} answered_by={}"),
+    /** A peer is heard again: what became of the calls that were sent over lost connections. */
+    CALLS_RESUMED(847, Level.INFO, "node={} same_run={} known={} not_received={} lost={}"),
     /** A call ended without an answer of a backend server. */
     CALL_FAILED(
             850,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/Attempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/call/Attempt.java
@@ -12,12 +12,18 @@
     /** Fails the attempt as not run, unless its request was sent to the backend server. */
     void withdraw();
 
-    /** Receives the outcome of an attempt: one method is called once, unless it is cancelled. */
+    /** Receives the outcome of an attempt: it answers or fails once, unless it is cancelled. */
     interface Listener {
         /** The backend server answered. */
         void answered(BackendAnswer answer);
 
         /** The attempt ended without an answer. */
         void failed(AttemptFailure failure);
+
+        /**
+         * The node that the attempt was sent to is silent. It may only be late: the outcome is open
+         * and follows if the node is heard again.
+         */
+        default void peerSilent() {}
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallAttempts.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallAttempts.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.azurearch.sidecar.config.RouteRule;
 import org.jspecify.annotations.Nullable;
 
 /** The attempts of a call: how many there were, and which are under way. */
@@ -64,11 +65,25 @@
         return !mWithdrawn && mBackendCount < limit;
     }
 
+    /**
+     * Returns whether the request may be sent again to a backend server already tried, if there is
+     * no other. It may have lost the answer or reset an idle connection, so that a new connection
+     * may succeed.
+     */
+    boolean mayReuseNode(RouteRule route) {
+        return route.idempotent() && mayAdd() && backendsBelow(route.maxAttempts());
+    }
+
     /** Returns the names of the nodes that the request was sent to. */
     Set<String> triedNodes() {
         return mTriedNodes;
     }
 
+    /** Returns whether attempts are under way, all of them at silent nodes. */
+    boolean allSilent() {
+        return !mOpen.isEmpty() && mOpen.stream().allMatch(EndpointAttempt::silent);
+    }
+
     /** Returns whether no attempt is under way. */
     boolean noneOpen() {
         return mOpen.isEmpty();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EndpointAttempt.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EndpointAttempt.java
@@ -31,6 +31,9 @@
 
         /** Called with a failure, if the call goes on. */
         void failed(EndpointAttempt attempt, AttemptFailure failure);
+
+        /** Sends the request elsewhere too, if the node of the only open attempt is silent. */
+        void retryBesideSilent();
     }
 
     private static final double NANOS_PER_MILLI = 1e6;
@@ -44,6 +47,8 @@
     private @Nullable Attempt mAttempt;
     private EvidenceCounter.@Nullable Observation mObservation;
     private long mSentNanos;
+    private boolean mPeerLost;
+    private boolean mSilent;
 
     EndpointAttempt(CallRouter router, Owner owner, EndpointState endpoint, HopCall call) {
         mRouter = router;
@@ -116,6 +121,9 @@
 
     @Override
     public void answered(BackendAnswer answer) {
+        if (mPeerLost) {
+            mRouter.suspects().notLostWithPeer(mCall, mPeer);
+        }
         mEndpoint.observeWork(mBackend, mCall.route(), answer.workMillis());
         if (mObservation != null) {
             mObservation.answered(answer.failed(), nowMillis());
@@ -135,11 +143,26 @@
             mOwner.notReached();
         }
         if (complete(failure.reachedBackend())) {
-            recordPeerLoss(failure);
+            if (failure.code() == ErrorCode.PEER_UNAVAILABLE
+                    && failure.verdict() == Verdict.MAY_HAVE_RUN) {
+                recordPeerLoss();
+            }
             mOwner.failed(this, failure);
         }
     }
 
+    @Override
+    public void peerSilent() {
+        mSilent = true;
+        recordPeerLoss();
+        mOwner.retryBesideSilent();
+    }
+
+    /** Returns whether its node has fallen silent and has not been heard since. */
+    boolean silent() {
+        return mSilent && !mEndpoint.connected();
+    }
+
     private void observeEnd() {
         if (mObservation != null) {
             mObservation.ended(nowMillis());
@@ -150,10 +173,10 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
-    private void recordPeerLoss(AttemptFailure failure) {
-        if (failure.code() == ErrorCode.PEER_UNAVAILABLE
-                && failure.verdict() == Verdict.MAY_HAVE_RUN
-                && mBackend != null) {
+    /** Records once that the node may be lost with its VM while the server ran the request. */
+    private void recordPeerLoss() {
+        if (mBackend != null && !mPeerLost) {
+            mPeerLost = true;
             mRouter.suspects().lostWithPeer(mCall, mPeer, mBackend);
         }
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/EntryCall.java
@@ -174,12 +174,15 @@
         return send(route, second);
     }
 
-    /** Makes no further attempt, and refuses the call unless it was sent to a backend server. */
+    /** Makes no further attempt, and ends the call unless a node that is heard works on it. */
     void withdraw() {
         if (mAttempts.noneOpen()) {
             giveUp(AttemptFailure.stopping());
         }
         mAttempts.withdraw();
+        if (mAttempts.allSilent()) {
+            timedOut();
+        }
     }
 
     /** Cancels all attempts, as the caller has disconnected. */
@@ -211,7 +214,7 @@
             return;
         }
         EndpointState endpoint = mAttempts.mayAdd() ? choose(mRouter.endpoints()) : null;
-        if (endpoint == null && mMayHaveRun && mayReuseEndpoint(route)) {
+        if (endpoint == null && mMayHaveRun && mAttempts.mayReuseNode(route)) {
             endpoint = choose(route, Set.of(), mRouter.endpoints());
         }
         if (endpoint == null) {
@@ -231,17 +234,6 @@
         return mRoute == null ? null : choose(mRoute, mAttempts.triedNodes(), candidates);
     }
 
-    /**
-     * Returns whether the request may be sent again to a backend server already tried, as there is
-     * no other. It may have lost the answer or reset an idle connection, so that a new connection
-     * may succeed.
-     */
-    private boolean mayReuseEndpoint(RouteRule route) {
-        return route.idempotent()
-                && mAttempts.mayAdd()
-                && mAttempts.backendsBelow(route.maxAttempts());
-    }
-
     private EndpointAttempt send(RouteRule route, EndpointState endpoint) {
         EndpointAttempt attempt = new EndpointAttempt(mRouter, this, endpoint, call(route));
         mAttempts.send(attempt);
@@ -303,6 +295,7 @@
         mFailedAnswer = answer;
         mMayHaveRun = true;
         if (!mAttempts.noneOpen()) {
+            retryBesideSilent();
             return;
         }
         mLog.attemptFailed(
@@ -324,6 +317,7 @@
         }
         mMayHaveRun |= failure.verdict() != Verdict.NOT_RUN;
         if (!mAttempts.noneOpen()) {
+            retryBesideSilent();
             return;
         }
         if (failure.reachedBackend() && mRouter.suspects().crashes(call(route)) > 0) {
@@ -333,6 +327,13 @@
         }
     }
 
+    @Override
+    public void retryBesideSilent() {
+        if (mRoute != null && !mDone) {
+            SilenceRetry.send(mRouter, mRoute, mService, this, mAttempts);
+        }
+    }
+
     private void retryOrEnd(RouteRule route, EndpointAttempt attempt, AttemptFailure failure) {
         boolean allowed =
                 failure.verdict().mayRetry(route.idempotent())
@@ -405,9 +406,8 @@
         for (EndpointAttempt attempt : mAttempts.open()) {
             mMayHaveRun |= attempt.timedOut();
         }
-        BackendAnswer failed = mFailedAnswer;
-        if (failed != null) {
-            deliver(failed);
+        if (mFailedAnswer != null) {
+            deliver(mFailedAnswer);
         } else if (mMayHaveRun) {
             finish(
                     HttpResponseStatus.GATEWAY_TIMEOUT.code(),
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -1,14 +1,11 @@
 package org.azurearch.sidecar.internal.hop;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import java.net.ConnectException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
 import org.azurearch.internal.call.AnswerRules;
@@ -23,6 +20,7 @@
 import org.azurearch.thrift.WireHopCancel;
 import org.azurearch.thrift.WireHopFailure;
 import org.azurearch.thrift.WireHopWithdrawal;
+import org.azurearch.thrift.WireLoad;
 import org.azurearch.time.Backoff;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +28,10 @@
  * A connection to a peer that is reopened whenever it is lost. It is up once the peer has answered:
  * the kernel of a VM accepts connections for a process that is suspended. Confined to one event
  * loop.
+ *
+ * <p>Calls outlive the connection over which they were sent. One ends with its outcome, when it is
+ * cancelled, or when the peer cannot have an outcome any more: another run of it answers, or
+ * nothing listens at its address. Silence alone ends no call.
  */
 public final class HopLink implements HopConnection.Listener {
     /** A ping follows a silence of a few times the usual answer time. */
@@ -38,10 +40,7 @@
     private static final long IDLE_PING_AFTER_NANOS = 4_000_000_000L;
     private static final long SUSPECT_AFTER_NANOS = 200_000_000L;
 
-    /**
-     * A lossy link may need one or two retransmissions, and closing fails the pending calls:
-     * non-idempotent ones cannot be retried.
-     */
+    /** A lossy link may need one or two retransmissions. */
     private static final long PING_TIMEOUT_NANOS = 900_000_000L;
 
     private static final SilenceWatch.Limits LIMITS =
@@ -56,6 +55,12 @@
 
     private static final Duration RECONNECT_BASE = Duration.ofMillis(100);
 
+    /** The same while calls await their outcomes. */
+    private static final Duration RECONNECT_MAX_PENDING = Duration.ofMillis(300);
+
+    /** Time for which a link has to be up to be reconnected without a delay. */
+    private static final long MIN_UP_NANOS = 500_000_000L;
+
     /** Receives events of the peer. */
     public interface Listener {
         /** Called when a connection is open, to send the first frame, which the peer answers. */
@@ -87,8 +92,14 @@
     private final NetAddress mAddress;
     private final Listener mListener;
     private final Backoff mBackoff;
-    private final Map<Long, Attempt.Listener> mPending = new HashMap<>();
+    private final PendingCalls mPending = new PendingCalls();
+    private final LinkSession mSession;
     private @Nullable HopConnection mConnection;
+
+    /** An earlier connection that fell silent with calls under way, whose outcomes may arrive. */
+    private @Nullable HopConnection mSilent;
+
+    private boolean mPeerEnded;
     private boolean mConnecting;
     private @Nullable String mOtherNode;
     private boolean mUp;
@@ -97,6 +108,7 @@
     private long mAskedNanos = System.nanoTime();
     private SilenceWatch mWatch = new SilenceWatch(LIMITS, System.nanoTime());
     private long mDownSinceNanos = System.nanoTime();
+    private long mUpSinceNanos = System.nanoTime();
 
     /**
      * Creates a link and starts connecting.
@@ -118,6 +130,7 @@
         mNetwork = network;
         mLoop = loop;
         mNode = node;
+        mSession = new LinkSession(node, mPending);
         mNamed = named;
         mAddress = address;
         mListener = listener;
@@ -188,13 +201,14 @@
                             ErrorCode.PEER_UNAVAILABLE, "the link to " + mNode + " is full"));
             return new PeerCall(call.id(), false);
         }
-        mPending.put(call.id(), listener);
+        mPending.add(call.id(), listener);
         long now = System.nanoTime();
         connection.send(
                 HopFrame.call(
                         HopWire.toWire(call, now)
                                 .setSentMillis(TimeUnit.NANOSECONDS.toMillis(now))
-                                .setSentAtMillis(System.currentTimeMillis())));
+                                .setSentAtMillis(System.currentTimeMillis())
+                                .setReceived(mPending.takeReceived())));
         return new PeerCall(call.id(), true);
     }
 
@@ -206,8 +220,11 @@
         }
     }
 
-    /** Pings a silent peer and closes a dead connection; called a few times a second. */
+    /** Pings a silent peer and replaces its connection; called a few times a second. */
     public void tick(long nowNanos) {
+        if (mPending.isEmpty()) {
+            closeSilent();
+        }
         HopConnection connection = mConnection;
         if (connection == null) {
             return;
@@ -216,14 +233,28 @@
         boolean awaited = !mUp || !mPending.isEmpty() || askedBefore;
         switch (mWatch.tick(nowNanos, connection.lastReadNanos(), awaited)) {
             case PING -> connection.ping();
-            case GIVE_UP -> {
-                EventLog.log(SidecarEvent.HOP_SILENT, mNode, connection.silentMillis(nowNanos));
-                connection.close();
-            }
+            case GIVE_UP -> replace(connection, nowNanos);
             default -> updateSuspected(mWatch.suspected());
         }
     }
 
+    /** Opens another connection; the silent one stays open while outcomes may arrive on it. */
+    private void replace(HopConnection connection, long nowNanos) {
+        EventLog.log(
+                SidecarEvent.HOP_SILENT, mNode, connection.silentMillis(nowNanos), mPending.size());
+        if (!mUp || !mSession.resumable() || mPending.isEmpty()) {
+            connection.close();
+        } else {
+            mSilent = connection;
+            mConnection = null;
+            markDown();
+            connect();
+        }
+        if (mSession.resumable()) {
+            mPending.reportSilent();
+        }
+    }
+
     private void updateSuspected(boolean suspected) {
         if (mUp && mSuspected != suspected) {
             mSuspected = suspected;
@@ -234,22 +265,44 @@
     /** Closes the link permanently. */
     public void close() {
         mClosed = true;
+        closeSilent();
         if (mConnection != null) {
             mConnection.close();
         }
+        mPending.failAll(mSession.lost());
+    }
+
+    private void closeSilent() {
+        HopConnection silent = mSilent;
+        mSilent = null;
+        if (silent != null) {
+            silent.close();
+        }
     }
 
     @Override
     public void opened(HopConnection connection) {
+        if (mClosed) {
+            connection.close();
+            return;
+        }
         mConnection = connection;
         mWatch = new SilenceWatch(LIMITS, System.nanoTime());
         mSuspected = false;
+        mPeerEnded = false;
+        send(HopFrame.session(mSession.begin()));
         mListener.connected(this);
     }
 
     @Override
     public void received(HopConnection connection, HopFrame frame) {
-        if (!mUp) {
+        if (frame.isSetSessionReply()) {
+            if (connection == mConnection) {
+                mSession.replied(frame.getSessionReply());
+            }
+            return;
+        }
+        if (connection == mConnection && !mUp) {
             String other = otherNode(frame);
             if (other != null) {
                 if (!other.equals(mOtherNode)) {
@@ -257,26 +310,40 @@
                     EventLog.log(SidecarEvent.LINK_TO_OTHER, mNode, mAddress, other);
                 }
                 mListener.received(connection, frame);
+                mSession.peerGone();
                 connection.close();
                 return;
             }
             mUp = true;
+            mUpSinceNanos = System.nanoTime();
             mBackoff.reset();
             mListener.connectionChanged(this, true);
+            closeSilent();
+            mSession.resume();
+            mPending.withdrawn()
+                    .forEach(id -> send(HopFrame.withdrawal(new WireHopWithdrawal(id))));
         }
         if (frame.isSetAnswer()) {
             WireHopAnswer answer = frame.getAnswer();
-            mListener.loadReported(this, HopWire.fromWire(answer.getLoad()));
-            complete(answer.getId(), listener -> deliver(answer, listener));
+            reportLoad(connection, answer.getLoad());
+            mPending.complete(answer.getId(), listener -> deliver(answer, listener));
         } else if (frame.isSetFailure()) {
             WireHopFailure failure = frame.getFailure();
-            mListener.loadReported(this, HopWire.fromWire(failure.getLoad()));
-            complete(failure.getId(), listener -> listener.failed(HopWire.fromWire(failure)));
+            reportLoad(connection, failure.getLoad());
+            mPending.complete(
+                    failure.getId(), listener -> listener.failed(HopWire.fromWire(failure)));
         } else {
             mListener.received(connection, frame);
         }
     }
 
+    /** Reports a load unless it arrives late, over a connection that was silent. */
+    private void reportLoad(HopConnection connection, WireLoad load) {
+        if (connection == mConnection) {
+            mListener.loadReported(this, HopWire.fromWire(load));
+        }
+    }
+
     /**
      * Returns the name of the node that answers a hello, with its own record first, if it is not
      * the peer: the address of a VM that is gone may have been given to another one.
@@ -291,21 +358,36 @@
 
     @Override
     public void closed(HopConnection connection) {
+        if (connection == mSilent) {
+            mSilent = null;
+            if (mPeerEnded) {
+                mPending.failAll(mSession.lost());
+            }
+            return;
+        }
         if (connection != mConnection) {
             return;
         }
         mConnection = null;
+        boolean wasUp = mUp && System.nanoTime() - mUpSinceNanos > MIN_UP_NANOS;
+        markDown();
+        if (mClosed || !mSession.resumable()) {
+            closeSilent();
+            mPending.failAll(mSession.lost());
+        }
+        if (wasUp && !mPending.isEmpty()) {
+            connect();
+        } else {
+            reconnectLater();
+        }
+    }
+
+    private void markDown() {
         if (mUp) {
             mUp = false;
             mDownSinceNanos = System.nanoTime();
             mListener.connectionChanged(this, false);
         }
-        List<Attempt.Listener> lost = new ArrayList<>(mPending.values());
-        mPending.clear();
-        AttemptFailure failure =
-                AttemptFailure.unknown(ErrorCode.PEER_UNAVAILABLE, "link to " + mNode + " lost");
-        lost.forEach(listener -> listener.failed(failure));
-        reconnectLater();
     }
 
     /** Gives a call its answer, or ends it if that is none, as a peer may pass on any bytes. */
@@ -318,13 +400,6 @@
         }
     }
 
-    private void complete(long id, Consumer<Attempt.Listener> outcome) {
-        Attempt.Listener listener = mPending.remove(id);
-        if (listener != null) {
-            outcome.accept(listener);
-        }
-    }
-
     private void connect() {
         if (mClosed || mConnecting || mConnection != null) {
             return;
@@ -335,14 +410,33 @@
                         connected -> {
                             mConnecting = false;
                             if (!connected.isSuccess()) {
-                                reconnectLater();
+                                connectFailed(connected.cause());
                             }
                         });
     }
 
+    /** Ends the calls if nothing listens at the address of the peer, as its process has ended. */
+    private void connectFailed(Throwable cause) {
+        boolean refused =
+                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        if (!refused) {
+            mPending.reportSilent();
+        } else if (mSilent == null) {
+            mPending.failAll(mSession.lost());
+        } else {
+            mPeerEnded = true;
+            mSilent.ping(); // reset by the VM of the peer, unless answers are still being sent
+        }
+        reconnectLater();
+    }
+
     private void reconnectLater() {
         if (!mClosed) {
-            mLoop.schedule(this::connect, mBackoff.nextDelay().toMillis(), TimeUnit.MILLISECONDS);
+            Duration delay = mBackoff.nextDelay();
+            if (!mPending.isEmpty() && delay.compareTo(RECONNECT_MAX_PENDING) > 0) {
+                delay = RECONNECT_MAX_PENDING;
+            }
+            mLoop.schedule(this::connect, delay.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -358,16 +452,24 @@
         /** Returns false for a call that was sent, as only the peer knows how far it has got. */
         @Override
         public boolean cancel() {
-            if (mPending.remove(mId) != null) {
-                send(HopFrame.cancel(new WireHopCancel(mId)));
+            if (mPending.cancel(mId)) {
+                sendToAll(HopFrame.cancel(new WireHopCancel(mId)));
             }
             return !mSent;
         }
 
         @Override
         public void withdraw() {
-            if (mPending.containsKey(mId)) {
-                send(HopFrame.withdrawal(new WireHopWithdrawal(mId)));
+            if (mPending.withdraw(mId)) {
+                sendToAll(HopFrame.withdrawal(new WireHopWithdrawal(mId)));
+            }
+        }
+
+        /** Sends a frame over the silent connection too, on which the call may have been sent. */
+        private void sendToAll(HopFrame frame) {
+            send(frame);
+            if (mSilent != null) {
+                mSilent.send(frame);
             }
         }
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopServer.java
@@ -1,13 +1,14 @@
 package org.azurearch.sidecar.internal.hop;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.azurearch.errors.ErrorCode;
 import org.azurearch.events.EventLog;
@@ -26,6 +27,7 @@
 import org.azurearch.sidecar.route.EndpointLoad;
 import org.azurearch.thrift.HopFrame;
 import org.azurearch.thrift.WireHopCall;
+import org.azurearch.thrift.WireHopSession;
 
 /** Accepts calls from peers for the backend server behind this node. Confined to one event loop. */
 public final class HopServer implements HopConnection.Listener, AutoCloseable {
@@ -38,8 +40,11 @@
     /** The same without calls under way. */
     private static final long IDLE_PING_AFTER_NANOS = 6_000_000_000L;
 
-    /** Wait for a ping's reply; a lossy link may need one or two retransmissions. */
-    private static final long PING_TIMEOUT_NANOS = 700_000_000L;
+    /**
+     * Wait for a ping's reply. Longer than it takes a peer that runs to notice the silence at its
+     * end and to reconnect.
+     */
+    private static final long PING_TIMEOUT_NANOS = 1_300_000_000L;
 
     private static final SilenceWatch.Limits LIMITS =
             new SilenceWatch.Limits(
@@ -57,18 +62,30 @@
     /** Limit of the hosts whose usual transit is known; those seen least recently are dropped. */
     private static final int MAX_HOSTS = 4_096;
 
-    /** A call under way. */
-    private record Call(Attempt attempt, boolean idempotent, RequestMemory.Lease memory) {
-        void cancel() {
-            memory.release();
-            attempt.cancel();
-        }
-    }
+    /**
+     * Time for a peer to reconnect after its connection was lost, before its waiting calls are
+     * failed and its idempotent ones cancelled: the peer may have ended, and it can send them
+     * again.
+     */
+    private static final long RECONNECT_NANOS = 400_000_000L;
+
+    /** Time without a connection, calls and outcomes after which a session is forgotten. */
+    private static final long FORGET_NANOS = 10_000_000_000L;
+
+    /** Interval at which outcomes are dropped for which no caller waits any more. */
+    private static final long EXPIRE_NANOS = 1_000_000_000L;
+
+    /** Limit of the outcomes held for peers that may have missed them. */
+    private static final long MAX_HELD_BYTES = 2 * 1024 * 1024;
 
     /** A peer that opened a connection. */
     private static final class Peer {
-        private final Map<Long, Call> mCalls = new HashMap<>();
         private final SilenceWatch mWatch = new SilenceWatch(LIMITS, System.nanoTime());
+        private CallSession mSession;
+
+        Peer(CallSession session) {
+            mSession = session;
+        }
     }
 
     private final EventLoop mLoop;
@@ -79,6 +96,11 @@
     private final Counter mCallsCancelled;
     private final Counter mCallsLost;
     private final Map<HopConnection, Peer> mPeers = new HashMap<>();
+    private final HeldOutcomes mHeld = new HeldOutcomes(MAX_HELD_BYTES);
+    private final Map<Long, CallSession> mSessions = new HashMap<>();
+    private long mExpiredNanos = System.nanoTime();
+    private long mTickNanos = System.nanoTime();
+    private final long mRun = new SplittableRandom().nextLong(1, Long.MAX_VALUE);
 
     /** By host, as the usual transit outlives a connection that is lost. */
     private final Map<String, TransitDelay> mTransits =
@@ -115,25 +137,33 @@
         mFallback = fallback;
         mCallsCancelled = metrics.counter("peers.calls-cancelled");
         mCallsLost = metrics.counter("peers.calls-lost");
+        metrics.gauge("peers.held-outcome-bytes", () -> (Gauge<Long>) mHeld::bytes);
     }
 
     @Override
     public void opened(HopConnection connection) {
-        mPeers.put(connection, new Peer());
+        mPeers.put(connection, new Peer(CallSession.ofConnection(mHeld, connection)));
     }
 
     @Override
     public void received(HopConnection connection, HopFrame frame) {
-        if (frame.isSetCall()) {
-            begin(connection, frame.getCall());
+        Peer peer = mPeers.get(connection);
+        if (peer == null) {
+            return; // replaced by a newer connection of the peer
+        }
+        CallSession session = peer.mSession;
+        if (frame.isSetSession()) {
+            join(connection, peer, frame.getSession());
+        } else if (frame.isSetCall()) {
+            begin(connection, session, frame.getCall());
         } else if (frame.isSetCancel()) {
-            Call call = calls(connection).remove(frame.getCancel().getId());
+            CallSession.Call call = session.calls().remove(frame.getCancel().getId());
             if (call != null) {
                 mCallsCancelled.inc();
                 call.cancel();
             }
         } else if (frame.isSetWithdrawal()) {
-            Call call = calls(connection).get(frame.getWithdrawal().getId());
+            CallSession.Call call = session.calls().get(frame.getWithdrawal().getId());
             if (call != null) {
                 call.attempt().withdraw();
             }
@@ -142,23 +172,46 @@
         }
     }
 
-    /** Cancels the calls of a closed connection, as their outcomes can no longer be sent. */
+    /** Moves a session to a connection, unless the peer has opened a newer one. */
+    private void join(HopConnection connection, Peer peer, WireHopSession wire) {
+        CallSession session =
+                mSessions.computeIfAbsent(wire.getSession(), id -> CallSession.named(mHeld, wire));
+        HopConnection earlier = session.connection();
+        if (!session.accepts(wire)) {
+            connection.close();
+            return;
+        }
+        peer.mSession = session;
+        session.resume(connection, wire, mRun, load());
+        if (earlier != null) {
+            mPeers.remove(earlier);
+            earlier.close();
+        }
+    }
+
+    /**
+     * Cancels the calls of a closed connection if their outcomes can no longer be sent. Those of a
+     * session go on, as its peer may reconnect.
+     */
     @Override
     public void closed(HopConnection connection) {
         Peer peer = mPeers.remove(connection);
-        if (peer != null && !peer.mCalls.isEmpty()) {
-            recordLost(connection, peer.mCalls.size());
-            List.copyOf(peer.mCalls.values()).forEach(Call::cancel);
+        if (peer == null) {
+            return;
+        }
+        CallSession session = peer.mSession;
+        if (session.named()) {
+            session.connectionLost();
+        } else if (!session.calls().isEmpty()) {
+            long silentMillis = connection.silentMillis(System.nanoTime());
+            recordLost(connection.peer(), session.calls().size(), silentMillis);
+            List.copyOf(session.calls().values()).forEach(CallSession.Call::cancel);
         }
     }
 
-    private void recordLost(HopConnection connection, int calls) {
+    private void recordLost(String peer, int calls, long silentMillis) {
         mCallsLost.inc(calls);
-        EventLog.log(
-                SidecarEvent.PEER_CALLS_LOST,
-                connection.peer(),
-                calls,
-                connection.silentMillis(System.nanoTime()));
+        EventLog.log(SidecarEvent.PEER_CALLS_LOST, peer, calls, silentMillis);
     }
 
     /**
@@ -169,13 +222,34 @@
         for (Map.Entry<HopConnection, Peer> entry : List.copyOf(mPeers.entrySet())) {
             HopConnection connection = entry.getKey();
             Peer peer = entry.getValue();
-            boolean awaited = !peer.mCalls.isEmpty();
+            boolean awaited = !peer.mSession.calls().isEmpty();
             switch (peer.mWatch.tick(nowNanos, connection.lastReadNanos(), awaited)) {
                 case PING -> connection.ping();
-                case GIVE_UP -> giveUp(connection, peer);
+                case GIVE_UP -> giveUp(connection, peer.mSession);
                 default -> {}
             }
         }
+        if (nowNanos - mExpiredNanos >= EXPIRE_NANOS) {
+            mExpiredNanos = nowNanos;
+            mHeld.expire(nowNanos);
+        }
+        long passed = Math.min(nowNanos - mTickNanos, SilenceWatch.MAX_TICK_NANOS);
+        mTickNanos = nowNanos;
+        for (CallSession session : List.copyOf(mSessions.values())) {
+            session.passed(passed);
+            sweep(session);
+        }
+    }
+
+    private void sweep(CallSession session) {
+        long lostNanos = session.lostNanos();
+        if (lostNanos > RECONNECT_NANOS && !session.calls().isEmpty()) {
+            long lostMillis = TimeUnit.NANOSECONDS.toMillis(lostNanos);
+            endRepeatable(session, "without a connection", lostMillis, () -> {});
+        }
+        if (lostNanos > FORGET_NANOS && session.calls().isEmpty() && !session.holdsOutcomes()) {
+            mSessions.values().remove(session);
+        }
     }
 
     /**
@@ -183,36 +257,69 @@
      * sent to the backend server goes on until its deadline, and the connection stays open for its
      * answer: the peer may only be suspended, and nobody may repeat the call.
      */
-    private void giveUp(HopConnection connection, Peer peer) {
-        List<Long> idempotent = new ArrayList<>();
-        peer.mCalls.forEach(
-                (id, call) -> {
-                    if (call.idempotent()) {
-                        idempotent.add(id);
-                    } else {
-                        call.attempt().withdraw();
+    private void giveUp(HopConnection connection, CallSession session) {
+        long silentMillis = connection.silentMillis(System.nanoTime());
+        endRepeatable(
+                session,
+                connection.peer(),
+                silentMillis,
+                () -> {
+                    if (session.calls().isEmpty()) {
+                        EventLog.log(SidecarEvent.HOP_SILENT, connection.peer(), silentMillis, 0);
+                        connection.close();
                     }
                 });
-        if (idempotent.size() == peer.mCalls.size()) {
-            long silentMillis = connection.silentMillis(System.nanoTime());
-            EventLog.log(SidecarEvent.HOP_SILENT, connection.peer(), silentMillis);
-            connection.close();
-        } else if (!idempotent.isEmpty()) {
-            recordLost(connection, idempotent.size());
-            idempotent.forEach(id -> abandon(connection, peer, id));
+    }
+
+    /**
+     * Fails the calls that wait, and cancels the idempotent ones once those have failed, unless the
+     * peer reconnects before.
+     */
+    private void endRepeatable(
+            CallSession session, String peer, long silentMillis, Runnable ended) {
+        HopConnection connection = session.connection();
+        session.withdrawCalls();
+        mLoop.execute(
+                () -> {
+                    if (session.connection() == connection) {
+                        abandonIdempotent(session, peer, silentMillis);
+                        ended.run();
+                    }
+                });
+    }
+
+    private void abandonIdempotent(CallSession session, String peer, long silentMillis) {
+        List<Long> idempotent = session.idempotentCalls();
+        if (!idempotent.isEmpty()) {
+            recordLost(peer, idempotent.size(), silentMillis);
+            idempotent.forEach(id -> abandon(session, id));
         }
     }
 
-    private void abandon(HopConnection connection, Peer peer, long id) {
-        Call call = peer.mCalls.remove(id);
+    private void abandon(CallSession session, long id) {
+        CallSession.Call call = session.calls().remove(id);
         if (call != null) {
-            call.cancel();
+            String reason = "this node was silent";
             AttemptFailure failure =
-                    AttemptFailure.unknown(ErrorCode.PEER_UNAVAILABLE, "this node was silent");
-            connection.send(HopFrame.failure(HopWire.toWire(id, failure, load())));
+                    call.cancel()
+                            ? AttemptFailure.notSent(ErrorCode.PEER_UNAVAILABLE, reason)
+                            : AttemptFailure.unknown(ErrorCode.PEER_UNAVAILABLE, reason);
+            session.sendFailure(
+                    id,
+                    HopFrame.failure(HopWire.toWire(id, failure, load())),
+                    call.deadlineNanos());
         }
     }
 
+    /**
+     * Returns whether an outcome is held for a peer that has no connection and may reconnect for
+     * it.
+     */
+    public boolean awaitsPeers() {
+        return mSessions.values().stream()
+                .anyMatch(session -> session.owesOutcome(RECONNECT_NANOS));
+    }
+
     /** Returns the bytes of frames to peers, mostly answers, that were not sent yet. */
     public long unsentBytes() {
         return mPeers.keySet().stream().mapToLong(HopConnection::unsentBytes).sum();
@@ -234,7 +341,8 @@
         List.copyOf(mPeers.keySet()).forEach(HopConnection::close);
     }
 
-    private void begin(HopConnection connection, WireHopCall wire) {
+    private void begin(HopConnection connection, CallSession session, WireHopCall wire) {
+        session.callArrived(wire.getId(), wire.isSetReceived() ? wire.getReceived() : List.of());
         long now = System.nanoTime();
         long wallMillis = System.currentTimeMillis();
         long transitMillis = transitMillis(connection, wire, now, wallMillis);
@@ -247,13 +355,16 @@
         RequestMemory.Lease memory = mMemory.lease();
         if (!memory.tryAdd(bytes(call))) {
             AttemptFailure refused = outOfMemory(memory);
-            connection.send(HopFrame.failure(HopWire.toWire(call.id(), refused, load())));
+            session.sendFailure(
+                    call.id(),
+                    HopFrame.failure(HopWire.toWire(call.id(), refused, load())),
+                    call.deadlineNanos());
         } else if (mPauses.late(now, wallMillis) || transitMillis >= LATE_TRANSIT_MILLIS) {
-            LateCall late = new LateCall(connection, call, memory);
-            calls(connection).put(call.id(), new Call(late, call.idempotent(), memory));
+            LateCall late = new LateCall(session, call, memory);
+            session.add(call, late, memory);
             NextPoll.runAfter(mLoop, late::submit);
         } else {
-            submit(connection, call, memory);
+            submit(session, call, memory);
         }
     }
 
@@ -284,24 +395,24 @@
                 .observe(wire.getSentMillis(), wire.getSentAtMillis(), nowMillis, wallMillis);
     }
 
-    private void submit(HopConnection connection, HopCall call, RequestMemory.Lease memory) {
-        OutcomeSender sender = new OutcomeSender(connection, call, memory);
+    private void submit(CallSession session, HopCall call, RequestMemory.Lease memory) {
+        OutcomeSender sender = new OutcomeSender(session, call, memory);
         Attempt attempt = mDispatcher.submitForPeer(call, sender);
         if (!sender.mDone) {
-            calls(connection).put(call.id(), new Call(attempt, call.idempotent(), memory));
+            session.add(call, attempt, memory);
         }
     }
 
     /** A call whose cancellation may already be in the socket; submitted once that is read. */
     private final class LateCall implements Attempt {
-        private final HopConnection mConnection;
+        private final CallSession mSession;
         private final HopCall mCall;
         private final RequestMemory.Lease mMemory;
         private boolean mCancelled;
         private boolean mWithdrawn;
 
-        LateCall(HopConnection connection, HopCall call, RequestMemory.Lease memory) {
-            mConnection = connection;
+        LateCall(CallSession session, HopCall call, RequestMemory.Lease memory) {
+            mSession = session;
             mCall = call;
             mMemory = memory;
         }
@@ -318,13 +429,14 @@
         }
 
         void submit() {
-            if (!mCancelled) {
-                calls(mConnection).remove(mCall.id());
-                HopServer.this.submit(mConnection, mCall, mMemory);
-                Call submitted = calls(mConnection).get(mCall.id());
-                if (mWithdrawn && submitted != null) {
-                    submitted.attempt().withdraw();
-                }
+            if (mCancelled) {
+                return;
+            }
+            mSession.calls().remove(mCall.id());
+            if (mWithdrawn) {
+                new OutcomeSender(mSession, mCall, mMemory).failed(AttemptFailure.stopping());
+            } else {
+                HopServer.this.submit(mSession, mCall, mMemory);
             }
         }
     }
@@ -338,47 +450,46 @@
                 : load;
     }
 
-    /** Returns the calls under way of a connection; none if it has closed. */
-    private Map<Long, Call> calls(HopConnection connection) {
-        Peer peer = mPeers.get(connection);
-        return peer == null ? new HashMap<>() : peer.mCalls;
-    }
-
-    /** Sends the outcome of a call over the connection on which it arrived. */
+    /** Sends the outcome of a call over the connection that carries its session then. */
     private final class OutcomeSender implements Attempt.Listener {
-        private final HopConnection mConnection;
-        private final long mId;
-        private final String mRoute;
-        private final int mRank;
+        private final CallSession mSession;
+        private final HopCall mCall;
         private final RequestMemory.Lease mMemory;
         private boolean mDone;
 
-        OutcomeSender(HopConnection connection, HopCall call, RequestMemory.Lease memory) {
-            mConnection = connection;
+        OutcomeSender(CallSession session, HopCall call, RequestMemory.Lease memory) {
+            mSession = session;
             mMemory = memory;
-            mId = call.id();
-            mRoute = call.route();
-            mRank = call.rank();
+            mCall = call;
         }
 
         @Override
         public void answered(BackendAnswer answer) {
             end();
-            HopFrame frame = HopFrame.answer(HopWire.toWire(mId, answer, load()));
-            int bytes = mConnection.sendAnswer(frame, mRank, HopServer.this::load);
-            mDispatcher.link().sent(mRoute, mRank, bytes, System.nanoTime());
+            HopFrame frame = HopFrame.answer(HopWire.toWire(mCall.id(), answer, load()));
+            int bytes =
+                    mSession.sendAnswer(
+                            mCall.id(),
+                            frame,
+                            mCall.rank(),
+                            HopServer.this::load,
+                            mCall.deadlineNanos());
+            mDispatcher.link().sent(mCall.route(), mCall.rank(), bytes, System.nanoTime());
         }
 
         @Override
         public void failed(AttemptFailure failure) {
             end();
-            mConnection.send(HopFrame.failure(HopWire.toWire(mId, failure, load())));
+            mSession.sendFailure(
+                    mCall.id(),
+                    HopFrame.failure(HopWire.toWire(mCall.id(), failure, load())),
+                    mCall.deadlineNanos());
         }
 
         private void end() {
             mDone = true;
             mMemory.release();
-            calls(mConnection).remove(mId);
+            mSession.calls().remove(mCall.id());
         }
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/PeerLosses.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/PeerLosses.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Records that a request was not lost with a peer, which has answered it. */
+    public void found(RequestFingerprint request, String peer) {
+        mLosses.removeIf(loss -> loss.request().equals(request) && loss.peer().node().equals(peer));
+    }
+
     /** Returns whether no request is remembered. */
     public boolean isEmpty() {
         return mLosses.isEmpty();
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
@@ -175,6 +175,11 @@
         mPeerLosses.lost(mFingerprints.of(call), peer, backend, nowMillis());
     }
 
+    /** Records that a call was answered, which had been taken for lost with its peer. */
+    public void notLostWithPeer(HopCall call, NodeRecord peer) {
+        mPeerLosses.found(mFingerprints.of(call), peer.node());
+    }
+
     /** Strikes the calls that were lost with VMs that are gone; called a few times a second. */
     public void decidePeerLosses(PeerLosses.Peers peers) {
         if (mPeerLosses.isEmpty()) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/route/EndpointState.java
@@ -110,6 +110,11 @@
                 && backend.startedMillis() <= mExcludedStartMillis;
     }
 
+    /** Returns whether the node of the endpoint can be reached. */
+    public boolean connected() {
+        return mConnected;
+    }
+
     /** Sets whether the node can be reached. */
     public void setConnected(boolean connected) {
         mConnected = connected;
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
@@ -25,6 +25,8 @@
   private static final org.apache.thrift.protocol.TField QUOTA_FIELD_DESC = new org.apache.thrift.protocol.TField("quota", org.apache.thrift.protocol.TType.STRUCT, (short)11);
   private static final org.apache.thrift.protocol.TField ROLLOUT_FIELD_DESC = new org.apache.thrift.protocol.TField("rollout", org.apache.thrift.protocol.TType.STRUCT, (short)12);
   private static final org.apache.thrift.protocol.TField WITHDRAWAL_FIELD_DESC = new org.apache.thrift.protocol.TField("withdrawal", org.apache.thrift.protocol.TType.STRUCT, (short)13);
+  private static final org.apache.thrift.protocol.TField SESSION_FIELD_DESC = new org.apache.thrift.protocol.TField("session", org.apache.thrift.protocol.TType.STRUCT, (short)14);
+  private static final org.apache.thrift.protocol.TField SESSION_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionReply", org.apache.thrift.protocol.TType.STRUCT, (short)15);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -40,7 +42,9 @@
     PING((short)10, "ping"),
     QUOTA((short)11, "quota"),
     ROLLOUT((short)12, "rollout"),
-    WITHDRAWAL((short)13, "withdrawal");
+    WITHDRAWAL((short)13, "withdrawal"),
+    SESSION((short)14, "session"),
+    SESSION_REPLY((short)15, "sessionReply");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -82,6 +86,10 @@
           return ROLLOUT;
         case 13: // WITHDRAWAL
           return WITHDRAWAL;
+        case 14: // SESSION
+          return SESSION;
+        case 15: // SESSION_REPLY
+          return SESSION_REPLY;
         default:
           return null;
       }
@@ -153,6 +161,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.azurearch.thrift.WireRolloutMessage.class)));
     tmpMap.put(_Fields.WITHDRAWAL, new org.apache.thrift.meta_data.FieldMetaData("withdrawal", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireHopWithdrawal.class)));
+    tmpMap.put(_Fields.SESSION, new org.apache.thrift.meta_data.FieldMetaData("session", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireHopSession.class)));
+    tmpMap.put(_Fields.SESSION_REPLY, new org.apache.thrift.meta_data.FieldMetaData("sessionReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireHopSessionReply.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HopFrame.class, metaDataMap);
   }
@@ -251,6 +263,18 @@
     return x;
   }
 
+  public static HopFrame session(WireHopSession value) {
+    HopFrame x = new HopFrame();
+    x.setSession(value);
+    return x;
+  }
+
+  public static HopFrame sessionReply(WireHopSessionReply value) {
+    HopFrame x = new HopFrame();
+    x.setSessionReply(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -320,6 +344,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type WireHopWithdrawal for field 'withdrawal', but got " + value.getClass().getSimpleName());
+      case SESSION:
+        if (value instanceof WireHopSession) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireHopSession for field 'session', but got " + value.getClass().getSimpleName());
+      case SESSION_REPLY:
+        if (value instanceof WireHopSessionReply) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireHopSessionReply for field 'sessionReply', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -460,6 +494,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case SESSION:
+          if (field.type == SESSION_FIELD_DESC.type) {
+            WireHopSession session;
+            session = new WireHopSession();
+            session.read(iprot);
+            return session;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case SESSION_REPLY:
+          if (field.type == SESSION_REPLY_FIELD_DESC.type) {
+            WireHopSessionReply sessionReply;
+            sessionReply = new WireHopSessionReply();
+            sessionReply.read(iprot);
+            return sessionReply;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -524,6 +578,14 @@
         WireHopWithdrawal withdrawal = (WireHopWithdrawal)value_;
         withdrawal.write(oprot);
         return;
+      case SESSION:
+        WireHopSession session = (WireHopSession)value_;
+        session.write(oprot);
+        return;
+      case SESSION_REPLY:
+        WireHopSessionReply sessionReply = (WireHopSessionReply)value_;
+        sessionReply.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -599,6 +661,16 @@
           withdrawal = new WireHopWithdrawal();
           withdrawal.read(iprot);
           return withdrawal;
+        case SESSION:
+          WireHopSession session;
+          session = new WireHopSession();
+          session.read(iprot);
+          return session;
+        case SESSION_REPLY:
+          WireHopSessionReply sessionReply;
+          sessionReply = new WireHopSessionReply();
+          sessionReply.read(iprot);
+          return sessionReply;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -662,6 +734,14 @@
         WireHopWithdrawal withdrawal = (WireHopWithdrawal)value_;
         withdrawal.write(oprot);
         return;
+      case SESSION:
+        WireHopSession session = (WireHopSession)value_;
+        session.write(oprot);
+        return;
+      case SESSION_REPLY:
+        WireHopSessionReply sessionReply = (WireHopSessionReply)value_;
+        sessionReply.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -696,6 +776,10 @@
         return ROLLOUT_FIELD_DESC;
       case WITHDRAWAL:
         return WITHDRAWAL_FIELD_DESC;
+      case SESSION:
+        return SESSION_FIELD_DESC;
+      case SESSION_REPLY:
+        return SESSION_REPLY_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -887,6 +971,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.WITHDRAWAL");
   }
 
+  public WireHopSession getSession() {
+    if (getSetField() == _Fields.SESSION) {
+      return (WireHopSession)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'session' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSession(WireHopSession value) {
+    setField_ = _Fields.SESSION;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SESSION");
+  }
+
+  public WireHopSessionReply getSessionReply() {
+    if (getSetField() == _Fields.SESSION_REPLY) {
+      return (WireHopSessionReply)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'sessionReply' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setSessionReply(WireHopSessionReply value) {
+    setField_ = _Fields.SESSION_REPLY;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SESSION_REPLY");
+  }
+
   public boolean isSetHello() {
     return setField_ == _Fields.HELLO;
   }
@@ -952,6 +1062,16 @@
   }
 
 
+  public boolean isSetSession() {
+    return setField_ == _Fields.SESSION;
+  }
+
+
+  public boolean isSetSessionReply() {
+    return setField_ == _Fields.SESSION_REPLY;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof HopFrame) {
       return equals((HopFrame)other);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopAnswer.java
@@ -785,13 +785,13 @@
           case 3: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.headers = new java.util.ArrayList<java.lang.String>(_list16.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.headers = new java.util.ArrayList<java.lang.String>(_list24.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = iprot.readString();
-                  struct.headers.add(_elem17);
+                  _elem25 = iprot.readString();
+                  struct.headers.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -860,9 +860,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.headers.size()));
-          for (java.lang.String _iter19 : struct.headers)
+          for (java.lang.String _iter27 : struct.headers)
           {
-            oprot.writeString(_iter19);
+            oprot.writeString(_iter27);
           }
           oprot.writeListEnd();
         }
@@ -903,9 +903,9 @@
       oprot.writeI32(struct.status);
       {
         oprot.writeI32(struct.headers.size());
-        for (java.lang.String _iter20 : struct.headers)
+        for (java.lang.String _iter28 : struct.headers)
         {
-          oprot.writeString(_iter20);
+          oprot.writeString(_iter28);
         }
       }
       oprot.writeBinary(struct.body);
@@ -921,13 +921,13 @@
       struct.status = iprot.readI32();
       struct.setStatusIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.headers = new java.util.ArrayList<java.lang.String>(_list21.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
-        for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.headers = new java.util.ArrayList<java.lang.String>(_list29.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem30;
+        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
         {
-          _elem22 = iprot.readString();
-          struct.headers.add(_elem22);
+          _elem30 = iprot.readString();
+          struct.headers.add(_elem30);
         }
       }
       struct.setHeadersIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireHopCall.java
@@ -28,6 +28,7 @@
   private static final org.apache.thrift.protocol.TField ACCOUNT_WEIGHT_FIELD_DESC = new org.apache.thrift.protocol.TField("accountWeight", org.apache.thrift.protocol.TType.DOUBLE, (short)13);
   private static final org.apache.thrift.protocol.TField SENT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentMillis", org.apache.thrift.protocol.TType.I64, (short)14);
   private static final org.apache.thrift.protocol.TField SENT_AT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("sentAtMillis", org.apache.thrift.protocol.TType.I64, (short)15);
+  private static final org.apache.thrift.protocol.TField RECEIVED_FIELD_DESC = new org.apache.thrift.protocol.TField("received", org.apache.thrift.protocol.TType.LIST, (short)16);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WireHopCallStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WireHopCallTupleSchemeFactory();
@@ -62,6 +63,10 @@
    * When it was sent, by the sender's time of day, in milliseconds since the epoch.
    */
   public long sentAtMillis; // optional
+  /**
+   * Calls whose outcomes have arrived since the last call, so that the receiver drops them.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> received; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -94,7 +99,11 @@
     /**
      * When it was sent, by the sender's time of day, in milliseconds since the epoch.
      */
-    SENT_AT_MILLIS((short)15, "sentAtMillis");
+    SENT_AT_MILLIS((short)15, "sentAtMillis"),
+    /**
+     * Calls whose outcomes have arrived since the last call, so that the receiver drops them.
+     */
+    RECEIVED((short)16, "received");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -140,6 +149,8 @@
           return SENT_MILLIS;
         case 15: // SENT_AT_MILLIS
           return SENT_AT_MILLIS;
+        case 16: // RECEIVED
+          return RECEIVED;
         default:
           return null;
       }
@@ -192,7 +203,7 @@
   private static final int __SENTMILLIS_ISSET_ID = 6;
   private static final int __SENTATMILLIS_ISSET_ID = 7;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.ACCOUNT,_Fields.ACCOUNT_WEIGHT,_Fields.SENT_MILLIS,_Fields.SENT_AT_MILLIS};
+  private static final _Fields optionals[] = {_Fields.ACCOUNT,_Fields.ACCOUNT_WEIGHT,_Fields.SENT_MILLIS,_Fields.SENT_AT_MILLIS,_Fields.RECEIVED};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -227,6 +238,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SENT_AT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("sentAtMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.RECEIVED, new org.apache.thrift.meta_data.FieldMetaData("received", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WireHopCall.class, metaDataMap);
   }
@@ -301,6 +315,10 @@
     this.accountWeight = other.accountWeight;
     this.sentMillis = other.sentMillis;
     this.sentAtMillis = other.sentAtMillis;
+    if (other.isSetReceived()) {
+      java.util.List<java.lang.Long> __this__received = new java.util.ArrayList<java.lang.Long>(other.received);
+      this.received = __this__received;
+    }
   }
 
   @Override
@@ -333,6 +351,7 @@
     this.sentMillis = 0;
     setSentAtMillisIsSet(false);
     this.sentAtMillis = 0;
+    this.received = null;
   }
 
   public long getId() {
@@ -749,6 +768,53 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTATMILLIS_ISSET_ID, value);
   }
 
+  public int getReceivedSize() {
+    return (this.received == null) ? 0 : this.received.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Long> getReceivedIterator() {
+    return (this.received == null) ? null : this.received.iterator();
+  }
+
+  public void addToReceived(long elem) {
+    if (this.received == null) {
+      this.received = new java.util.ArrayList<java.lang.Long>();
+    }
+    this.received.add(elem);
+  }
+
+  /**
+   * Calls whose outcomes have arrived since the last call, so that the receiver drops them.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Long> getReceived() {
+    return this.received;
+  }
+
+  /**
+   * Calls whose outcomes have arrived since the last call, so that the receiver drops them.
+   */
+  public WireHopCall setReceived(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Long> received) {
+    this.received = received;
+    return this;
+  }
+
+  public void unsetReceived() {
+    this.received = null;
+  }
+
+  /** Returns true if field received is set (has been assigned a value) and false otherwise */
+  public boolean isSetReceived() {
+    return this.received != null;
+  }
+
+  public void setReceivedIsSet(boolean value) {
+    if (!value) {
+      this.received = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -876,6 +942,14 @@
       }
       break;
 
+    case RECEIVED:
+      if (value == null) {
+        unsetReceived();
+      } else {
+        setReceived((java.util.List<java.lang.Long>)value);
+      }
+      break;
+
     }
   }
 
@@ -928,6 +1002,9 @@
     case SENT_AT_MILLIS:
       return getSentAtMillis();
 
+    case RECEIVED:
+      return getReceived();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -970,6 +1047,8 @@
       return isSetSentMillis();
     case SENT_AT_MILLIS:
       return isSetSentAtMillis();
+    case RECEIVED:
+      return isSetReceived();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -1122,6 +1201,15 @@
         return false;
     }
 
+    boolean this_present_received = true && this.isSetReceived();
+    boolean that_present_received = true && that.isSetReceived();
+    if (this_present_received || that_present_received) {
+      if (!(this_present_received && that_present_received))
+        return false;
+      if (!this.received.equals(that.received))
+        return false;
+    }
+
     return true;
   }
 
@@ -1179,6 +1267,10 @@
     if (isSetSentAtMillis())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentAtMillis);
 
+    hashCode = hashCode * 8191 + ((isSetReceived()) ? 131071 : 524287);
+    if (isSetReceived())
+      hashCode = hashCode * 8191 + received.hashCode();
+
     return hashCode;
   }
 
@@ -1340,6 +1432,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetReceived(), other.isSetReceived());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetReceived()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.received, other.received);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1459,6 +1561,16 @@
       sb.append(this.sentAtMillis);
       first = false;
     }
+    if (isSetReceived()) {
+      if (!first) sb.append(", ");
+      sb.append("received:");
+      if (this.received == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.received);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1659,6 +1771,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 16: // RECEIVED
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list11 = iprot.readListBegin();
+                struct.received = new java.util.ArrayList<java.lang.Long>(_list11.size);
+                long _elem12;
+                for (int _i13 = 0; _i13 < _list11.size; ++_i13)
+                {
+                  _elem12 = iprot.readI64();
+                  struct.received.add(_elem12);
+                }
+                iprot.readListEnd();
+              }
+              struct.setReceivedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1707,9 +1837,9 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.headers.size()));
-          for (java.lang.String _iter11 : struct.headers)
+          for (java.lang.String _iter14 : struct.headers)
           {
-            oprot.writeString(_iter11);
+            oprot.writeString(_iter14);
           }
           oprot.writeListEnd();
         }
@@ -1764,6 +1894,20 @@
         oprot.writeI64(struct.sentAtMillis);
         oprot.writeFieldEnd();
       }
+      if (struct.received != null) {
+        if (struct.isSetReceived()) {
+          oprot.writeFieldBegin(RECEIVED_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I64, struct.received.size()));
+            for (long _iter15 : struct.received)
+            {
+              oprot.writeI64(_iter15);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1787,9 +1931,9 @@
       oprot.writeString(struct.target);
       {
         oprot.writeI32(struct.headers.size());
-        for (java.lang.String _iter12 : struct.headers)
+        for (java.lang.String _iter16 : struct.headers)
         {
-          oprot.writeString(_iter12);
+          oprot.writeString(_iter16);
         }
       }
       oprot.writeBinary(struct.body);
@@ -1812,7 +1956,10 @@
       if (struct.isSetSentAtMillis()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetReceived()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetAccount()) {
         oprot.writeString(struct.account);
       }
@@ -1825,6 +1972,15 @@
       if (struct.isSetSentAtMillis()) {
         oprot.writeI64(struct.sentAtMillis);
       }
+      if (struct.isSetReceived()) {
+        {
+          oprot.writeI32(struct.received.size());
+          for (long _iter17 : struct.received)
+          {
+            oprot.writeI64(_iter17);
+          }
+        }
+      }
     }
 
     @Override
@@ -1837,13 +1993,13 @@
       struct.target = iprot.readString();
       struct.setTargetIsSet(true);
       {
-        org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-        struct.headers = new java.util.ArrayList<java.lang.String>(_list13.size);
-        @org.apache.thrift.annotation.Nullable java.lang.String _elem14;
-        for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+        org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+        struct.headers = new java.util.ArrayList<java.lang.String>(_list18.size);
+        @org.apache.thrift.annotation.Nullable java.lang.String _elem19;
+        for (int _i20 = 0; _i20 < _list18.size; ++_i20)
         {
-          _elem14 = iprot.readString();
-          struct.headers.add(_elem14);
+          _elem19 = iprot.readString();
+          struct.headers.add(_elem19);
         }
       }
       struct.setHeadersIsSet(true);
@@ -1861,7 +2017,7 @@
       struct.setRouteIsSet(true);
       struct.idempotent = iprot.readBool();
       struct.setIdempotentIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.account = iprot.readString();
         struct.setAccountIsSet(true);
@@ -1878,6 +2034,19 @@
         struct.sentAtMillis = iprot.readI64();
         struct.setSentAtMillisIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.I64);
+          struct.received = new java.util.ArrayList<java.lang.Long>(_list21.size);
+          long _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          {
+            _elem22 = iprot.readI64();
+            struct.received.add(_elem22);
+          }
+        }
+        struct.setReceivedIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecords.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireNodeRecords.java
@@ -526,14 +526,14 @@
           case 1: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<WireNodeRecord>(_list32.size);
-                @org.apache.thrift.annotation.Nullable WireNodeRecord _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<WireNodeRecord>(_list40.size);
+                @org.apache.thrift.annotation.Nullable WireNodeRecord _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem33 = new WireNodeRecord();
-                  _elem33.read(iprot);
-                  struct.records.add(_elem33);
+                  _elem41 = new WireNodeRecord();
+                  _elem41.read(iprot);
+                  struct.records.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -553,14 +553,14 @@
           case 3: // STRIKES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
-                struct.strikes = new java.util.ArrayList<WireStrike>(_list35.size);
-                @org.apache.thrift.annotation.Nullable WireStrike _elem36;
-                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.strikes = new java.util.ArrayList<WireStrike>(_list43.size);
+                @org.apache.thrift.annotation.Nullable WireStrike _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
                 {
-                  _elem36 = new WireStrike();
-                  _elem36.read(iprot);
-                  struct.strikes.add(_elem36);
+                  _elem44 = new WireStrike();
+                  _elem44.read(iprot);
+                  struct.strikes.add(_elem44);
                 }
                 iprot.readListEnd();
               }
@@ -592,9 +592,9 @@
         oprot.writeFieldBegin(RECORDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
-          for (WireNodeRecord _iter38 : struct.records)
+          for (WireNodeRecord _iter46 : struct.records)
           {
-            _iter38.write(oprot);
+            _iter46.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -608,9 +608,9 @@
           oprot.writeFieldBegin(STRIKES_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.strikes.size()));
-            for (WireStrike _iter39 : struct.strikes)
+            for (WireStrike _iter47 : struct.strikes)
             {
-              _iter39.write(oprot);
+              _iter47.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -637,9 +637,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.records.size());
-        for (WireNodeRecord _iter40 : struct.records)
+        for (WireNodeRecord _iter48 : struct.records)
         {
-          _iter40.write(oprot);
+          _iter48.write(oprot);
         }
       }
       oprot.writeBool(struct.relayed);
@@ -651,9 +651,9 @@
       if (struct.isSetStrikes()) {
         {
           oprot.writeI32(struct.strikes.size());
-          for (WireStrike _iter41 : struct.strikes)
+          for (WireStrike _iter49 : struct.strikes)
           {
-            _iter41.write(oprot);
+            _iter49.write(oprot);
           }
         }
       }
@@ -663,14 +663,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, WireNodeRecords struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.records = new java.util.ArrayList<WireNodeRecord>(_list42.size);
-        @org.apache.thrift.annotation.Nullable WireNodeRecord _elem43;
-        for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+        org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.records = new java.util.ArrayList<WireNodeRecord>(_list50.size);
+        @org.apache.thrift.annotation.Nullable WireNodeRecord _elem51;
+        for (int _i52 = 0; _i52 < _list50.size; ++_i52)
         {
-          _elem43 = new WireNodeRecord();
-          _elem43.read(iprot);
-          struct.records.add(_elem43);
+          _elem51 = new WireNodeRecord();
+          _elem51.read(iprot);
+          struct.records.add(_elem51);
         }
       }
       struct.setRecordsIsSet(true);
@@ -679,14 +679,14 @@
       java.util.BitSet incoming = iprot.readBitSet(1);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.strikes = new java.util.ArrayList<WireStrike>(_list45.size);
-          @org.apache.thrift.annotation.Nullable WireStrike _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.strikes = new java.util.ArrayList<WireStrike>(_list53.size);
+          @org.apache.thrift.annotation.Nullable WireStrike _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem46 = new WireStrike();
-            _elem46.read(iprot);
-            struct.strikes.add(_elem46);
+            _elem54 = new WireStrike();
+            _elem54.read(iprot);
+            struct.strikes.add(_elem54);
           }
         }
         struct.setStrikesIsSet(true);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireSavedStrikes.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WireSavedStrikes.java
@@ -434,14 +434,14 @@
           case 1: // STRIKES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.strikes = new java.util.ArrayList<WireStrike>(_list24.size);
-                @org.apache.thrift.annotation.Nullable WireStrike _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.strikes = new java.util.ArrayList<WireStrike>(_list32.size);
+                @org.apache.thrift.annotation.Nullable WireStrike _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                  _elem25 = new WireStrike();
-                  _elem25.read(iprot);
-                  struct.strikes.add(_elem25);
+                  _elem33 = new WireStrike();
+                  _elem33.read(iprot);
+                  struct.strikes.add(_elem33);
                 }
                 iprot.readListEnd();
               }
@@ -481,9 +481,9 @@
         oprot.writeFieldBegin(STRIKES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.strikes.size()));
-          for (WireStrike _iter27 : struct.strikes)
+          for (WireStrike _iter35 : struct.strikes)
           {
-            _iter27.write(oprot);
+            _iter35.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -512,9 +512,9 @@
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
         oprot.writeI32(struct.strikes.size());
-        for (WireStrike _iter28 : struct.strikes)
+        for (WireStrike _iter36 : struct.strikes)
         {
-          _iter28.write(oprot);
+          _iter36.write(oprot);
         }
       }
       oprot.writeI64(struct.savedAtMillis);
@@ -524,14 +524,14 @@
     public void read(org.apache.thrift.protocol.TProtocol prot, WireSavedStrikes struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       {
-        org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-        struct.strikes = new java.util.ArrayList<WireStrike>(_list29.size);
-        @org.apache.thrift.annotation.Nullable WireStrike _elem30;
-        for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+        org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+        struct.strikes = new java.util.ArrayList<WireStrike>(_list37.size);
+        @org.apache.thrift.annotation.Nullable WireStrike _elem38;
+        for (int _i39 = 0; _i39 < _list37.size; ++_i39)
         {
-          _elem30 = new WireStrike();
-          _elem30.read(iprot);
-          struct.strikes.add(_elem30);
+          _elem38 = new WireStrike();
+          _elem38.read(iprot);
+          struct.strikes.add(_elem38);
         }
       }
       struct.setStrikesIsSet(true);
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -74,6 +74,8 @@
   14: optional i64 sentMillis
   /** When it was sent, by the sender's time of day, in milliseconds since the epoch. */
   15: optional i64 sentAtMillis
+  /** Calls whose outcomes have arrived since the last call, so that the receiver drops them. */
+  16: optional list<i64> received
 }
 
 /** The backend server's complete answer. */
@@ -170,6 +172,32 @@
   1: required bool reply
 }
 
+/**
+ * Assigns a connection to a session: the calls of one sender, whichever connection carries them.
+ * The receiver takes calls from the newest connection of a session only.
+ */
+struct WireHopSession {
+  /** Identifies the session. */
+  1: required i64 session
+  /** Number of the connection; that of a newer one is higher. */
+  2: required i64 connection
+  /** Calls sent over earlier connections whose outcomes have not arrived. */
+  3: required list<i64> pending
+}
+
+/** The reply to a session, sent before anything else over its connection. */
+struct WireHopSessionReply {
+  /** Identifies the run of the receiver. */
+  1: required i64 run
+  /**
+   * The highest id of a call that has arrived in the session, so that higher ones never will; the
+   * largest value if that is not known.
+   */
+  2: required i64 lastCall
+  /** Pending calls whose outcomes follow over this connection. */
+  3: required list<i64> known
+}
+
 /** A frame between two nodes. */
 union HopFrame {
   1: WireNodeRecord hello
@@ -185,4 +213,6 @@
   11: quota.WireQuotaMessage quota
   12: rollout.WireRolloutMessage rollout
   13: WireHopWithdrawal withdrawal
+  14: WireHopSession session
+  15: WireHopSessionReply sessionReply
 }
