Log by which evidence a version is halted

Change: AZ0872 names the cause of a halt (evidence, budget, order, time), the strongest evidence (failures or slow answers, route, sum, outcomes, the rate of the other version and how long ago that answered) and the servers with bad outcomes. The decision is the same.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/rollout/RolloutModel.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/rollout/RolloutModel.java
@@ -329,6 +329,11 @@
         return mSaved == null ? null : mSaved.verdict();
     }
 
+    /** Returns the cause that the first coordinator logs for its halt. */
+    String haltCause() {
+        return mNodes.get(0).mCoordinator.haltCause();
+    }
+
     long decidedAt() {
         return mDecidedAt;
     }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/rollout/RolloutModelTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/rollout/RolloutModelTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Whole roll-outs on a manual clock, against the bounds of the design page. */
@@ -44,6 +45,15 @@
         }
     }
 
+    /** Guards against a version that is rolled back without a line that says by which evidence. */
+    @ParameterizedTest
+    @CsvSource({"FAILS, failures", "SLOW, slow"})
+    void haltNamesItsEvidence(Kind kind, String evidence) {
+        String cause = new RolloutModel(1, kind, 16, 20, 400).run().haltCause();
+        assertTrue(cause.startsWith("bad evidence=" + evidence + " route="), cause);
+        assertTrue(cause.matches(".* bad_servers=[1-9][0-9]*/[1-9][0-9]*"), cause);
+    }
+
     /** Guards against counts that are wrong after lost, repeated or reordered messages. */
     @Test
     void lostAndRepeatedMessagesChangeNothing() {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -125,6 +125,8 @@
     ROLLOUT_ORDER_UNREADABLE(870, Level.ERROR, "key={} reason={}"),
     /** A state of a roll-out that a peer sent cannot be read and is ignored. */
     ROLLOUT_STATE_IGNORED(871, Level.WARN, "service={} reason={}"),
+    /** A coordinator halts a version, or a node sends it nothing more: the evidence against it. */
+    ROLLOUT_HALTED(872, Level.WARN, "service={} version={} step={} share={} cause={}"),
     /** A configuration with client accounts came into force; withdrawn keys are refused now. */
     ACCOUNTS_IN_FORCE(875, Level.INFO, "version={} accounts={} keys={} added={} withdrawn={}"),
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/ServiceRollout.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/rollout/ServiceRollout.java
@@ -12,6 +12,7 @@
 import org.azurearch.sidecar.rollout.RolloutCoordinator;
 import org.azurearch.sidecar.rollout.RolloutOrder;
 import org.azurearch.sidecar.rollout.RolloutState;
+import org.azurearch.sidecar.rollout.Verdict;
 import org.azurearch.sidecar.rollout.VersionRouter;
 import org.jspecify.annotations.Nullable;
 
@@ -263,6 +264,7 @@
                         state.targetVersion(),
                         mCounter.badOutcomes(),
                         mEvidence.exposed());
+                logHalted(state);
             }
         }
     }
@@ -277,9 +279,22 @@
                     : RolloutCoordinator.begin(order, state, servers(), orderAge(nowMillis));
         }
         RolloutState next = mCoordinator.next(state, mOrder, mEvidence, servers(), nowMillis);
+        if (state.running() && next.verdict() == Verdict.HALTED) {
+            logHalted(state);
+        }
         return next.at(next.elapsedMillis(), mCoordinator.slowMillis());
     }
 
+    private void logHalted(RolloutState state) {
+        EventLog.log(
+                SidecarEvent.ROLLOUT_HALTED,
+                mService,
+                state.targetVersion(),
+                state.step(),
+                state.share(),
+                mCoordinator.haltCause());
+    }
+
     private RolloutCoordinator.Servers servers() {
         updateRouter();
         RolloutState state = mState;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/rollout/RolloutCoordinator.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/rollout/RolloutCoordinator.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.rollout;
 
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -103,6 +104,9 @@
     /** Largest tail that so few answers are believed to have, as a multiple of their median. */
     private static final double MAX_TAIL_FACTOR = 2;
 
+    /** The cause of a halt if the evidence alone decides. */
+    private static final String BAD = "bad";
+
     /** Servers of a service by version, as the members report them. */
     public record Servers(
             String established,
@@ -117,6 +121,7 @@
     private long mStepSinceMillis;
     private long mServersSinceElapsed = -1;
     private @Nullable RolloutState mLast;
+    private String mHaltCause = BAD;
 
     /**
      * Creates a coordinator of one roll-out.
@@ -186,6 +191,24 @@
         mSlowMillis.put(key.route(), (int) Math.max(MIN_SLOW_MILLIS, slow));
     }
 
+    /** Returns why the version was halted, as fields of a log line. */
+    public String haltCause() {
+        VersionJudge.Evidence evidence = mJudge.strongest();
+        return String.format(
+                Locale.ROOT,
+                "%s evidence=%s route=%s sum=%.1f outcomes=%d bad=%d base_rate=%.3f base_age_ms=%d"
+                        + " bad_servers=%s",
+                mHaltCause,
+                evidence.kind(),
+                evidence.route(),
+                evidence.sum(),
+                evidence.outcomes(),
+                evidence.bad(),
+                evidence.baseRate(),
+                evidence.baseAgeMillis(),
+                mJudge.badServers());
+    }
+
     /**
      * Returns the next state of a running roll-out, or the same one.
      *
@@ -213,19 +236,33 @@
         if (!state.running()) {
             return state;
         }
-        if (bad || overspends(state, evidence) || replaced(state, order)) {
+        String cause = haltCause(state, order, evidence, bad);
+        if (cause != null) {
+            mHaltCause = cause;
             return state.withVerdict(Verdict.HALTED);
         }
         long elapsed = state.elapsedMillis();
-        if (elapsed >= state.durationMillis()) {
-            return state.withVerdict(Verdict.HALTED);
-        }
         if (servers.targetServers() > 0 && mServersSinceElapsed < 0) {
             mServersSinceElapsed = elapsed;
         }
         return advance(state, evidence, servers, nowMillis);
     }
 
+    /** Returns why a running roll-out ends without success now, or null if it goes on. */
+    private @Nullable String haltCause(
+            RolloutState state, @Nullable RolloutOrder order, EvidenceSum evidence, boolean bad) {
+        if (bad) {
+            return BAD;
+        }
+        if (replaced(state, order)) {
+            return "order";
+        }
+        if (overspends(state, evidence)) {
+            return "budget";
+        }
+        return state.elapsedMillis() >= state.durationMillis() ? "time" : null;
+    }
+
     /**
      * Returns whether the version would get more requests than a bad one may, given the evidence
      * against it. A version without such evidence gets them, as it could not be completed else.
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/rollout/VersionJudge.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/rollout/VersionJudge.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.rollout;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.azurearch.sidecar.rollout.NodeEvidence.Outcomes;
 import org.azurearch.sidecar.rollout.NodeEvidence.RouteVersion;
@@ -71,6 +72,36 @@
     /** Bad outcomes below which a route gives no doubt, as any server fails once. */
     private static final long MIN_BAD_IN_TOTAL = 2;
 
+    /**
+     * Evidence against the version.
+     *
+     * @param kind what is bad: failures, or slow answers
+     * @param route the name of the route, or "*" for all routes
+     * @param sum the log-likelihood ratio; {@link #REJECT} rejects
+     * @param outcomes the outcomes since the sum was zero
+     * @param bad the bad ones of these
+     * @param baseRate the rate of bad outcomes of the other version; 0 for all routes
+     * @param baseAgeMillis how long ago the other version answered; negative if it never did
+     */
+    record Evidence(
+            String kind,
+            String route,
+            double sum,
+            long outcomes,
+            long bad,
+            double baseRate,
+            long baseAgeMillis) {}
+
+    /** A sum of log-likelihood ratios that never falls below zero, and what made it. */
+    private record SequentialSum(double value, long outcomes, long bad) {
+        private static final SequentialSum ZERO = new SequentialSum(0, 0, 0);
+
+        private SequentialSum plus(double change, long more, long moreBad) {
+            double sum = value + change;
+            return sum <= 0 ? ZERO : new SequentialSum(sum, outcomes + more, bad + moreBad);
+        }
+    }
+
     /** All outcomes of one route: their log-likelihood ratio and the number of bad ones. */
     private record Total(double ratio, long bad) {
         private Total plus(Total other) {
@@ -82,15 +113,20 @@
         }
     }
 
-    private static final String ALL_ROUTES = "";
+    /** The name of the sums over all routes. */
+    private static final String ALL_ROUTES = "*";
 
     private final Map<RouteVersion, Outcomes> mSeen = new HashMap<>();
     private final Map<String, RecentRate> mBaseFailures = new HashMap<>();
     private final Map<String, RecentRate> mBaseSlow = new HashMap<>();
+
+    /** When the other version answered last, by route. */
+    private final Map<String, Long> mBaseMillis = new HashMap<>();
+
     private final Map<String, ServerOutcomes> mSeenServers = new HashMap<>();
     private final Map<String, double[]> mRecentServers = new HashMap<>();
-    private final Map<String, Double> mFailureSums = new HashMap<>();
-    private final Map<String, Double> mSlowSums = new HashMap<>();
+    private final Map<String, SequentialSum> mFailureSums = new HashMap<>();
+    private final Map<String, SequentialSum> mSlowSums = new HashMap<>();
     private final Map<String, Total> mFailureTotals = new HashMap<>();
     private final Map<String, Total> mSlowTotals = new HashMap<>();
     private boolean mRejected;
@@ -123,14 +159,43 @@
 
     /** Returns how far the test is towards rejection; {@link #REJECT} rejects. */
     public double suspicion() {
-        double highest = 0;
-        for (double sum : mFailureSums.values()) {
-            highest = Math.max(highest, sum);
-        }
-        for (double sum : mSlowSums.values()) {
-            highest = Math.max(highest, sum);
+        return strongest().sum();
+    }
+
+    /** Returns the strongest evidence against the version. */
+    Evidence strongest() {
+        Evidence failures = strongest("failures", mFailureSums, mBaseFailures);
+        Evidence slow = strongest("slow", mSlowSums, mBaseSlow);
+        return failures.sum() >= slow.sum() ? failures : slow;
+    }
+
+    private Evidence strongest(
+            String kind, Map<String, SequentialSum> sums, Map<String, RecentRate> base) {
+        Evidence strongest = new Evidence(kind, ALL_ROUTES, 0, 0, 0, 0, -1);
+        for (Map.Entry<String, SequentialSum> entry : sums.entrySet()) {
+            SequentialSum sum = entry.getValue();
+            if (sum.value() > strongest.sum()) {
+                String route = entry.getKey();
+                RecentRate rate = base.get(route);
+                Long compared = mBaseMillis.get(route);
+                strongest =
+                        new Evidence(
+                                kind,
+                                route,
+                                sum.value(),
+                                sum.outcomes(),
+                                sum.bad(),
+                                rate == null ? 0 : rate.rate(0),
+                                compared == null ? -1 : mUpdatedMillis - compared);
+            }
         }
-        return highest;
+        return strongest;
+    }
+
+    /** Returns the number of servers with recent bad outcomes, and of all with outcomes. */
+    String badServers() {
+        long bad = mRecentServers.values().stream().filter(recent -> recent[1] >= 1).count();
+        return bad + "/" + mRecentServers.size();
     }
 
     /** Returns whether the version is more likely bad than good, though not yet rejected. */
@@ -158,6 +223,10 @@
         }
         Outcomes before = mSeen.getOrDefault(key, Outcomes.NONE);
         mSeen.put(key, now);
+        if (now.answered() > before.answered()) {
+            mBaseMillis.put(key.route(), mUpdatedMillis);
+            mBaseMillis.put(ALL_ROUTES, mUpdatedMillis);
+        }
         rate(mBaseFailures, key.route())
                 .add(now.failed() - before.failed(), now.answered() - before.answered(), millis);
         rate(mBaseSlow, key.route())
@@ -195,7 +264,7 @@
     }
 
     private static void add(
-            Map<String, Double> sums,
+            Map<String, SequentialSum> sums,
             Map<String, Total> totals,
             String route,
             long outcomes,
@@ -206,8 +275,12 @@
                 bad * Math.log(alternative / granted)
                         + (outcomes - bad) * Math.log((1 - alternative) / (1 - granted));
         totals.merge(route, new Total(change, bad), Total::plus);
-        sums.merge(route, Math.max(0, change), (sum, first) -> Math.max(0, sum + change));
-        sums.merge(ALL_ROUTES, Math.max(0, change), (sum, first) -> Math.max(0, sum + change));
+        for (String name : List.of(route, ALL_ROUTES)) {
+            sums.merge(
+                    name,
+                    SequentialSum.ZERO.plus(change, outcomes, bad),
+                    (sum, first) -> sum.plus(change, outcomes, bad));
+        }
     }
 
     private static double granted(RecentRate base, double minimum) {
