--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/LinkSessionTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/hop/LinkSessionTest.java
@@ -174,6 +174,7 @@
     @Test
     void closedLinkEndsItsCalls() throws Exception {
         HopLink link = openWithCall();
+        mPeer.mMute = true;
         passSilence(link);
         close(link);
         Await.untilEquals(List.of("silent", "may-have-run"), () -> mOutcomes);
