Log who confirmed a version, and count the bytes sent by kind of frame

Change: AZ0824 names what showed last that a version was the newest, when the next one comes into force and when the lease changes; metrics peers.sent-bytes.KIND and peers.sent-frames.KIND, and AZ0848 for a second with more than 64 KB of shared state.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/ConfigHolderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/ConfigHolderTest.java
@@ -27,20 +27,21 @@
     @Test
     void peerWithTheSameVersionConfirmsIt() {
         assertTrue(mConfigs.expired(System.nanoTime()));
-        mConfigs.confirmed(5, System.nanoTime());
+        mConfigs.confirmed(5, System.nanoTime(), "peer");
         assertFalse(mConfigs.expired(System.nanoTime()));
     }
 
     @Test
     void replyThatIsOldConfirmsNothing() {
-        mConfigs.confirmed(5, System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(APPLY_MILLIS));
+        mConfigs.confirmed(
+                5, System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(APPLY_MILLIS), "peer");
         assertTrue(mConfigs.expired(System.nanoTime()));
     }
 
     @Test
     void laggingPeerConfirmsNothingWhileNewerVersionIsAwaited() {
         mConfigs.announced(6);
-        mConfigs.confirmed(5, System.nanoTime());
+        mConfigs.confirmed(5, System.nanoTime(), "peer");
         assertTrue(mConfigs.expired(System.nanoTime()));
     }
 
@@ -48,7 +49,7 @@
     @Test
     void newerVersionOfPeerIsConfirmedOnceItIsInForce() {
         mConfigs.announced(6);
-        mConfigs.confirmed(6, System.nanoTime());
+        mConfigs.confirmed(6, System.nanoTime(), "peer");
         assertTrue(mConfigs.expired(System.nanoTime()));
         mConfigs.install("6".getBytes(StandardCharsets.UTF_8), "node");
         assertFalse(mConfigs.expired(System.nanoTime()));
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/ConfigLeaseTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/ConfigLeaseTest.java
@@ -24,7 +24,7 @@
 
     @Test
     void readOfTheStoreHoldsFromItsRequest() {
-        mLease.confirmed(5_000);
+        mLease.confirmed(5_000, "read");
         assertFalse(mLease.ended(5_000 + VALID));
         assertTrue(mLease.ended(5_001 + VALID));
         assertEquals(700, mLease.ageNanos(5_700));
@@ -32,16 +32,16 @@
 
     @Test
     void olderConfirmationDoesNotShortenTheLease() {
-        mLease.confirmedByPeer(5_000);
-        mLease.confirmedByPeer(4_200);
-        mLease.confirmed(4_000);
+        mLease.confirmedByPeer(5_000, "peer");
+        mLease.confirmedByPeer(4_200, "peer");
+        mLease.confirmed(4_000, "read");
         assertFalse(mLease.ended(5_000 + VALID));
         assertFalse(mLease.peersSilent(5_000 + APPLY / 3));
     }
 
     @Test
     void renewalIsDueBeforeTheStoreIsReadAndBothBeforeTheEnd() {
-        mLease.confirmed(5_000);
+        mLease.confirmed(5_000, "read");
         assertFalse(mLease.renewalDue(5_600));
         assertTrue(mLease.renewalDue(5_601));
         assertFalse(mLease.storeReadDue(5_900));
@@ -52,7 +52,7 @@
     @Test
     void confirmationIsExpectedSoonAfterTheEnd() {
         assertFalse(mLease.endedWithin(300, 5_000));
-        mLease.confirmed(5_000);
+        mLease.confirmed(5_000, "read");
         assertTrue(mLease.endedWithin(300, 5_000 + VALID + 300));
         assertFalse(mLease.endedWithin(300, 5_000 + VALID + 301));
     }
@@ -60,9 +60,9 @@
     /** Guards against a node that stops reading the store although its links do not work. */
     @Test
     void readOfTheStoreIsNoWordOfPeers() {
-        mLease.confirmed(5_000);
+        mLease.confirmed(5_000, "read");
         assertTrue(mLease.peersSilent(5_000));
-        mLease.confirmedByPeer(5_000);
+        mLease.confirmedByPeer(5_000, "peer");
         assertFalse(mLease.peersSilent(5_000));
         assertTrue(mLease.peersSilent(5_901));
     }
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/PollScheduleTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/PollScheduleTest.java
@@ -52,7 +52,7 @@
     void lostReadIsNoticedBeforeTheConfigurationMayNotBeUsed() {
         PollSchedule schedule = schedule(0, 1);
         ConfigLease lease = new ConfigLease(APPLY_MILLIS * 1_000_000);
-        lease.confirmed(0);
+        lease.confirmed(0, "read");
         long noticed = schedule.nextWait(false).plus(schedule.lostAfter()).toNanos();
         assertTrue(!lease.ended(noticed));
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/Sidecar.java
@@ -128,6 +128,7 @@
         mLoop = group.next();
         mDialect = platform.dialect();
         mNetwork = network;
+        mNetwork.sentFrames().register(mMetrics);
         mPeerPort = peerPort;
         mLog = platform.openLog(mLoop);
         mConfigs = new ConfigHolder(platform.configCodec(), settings.configApplyMillis());
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/SidecarEvent.java
@@ -43,6 +43,11 @@
     CONFIG_LATE(822, Level.WARN, "version={} announced_ms={} unheard_ms={}"),
     /** The configuration in force has not been confirmed for too long, or is again. */
     CONFIG_LEASE(823, Level.WARN, "valid={} version={} age_ms={} links={}"),
+    /**
+     * By what, and how long ago, a version was last known to be the newest: when the next one comes
+     * into force, or when the first has not been confirmed for too long.
+     */
+    CONFIG_CONFIRMED(824, Level.INFO, "version={} by={} age_ms={} next={}"),
     /** The backend server behind this node changed. */
     BACKEND_CHANGED(830, Level.INFO, "instance={} service={} ready={} slots={} cause={}"),
     /** A heartbeat of the backend server is ignored. */
@@ -79,6 +84,8 @@
     LINK_TO_OTHER(846, Level.INFO, "node={} address={} answered_by={}"),
     /** A peer is heard again: what became of the calls that were sent over lost connections. */
     CALLS_RESUMED(847, Level.INFO, "node={} same_run={} known={} not_received={} lost={}"),
+    /** More bytes of shared state than usual were sent to peers within a second, by kind. */
+    STATE_TRAFFIC(848, Level.INFO, "bytes={}"),
     /** A call ended without an answer of a backend server. */
     CALL_FAILED(
             850,
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/FrameCodec.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/FrameCodec.java
@@ -14,6 +14,7 @@
 /** Encodes and decodes frames in Thrift's compact protocol. Confined to one event loop. */
 final class FrameCodec {
     private final TSerializer mSerializer;
+    private final SentFrames mSent = new SentFrames();
 
     FrameCodec() {
         try {
@@ -23,6 +24,11 @@
         }
     }
 
+    /** Returns the counters of the frames that are sent. */
+    SentFrames sent() {
+        return mSent;
+    }
+
     ByteBuf encode(HopFrame frame) {
         try {
             return Unpooled.wrappedBuffer(mSerializer.serialize(frame));
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopConnection.java
@@ -84,10 +84,7 @@
         if (!mChannel.isActive()) {
             return 0;
         }
-        ByteBuf encoded = mCodec.encode(frame);
-        int bytes = encoded.readableBytes();
-        write(encoded);
-        return bytes;
+        return write(frame, mCodec.encode(frame));
     }
 
     /**
@@ -105,7 +102,7 @@
         ByteBuf encoded = mCodec.encode(frame);
         int bytes = encoded.readableBytes();
         if (mAnswers.isEmpty() && mChannel.isWritable()) {
-            write(encoded);
+            write(frame, encoded);
         } else {
             mAnswers.computeIfAbsent(rank, key -> new ArrayDeque<>())
                     .add(new WaitingAnswer(frame, load));
@@ -117,19 +114,23 @@
     private void writeAnswers() {
         while (mChannel.isWritable() && !mAnswers.isEmpty()) {
             Deque<WaitingAnswer> first = mAnswers.firstEntry().getValue();
-            write(mCodec.encode(first.remove().withPresentLoad()));
+            HopFrame answer = first.remove().withPresentLoad();
+            write(answer, mCodec.encode(answer));
             if (first.isEmpty()) {
                 mAnswers.pollFirstEntry();
             }
         }
     }
 
-    private void write(ByteBuf encoded) {
+    private int write(HopFrame frame, ByteBuf encoded) {
+        int bytes = encoded.readableBytes();
+        mCodec.sent().sent(frame, bytes);
         mChannel.write(encoded, mChannel.voidPromise());
         if (!mFlushScheduled) {
             mFlushScheduled = true;
             mChannel.eventLoop().execute(this::flush);
         }
+        return bytes;
     }
 
     /** Returns the {@link System#nanoTime()} at which bytes arrived last. */
@@ -148,7 +149,7 @@
     }
 
     /** Returns the address of the peer, for log lines. */
-    String peer() {
+    public String peer() {
         return String.valueOf(mChannel.remoteAddress());
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopNetwork.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopNetwork.java
@@ -31,6 +31,11 @@
         mLoop = loop;
     }
 
+    /** Returns the counters of the frames that are sent to all peers. */
+    public SentFrames sentFrames() {
+        return mCodec.sent();
+    }
+
     /**
      * Starts accepting connections from peers.
      *
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
@@ -39,6 +39,7 @@
     private long mNewerVersion = -1;
 
     private long mNewerAsOfNanos;
+    private String mNewerPeer = "";
     private @Nullable RoutingConfig mCurrent;
 
     /**
@@ -130,13 +131,15 @@
      *
      * @param version the version of the peer
      * @param asOfNanos when the peer knew it to be the newest, on the steady clock of this node
+     * @param peer identifies the peer, for the log
      */
-    void confirmed(long version, long asOfNanos) {
+    void confirmed(long version, long asOfNanos, String peer) {
         if (version > version()) {
             mNewerVersion = version;
             mNewerAsOfNanos = asOfNanos;
+            mNewerPeer = peer;
         } else if (version >= 0 && !awaitsNewer()) {
-            mLease.confirmedByPeer(asOfNanos);
+            mLease.confirmedByPeer(asOfNanos, peer);
         }
     }
 
@@ -180,11 +183,14 @@
         if (config.version() <= before) {
             return false;
         }
+        if (replaced != null) {
+            logConfirmed(Long.toString(config.version()), System.nanoTime());
+        }
         mCurrent = config;
         logIfLate(config.version(), source);
         mVersions.installed(config.version(), source.equals(STORE), System.nanoTime());
         if (mNewerVersion >= 0 && mNewerVersion <= config.version()) {
-            mLease.confirmedByPeer(mNewerAsOfNanos);
+            mLease.confirmedByPeer(mNewerAsOfNanos, mNewerPeer);
             mNewerVersion = -1;
         }
         mRecentContents.put(config.version(), content);
@@ -216,6 +222,20 @@
         }
     }
 
+    /**
+     * Logs what showed last that the version in force was the newest.
+     *
+     * @param next the version that replaces it, or "none"
+     */
+    void logConfirmed(String next, long nowNanos) {
+        EventLog.log(
+                SidecarEvent.CONFIG_CONFIRMED,
+                version(),
+                mLease.confirmedBy(),
+                TimeUnit.NANOSECONDS.toMillis(mLease.ageNanos(nowNanos)),
+                next);
+    }
+
     private void logAccounts(AccountDirectory before) {
         RoutingConfig config = mCurrent;
         if (config == null || (before.isEmpty() && config.accountDirectory().isEmpty())) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigLease.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigLease.java
@@ -24,6 +24,7 @@
     private final long mStoreReadNanos;
     private boolean mConfirmed;
     private long mAsOfNanos;
+    private String mBy = "nothing";
     private boolean mConfirmedByPeer;
     private long mPeerAsOfNanos;
 
@@ -38,17 +39,33 @@
         mStoreReadNanos = (long) (applyNanos * STORE_READ_APPLIES);
     }
 
-    /** Records that the version in force was the newest known to a reader at a time. */
-    void confirmed(long asOfNanos) {
-        mAsOfNanos = mConfirmed ? later(mAsOfNanos, asOfNanos) : asOfNanos;
+    /**
+     * Records that the version in force was the newest known to a reader at a time.
+     *
+     * @param by what shows it, for the log
+     */
+    void confirmed(long asOfNanos, String by) {
+        if (!mConfirmed || asOfNanos - mAsOfNanos > 0) {
+            mAsOfNanos = asOfNanos;
+            mBy = by;
+        }
         mConfirmed = true;
     }
 
-    /** Records the same by word of a peer. */
-    void confirmedByPeer(long asOfNanos) {
+    /**
+     * Records the same by word of a peer.
+     *
+     * @param peer identifies the peer, for the log
+     */
+    void confirmedByPeer(long asOfNanos, String peer) {
         mPeerAsOfNanos = mConfirmedByPeer ? later(mPeerAsOfNanos, asOfNanos) : asOfNanos;
         mConfirmedByPeer = true;
-        confirmed(asOfNanos);
+        confirmed(asOfNanos, peer);
+    }
+
+    /** Returns what showed last that the version in force was the newest, for the log. */
+    String confirmedBy() {
+        return mBy;
     }
 
     /** Returns whether the version in force has not been confirmed for too long. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -18,6 +18,7 @@
 import org.azurearch.sidecar.internal.hop.HopLink;
 import org.azurearch.sidecar.internal.hop.HopNetwork;
 import org.azurearch.sidecar.internal.hop.HopWire;
+import org.azurearch.sidecar.internal.hop.SentFrames;
 import org.azurearch.sidecar.internal.quota.QuotaPeer;
 import org.azurearch.sidecar.internal.rollout.RolloutService;
 import org.azurearch.sidecar.internal.suspect.PeerLosses;
@@ -46,10 +47,16 @@
     /** Number of peers in its data centre to which a node sends a pulse after its start. */
     private static final int STARTUP_PULSES = 3;
 
-    /** Shortest time between two requests to confirm the version in force: 200 ms. */
-    private static final long MIN_ASK_NANOS = 200_000_000L;
+    /**
+     * Bytes of shared state a second from which on they are logged: about thirty times those of a
+     * node at rest.
+     */
+    private static final long LOGGED_STATE_BYTES = 65_536;
+
+    private static final long LOG_STATE_NANOS = 1_000_000_000L;
 
     private final EventLoop mLoop;
+    private final SentFrames mSent;
     private final Consumer<NodeRecord> mEarlierRecordConsumer;
     private final ConfigHolder mConfigs;
     private final SuspectTracker mSuspects;
@@ -57,6 +64,7 @@
     private final NodeDirectory mDirectory;
     private final NodeRegistration mRegistration;
     private final ConfigExchange mExchange;
+    private final LeaseRenewal mLease;
     private final PollSchedule mPolls;
     private final StoreReader mReader;
     private final @Nullable RolloutService mRollouts;
@@ -67,11 +75,7 @@
     private LongConsumer mTickListener = now -> {};
     private boolean mIsReader;
     private boolean mIsDataCentreReader;
-    private int mNextReader;
-    private long mAskedNanos;
-    private boolean mFollowing;
-    private boolean mLeaseValid;
-    private long mTickNanos;
+    private long mStateLoggedNanos;
 
     /** Whether a peer has said that it knows no more nodes than this one. */
     private boolean mMembersCompared;
@@ -108,6 +112,7 @@
             Consumer<NodeRecord> earlierRecordConsumer,
             RolloutCodec rolloutCodec,
             MetricRegistry metrics) {
+        mSent = network.sentFrames();
         mSuspects = suspects;
         mPauses = pauses;
         mEarlierRecordConsumer = earlierRecordConsumer;
@@ -116,6 +121,7 @@
         mDirectory =
                 new NodeDirectory(loop, network, settings, peers, System.currentTimeMillis(), this);
         mPeers = new KnownPeers(mDirectory);
+        mLease = new LeaseRenewal(configs, mDirectory);
         mExchange = new ConfigExchange(loop, configs, mDirectory, settings.configApplyMillis());
         mRegistration =
                 new NodeRegistration(
@@ -270,7 +276,7 @@
     private void compare(HopConnection connection, WirePulse pulse) {
         mConfigs.heard();
         if (pulse.isReply()) {
-            confirm(pulse);
+            mLease.replied(pulse, connection.peer());
         }
         mExchange.schedulePull(connection, pulse.getConfigVersion());
         mExchange.sendMissed(connection, pulse.getConfigVersion());
@@ -280,7 +286,7 @@
         }
         // A reply that tells nothing new still confirms the version that the peer holds.
         if (!pulse.isReply()) {
-            WirePulse reply = all ? fullPulse(true) : versionPulse(true);
+            WirePulse reply = all ? fullPulse(true) : mLease.versionPulse(true);
             connection.send(
                     HopFrame.pulse(
                             pulse.isSetAskedNanos()
@@ -289,18 +295,6 @@
         }
     }
 
-    /** Renews the lease of the configuration; a peer of an earlier release tells no times. */
-    private void confirm(WirePulse reply) {
-        long now = System.nanoTime();
-        if (!reply.isSetAgeMillis()) {
-            mConfigs.confirmed(reply.getConfigVersion(), now);
-        } else if (reply.isSetAskedNanos() && reply.getAgeMillis() >= 0) {
-            long askedNanos = now - Math.max(0, now - reply.getAskedNanos());
-            long ageNanos = TimeUnit.MILLISECONDS.toNanos(reply.getAgeMillis());
-            mConfigs.confirmed(reply.getConfigVersion(), askedNanos - ageNanos);
-        }
-    }
-
     /** Sends a peer what it may lack besides the configuration. */
     private void sendDifferences(HopConnection connection, WirePulse pulse) {
         if (pulse.getStrikeDigest() != mSuspects.digest()) {
@@ -328,7 +322,8 @@
         mQuota.tick();
         mSuspects.decidePeerLosses(mPeers);
         updateReader(now);
-        renewLease(now);
+        mLease.tick(mIsDataCentreReader || mReader.following(), now);
+        logStateTraffic(now);
         if (mRollouts != null) {
             mRollouts.tick();
         }
@@ -361,42 +356,17 @@
         mReader.setActive(isReader);
     }
 
-    /**
-     * Confirms the configuration if this node reads the store, or else asks for that if due. A
-     * reader of its data centre confirms what it has while the store does not answer, too: nobody
-     * there can know of more.
-     */
-    private void renewLease(long nowNanos) {
-        boolean following = (mIsDataCentreReader || mReader.following()) && !mConfigs.awaitsNewer();
-        if (following && mFollowing) {
-            // All that had arrived by the last tick has been read since then.
-            mConfigs.lease().confirmed(mTickNanos);
+    private void logStateTraffic(long nowNanos) {
+        if (nowNanos - mStateLoggedNanos < LOG_STATE_NANOS) {
+            return;
         }
-        mFollowing = following;
-        mTickNanos = nowNanos;
-        logLease(nowNanos);
-        boolean askedLately = nowNanos - mAskedNanos < MIN_ASK_NANOS;
-        if (!following && !askedLately && mConfigs.lease().renewalDue(nowNanos)) {
-            askReaders(mDirectory.readerLinks(ConfigExchange.READERS));
+        mStateLoggedNanos = nowNanos;
+        List<String> bytes = mSent.takeStateBytes(LOGGED_STATE_BYTES);
+        if (!bytes.isEmpty()) {
+            EventLog.log(SidecarEvent.STATE_TRAFFIC, bytes);
         }
     }
 
-    private void logLease(long nowNanos) {
-        boolean valid = !mConfigs.expired(nowNanos);
-        if (valid != mLeaseValid) {
-            mLeaseValid = valid;
-            long ageMillis = TimeUnit.NANOSECONDS.toMillis(mConfigs.lease().ageNanos(nowNanos));
-            int links = mDirectory.linksUp().size();
-            EventLog.log(SidecarEvent.CONFIG_LEASE, valid, mConfigs.version(), ageMillis, links);
-        }
-    }
-
-    private void askReaders(List<HopLink> readers) {
-        mAskedNanos = System.nanoTime();
-        HopFrame frame = versionFrame(false);
-        readers.forEach(link -> link.ask(frame));
-    }
-
     private void countShareHolders(long nowNanos, long wallMillis) {
         ShareHolders holders = mDirectory.shareHolders();
         int before = holders.count();
@@ -421,46 +391,27 @@
         mSuspects.tick();
         List<HopLink> partners = mDirectory.antiEntropyLinks();
         if (!partners.isEmpty()) {
-            HopFrame frame = mPulses.comparesState() ? pulseFrame(false) : versionFrame(false);
+            HopFrame frame =
+                    mPulses.comparesState()
+                            ? pulseFrame(false)
+                            : HopFrame.pulse(mLease.versionPulse(false));
             partners.get(mRandom.nextInt(partners.size())).ask(frame);
         }
-        List<HopLink> readers = mDirectory.readerLinks(ConfigExchange.READERS);
-        if (!readers.isEmpty()) {
-            askReaders(List.of(readers.get(mNextReader++ % readers.size())));
-        }
+        mLease.askNextReader();
         mLoop.schedule(this::pulse, mPulses.nextDelayMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Returns a pulse that only tells the version of the configuration in force. */
-    private HopFrame versionFrame(boolean reply) {
-        return HopFrame.pulse(versionPulse(reply));
-    }
-
     /** Returns a pulse with digests of all that nodes compare. */
     private HopFrame pulseFrame(boolean reply) {
         return HopFrame.pulse(fullPulse(reply));
     }
 
     private WirePulse fullPulse(boolean reply) {
-        WirePulse pulse = versionPulse(reply).setStrikeDigest(mSuspects.digest());
+        WirePulse pulse = mLease.versionPulse(reply).setStrikeDigest(mSuspects.digest());
         long rollouts = mRollouts == null ? 0 : mRollouts.digest();
         return rollouts == 0 ? pulse : pulse.setRolloutDigest(rollouts);
     }
 
-    /** Returns a pulse with the version in force and its age; a request also has its time. */
-    private WirePulse versionPulse(boolean reply) {
-        long now = System.nanoTime();
-        WirePulse pulse =
-                new WirePulse(
-                        mConfigs.version(),
-                        mDirectory.table().digest(),
-                        reply,
-                        mDirectory.table().records().size());
-        long ageMillis = TimeUnit.NANOSECONDS.toMillis(mConfigs.lease().ageNanos(now));
-        pulse.setAgeMillis(ageMillis > Integer.MAX_VALUE ? -1 : (int) ageMillis);
-        return reply ? pulse : pulse.setAskedNanos(now);
-    }
-
     /** Handles the events of the store reader. */
     private final class StoreListener implements StoreReader.Listener {
         @Override
@@ -485,7 +436,7 @@
         @Override
         public void newestRead(long askedNanos) {
             if (!mConfigs.awaitsNewer()) {
-                mConfigs.lease().confirmed(askedNanos);
+                mConfigs.lease().confirmed(askedNanos, "read of the store");
             }
         }
     }
