--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/proxy/FaultProxy.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/proxy/FaultProxy.java
@@ -22,6 +22,7 @@
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.azurearch.lib.NetAddress;
 import org.jspecify.annotations.Nullable;
 
@@ -37,6 +38,7 @@
                     new DefaultThreadFactory("fault-proxy", true),
                     NioIoHandler.newFactory());
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicLong mReceivedBytes = new AtomicLong();
     private final AtomicInteger mAccepted = new AtomicInteger();
     private final CrossedAnswers mCrossed = new CrossedAnswers();
     private final Channel mListener;
@@ -101,6 +103,11 @@
         return mAccepted.get();
     }
 
+    /** Returns how many bytes have arrived since the start, from callers and the target. */
+    public long receivedBytes() {
+        return mReceivedBytes.get();
+    }
+
     @Override
     public void close() {
         mListener.close().syncUninterruptibly();
@@ -188,7 +195,7 @@
     }
 
     /** Passes the bytes and the close of a channel to its leg. */
-    private static final class LegHandler extends ChannelInboundHandlerAdapter {
+    private final class LegHandler extends ChannelInboundHandlerAdapter {
         private volatile @Nullable ProxyLeg mLeg;
 
         void setLeg(ProxyLeg leg) {
@@ -197,7 +204,9 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            Objects.requireNonNull(mLeg).forward((ByteBuf) message);
+            ByteBuf bytes = (ByteBuf) message;
+            mReceivedBytes.addAndGet(bytes.readableBytes());
+            Objects.requireNonNull(mLeg).forward(bytes);
         }
 
         @Override
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/proxy/ProxyFault.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/proxy/ProxyFault.java
@@ -40,6 +40,11 @@
         return new ProxyFault(ProxyRule.delay(delay), ProxyRule.delay(delay));
     }
 
+    /** Returns a fault that limits the bandwidth of answers. */
+    public static ProxyFault answersAt(SharedRate rate) {
+        return new ProxyFault(ProxyRule.PASS, ProxyRule.rate(rate));
+    }
+
     /** Returns a fault that closes the connection after the given number of request bytes. */
     public static ProxyFault cutRequestAfter(long bytes) {
         return new ProxyFault(ProxyRule.cutAfter(bytes), ProxyRule.PASS);
--- a/org.azurearch.standin/src/main/java/org/azurearch/standin/proxy/ProxyLeg.java
+++ b/org.azurearch.standin/src/main/java/org/azurearch/standin/proxy/ProxyLeg.java
@@ -5,12 +5,16 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.azurearch.standin.proxy.ProxyRule.Action;
 
 /** One direction of a proxied connection. Confined to the event loop of its connection. */
 final class ProxyLeg {
+    /** Bytes that pass at once where the bandwidth is limited. */
+    private static final int RATE_BYTES = 2_048;
+
     private final EventLoop mLoop;
     private final Supplier<ProxyRule> mRule;
     private final Channel mReceiver;
@@ -40,6 +44,7 @@
         switch (rule.action()) {
             case PASS -> write(chunk, 0);
             case DELAY -> write(chunk, rule.delay().toNanos());
+            case RATE -> writeAt(Objects.requireNonNull(rule.rate()), chunk);
             case CROSS -> mCrossed.deliver(mReceiver, chunk);
             case DROP, CUT -> writePrefix(chunk, passingBytes, rule.action());
             default -> throw new IllegalStateException("unexpected action " + rule.action());
@@ -76,6 +81,18 @@
         }
     }
 
+    private void writeAt(SharedRate rate, ByteBuf chunk) {
+        while (chunk.readableBytes() > RATE_BYTES) {
+            writePart(rate, chunk.readRetainedSlice(RATE_BYTES));
+        }
+        writePart(rate, chunk);
+    }
+
+    private void writePart(SharedRate rate, ByteBuf part) {
+        long due = rate.reserve(part.readableBytes());
+        write(part, Math.max(0, due - System.nanoTime()));
+    }
+
     private void write(ByteBuf chunk, long delayNanos) {
         long now = System.nanoTime();
         long due = Math.max(mLastDueNanos, now + delayNanos);
