Confirm a configuration only by reads that the store has answered

Cause: an absence of news was taken for news of an absence. A reader confirmed its version while a poll waited, though the answer may have been on its way behind a full link or in a large body; one read that timed out freed a node of its lease, also while other nodes of its data centre reached the store; a version that a peer had announced was forgotten after configApply, after which peers confirmed the old one. Change: a confirmation begins when a read was sent that the store has answered. StoreWatch checks the end of the stream beside the polls, without waiting for earlier answers, and tells a store that is silent from one that is late; only a silent one lets a reader go on with what it has, and only a data centre of which no node has the store goes on without a limit. An announced version is awaited until it is in force, cannot be decoded, or is not in the store. As the lease begins at a known time it holds for 0.9 of configApply in place of 0.6. A reply of the store that is arriving is not given up. The cost: two calls to the store a second and data centre.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeOrderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeOrderTest.java
@@ -52,6 +52,28 @@
         assertEquals(List.of("n0"), order("n0").nodes(DATA_CENTRE, false));
     }
 
+    /** Guards against a node that goes on with what it has while others reach the store. */
+    @Test
+    void storeIsOutOfReachOnceAllNodesHaveLostIt() {
+        mTable.merge(record("n0").withStoreReachable(false), 0);
+        mTable.merge(record("n1"), 0);
+        mTable.merge(record("n1").asLeaving().withVersion(1, 1), 0);
+        assertFalse(order("n0").storeOutOfReach(DATA_CENTRE));
+        mTable.merge(record("n1").withStoreReachable(false).withVersion(1, 2), 0);
+        assertTrue(order("n0").storeOutOfReach(DATA_CENTRE));
+    }
+
+    @Test
+    void firstNodeWithStoreSucceedsThoseThatHaveLostIt() {
+        mTable.merge(record("n0"), 0);
+        mTable.merge(record("n1"), 0);
+        List<String> nodes = order("n0").nodes(DATA_CENTRE, false);
+        assertFalse(order(nodes.get(0)).succeedsReaders(DATA_CENTRE));
+        assertFalse(order(nodes.get(1)).succeedsReaders(DATA_CENTRE));
+        mTable.merge(record(nodes.get(0)).withStoreReachable(false).withVersion(1, 1), 0);
+        assertTrue(order(nodes.get(1)).succeedsReaders(DATA_CENTRE));
+    }
+
     @Test
     void readersOfAllDataCentresTakeTurns() {
         for (int i = 0; i < NODES; i++) {
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeRegistrationTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/NodeRegistrationTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.azurearch.internal.fold.ThriftBytes;
 import org.azurearch.junit.SmallStack;
 import org.azurearch.lib.NetAddress;
@@ -125,6 +126,18 @@
 
     /** Serves the records of the test. */
     private final class RecordsLog implements KeyedLog {
+        private final long mCreatedNanos = System.nanoTime() - TimeUnit.MINUTES.toNanos(1);
+
+        @Override
+        public CompletableFuture<Long> endOffset(Stream stream) {
+            return CompletableFuture.completedFuture(0L);
+        }
+
+        @Override
+        public long lastReceivedNanos() {
+            return mCreatedNanos;
+        }
+
         @Override
         public CompletableFuture<KeyedRecords> newest(Stream stream) {
             return CompletableFuture.completedFuture(new KeyedRecords(mRecords, mRecords.size()));
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/rollout/RolloutCluster.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/rollout/RolloutCluster.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
 import org.azurearch.errors.AzurearchException;
 import org.azurearch.errors.ErrorCode;
@@ -292,6 +293,18 @@
     }
 
     private static final class MemoryLog implements KeyedLog {
+        private final long mCreatedNanos = System.nanoTime() - TimeUnit.MINUTES.toNanos(1);
+
+        @Override
+        public CompletableFuture<Long> endOffset(Stream stream) {
+            return CompletableFuture.completedFuture(0L);
+        }
+
+        @Override
+        public long lastReceivedNanos() {
+            return mCreatedNanos;
+        }
+
         private final Map<Stream, List<KeyedRecord>> mRecords = new LinkedHashMap<>();
 
         private MemoryLog() {
--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/rollout/RolloutStoreTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/rollout/RolloutStoreTest.java
@@ -95,6 +95,18 @@
 
     /** Holds one key per stream; the first append conflicts if the test says so. */
     private final class NewestLog implements KeyedLog {
+        private final long mCreatedNanos = System.nanoTime() - TimeUnit.MINUTES.toNanos(1);
+
+        @Override
+        public CompletableFuture<Long> endOffset(Stream stream) {
+            return CompletableFuture.completedFuture(0L);
+        }
+
+        @Override
+        public long lastReceivedNanos() {
+            return mCreatedNanos;
+        }
+
         @Override
         public CompletableFuture<KeyedRecords> newest(Stream stream) {
             List<KeyedRecord> records =
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/call/CallRouter.java
@@ -253,11 +253,10 @@
 
     /**
      * Returns whether no call may begin under the configuration in force, as it has not been
-     * confirmed for too long. A node that cannot reach the store either is cut off, and goes on
-     * with what it has.
+     * confirmed for too long.
      */
     public boolean configExpired() {
-        return mDirectory.self().storeReachable() && mConfigs.expired(System.nanoTime());
+        return mConfigs.expired(System.nanoTime());
     }
 
     /** Returns whether the configuration in force is likely to be confirmed in a moment. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigExchange.java
@@ -100,7 +100,9 @@
             pull(connection, NO_BASE);
             return;
         }
-        install(content, "node");
+        if (!install(content, "node")) {
+            mConfigs.undecodable(config.getVersion());
+        }
     }
 
     /** Answers a pull if this node has a higher version. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
@@ -33,13 +33,13 @@
     private final List<Consumer<RoutingConfig>> mSubscribers = new ArrayList<>();
     private final VersionWatch mVersions = new VersionWatch();
     private final ConfigLease mLease;
-    private final long mApplyNanos;
 
     /** The last reply of a peer with a newer version than the one in force. */
     private long mNewerVersion = -1;
 
     private long mNewerAsOfNanos;
     private String mNewerPeer = "";
+    private boolean mCutOff;
     private @Nullable RoutingConfig mCurrent;
 
     /**
@@ -50,8 +50,7 @@
      */
     public ConfigHolder(ConfigCodec codec, long applyMillis) {
         mCodec = codec;
-        mApplyNanos = TimeUnit.MILLISECONDS.toNanos(applyMillis);
-        mLease = new ConfigLease(mApplyNanos);
+        mLease = new ConfigLease(TimeUnit.MILLISECONDS.toNanos(applyMillis));
     }
 
     /** Returns the configuration in force, or null before the first. */
@@ -96,11 +95,25 @@
     }
 
     /**
-     * Returns whether a peer holds a newer version than the one in force. After some time it is no
-     * longer expected, as this node may be unable to decode it.
+     * Returns whether a peer holds a newer version than the one in force. It is expected until it
+     * is in force, turns out to be one that this node cannot decode, or the store does not have it.
      */
     boolean awaitsNewer() {
-        return mVersions.awaitsVersionOf(mApplyNanos, System.nanoTime());
+        return mVersions.awaitsVersion();
+    }
+
+    /** Records that a peer has sent a version that this node cannot decode. */
+    void undecodable(long version) {
+        mVersions.undecodable(version);
+    }
+
+    /**
+     * Records that the store had no newer version than the one in force at a time, on the steady
+     * clock.
+     */
+    void confirmedByStore(long asOfNanos) {
+        mVersions.newestOfStore(asOfNanos);
+        mLease.confirmed(asOfNanos, "read of the store");
     }
 
     /** Returns whether the version in force has been held for some time. */
@@ -143,14 +156,22 @@
         }
     }
 
+    /**
+     * Sets whether this node's data centre cannot reach the platform's store, so that it goes on
+     * with what it has.
+     */
+    void setCutOff(boolean cutOff) {
+        mCutOff = cutOff;
+    }
+
     /**
      * Returns whether the configuration in force has not been confirmed for too long, so that a
-     * newer one may be in force elsewhere.
+     * newer one may be in force elsewhere. Never, if this node's data centre is cut off.
      *
      * @param nowNanos the time, on the steady clock
      */
     public boolean expired(long nowNanos) {
-        return mLease.ended(nowNanos);
+        return mLease.ended(nowNanos) && !mCutOff;
     }
 
     /** Returns whether it has become so within some time, so that a reply may be under way. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigLease.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigLease.java
@@ -9,9 +9,10 @@
 final class ConfigLease {
     /**
      * How long a confirmation holds, as a fraction of the time within which an accepted
-     * configuration has to be in force. The rest is left for the change to reach those who confirm.
+     * configuration has to be in force. It begins when a read was sent that the store has answered,
+     * so that nothing newer had been accepted by then.
      */
-    private static final double VALID_APPLIES = 0.6;
+    private static final double VALID_APPLIES = 0.9;
 
     /** The same fraction after which a confirmation is asked for at once. */
     private static final double RENEWAL_APPLIES = 0.3;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/LeaseRenewal.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/LeaseRenewal.java
@@ -20,9 +20,7 @@
     private final NodeDirectory mDirectory;
     private int mNextReader;
     private long mAskedNanos;
-    private boolean mFollowing;
     private boolean mValid;
-    private long mTickNanos;
 
     LeaseRenewal(ConfigHolder configs, NodeDirectory directory) {
         mConfigs = configs;
@@ -30,22 +28,26 @@
     }
 
     /**
-     * Confirms the configuration if this node reads the store, or else asks for that if due.
+     * Asks for a confirmation if that is due. A reader whose data centre cannot reach the store
+     * confirms what it has, unless it has heard of more.
      *
-     * @param reads whether this node reads all that is added to the store
+     * @param isReader whether this node reads the store for its data centre
+     * @param storeLost whether the store is out of reach for its data centre
      */
-    void tick(boolean reads, long nowNanos) {
-        boolean following = reads && !mConfigs.awaitsNewer();
-        if (following && mFollowing) {
-            // All that had arrived by the last tick has been read since then.
-            mConfigs.lease().confirmed(mTickNanos, "poll without an answer");
+    void tick(boolean isReader, boolean storeLost, long nowNanos) {
+        ConfigLease lease = mConfigs.lease();
+        boolean cutOff = isReader && storeLost && lease.peersSilent(nowNanos);
+        if (cutOff && mConfigs.current() != null && !mConfigs.awaitsNewer()) {
+            lease.confirmed(nowNanos, "silence of the store");
         }
-        mFollowing = following;
-        mTickNanos = nowNanos;
         logLease(nowNanos);
         boolean askedLately = nowNanos - mAskedNanos < MIN_ASK_NANOS;
-        if (!following && !askedLately && mConfigs.lease().renewalDue(nowNanos)) {
-            ask(mDirectory.readerLinks(ConfigExchange.READERS));
+        if (!askedLately && lease.renewalDue(nowNanos)) {
+            List<HopLink> peers = mDirectory.readerLinks(ConfigExchange.READERS);
+            if (isReader) {
+                peers.addAll(mDirectory.remoteRelays());
+            }
+            ask(peers);
         }
     }
 
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -74,7 +74,7 @@
     private QuotaPeer mQuota = QuotaPeer.NONE;
     private LongConsumer mTickListener = now -> {};
     private boolean mIsReader;
-    private boolean mIsDataCentreReader;
+    private int mRank = Integer.MAX_VALUE;
     private long mStateLoggedNanos;
 
     /** Whether a peer has said that it knows no more nodes than this one. */
@@ -322,7 +322,8 @@
         mQuota.tick();
         mSuspects.decidePeerLosses(mPeers);
         updateReader(now);
-        mLease.tick(mIsDataCentreReader || mReader.following(), now);
+        mReader.tick(mConfigs.lease().ageNanos(now), mRank == 1, now);
+        mLease.tick(mRank < ConfigExchange.READERS, storeLost(), now);
         logStateTraffic(now);
         if (mRollouts != null) {
             mRollouts.tick();
@@ -342,8 +343,8 @@
                 mConfigs.current() != null
                         && lease.peersSilent(nowNanos)
                         && (mIsReader || lease.storeReadDue(nowNanos));
+        mRank = rank;
         boolean first = rank < ConfigExchange.READERS;
-        mIsDataCentreReader = first && !mDirectory.linksUp().isEmpty();
         boolean isReader = first || (self.storeReachable() && unconfirmed);
         if (isReader != mIsReader) {
             mIsReader = isReader;
@@ -354,6 +355,19 @@
             mPolls.setTurn(readers.indexOf(self.node()), readers.size());
         }
         mReader.setActive(isReader);
+        mConfigs.setCutOff(mDirectory.order().storeOutOfReach(self.dataCentre()));
+    }
+
+    /**
+     * Returns whether the data centre of this reader cannot reach the store: the store is silent,
+     * or those nodes whose duty this one has just taken over have lost it.
+     */
+    private boolean storeLost() {
+        return mReader.storeSilent() || (mReader.unanswered() && succeedsReaders());
+    }
+
+    private boolean succeedsReaders() {
+        return mDirectory.order().succeedsReaders(mDirectory.self().dataCentre());
     }
 
     private void logStateTraffic(long nowNanos) {
@@ -434,10 +448,8 @@
         }
 
         @Override
-        public void newestRead(long askedNanos) {
-            if (!mConfigs.awaitsNewer()) {
-                mConfigs.lease().confirmed(askedNanos, "read of the store");
-            }
+        public void upToDate(long asOfNanos) {
+            mConfigs.confirmedByStore(asOfNanos);
         }
     }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/NodeOrder.java
@@ -67,6 +67,25 @@
         return withStore.subList(0, Math.min(count, withStore.size()));
     }
 
+    /** Returns whether no reachable node of a data centre, this one included, has the store. */
+    boolean storeOutOfReach(String dataCentre) {
+        return mTable.records().stream()
+                .noneMatch(
+                        record ->
+                                record.storeReachable()
+                                        && record.dataCentre().equals(dataCentre)
+                                        && reachable(record));
+    }
+
+    /**
+     * Returns whether this node is the first to read the store for a data centre as all that come
+     * before it have lost the store.
+     */
+    boolean succeedsReaders(String dataCentre) {
+        return nodes(dataCentre, true).indexOf(mSelf) == 0
+                && nodes(dataCentre, false).indexOf(mSelf) > 0;
+    }
+
     /**
      * Returns the readers of all data centres that this node reaches. The first ones of each data
      * centre precede the second ones.
@@ -110,13 +129,17 @@
         for (NodeRecord record : mTable.records()) {
             boolean same = record.dataCentre().equals(dataCentre);
             boolean usable = !record.leaving() && (!withStore || record.storeReachable());
-            if (same && usable && (record.node().equals(mSelf) || mUp.test(record.node()))) {
+            if (same && usable && reachable(record)) {
                 nodes.add(record);
             }
         }
         return widestFirst(dataCentre, nodes);
     }
 
+    private boolean reachable(NodeRecord record) {
+        return record.node().equals(mSelf) || mUp.test(record.node());
+    }
+
     /**
      * Returns the names of nodes with the widest links first, since the first ones send to many
      * others: on a link that large answers fill, their messages would wait. Of equal links, those
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/PollSchedule.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/PollSchedule.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.mesh;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decides how long the reads of a reader wait for a new record of the store. Those of all readers
@@ -18,6 +19,7 @@
 
     private static final Duration MAX_WAIT = Duration.ofSeconds(10);
 
+    private final long mApplyNanos;
     private final Duration mInterval;
     private final Duration mLostAfter;
     private int mPosition;
@@ -30,10 +32,16 @@
      * @param applyMillis the time within which an accepted configuration has to be in force
      */
     PollSchedule(long applyMillis) {
+        mApplyNanos = TimeUnit.MILLISECONDS.toNanos(applyMillis);
         mInterval = Duration.ofMillis((long) (applyMillis * INTERVAL_APPLIES));
         mLostAfter = Duration.ofMillis((long) (applyMillis * LOST_APPLIES));
     }
 
+    /** Returns the time within which an accepted configuration has to be in force. */
+    long applyNanos() {
+        return mApplyNanos;
+    }
+
     /**
      * Sets this node's turn.
      *
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -15,11 +15,13 @@
 import org.azurearch.sidecar.store.KeyedRecord;
 import org.azurearch.sidecar.store.KeyedRecords;
 import org.azurearch.time.Backoff;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Long-polls the configurations in the platform's store while this node is a reader, and retries
- * while the store is unreachable. A poll without an answer in time is followed by another read, as
- * its answer may be lost though the store can be reached. Confined to one event loop.
+ * while the store is unreachable. Beside the polls it checks the end of the stream, which tells as
+ * of when all has been read, and finds records that a lost poll has missed. Confined to one event
+ * loop.
  */
 final class StoreReader {
     private static final Duration RETRY_BASE = Duration.ofMillis(150);
@@ -47,11 +49,11 @@
         void reachable(boolean reachable);
 
         /**
-         * Called after each read of the newest records, once they are delivered.
+         * Called when all records are delivered that the store held at a time.
          *
-         * @param askedNanos when the read was sent, on the steady clock
+         * @param asOfNanos the time, on the steady clock
          */
-        default void newestRead(long askedNanos) {}
+        default void upToDate(long asOfNanos) {}
     }
 
     /** The read that is under way. */
@@ -65,13 +67,18 @@
         CHECK
     }
 
+    /** Records that are read by a poll after a check; of more, only the newest ones are read. */
+    private static final int MAX_MISSING = 2;
+
     private final KeyedLog mLog;
     private final EventLoop mLoop;
+    private final StoreWatch mWatch;
     private final PollSchedule mSchedule;
     private final String mKey;
     private final Listener mListener;
     private final Backoff mBackoff = new Backoff(RETRY_BASE, RETRY_MAX, new SplittableRandom());
     private boolean mActive;
+    private boolean mAnswered;
     private Read mRead = Read.NONE;
 
     /** Number of reads so far; of the answer to an earlier one only the records count. */
@@ -83,7 +90,7 @@
     private boolean mStoreDown;
     private boolean mClosed;
     private long mDownSinceNanos;
-    private long mAskedNanos;
+    private long mSentNanos;
     private long mNextOffset = -1;
 
     /**
@@ -99,6 +106,7 @@
             KeyedLog log, EventLoop loop, PollSchedule schedule, String key, Listener listener) {
         mLog = log;
         mLoop = loop;
+        mWatch = new StoreWatch(schedule.applyNanos(), System.nanoTime());
         mSchedule = schedule;
         mKey = key;
         mListener = listener;
@@ -106,17 +114,84 @@
     }
 
     /**
-     * Returns whether a read of all further records is under way, so that each new one arrives as
-     * soon as it is stored.
+     * Checks the end of the stream if that is due; called a few times a second.
+     *
+     * @param ageNanos how long ago the configuration in force was known to be the newest
+     * @param second whether another node checks as well, whose word is missing then
      */
-    boolean following() {
-        return mActive && mRead == Read.POLL && !mStoreDown;
+    void tick(long ageNanos, boolean second, long nowNanos) {
+        mWatch.tick(mLog.lastReceivedNanos(), nowNanos);
+        if (!mActive || mStoreDown || mClosed) {
+            return;
+        }
+        boolean missing = mWatch.missingNanos(nowNanos) > mSchedule.lostAfter().toNanos();
+        if (mRead == Read.POLL && missing && !arriving()) {
+            readMissing();
+        }
+        if (mWatch.checkDue(ageNanos, second, nowNanos)) {
+            checkEnd(nowNanos);
+        }
+    }
+
+    /** Returns whether the store has sent nothing for a long time though it was asked. */
+    boolean storeSilent() {
+        return mActive && !mStoreDown && mWatch.silent();
+    }
+
+    /** Returns whether the store has answered no read since this node became a reader. */
+    boolean unanswered() {
+        return mActive && !mAnswered;
+    }
+
+    private void checkEnd(long nowNanos) {
+        if (mWatch.late(nowNanos)) {
+            mLog.renewConnections();
+        }
+        mWatch.checkSent(nowNanos);
+        mLog.endOffset(KeyedLog.Stream.CONFIG)
+                .whenComplete(
+                        (end, failure) -> {
+                            if (failure == null) {
+                                endChecked(nowNanos, end);
+                            } else {
+                                checkFailed(nowNanos, Completions.unwrap(failure));
+                            }
+                        });
+    }
+
+    private void endChecked(long sentNanos, long endOffset) {
+        mAnswered = true;
+        if (mWatch.checkAnswered(sentNanos, endOffset, System.nanoTime())) {
+            mListener.upToDate(sentNanos);
+        }
+    }
+
+    /** A check whose answer is lost while others arrive shows nothing. */
+    private void checkFailed(long sentNanos, Throwable failure) {
+        mWatch.checkEnded(sentNanos);
+        boolean lost = code(failure) == ErrorCode.LOG_RESULT_UNKNOWN && heardSince(sentNanos);
+        if (mActive && !mStoreDown && !lost) {
+            mReads++;
+            mRead = Read.NONE;
+            failed(failure);
+        }
+    }
+
+    /** Returns whether bytes have arrived a moment ago, so that an answer may be arriving. */
+    private boolean arriving() {
+        return heardSince(System.nanoTime() - mSchedule.lostAfter().toNanos());
+    }
+
+    private boolean heardSince(long nanos) {
+        return mLog.lastReceivedNanos() - nanos > 0;
     }
 
     /** Sets whether this node is a reader of its data centre. */
     void setActive(boolean active) {
         if (mActive != active) {
             mActive = active;
+            mAnswered = false;
+            mWatch.resume();
             if (active) {
                 readNext();
             }
@@ -127,7 +202,8 @@
         if (mRead != Read.NONE) {
             return;
         }
-        if (mNextOffset < 0 && (mActive || mStoreDown)) {
+        boolean gap = mNextOffset < 0 || mWatch.missing() > MAX_MISSING;
+        if (gap && (mActive || mStoreDown)) {
             readNewest();
         } else if (mActive) {
             longPoll();
@@ -135,28 +211,44 @@
     }
 
     private void readNewest() {
-        mAskedNanos = System.nanoTime();
         begin(Read.NEWEST, mLog.newest(KeyedLog.Stream.CONFIG));
     }
 
     private void longPoll() {
         Duration wait = mSchedule.nextWait(mReadTogether);
         long poll = begin(Read.POLL, mLog.read(KeyedLog.Stream.CONFIG, mNextOffset, wait));
-        Duration lost = wait.plus(mSchedule.lostAfter());
-        mLoop.schedule(() -> check(poll), lost.toMillis(), TimeUnit.MILLISECONDS);
+        checkLater(poll, wait.plus(mSchedule.lostAfter()));
     }
 
-    /** Reads without a wait if a poll still has no answer. */
+    private void checkLater(long poll, Duration delay) {
+        mLoop.schedule(() -> check(poll), delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads without a wait if a poll still has no answer, and none is arriving. */
     private void check(long poll) {
-        if (poll == mReads && mRead == Read.POLL && mActive && !mClosed) {
-            EventLog.log(SidecarEvent.STORE_POLL_LOST, KeyedLog.Stream.CONFIG, mNextOffset);
-            mLog.renewConnections();
+        if (poll != mReads || mRead != Read.POLL || !mActive || mClosed) {
+            return;
+        }
+        if (arriving()) {
+            checkLater(poll, mSchedule.lostAfter());
+        } else {
+            readMissing();
+        }
+    }
+
+    private void readMissing() {
+        EventLog.log(SidecarEvent.STORE_POLL_LOST, KeyedLog.Stream.CONFIG, mNextOffset);
+        mLog.renewConnections();
+        if (mWatch.missing() > MAX_MISSING) {
+            readNewest();
+        } else {
             begin(Read.CHECK, mLog.read(KeyedLog.Stream.CONFIG, mNextOffset, Duration.ZERO));
         }
     }
 
     private long begin(Read read, CompletableFuture<KeyedRecords> answer) {
         mRead = read;
+        mSentNanos = System.nanoTime();
         long number = ++mReads;
         answer.whenComplete(
                 (records, failure) -> {
@@ -173,6 +265,7 @@
         boolean readNewest = mRead == Read.NEWEST;
         boolean polled = mRead == Read.POLL;
         mRead = Read.NONE;
+        mAnswered |= failure == null;
         if (failure != null) {
             failed(failure);
             return;
@@ -189,9 +282,8 @@
         long newestEnd = readNewest ? records.endOffset() : -1;
         deliver(() -> mListener.recordsRead(records.records(), newestEnd));
         mListener.reachable(true);
-        if (readNewest) {
-            mListener.newestRead(mAskedNanos);
-        }
+        mWatch.readTo(records.endOffset(), mSentNanos, records.complete())
+                .ifPresent(mListener::upToDate);
         if (mActive) {
             readNext();
         } else {
@@ -235,15 +327,18 @@
             return;
         }
         Throwable failure = Completions.unwrap(wrapped);
-        boolean historyRemoved =
-                failure instanceof AzurearchException known
-                        && known.code() == ErrorCode.OFFSET_REMOVED;
-        if (historyRemoved) {
+        if (code(failure) == ErrorCode.OFFSET_REMOVED) {
             EventLog.log(SidecarEvent.STORE_HISTORY_GONE, KeyedLog.Stream.CONFIG, mNextOffset);
             mNextOffset = -1;
             readNext();
             return;
         }
+        if (code(failure) == ErrorCode.LOG_RESULT_UNKNOWN && arriving()) {
+            // Other answers arrive, so that the store can be reached.
+            mNextOffset = -1;
+            retry();
+            return;
+        }
         if (!mStoreDown) {
             mStoreDown = true;
             mDownSinceNanos = System.nanoTime();
@@ -251,6 +346,14 @@
         }
         mNextOffset = -1;
         mListener.reachable(false);
+        retry();
+    }
+
+    private void retry() {
         mLoop.schedule(this::readNext, mBackoff.nextDelay().toMillis(), TimeUnit.MILLISECONDS);
     }
+
+    private static @Nullable ErrorCode code(Throwable failure) {
+        return failure instanceof AzurearchException known ? known.code() : null;
+    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/VersionWatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/VersionWatch.java
@@ -74,12 +74,19 @@
         return mAwaiting ? nowNanos - mAwaitedSinceNanos : 0;
     }
 
-    /**
-     * Returns whether a version that was announced within some time is not in force yet. Each newer
-     * one begins that time anew.
-     */
-    boolean awaitsVersionOf(long nanos, long nowNanos) {
-        return mAwaiting && nowNanos - mAnnouncedNanos < nanos;
+    /** Returns whether a version that was announced is not in force yet, and still expected. */
+    boolean awaitsVersion() {
+        return mAwaiting;
+    }
+
+    /** Records that the version in force was the newest one of the store at a time. */
+    void newestOfStore(long asOfNanos) {
+        mAwaiting &= asOfNanos - mAnnouncedNanos <= 0;
+    }
+
+    /** Records that a version has arrived that this node cannot decode. */
+    void undecodable(long version) {
+        mAwaiting &= mAnnouncedVersion > version;
     }
 
     /**
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/store/KeyedLog.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/store/KeyedLog.java
@@ -37,6 +37,16 @@
      */
     CompletableFuture<KeyedRecords> read(Stream stream, long offset, Duration wait);
 
+    /**
+     * Returns the end of a stream, by a small read that does not wait.
+     *
+     * @param stream the stream
+     */
+    CompletableFuture<Long> endOffset(Stream stream);
+
+    /** Returns the {@link System#nanoTime()} at which bytes of the log have arrived last. */
+    long lastReceivedNanos();
+
     /**
      * Appends a record.
      *
--- a/org.azurearch/src/main/java/org/azurearch/internal/call/PooledHttpClient.java
+++ b/org.azurearch/src/main/java/org/azurearch/internal/call/PooledHttpClient.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -54,10 +55,14 @@
 
     private static final int KEEP_ALIVE_PROBES = 2;
 
+    /** Limit of the time for a reply that arrives slowly, in timeouts. */
+    private static final int MAX_TIMEOUTS = 8;
+
     private final EventLoop mLoop;
     private final NetAddress mAddress;
     private final int mMaxReplyBytes;
     private final Deque<Connection> mIdleConnections = new ArrayDeque<>();
+    private long mLastReadNanos = System.nanoTime();
     private boolean mClosed;
 
     /**
@@ -79,7 +84,8 @@
      * @param method the HTTP method
      * @param target path and query
      * @param body the body; empty for {@code GET}
-     * @param timeoutMillis the timeout for the reply, not counting the connect
+     * @param timeoutMillis how long to wait for the reply, or for more of it, not counting the
+     *     connect
      * @return the reply; fails with {@link AzurearchException} of the code {@code LOG_UNAVAILABLE}
      *     if the request was not sent, and {@code LOG_RESULT_UNKNOWN} if it has no valid reply
      */
@@ -105,6 +111,11 @@
         return reply;
     }
 
+    /** Returns the {@link System#nanoTime()} at which bytes of a reply have arrived last. */
+    public long lastReadNanos() {
+        return mLastReadNanos;
+    }
+
     /** Closes the connections without a request, as they may carry nothing any more. */
     public void closeIdle() {
         List<Connection> idle = List.copyOf(mIdleConnections);
@@ -137,11 +148,13 @@
                             protected void initChannel(SocketChannel channel) {
                                 AnswerDecoder decoder =
                                         new AnswerDecoder(HttpLimits.answerConfig());
+                                Connection connection = new Connection(channel, decoder);
                                 channel.pipeline()
+                                        .addLast(connection.new ReadObserver())
                                         .addLast(decoder)
                                         .addLast(new HttpRequestEncoder())
                                         .addLast(new HttpObjectAggregator(mMaxReplyBytes))
-                                        .addLast(new Connection(channel, decoder));
+                                        .addLast(connection);
                             }
                         })
                 .connect(mAddress.socketAddress())
@@ -170,6 +183,8 @@
         private final AnswerDecoder mDecoder;
         private @Nullable CompletableFuture<Reply> mPendingReply;
         private @Nullable ScheduledFuture<?> mTimeout;
+        private long mSentNanos;
+        private long mReadNanos;
 
         Connection(Channel channel, AnswerDecoder decoder) {
             mChannel = channel;
@@ -179,9 +194,9 @@
         void send(FullHttpRequest request, CompletableFuture<Reply> reply, long timeoutMillis) {
             mPendingReply = reply;
             mDecoder.awaitAnswer(request.method());
-            mTimeout =
-                    mLoop.schedule(
-                            () -> timedOut(timeoutMillis), timeoutMillis, TimeUnit.MILLISECONDS);
+            mSentNanos = System.nanoTime();
+            mReadNanos = mSentNanos;
+            scheduleTimeout(timeoutMillis, timeoutMillis);
             mChannel.writeAndFlush(request, mChannel.voidPromise());
         }
 
@@ -215,6 +230,24 @@
             fail(cause.toString());
         }
 
+        private void scheduleTimeout(long timeoutMillis, long delayMillis) {
+            mTimeout =
+                    mLoop.schedule(
+                            () -> checkTimeout(timeoutMillis), delayMillis, TimeUnit.MILLISECONDS);
+        }
+
+        /** A large reply may take longer on a narrow link, as long as it arrives. */
+        private void checkTimeout(long timeoutMillis) {
+            long now = System.nanoTime();
+            long silentMillis = TimeUnit.NANOSECONDS.toMillis(now - mReadNanos);
+            long totalMillis = TimeUnit.NANOSECONDS.toMillis(now - mSentNanos);
+            if (silentMillis < timeoutMillis && totalMillis < timeoutMillis * MAX_TIMEOUTS) {
+                scheduleTimeout(timeoutMillis, timeoutMillis - silentMillis);
+            } else {
+                timedOut(timeoutMillis);
+            }
+        }
+
         /** Fails the request; others that were used at the same time may be silent, too. */
         private void timedOut(long timeoutMillis) {
             closeIdle();
@@ -239,5 +272,15 @@
             }
             return reply;
         }
+
+        /** Observes bytes before they are a whole reply, which takes seconds on a narrow link. */
+        private final class ReadObserver extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                mReadNanos = System.nanoTime();
+                mLastReadNanos = mReadNanos;
+                context.fireChannelRead(message);
+            }
+        }
     }
 }
