Strike no requests at a node whose VM refuses connections

Cause: a node that was away for 2.5 s counted as lost with its VM. A VM that refuses connections is there, and only the process has ended. Change: such a node is waited for, up to 10 s. When it is back its record tells whether the server has crashed; if it stays away nothing is struck.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/suspect/PeerLossesTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/suspect/PeerLossesTest.java
@@ -1,6 +1,7 @@
 package org.azurearch.sidecar.internal.suspect;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -23,6 +24,7 @@
     private final PeerLosses mLosses = new PeerLosses();
     private final Map<String, NodeRecord> mRecords = new HashMap<>();
     private boolean mUp;
+    private boolean mRefuses;
     private final PeerLosses.Peers mPeers =
             new PeerLosses.Peers() {
                 @Override
@@ -34,6 +36,11 @@
                 public boolean up(String node) {
                     return mUp;
                 }
+
+                @Override
+                public boolean refuses(String node) {
+                    return mRefuses;
+                }
             };
 
     @Test
@@ -87,6 +94,37 @@
         assertEquals(1, mLosses.decide(mPeers, LATER).size());
     }
 
+    /** Guards against suspects of a node that was killed and takes long to start. */
+    @Test
+    void nodeWhoseVmIsThereIsWaitedFor() {
+        lose();
+        mRefuses = true;
+        assertEquals(List.of(), mLosses.decide(mPeers, LATER));
+        mRecords.put("n1", record(8, "i-1", 5));
+        assertEquals(List.of(), mLosses.decide(mPeers, LATER + 1));
+        assertTrue(mLosses.isEmpty());
+    }
+
+    @Test
+    void crashBesideNodeThatTakesLongToStartIsStruck() {
+        lose();
+        mRefuses = true;
+        assertEquals(List.of(), mLosses.decide(mPeers, LATER));
+        mRecords.put("n1", record(8, "i-1", 6));
+        assertEquals(1, mLosses.decide(mPeers, LATER + 1).size());
+    }
+
+    @Test
+    void nodeThatNeverComesBackToItsVmIsForgotten() {
+        lose();
+        mRefuses = true;
+        long end = START + PeerLosses.LONGEST_RESTART.toMillis();
+        assertEquals(List.of(), mLosses.decide(mPeers, end - 1));
+        assertFalse(mLosses.isEmpty());
+        assertEquals(List.of(), mLosses.decide(mPeers, end));
+        assertTrue(mLosses.isEmpty());
+    }
+
     /**
      * Guards against strikes for all requests in flight at a cut: on a mesh of 79 nodes, their
      * exchange used up the processor of each node, so that more links were lost.
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/hop/HopLink.java
@@ -100,6 +100,7 @@
     private @Nullable HopConnection mSilent;
 
     private boolean mPeerEnded;
+    private boolean mRefused;
     private boolean mConnecting;
     private @Nullable String mOtherNode;
     private boolean mUp;
@@ -158,6 +159,11 @@
         return !mPending.isEmpty();
     }
 
+    /** Returns whether the peer's VM refused an attempt to connect, and the link is not up yet. */
+    public boolean refused() {
+        return mRefused;
+    }
+
     /** Returns how long the link has been down, or 0 if it is up. */
     public long downNanos(long nowNanos) {
         return mUp ? 0 : nowNanos - mDownSinceNanos;
@@ -315,6 +321,7 @@
                 return;
             }
             mUp = true;
+            mRefused = false;
             mUpSinceNanos = System.nanoTime();
             mBackoff.reset();
             mListener.connectionChanged(this, true);
@@ -419,6 +426,7 @@
     private void connectFailed(Throwable cause) {
         boolean refused =
                 cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        mRefused = refused;
         if (!refused) {
             mPending.reportSilent();
         } else if (mSilent == null) {
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/KnownPeers.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/KnownPeers.java
@@ -23,4 +23,10 @@
         HopLink link = mDirectory.link(node);
         return link != null && link.up();
     }
+
+    @Override
+    public boolean refuses(String node) {
+        HopLink link = mDirectory.link(node);
+        return link != null && link.refused();
+    }
 }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/PeerLosses.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/PeerLosses.java
@@ -21,6 +21,12 @@
     /** Time for a node to come back; a restart takes about half of it. */
     public static final Duration RETURN_TIME = Duration.ofMillis(2_500);
 
+    /**
+     * Time for a node to come back whose VM is there. Its record tells then whether the backend
+     * server has crashed; a node that does not come back tells nothing of it.
+     */
+    static final Duration LONGEST_RESTART = Duration.ofSeconds(10);
+
     /**
      * Most peers that may be lost at about the same time to a request that crashes them. More are
      * lost to a cut or to nodes that are too slow to answer; requests in flight then are not the
@@ -38,6 +44,9 @@
 
         /** Returns whether the link to a node is up. */
         boolean up(String node);
+
+        /** Returns whether the VM of a node refuses connections to it, so that the VM is there. */
+        boolean refuses(String node);
     }
 
     /** A request whose backend server is lost. */
@@ -112,8 +121,12 @@
             return false;
         }
         BackendRecord backend = now == null ? null : now.backend();
-        boolean over = nowMillis - loss.atMillis() >= RETURN_TIME.toMillis();
+        long awayMillis = nowMillis - loss.atMillis();
+        boolean over = awayMillis >= RETURN_TIME.toMillis();
         if (sameRun || backend == null) {
+            if (peers.refuses(loss.peer().node())) {
+                return awayMillis >= LONGEST_RESTART.toMillis() ? false : null;
+            }
             return over ? true : null;
         }
         // Until the next heartbeat, a restarted node knows only that the same instance is healthy.
