Send a peer only the strikes that it lacks

Change: a pulse has a digest for each of 16 buckets; the receiver replies with the hashes of its strikes in the buckets that differ, and either end sends what the other lacks, the newest first, at most 64 strikes in a frame and 256 a second to all peers. A link that comes up begins a comparison. Digests are kept up to date in place of being computed for each pulse. A peer of an earlier release is sent the newest 64. Tests: StrikeTrafficTest fails without it (2,059,567 bytes) and passes (below 34,302, one table); StrikeExchangeTest is new.

--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -23,6 +23,7 @@
 import org.azurearch.sidecar.internal.rollout.RolloutService;
 import org.azurearch.sidecar.internal.suspect.PeerLosses;
 import org.azurearch.sidecar.internal.suspect.StrikeEntry;
+import org.azurearch.sidecar.internal.suspect.StrikeExchange;
 import org.azurearch.sidecar.internal.suspect.SuspectTracker;
 import org.azurearch.sidecar.member.NodeRecord;
 import org.azurearch.sidecar.member.ShareHolders;
@@ -60,6 +61,7 @@
     private final Consumer<NodeRecord> mEarlierRecordConsumer;
     private final ConfigHolder mConfigs;
     private final SuspectTracker mSuspects;
+    private final StrikeExchange mStrikes;
     private final PauseDetector mPauses;
     private final NodeDirectory mDirectory;
     private final NodeRegistration mRegistration;
@@ -114,6 +116,7 @@
             MetricRegistry metrics) {
         mSent = network.sentFrames();
         mSuspects = suspects;
+        mStrikes = new StrikeExchange(suspects);
         mPauses = pauses;
         mEarlierRecordConsumer = earlierRecordConsumer;
         mLoop = loop;
@@ -195,16 +198,16 @@
 
     @Override
     public void linkUp(HopLink link) {
-        if (mDirectory.localLinks().contains(link)) {
-            if (mStartupPulsesSent < STARTUP_PULSES) {
-                mStartupPulsesSent++;
-                link.send(pulseFrame(false));
-            }
-            mExchange.repeatChange(link);
+        boolean local = mDirectory.localLinks().contains(link);
+        boolean starting = local && mStartupPulsesSent < STARTUP_PULSES;
+        if (starting) {
+            mStartupPulsesSent++;
         }
-        List<StrikeEntry> strikes = mSuspects.entries();
-        if (!strikes.isEmpty()) {
-            link.send(frame(strikes, true));
+        if (starting || mSuspects.digest() != 0) {
+            link.send(pulseFrame(false));
+        }
+        if (local) {
+            mExchange.repeatChange(link);
         }
         if (mRollouts != null) {
             mRollouts.sendAll(link::send);
@@ -213,7 +216,7 @@
 
     @Override
     public void publish(List<StrikeEntry> changed) {
-        mDirectory.broadcast(frame(changed, false));
+        mDirectory.broadcast(mStrikes.frame(changed, false));
     }
 
     @Override
@@ -237,6 +240,7 @@
             case PULSE -> compare(connection, frame.getPulse());
             case CONFIG -> mExchange.received(connection, frame.getConfig());
             case QUOTA -> mQuota.received(connection, frame.getQuota());
+            case STRIKE_HASHES -> mStrikes.received(frame.getStrikeHashes(), connection::send);
             case CONFIG_WANTED -> mExchange.answerPull(connection, frame.getConfigWanted());
             case ROLLOUT -> {
                 if (mRollouts != null) {
@@ -257,7 +261,7 @@
             List<StrikeEntry> changed =
                     mSuspects.merge(HopWire.fromWire(records.getStrikes(), mSuspects.nowMillis()));
             if (!changed.isEmpty() && !records.isRelayed()) {
-                mDirectory.relay(frame(changed, true));
+                mDirectory.relay(mStrikes.frame(changed, true));
             }
         }
     }
@@ -267,12 +271,6 @@
         mSuspects.merge(HopWire.fromWire(saved.getStrikes(), mSuspects.nowMillis() - age));
     }
 
-    private HopFrame frame(List<StrikeEntry> strikes, boolean relayed) {
-        return HopFrame.records(
-                new WireNodeRecords(List.of(), relayed)
-                        .setStrikes(HopWire.toWire(strikes, mSuspects.nowMillis())));
-    }
-
     private void compare(HopConnection connection, WirePulse pulse) {
         mConfigs.heard();
         if (pulse.isReply()) {
@@ -297,9 +295,7 @@
 
     /** Sends a peer what it may lack besides the configuration. */
     private void sendDifferences(HopConnection connection, WirePulse pulse) {
-        if (pulse.getStrikeDigest() != mSuspects.digest()) {
-            connection.send(frame(mSuspects.entries(), true));
-        }
+        mStrikes.compare(pulse, connection::send);
         if (mRollouts != null && pulse.getRolloutDigest() != mRollouts.digest()) {
             mRollouts.sendAll(connection::send);
         }
@@ -421,7 +417,7 @@
     }
 
     private WirePulse fullPulse(boolean reply) {
-        WirePulse pulse = mLease.versionPulse(reply).setStrikeDigest(mSuspects.digest());
+        WirePulse pulse = mStrikes.addTo(mLease.versionPulse(reply));
         long rollouts = mRollouts == null ? 0 : mRollouts.digest();
         return rollouts == 0 ? pulse : pulse.setRolloutDigest(rollouts);
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectRegistry.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectRegistry.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,7 +12,6 @@
 import org.azurearch.call.SuspectTable;
 import org.azurearch.call.SuspectTable.Strike;
 import org.azurearch.internal.call.RequestFingerprint;
-import org.azurearch.internal.member.Hashes;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -33,6 +33,7 @@
     private static final int MAX_STRIKES = 4_096;
 
     private final Map<String, StrikeEntry> mEntries = new LinkedHashMap<>();
+    private final StrikeDigests mDigests = new StrikeDigests();
 
     /** The table of the strikes; null if they have changed since it was built. */
     private @Nullable SuspectTable mTable = SuspectTable.EMPTY;
@@ -144,7 +145,11 @@
             boolean isNew = known == null && !expired(entry, nowMillis);
             boolean isCleared = known != null && entry.cleared() && !known.cleared();
             if (isNew || isCleared) {
+                if (known != null) {
+                    mDigests.remove(known);
+                }
                 mEntries.put(entry.key(), entry);
+                mDigests.add(entry);
                 changed.add(entry);
             }
         }
@@ -201,18 +206,35 @@
 
     /** Returns a digest of all strikes; registries with the same strikes have equal digests. */
     public long digest() {
-        long digest = 0;
-        for (StrikeEntry entry : mEntries.values()) {
-            digest += Hashes.of(entry.key() + (entry.cleared() ? "-" : "+"));
-        }
-        return digest;
+        return mDigests.total();
+    }
+
+    /** Returns a digest of the strikes of each bucket. */
+    List<Integer> bucketDigests() {
+        return mDigests.buckets();
+    }
+
+    /** Returns the strikes of some buckets, the newest first. */
+    List<StrikeEntry> entriesIn(Set<Integer> buckets) {
+        return mEntries.values().stream()
+                .filter(entry -> buckets.contains(StrikeDigests.bucket(entry)))
+                .sorted(Comparator.comparingLong((StrikeEntry entry) -> -entry.strike().atMillis()))
+                .toList();
     }
 
     /** Removes strikes that have expired or exceed the limit. */
     private void trim(long nowMillis) {
-        mEntries.values().removeIf(entry -> expired(entry, nowMillis));
+        mEntries.values()
+                .removeIf(
+                        entry -> {
+                            boolean expired = expired(entry, nowMillis);
+                            if (expired) {
+                                mDigests.remove(entry);
+                            }
+                            return expired;
+                        });
         while (mEntries.size() > MAX_STRIKES) {
-            mEntries.remove(mEntries.keySet().iterator().next());
+            mDigests.remove(mEntries.remove(mEntries.keySet().iterator().next()));
         }
         mTable = null;
     }
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/suspect/SuspectTracker.java
@@ -264,6 +264,16 @@
         return mRegistry.entries();
     }
 
+    /** Returns a digest of the strikes of each bucket. */
+    List<Integer> bucketDigests() {
+        return mRegistry.bucketDigests();
+    }
+
+    /** Returns the strikes of some buckets, the newest first. */
+    List<StrikeEntry> entriesIn(Set<Integer> buckets) {
+        return mRegistry.entriesIn(buckets);
+    }
+
     /** Returns a digest of all strikes, to compare with that of a peer. */
     public long digest() {
         return mRegistry.digest();
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/HopFrame.java
@@ -27,6 +27,7 @@
   private static final org.apache.thrift.protocol.TField WITHDRAWAL_FIELD_DESC = new org.apache.thrift.protocol.TField("withdrawal", org.apache.thrift.protocol.TType.STRUCT, (short)13);
   private static final org.apache.thrift.protocol.TField SESSION_FIELD_DESC = new org.apache.thrift.protocol.TField("session", org.apache.thrift.protocol.TType.STRUCT, (short)14);
   private static final org.apache.thrift.protocol.TField SESSION_REPLY_FIELD_DESC = new org.apache.thrift.protocol.TField("sessionReply", org.apache.thrift.protocol.TType.STRUCT, (short)15);
+  private static final org.apache.thrift.protocol.TField STRIKE_HASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("strikeHashes", org.apache.thrift.protocol.TType.STRUCT, (short)16);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -44,7 +45,8 @@
     ROLLOUT((short)12, "rollout"),
     WITHDRAWAL((short)13, "withdrawal"),
     SESSION((short)14, "session"),
-    SESSION_REPLY((short)15, "sessionReply");
+    SESSION_REPLY((short)15, "sessionReply"),
+    STRIKE_HASHES((short)16, "strikeHashes");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -90,6 +92,8 @@
           return SESSION;
         case 15: // SESSION_REPLY
           return SESSION_REPLY;
+        case 16: // STRIKE_HASHES
+          return STRIKE_HASHES;
         default:
           return null;
       }
@@ -165,6 +169,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireHopSession.class)));
     tmpMap.put(_Fields.SESSION_REPLY, new org.apache.thrift.meta_data.FieldMetaData("sessionReply", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireHopSessionReply.class)));
+    tmpMap.put(_Fields.STRIKE_HASHES, new org.apache.thrift.meta_data.FieldMetaData("strikeHashes", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WireStrikeHashes.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(HopFrame.class, metaDataMap);
   }
@@ -275,6 +281,12 @@
     return x;
   }
 
+  public static HopFrame strikeHashes(WireStrikeHashes value) {
+    HopFrame x = new HopFrame();
+    x.setStrikeHashes(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -354,6 +366,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type WireHopSessionReply for field 'sessionReply', but got " + value.getClass().getSimpleName());
+      case STRIKE_HASHES:
+        if (value instanceof WireStrikeHashes) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type WireStrikeHashes for field 'strikeHashes', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -514,6 +531,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case STRIKE_HASHES:
+          if (field.type == STRIKE_HASHES_FIELD_DESC.type) {
+            WireStrikeHashes strikeHashes;
+            strikeHashes = new WireStrikeHashes();
+            strikeHashes.read(iprot);
+            return strikeHashes;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -586,6 +613,10 @@
         WireHopSessionReply sessionReply = (WireHopSessionReply)value_;
         sessionReply.write(oprot);
         return;
+      case STRIKE_HASHES:
+        WireStrikeHashes strikeHashes = (WireStrikeHashes)value_;
+        strikeHashes.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -671,6 +702,11 @@
           sessionReply = new WireHopSessionReply();
           sessionReply.read(iprot);
           return sessionReply;
+        case STRIKE_HASHES:
+          WireStrikeHashes strikeHashes;
+          strikeHashes = new WireStrikeHashes();
+          strikeHashes.read(iprot);
+          return strikeHashes;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -742,6 +778,10 @@
         WireHopSessionReply sessionReply = (WireHopSessionReply)value_;
         sessionReply.write(oprot);
         return;
+      case STRIKE_HASHES:
+        WireStrikeHashes strikeHashes = (WireStrikeHashes)value_;
+        strikeHashes.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -780,6 +820,8 @@
         return SESSION_FIELD_DESC;
       case SESSION_REPLY:
         return SESSION_REPLY_FIELD_DESC;
+      case STRIKE_HASHES:
+        return STRIKE_HASHES_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -997,6 +1039,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.SESSION_REPLY");
   }
 
+  public WireStrikeHashes getStrikeHashes() {
+    if (getSetField() == _Fields.STRIKE_HASHES) {
+      return (WireStrikeHashes)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'strikeHashes' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setStrikeHashes(WireStrikeHashes value) {
+    setField_ = _Fields.STRIKE_HASHES;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.STRIKE_HASHES");
+  }
+
   public boolean isSetHello() {
     return setField_ == _Fields.HELLO;
   }
@@ -1072,6 +1127,11 @@
   }
 
 
+  public boolean isSetStrikeHashes() {
+    return setField_ == _Fields.STRIKE_HASHES;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof HopFrame) {
       return equals((HopFrame)other);
--- a/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
+++ b/org.azurearch.thrift/src/main/java/org/azurearch/thrift/WirePulse.java
@@ -21,6 +21,7 @@
   private static final org.apache.thrift.protocol.TField ROLLOUT_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("rolloutDigest", org.apache.thrift.protocol.TType.I64, (short)6);
   private static final org.apache.thrift.protocol.TField ASKED_NANOS_FIELD_DESC = new org.apache.thrift.protocol.TField("askedNanos", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I32, (short)8);
+  private static final org.apache.thrift.protocol.TField STRIKE_DIGESTS_FIELD_DESC = new org.apache.thrift.protocol.TField("strikeDigests", org.apache.thrift.protocol.TType.LIST, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WirePulseStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WirePulseTupleSchemeFactory();
@@ -45,6 +46,10 @@
    * How long ago configVersion was known to be the newest; negative if unknown.
    */
   public int ageMillis; // optional
+  /**
+   * Digests of the strikes of each bucket; unset if strikeDigest is, and by earlier releases.
+   */
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> strikeDigests; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -67,7 +72,11 @@
     /**
      * How long ago configVersion was known to be the newest; negative if unknown.
      */
-    AGE_MILLIS((short)8, "ageMillis");
+    AGE_MILLIS((short)8, "ageMillis"),
+    /**
+     * Digests of the strikes of each bucket; unset if strikeDigest is, and by earlier releases.
+     */
+    STRIKE_DIGESTS((short)9, "strikeDigests");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -99,6 +108,8 @@
           return ASKED_NANOS;
         case 8: // AGE_MILLIS
           return AGE_MILLIS;
+        case 9: // STRIKE_DIGESTS
+          return STRIKE_DIGESTS;
         default:
           return null;
       }
@@ -151,7 +162,7 @@
   private static final int __ASKEDNANOS_ISSET_ID = 6;
   private static final int __AGEMILLIS_ISSET_ID = 7;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.STRIKE_DIGEST,_Fields.ROLLOUT_DIGEST,_Fields.ASKED_NANOS,_Fields.AGE_MILLIS};
+  private static final _Fields optionals[] = {_Fields.STRIKE_DIGEST,_Fields.ROLLOUT_DIGEST,_Fields.ASKED_NANOS,_Fields.AGE_MILLIS,_Fields.STRIKE_DIGESTS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -171,6 +182,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("ageMillis", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.STRIKE_DIGESTS, new org.apache.thrift.meta_data.FieldMetaData("strikeDigests", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WirePulse.class, metaDataMap);
   }
@@ -208,6 +222,10 @@
     this.rolloutDigest = other.rolloutDigest;
     this.askedNanos = other.askedNanos;
     this.ageMillis = other.ageMillis;
+    if (other.isSetStrikeDigests()) {
+      java.util.List<java.lang.Integer> __this__strikeDigests = new java.util.ArrayList<java.lang.Integer>(other.strikeDigests);
+      this.strikeDigests = __this__strikeDigests;
+    }
   }
 
   @Override
@@ -233,6 +251,7 @@
     this.askedNanos = 0;
     setAgeMillisIsSet(false);
     this.ageMillis = 0;
+    this.strikeDigests = null;
   }
 
   public long getConfigVersion() {
@@ -443,6 +462,53 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
   }
 
+  public int getStrikeDigestsSize() {
+    return (this.strikeDigests == null) ? 0 : this.strikeDigests.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.Integer> getStrikeDigestsIterator() {
+    return (this.strikeDigests == null) ? null : this.strikeDigests.iterator();
+  }
+
+  public void addToStrikeDigests(int elem) {
+    if (this.strikeDigests == null) {
+      this.strikeDigests = new java.util.ArrayList<java.lang.Integer>();
+    }
+    this.strikeDigests.add(elem);
+  }
+
+  /**
+   * Digests of the strikes of each bucket; unset if strikeDigest is, and by earlier releases.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.Integer> getStrikeDigests() {
+    return this.strikeDigests;
+  }
+
+  /**
+   * Digests of the strikes of each bucket; unset if strikeDigest is, and by earlier releases.
+   */
+  public WirePulse setStrikeDigests(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.Integer> strikeDigests) {
+    this.strikeDigests = strikeDigests;
+    return this;
+  }
+
+  public void unsetStrikeDigests() {
+    this.strikeDigests = null;
+  }
+
+  /** Returns true if field strikeDigests is set (has been assigned a value) and false otherwise */
+  public boolean isSetStrikeDigests() {
+    return this.strikeDigests != null;
+  }
+
+  public void setStrikeDigestsIsSet(boolean value) {
+    if (!value) {
+      this.strikeDigests = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -510,6 +576,14 @@
       }
       break;
 
+    case STRIKE_DIGESTS:
+      if (value == null) {
+        unsetStrikeDigests();
+      } else {
+        setStrikeDigests((java.util.List<java.lang.Integer>)value);
+      }
+      break;
+
     }
   }
 
@@ -541,6 +615,9 @@
     case AGE_MILLIS:
       return getAgeMillis();
 
+    case STRIKE_DIGESTS:
+      return getStrikeDigests();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -569,6 +646,8 @@
       return isSetAskedNanos();
     case AGE_MILLIS:
       return isSetAgeMillis();
+    case STRIKE_DIGESTS:
+      return isSetStrikeDigests();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -658,6 +737,15 @@
         return false;
     }
 
+    boolean this_present_strikeDigests = true && this.isSetStrikeDigests();
+    boolean that_present_strikeDigests = true && that.isSetStrikeDigests();
+    if (this_present_strikeDigests || that_present_strikeDigests) {
+      if (!(this_present_strikeDigests && that_present_strikeDigests))
+        return false;
+      if (!this.strikeDigests.equals(that.strikeDigests))
+        return false;
+    }
+
     return true;
   }
 
@@ -689,6 +777,10 @@
     if (isSetAgeMillis())
       hashCode = hashCode * 8191 + ageMillis;
 
+    hashCode = hashCode * 8191 + ((isSetStrikeDigests()) ? 131071 : 524287);
+    if (isSetStrikeDigests())
+      hashCode = hashCode * 8191 + strikeDigests.hashCode();
+
     return hashCode;
   }
 
@@ -780,6 +872,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetStrikeDigests(), other.isSetStrikeDigests());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetStrikeDigests()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.strikeDigests, other.strikeDigests);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -843,6 +945,16 @@
       sb.append(this.ageMillis);
       first = false;
     }
+    if (isSetStrikeDigests()) {
+      if (!first) sb.append(", ");
+      sb.append("strikeDigests:");
+      if (this.strikeDigests == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.strikeDigests);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -958,6 +1070,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // STRIKE_DIGESTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.strikeDigests = new java.util.ArrayList<java.lang.Integer>(_list56.size);
+                int _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
+                {
+                  _elem57 = iprot.readI32();
+                  struct.strikeDigests.add(_elem57);
+                }
+                iprot.readListEnd();
+              }
+              struct.setStrikeDigestsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1018,6 +1148,20 @@
         oprot.writeI32(struct.ageMillis);
         oprot.writeFieldEnd();
       }
+      if (struct.strikeDigests != null) {
+        if (struct.isSetStrikeDigests()) {
+          oprot.writeFieldBegin(STRIKE_DIGESTS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.strikeDigests.size()));
+            for (int _iter59 : struct.strikeDigests)
+            {
+              oprot.writeI32(_iter59);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1053,7 +1197,10 @@
       if (struct.isSetAgeMillis()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetStrikeDigests()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetStrikeDigest()) {
         oprot.writeI64(struct.strikeDigest);
       }
@@ -1066,6 +1213,15 @@
       if (struct.isSetAgeMillis()) {
         oprot.writeI32(struct.ageMillis);
       }
+      if (struct.isSetStrikeDigests()) {
+        {
+          oprot.writeI32(struct.strikeDigests.size());
+          for (int _iter60 : struct.strikeDigests)
+          {
+            oprot.writeI32(_iter60);
+          }
+        }
+      }
     }
 
     @Override
@@ -1079,7 +1235,7 @@
       struct.setReplyIsSet(true);
       struct.members = iprot.readI32();
       struct.setMembersIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.strikeDigest = iprot.readI64();
         struct.setStrikeDigestIsSet(true);
@@ -1096,6 +1252,19 @@
         struct.ageMillis = iprot.readI32();
         struct.setAgeMillisIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.strikeDigests = new java.util.ArrayList<java.lang.Integer>(_list61.size);
+          int _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          {
+            _elem62 = iprot.readI32();
+            struct.strikeDigests.add(_elem62);
+          }
+        }
+        struct.setStrikeDigestsIsSet(true);
+      }
     }
   }
 
--- a/org.azurearch.thrift/src/main/thrift/hop.thrift
+++ b/org.azurearch.thrift/src/main/thrift/hop.thrift
@@ -151,6 +151,16 @@
   7: optional i64 askedNanos
   /** How long ago configVersion was known to be the newest; negative if unknown. */
   8: optional i32 ageMillis
+  /** Digests of the strikes of each bucket; unset if strikeDigest is, and by earlier releases. */
+  9: optional list<i32> strikeDigests
+}
+
+/** Hashes of the strikes of some buckets; the receiver sends those that the sender lacks. */
+struct WireStrikeHashes {
+  1: required list<i32> buckets
+  2: required list<i64> hashes
+  /** Whether the sender has received the hashes of the receiver. */
+  3: required bool reply
 }
 
 /** A configuration, whole or as a patch on an older version. */
@@ -215,4 +225,5 @@
   13: WireHopWithdrawal withdrawal
   14: WireHopSession session
   15: WireHopSessionReply sessionReply
+  16: WireStrikeHashes strikeHashes
 }
