Take a late answer for a sign that the store can be reached

Cause, as read: a poll that is checked right after answers become late by 3 s is given up after 2.5 s, before the first late answer, and a node that has lost the store only tried reads that are given up as early. Change: a node that loses the store by silence checks the end of the stream once more with each try, and any answer, however late, shows that the store can be reached. StoreReaderTest has the case; it fails without the change, as nothing is left to answer.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreReaderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreReaderTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.azurearch.errors.AzurearchException;
+import org.azurearch.errors.ErrorCode;
 import org.azurearch.sidecar.store.KeyedLog;
 import org.azurearch.sidecar.store.KeyedRecord;
 import org.azurearch.sidecar.store.KeyedRecords;
@@ -23,6 +25,7 @@
     private final EmbeddedChannel mChannel = new EmbeddedChannel();
     private final DefaultEventLoop mLoop = new DefaultEventLoop();
     private final Deque<CompletableFuture<KeyedRecords>> mReads = new ArrayDeque<>();
+    private final Deque<CompletableFuture<Long>> mEnds = new ArrayDeque<>();
     private final List<String> mConfigs = new ArrayList<>();
     private final List<Boolean> mReachable = new ArrayList<>();
 
@@ -88,6 +91,29 @@
         assertEquals(1, mReads.size());
     }
 
+    /** Guards against a data centre that goes on with what it has beside a store that is late. */
+    @Test
+    void lateAnswerShowsThatTheStoreCanBeReached() {
+        mChannel.freezeTime();
+        new StoreReader(
+                        new ManualLog(),
+                        mChannel.eventLoop(),
+                        new PollSchedule(2_000),
+                        "config",
+                        new Listener())
+                .setActive(true);
+        complete("first");
+        mReads.remove()
+                .completeExceptionally(
+                        new AzurearchException(ErrorCode.LOG_RESULT_UNKNOWN, "no reply"));
+        assertEquals(List.of(true, false), mReachable);
+        mEnds.remove().complete(1L);
+        assertEquals(List.of(true, false, true), mReachable);
+        advance(1_000);
+        complete("second");
+        assertEquals(List.of("first", "second"), mConfigs);
+    }
+
     private void advance(long millis) {
         mChannel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
         mChannel.runScheduledPendingTasks();
@@ -134,7 +160,9 @@
 
         @Override
         public CompletableFuture<Long> endOffset(Stream stream) {
-            return CompletableFuture.completedFuture(0L);
+            CompletableFuture<Long> end = new CompletableFuture<>();
+            mEnds.add(end);
+            return end;
         }
 
         @Override
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreReader.java
@@ -161,6 +161,7 @@
 
     private void endChecked(long sentNanos, long endOffset) {
         mAnswered = true;
+        storeAnswered();
         if (mWatch.checkAnswered(sentNanos, endOffset, System.nanoTime())) {
             mListener.upToDate(sentNanos);
         }
@@ -270,18 +271,13 @@
             failed(failure);
             return;
         }
-        if (mStoreDown) {
-            mStoreDown = false;
-            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mDownSinceNanos);
-            EventLog.log(SidecarEvent.STORE_UP, "read", millis);
-        }
+        storeAnswered();
         mBackoff.reset();
         mNextOffset = records.endOffset();
         mReadTogether = polled && !records.records().isEmpty();
         deliver(() -> deliverNewest(records.records()));
         long newestEnd = readNewest ? records.endOffset() : -1;
         deliver(() -> mListener.recordsRead(records.records(), newestEnd));
-        mListener.reachable(true);
         mWatch.readTo(records.endOffset(), mSentNanos, records.complete())
                 .ifPresent(mListener::upToDate);
         if (mActive) {
@@ -291,6 +287,16 @@
         }
     }
 
+    /** Records that the store can be reached, although its answer may be late. */
+    private void storeAnswered() {
+        if (mStoreDown) {
+            mStoreDown = false;
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mDownSinceNanos);
+            EventLog.log(SidecarEvent.STORE_UP, "read", millis);
+        }
+        mListener.reachable(true);
+    }
+
     /** Stops reading; a pending long poll ends with its connection. */
     void close() {
         mClosed = true;
@@ -346,6 +352,10 @@
         }
         mNextOffset = -1;
         mListener.reachable(false);
+        if (code(failure) == ErrorCode.LOG_RESULT_UNKNOWN) {
+            // Finds out whether the store is silent or only late.
+            checkEnd(System.nanoTime());
+        }
         retry();
     }
 
