Await no check that a later one has overtaken

A check of the store whose answer was lost counted as late for 10 s: checks came twice as often, each over a new connection. Cause: it was remembered until its timeout. Change: the answer to a later check ends the wait for earlier ones; StoreWatchTest has the case.

--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreWatchTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreWatchTest.java
@@ -74,6 +74,17 @@
         assertFalse(mWatch.late(1_910 * MS));
     }
 
+    /** Guards against new connections for each check as long as one answer is missing. */
+    @Test
+    void lostAnswerIsNotAwaitedAfterLaterOne() {
+        mWatch.readTo(5, 0, true);
+        mWatch.checkSent(0);
+        mWatch.checkSent(CHECK);
+        assertTrue(mWatch.late(CHECK + 1));
+        assertTrue(mWatch.checkAnswered(CHECK, 5, CHECK + 10));
+        assertFalse(mWatch.late(APPLY));
+    }
+
     @Test
     void storeThatSendsNothingIsSilent() {
         mWatch.readTo(5, 0, true);
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/ConfigHolder.java
@@ -113,7 +113,7 @@
      */
     void confirmedByStore(long asOfNanos) {
         mVersions.newestOfStore(asOfNanos);
-        mLease.confirmed(asOfNanos, "read of the store");
+        mLease.confirmed(asOfNanos, "store-read");
     }
 
     /** Returns whether the version in force has been held for some time. */
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/LeaseRenewal.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/LeaseRenewal.java
@@ -38,7 +38,7 @@
         ConfigLease lease = mConfigs.lease();
         boolean cutOff = isReader && storeLost && lease.peersSilent(nowNanos);
         if (cutOff && mConfigs.current() != null && !mConfigs.awaitsNewer()) {
-            lease.confirmed(nowNanos, "silence of the store");
+            lease.confirmed(nowNanos, "store-silence");
         }
         logLease(nowNanos);
         boolean askedLately = nowNanos - mAskedNanos < MIN_ASK_NANOS;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/MeshService.java
@@ -48,10 +48,7 @@
     /** Number of peers in its data centre to which a node sends a pulse after its start. */
     private static final int STARTUP_PULSES = 3;
 
-    /**
-     * Bytes of shared state a second from which on they are logged: about thirty times those of a
-     * node at rest.
-     */
+    /** Bytes of shared state in a second beyond which they are logged. */
     private static final long LOGGED_STATE_BYTES = 65_536;
 
     private static final long LOG_STATE_NANOS = 1_000_000_000L;
--- a/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreWatch.java
+++ b/org.azurearch.sidecar/src/main/java/org/azurearch/sidecar/internal/mesh/StoreWatch.java
@@ -127,7 +127,8 @@
      * @return whether all before the end has been read, so that this was known at that time
      */
     boolean checkAnswered(long sentNanos, long endOffset, long nowNanos) {
-        checkEnded(sentNanos);
+        // Earlier ones without an answer are most likely lost with their connections.
+        mChecks.removeIf(sent -> sent - sentNanos <= 0);
         mLate = nowNanos - sentNanos > mCheckNanos;
         if (mRead && endOffset <= mReadTo) {
             return true;
