--- a/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreReaderTest.java
+++ b/org.azurearch.sidecar.test/src/test/java/org/azurearch/sidecar/internal/mesh/StoreReaderTest.java
@@ -27,6 +27,7 @@
     private final Deque<CompletableFuture<KeyedRecords>> mReads = new ArrayDeque<>();
     private final Deque<CompletableFuture<Long>> mEnds = new ArrayDeque<>();
     private final List<String> mConfigs = new ArrayList<>();
+    private final List<Long> mUpToDate = new ArrayList<>();
     private final List<Boolean> mReachable = new ArrayList<>();
 
     @AfterEach
@@ -62,12 +63,17 @@
         complete("first");
         CompletableFuture<KeyedRecords> lost = mReads.poll();
         advance(1_190);
+        assertEquals(1, mUpToDate.size(), "a poll without an answer shows nothing");
         assertEquals(List.of("first"), mConfigs);
         assertTrue(mReads.isEmpty());
         advance(20);
+        assertEquals(1, mUpToDate.size());
         complete("second");
+        assertEquals(2, mUpToDate.size());
+        assertTrue(mUpToDate.get(1) - mUpToDate.get(0) > 0);
         assertEquals(1, mReads.size());
         lost.complete(records("late"));
+        assertEquals(2, mUpToDate.size(), "the answer to an earlier read shows nothing new");
         assertEquals(1, mReads.size());
         complete("third");
         assertEquals(List.of("first", "second", "late", "third"), mConfigs);
@@ -148,6 +154,11 @@
             }
         }
 
+        @Override
+        public void upToDate(long asOfNanos) {
+            mUpToDate.add(asOfNanos);
+        }
+
         @Override
         public void reachable(boolean reachable) {
             mReachable.add(reachable);
